--- /dev/null
+++ b/include/oleanderport/Messages.h
@@ -0,0 +1,285 @@
+#pragma once
+
+#include "oleanderport/Clock.h"
+#include "oleanderport/Error.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+// The typed messages that processes exchange. Units: memory in megabytes, processor in thousandths of a core, time in
+// milliseconds. src/wire/MessageCodec.h turns each into JSON and back.
+namespace oleanderport {
+
+// Names one process over one of its lives. Control gives a higher incarnation each time an instance opens a session.
+struct SessionId {
+    std::string instance;
+    std::uint64_t incarnation { 0 };
+
+    auto operator<=>(const SessionId&) const = default;
+};
+
+// Names a job for ever: the caller that submitted it and the id that this caller gave it.
+struct JobKey {
+    std::string caller;
+    std::string job;
+
+    auto operator<=>(const JobKey&) const = default;
+};
+
+enum class Role {
+    Entry,
+    Sidecar,
+    Control,
+};
+
+std::string_view roleName(Role);
+std::optional<Role> roleFromName(std::string_view);
+
+// What a task needs, as its caller declares it.
+struct TaskNeeds {
+    std::int64_t cpuMillis { 0 };
+    std::int64_t memoryMb { 0 };
+    std::int64_t accelerators { 0 };
+    Milliseconds runTime {};
+};
+
+struct TaskSpec {
+    TaskNeeds needs;
+    std::string payload;
+};
+
+// A job as a caller submits it.
+struct JobSpec {
+    JobKey key;
+    std::string team;
+    std::string service;
+    // Wall-clock time after which no task of the job may start. Part of the content digest, so a resubmission is
+    // recognised as long as its claim is kept and refused afterwards.
+    Milliseconds deadlineUnix {};
+    // True for a single request that may be tried again after an unknown outcome.
+    bool idempotent { false };
+    std::vector<TaskSpec> tasks;
+};
+
+// One task on its way from an entry to a sidecar.
+struct TaskAssignment {
+    JobKey key;
+    std::uint32_t task { 0 };
+    std::uint32_t attempt { 0 };
+    // Epoch of the claim under which the entry acts. A sidecar refuses an epoch lower than one it has seen.
+    std::uint64_t epoch { 0 };
+    std::string team;
+    // True when a further attempt may follow one whose end is unknown.
+    bool idempotent { false };
+    // The task must not start after this wall-clock time.
+    Milliseconds startByUnix {};
+    TaskNeeds needs;
+    std::string payload;
+};
+
+// How one task ended, or that it never started.
+enum class TaskOutcome {
+    // The minion answered; the answer is whole.
+    Done,
+    // The minion ran it and reported a failure.
+    Failed,
+    // It never started and never will at this sidecar.
+    NotStarted,
+    // It may have started; its end is not known.
+    Unknown,
+    // It is running. Only in answers to a collect call.
+    Running,
+};
+
+std::string_view taskOutcomeName(TaskOutcome);
+std::optional<TaskOutcome> taskOutcomeFromName(std::string_view);
+
+struct TaskResult {
+    JobKey key;
+    std::uint32_t task { 0 };
+    std::uint32_t attempt { 0 };
+    std::uint64_t epoch { 0 };
+    TaskOutcome outcome { TaskOutcome::Unknown };
+    // The minion's answer when done; the reason otherwise.
+    std::string body;
+    // Time that the minion took.
+    Milliseconds ranFor {};
+};
+
+// The two kinds of exchange that a sidecar keeps with each entry. An entry may hold a Poll until it has work;
+// it answers a Report at once.
+enum class Channel {
+    Poll,
+    Report,
+};
+
+std::string_view channelName(Channel);
+std::optional<Channel> channelFromName(std::string_view);
+
+// Sidecar to entry. Each channel carries one exchange at a time; the same sequence number sent again gets the same
+// response again, so a lost response loses nothing and doubles nothing.
+struct ExchangeRequest {
+    SessionId sidecar;
+    SessionId entry;
+    Channel channel { Channel::Poll };
+    std::uint64_t sequence { 0 };
+    // Tasks that the entry may have sent to this sidecar in all since both sessions met. Cumulative, so that crossing
+    // messages cannot make an entry send too much.
+    std::uint64_t grantedTotal { 0 };
+    std::vector<TaskResult> results;
+};
+
+// Tells a sidecar to forget or stop the tasks of a job.
+struct CancelOrder {
+    JobKey key;
+    std::uint64_t epoch { 0 };
+};
+
+struct TeamDemand {
+    std::string team;
+    std::uint64_t queued { 0 };
+};
+
+// Entry to sidecar.
+struct ExchangeResponse {
+    std::uint64_t sequence { 0 };
+    std::vector<TaskAssignment> tasks;
+    std::vector<CancelOrder> cancels;
+    // Tasks that wait at the entry and that this sidecar could run, by team.
+    std::vector<TeamDemand> queued;
+};
+
+// A new owner asks a sidecar what it knows of a job and raises the epoch there.
+struct CollectRequest {
+    // The sidecar session that is meant; another life of the same sidecar refuses with StaleIncarnation.
+    SessionId sidecar;
+    JobKey key;
+    std::uint64_t epoch { 0 };
+    SessionId owner;
+    // Deadline of the job; the raised epoch is remembered until its retention has passed.
+    Milliseconds deadlineUnix {};
+};
+
+struct CollectResponse {
+    std::vector<TaskResult> tasks;
+};
+
+// A process as it presents itself to control. The resource fields are set for sidecars and describe the minion.
+struct NodeInfo {
+    Role role { Role::Entry };
+    std::string instance;
+    // "IP:port" of the process.
+    std::string address;
+    std::string dataCentre;
+    std::string rack;
+    std::string service;
+    std::int64_t slots { 0 };
+    std::int64_t connections { 0 };
+    std::int64_t cpuMillis { 0 };
+    std::int64_t memoryMb { 0 };
+    std::int64_t accelerators { 0 };
+};
+
+// A live session as control sees it.
+struct Member {
+    SessionId id;
+    NodeInfo node;
+};
+
+struct TeamConfig {
+    std::string name;
+    // Share of the slots relative to other teams.
+    std::int64_t weight { 1 };
+    // Most tasks of the team that may wait over all entries.
+    std::int64_t maxQueued { 0 };
+    std::vector<std::string> callers;
+};
+
+struct ServiceConfig {
+    std::string name;
+    std::int64_t maxTasksPerJob { 0 };
+};
+
+// The checked content of one environment's document.
+struct EnvironmentConfig {
+    std::string environment;
+    std::uint64_t version { 0 };
+    std::string digest;
+    std::vector<TeamConfig> teams;
+    std::vector<ServiceConfig> services;
+    std::vector<std::string> dataCentres;
+};
+
+// What entries and sidecars know of the system. Versions only go up.
+struct ClusterView {
+    std::uint64_t version { 0 };
+    EnvironmentConfig config;
+    std::vector<std::string> dataCentresOut;
+    std::vector<Member> members;
+};
+
+struct OpenSessionRequest {
+    NodeInfo node;
+};
+
+struct HeartbeatRequest {
+    SessionId session;
+    std::uint64_t viewVersion { 0 };
+};
+
+struct SessionResponse {
+    SessionId session;
+    // Length of the lease, counted by the receiver from the moment it sent the request. Zero: no lease is granted,
+    // nothing may start.
+    Milliseconds lease {};
+    // Set only when the receiver's view is not the current one.
+    std::optional<ClusterView> view;
+};
+
+// An entry claims a job before any of its tasks may start.
+struct ClaimRequest {
+    SessionId entry;
+    JobKey key;
+    std::string digest;
+    std::string service;
+    Milliseconds deadlineUnix {};
+};
+
+struct ClaimResponse {
+    // Who owns the job now: the asking entry, or the live one that claimed it before.
+    SessionId owner;
+    std::string ownerAddress;
+    std::uint64_t epoch { 0 };
+    // True when this claim took the job over from an owner whose session has ended.
+    bool takenOver { false };
+    // Set on a take-over: every sidecar session of the service that lived at any time since the first claim.
+    std::vector<Member> sidecars;
+};
+
+struct JobFailure {
+    std::uint32_t task { 0 };
+    TaskOutcome outcome { TaskOutcome::Unknown };
+    std::string reason;
+};
+
+enum class JobState {
+    Running,
+    Complete,
+    Failed,
+};
+
+std::string_view jobStateName(JobState);
+std::optional<JobState> jobStateFromName(std::string_view);
+
+// The one answer of a job: complete with every result, or failed with the reason of every task that did not end well.
+struct JobAnswer {
+    JobKey key;
+    JobState state { JobState::Running };
+    std::vector<std::string> results;
+    std::vector<JobFailure> failures;
+    std::optional<Error> error;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/base/Settings.cpp
@@ -0,0 +1,144 @@
+#include "base/Settings.h"
+
+#include "base/TomlReader.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr std::int64_t maxTime = 3'600'000;
+    constexpr std::int64_t minBody = 1024;
+    constexpr std::int64_t maxBody = 256 * 1024 * 1024;
+    constexpr std::int64_t maxCount = 1'000'000'000;
+    constexpr NumberRange timeRange { 1, maxTime };
+
+    Error badSettings(std::string message, const std::string& file)
+    {
+        return Error { .code = ErrorCode::BadSettings,
+            .ran = Ran::No,
+            .step = "settings",
+            .peer = file,
+            .message = std::move(message) };
+    }
+
+    void readProcess(TomlSection section, Settings& settings)
+    {
+        std::string role;
+        std::string level = std::string(logLevelName(settings.logLevel));
+        section.require("role");
+        section.require("instance");
+        section.require("listen");
+        section.text("role", role);
+        section.text("instance", settings.instance);
+        section.text("listen", settings.listen);
+        settings.advertise = settings.listen;
+        section.text("advertise", settings.advertise);
+        section.text("data_centre", settings.dataCentre);
+        section.text("log_level", level);
+        if (const auto known = roleFromName(role))
+            settings.role = *known;
+        else if (!role.empty())
+            section.fault("role", "expected entry, sidecar or control");
+        if (const auto known = logLevelFromName(level))
+            settings.logLevel = *known;
+        else
+            section.fault("log_level", "expected debug, info, warning or error");
+        section.finish();
+    }
+
+    void readControl(TomlSection section, Settings& settings)
+    {
+        section.require("peers");
+        section.texts("peers", settings.controlPeers);
+        section.text("data_folder", settings.dataFolder);
+        section.time("lease_ms", settings.lease, timeRange);
+        section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
+        section.time("heartbeat_ms", settings.heartbeat, timeRange);
+        if (settings.heartbeat * 2 > settings.lease)
+            section.fault("heartbeat_ms", "expected at most half of lease_ms");
+        if (settings.sessionTimeout < settings.lease)
+            section.fault("session_timeout_ms", "expected at least lease_ms");
+        section.finish();
+    }
+
+    void readLimits(TomlSection section, Settings& settings)
+    {
+        section.number("max_body_bytes", settings.maxBodyBytes, { minBody, maxBody });
+        section.number("max_id_bytes", settings.maxIdBytes, { 1, 1024 });
+        section.number("max_tasks_per_job", settings.maxTasksPerJob, { 1, 100'000 });
+        section.number("max_queued_tasks", settings.maxQueuedTasks, { 1, maxCount });
+        section.time("max_wait_ms", settings.maxWait, timeRange);
+        section.time("answer_retention_ms", settings.answerRetention, timeRange);
+        section.finish();
+    }
+
+    void readSidecar(TomlSection section, Settings& settings)
+    {
+        section.number("prefetch", settings.prefetch, { 0, 1'000 });
+        section.time("max_run_time_ms", settings.maxRunTime, timeRange);
+        section.time("minion_timeout_ms", settings.minionTimeout, timeRange);
+        section.finish();
+    }
+
+    void readShutdown(TomlSection section, Settings& settings)
+    {
+        section.time("grace_ms", settings.shutdownGrace, timeRange);
+        section.finish();
+    }
+
+    void checkTogether(const Settings& settings, TomlFaults& faults)
+    {
+        if (settings.role != Role::Control && settings.dataCentre.empty())
+            faults.add(nullptr, "process.data_centre", "missing, but required for this role");
+        if (settings.controlPeers.empty())
+            faults.add(nullptr, "control.peers", "expected at least one address");
+    }
+
+} // namespace
+
+Result<Settings> parseSettings(const std::string& text, const std::string& name)
+{
+    TomlFaults faults(name);
+    toml::table document;
+    try {
+        document = toml::parse(text, name);
+    } catch (const toml::parse_error& error) {
+        return badSettings(
+            fmt::format("{}:{}: {}", name, error.source().begin.line, std::string(error.description())), name);
+    }
+    Settings settings;
+    TomlSection root(&document, "", faults);
+    const auto section = [&](const char* key) {
+        const toml::node* node = root.find(key);
+        if (node && !node->is_table())
+            root.fault(key, "expected a table");
+        return TomlSection(node ? node->as_table() : nullptr, key, faults);
+    };
+    readProcess(section("process"), settings);
+    readControl(section("control"), settings);
+    readLimits(section("limits"), settings);
+    readSidecar(section("sidecar"), settings);
+    readShutdown(section("shutdown"), settings);
+    root.finish();
+    checkTogether(settings, faults);
+    if (!faults.empty())
+        return badSettings(faults.text(), name);
+    return settings;
+}
+
+Result<Settings> loadSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return badSettings(path + ": cannot be read", path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), path);
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/base/Settings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/Log.h"
+#include "oleanderport/Error.h"
+#include "oleanderport/Messages.h"
+
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+// What one daemon reads at start. Defaults stand here; docs/SETTINGS.md describes each key.
+struct Settings {
+    // [process]
+    Role role { Role::Entry };
+    std::string instance;
+    std::string listen;
+    // Address at which other processes reach this one; the listening address unless set.
+    std::string advertise;
+    std::string dataCentre;
+    LogLevel logLevel { LogLevel::Info };
+
+    // [control]: addresses of all control instances.
+    std::vector<std::string> controlPeers;
+    std::string dataFolder;
+    Milliseconds lease { 3'000 };
+    Milliseconds sessionTimeout { 5'000 };
+    Milliseconds heartbeat { 500 };
+
+    // [limits]
+    std::int64_t maxBodyBytes { 8 * 1024 * 1024 };
+    std::int64_t maxIdBytes { 128 };
+    std::int64_t maxTasksPerJob { 1'000 };
+    std::int64_t maxQueuedTasks { 20'000 };
+    Milliseconds maxWait { 60'000 };
+    Milliseconds answerRetention { 120'000 };
+
+    // [sidecar]
+    std::int64_t prefetch { 2 };
+    Milliseconds maxRunTime { 60'000 };
+    Milliseconds minionTimeout { 3'000 };
+
+    // [shutdown]
+    Milliseconds shutdownGrace { 30'000 };
+};
+
+// Reads and checks a settings file. Every unknown key, wrong type, value out of range and contradiction is reported
+// with file, key and what was expected, in one BadSettings error.
+Result<Settings> loadSettings(const std::string& path);
+
+// The same for text; `name` stands for the file in messages.
+Result<Settings> parseSettings(const std::string& text, const std::string& name);
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/base/TomlReader.cpp
@@ -0,0 +1,105 @@
+#include "base/TomlReader.h"
+
+#include <fmt/format.h>
+
+namespace oleanderport {
+
+TomlFaults::TomlFaults(std::string file)
+    : m_file(std::move(file))
+{
+}
+
+void TomlFaults::add(const toml::node* where, std::string_view key, std::string_view expected)
+{
+    const auto line = where ? where->source().begin.line : 0;
+    if (line > 0)
+        m_lines.push_back(fmt::format("{}:{}: {}: {}", m_file, line, key, expected));
+    else
+        m_lines.push_back(fmt::format("{}: {}: {}", m_file, key, expected));
+}
+
+std::string TomlFaults::text() const { return fmt::format("{}", fmt::join(m_lines, "\n")); }
+
+TomlSection::TomlSection(const toml::table* table, std::string name, TomlFaults& faults)
+    : m_table(table)
+    , m_name(std::move(name))
+    , m_faults(faults)
+{
+}
+
+std::string TomlSection::path(std::string_view key) const
+{
+    return m_name.empty() ? std::string(key) : fmt::format("{}.{}", m_name, key);
+}
+
+const toml::node* TomlSection::find(std::string_view key)
+{
+    m_read.emplace(key);
+    return m_table ? m_table->get(key) : nullptr;
+}
+
+void TomlSection::fault(std::string_view key, std::string_view expected)
+{
+    const toml::node* node = m_table ? m_table->get(key) : nullptr;
+    m_faults.add(node ? node : m_table, path(key), expected);
+}
+
+void TomlSection::text(std::string_view key, std::string& value)
+{
+    const toml::node* node = find(key);
+    if (!node)
+        return;
+    if (!node->is_string())
+        return fault(key, "expected a string");
+    value = node->as_string()->get();
+}
+
+void TomlSection::number(std::string_view key, std::int64_t& value, NumberRange range)
+{
+    const toml::node* node = find(key);
+    if (!node)
+        return;
+    const auto* number = node->as_integer();
+    if (!number || number->get() < range.least || number->get() > range.most)
+        return fault(key, fmt::format("expected a whole number from {} to {}", range.least, range.most));
+    value = number->get();
+}
+
+void TomlSection::time(std::string_view key, Milliseconds& value, NumberRange range)
+{
+    number(key, value.count, range);
+}
+
+void TomlSection::texts(std::string_view key, std::vector<std::string>& value)
+{
+    const toml::node* node = find(key);
+    if (!node)
+        return;
+    const auto* list = node->as_array();
+    if (!list)
+        return fault(key, "expected a list of strings");
+    value.clear();
+    for (const auto& item : *list) {
+        if (!item.is_string())
+            return fault(key, "expected a list of strings");
+        value.push_back(item.as_string()->get());
+    }
+}
+
+void TomlSection::require(std::string_view key)
+{
+    if (!m_table || !m_table->contains(key))
+        fault(key, "missing, but required");
+}
+
+void TomlSection::finish()
+{
+    if (!m_table)
+        return;
+    for (const auto& [key, node] : *m_table) {
+        if (!m_read.contains(key.str()))
+            m_faults.add(&node, path(key.str()), "unknown key");
+    }
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/control/ControlServer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "control/Replicator.h"
+#include "control/SessionTimers.h"
+#include "wire/Process.h"
+
+#include <functional>
+#include <memory>
+
+namespace oleanderport {
+
+// One control instance: serves sessions, claims and operators from the replicated state.
+class ControlServer final : public RoleProcess {
+public:
+    ControlServer(EventLoop&, const Settings&);
+
+    Result<void> start() override;
+    void shutDown(std::function<void()> done) override;
+
+private:
+    template <typename Response>
+    using Reply = std::function<void(Result<Response>)>;
+
+    void addSessionMethods();
+    void addClaimMethods();
+    void addOperatorMethods();
+    // Nothing when this instance may answer; NotLeader otherwise.
+    std::optional<Error> refusalUnlessLeader() const;
+    SessionResponse sessionResponse(const SessionId&, std::uint64_t knownView) const;
+    void heartbeat(const HeartbeatRequest&, const Reply<SessionResponse>&);
+    void tick();
+
+    Process m_process;
+    std::unique_ptr<Replicator> m_replicator;
+    SessionTimers m_timers;
+    std::unique_ptr<EventLoop::Timer> m_timer;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/control/Replicator.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "policy/ControlState.h"
+
+#include <functional>
+#include <string>
+
+namespace oleanderport {
+
+// Carries commands to all control instances and applies each once it is committed.
+class Replicator {
+public:
+    using Done = std::function<void(Result<ControlOutcome>)>;
+
+    virtual ~Replicator() = default;
+
+    // Commits and applies the change, then calls back. NotLeader (ran: no) names the leader as peer when it is known;
+    // Unavailable (ran: unknown) means that the outcome is not known.
+    virtual void propose(decltype(ControlCommand::change), Done) = 0;
+
+    // True while this instance may answer from its state: it is leader and a majority has confirmed it recently.
+    virtual bool isLeader() const = 0;
+
+    // Address of the leader as far as known; may be empty.
+    virtual std::string leaderAddress() const = 0;
+
+    virtual const ControlState& state() const = 0;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/EntryServer.cpp
@@ -0,0 +1,197 @@
+#include "entry/EntryServer.h"
+
+#include "entry/CallerApi.h"
+#include "wire/EntryMessages.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod { 50 };
+    constexpr const char* jobsPath = "/v1/jobs";
+    constexpr const char* requestsPath = "/v1/requests";
+    constexpr int httpAccepted = 202;
+    constexpr int httpOk = 200;
+
+    std::string queryValue(const std::string& query, const char* name)
+    {
+        evkeyvalq values {};
+        if (evhttp_parse_query_str(query.c_str(), &values) != 0)
+            return {};
+        const char* found = evhttp_find_header(&values, name);
+        std::string value = found ? found : "";
+        evhttp_clear_headers(&values);
+        return value;
+    }
+
+    std::string decode(const std::string& text)
+    {
+        std::size_t size = 0;
+        char* decoded = evhttp_uridecode(text.c_str(), 0, &size);
+        std::string value = decoded ? std::string(decoded, size) : std::string();
+        free(decoded);
+        return value;
+    }
+
+    // "/v1/jobs/CALLER/JOB".
+    Result<JobKey> keyIn(const std::string& path)
+    {
+        const std::string prefix = std::string(jobsPath) + "/";
+        const auto slash = path.find('/', prefix.size());
+        if (path.rfind(prefix, 0) != 0 || slash == std::string::npos || path.find('/', slash + 1) != std::string::npos) {
+            return Error { .code = ErrorCode::NotFound,
+                .ran = Ran::No,
+                .step = "entry.http",
+                .peer = {},
+                .message = "expected /v1/jobs/CALLER/JOB" };
+        }
+        return JobKey { .caller = decode(path.substr(prefix.size(), slash - prefix.size())),
+            .job = decode(path.substr(slash + 1)) };
+    }
+
+    void replyAnswer(HttpResponder& responder, const Result<JobAnswer>& answer)
+    {
+        if (!answer.has_value())
+            return replyError(responder, answer.assume_error());
+        const bool running = answer.assume_value().state == JobState::Running;
+        responder.reply({ .status = running ? httpAccepted : httpOk,
+            .body = writeJson(answerForCaller(answer.assume_value())) });
+    }
+
+} // namespace
+
+EntryServer::EntryServer(EventLoop& loop, const Settings& settings)
+    : m_process(loop, settings)
+    , m_control(loop, settings.controlPeers)
+    , m_session(m_process, m_control,
+          { .viewChanged = [this](const ClusterView& view) { m_jobs.viewChanged(view); },
+              .opened = [this](const SessionId& id) { m_jobs.sessionOpened(id); },
+              .ended = [this] { m_jobs.sessionEnded(); },
+              .leaseRenewed = {} })
+    , m_jobs(m_process, m_control, m_session)
+    , m_random(std::random_device {}())
+{
+    addRpcMethods();
+}
+
+void EntryServer::addRpcMethods()
+{
+    m_process.rpc.addTyped<ExchangeRequest, ExchangeResponse>(
+        "exchange", [this](const ExchangeRequest& request, const ExchangeServer::Reply& reply) {
+            m_jobs.exchange(request, reply);
+        });
+    m_process.rpc.addTyped<FindJobHere, JobAnswer>("findJobHere", [this](const FindJobHere& request, JobReply reply) {
+        m_jobs.findHere(request.key, request.digest, request.wait, reply);
+    });
+    m_process.rpc.addTyped<FindJobHere, JobAnswer>("cancelHere",
+        [this](const FindJobHere& request, const JobReply& reply) { m_jobs.cancelHere(request.key, reply); });
+}
+
+Result<void> EntryServer::start()
+{
+    BOOST_OUTCOME_TRYV(m_process.listen([this](HttpRequest&& request, std::shared_ptr<HttpResponder> responder) {
+        serveHttp(request, responder);
+    }));
+    m_session.start({ .role = Role::Entry,
+        .instance = m_process.settings.instance,
+        .address = m_process.settings.advertise,
+        .dataCentre = m_process.settings.dataCentre });
+    m_timer = m_process.loop.every(tickPeriod, [this] {
+        m_jobs.tick();
+        finishShutDown();
+    });
+    return boost::outcome_v2::success();
+}
+
+Milliseconds EntryServer::waitOf(const HttpRequest& request) const
+{
+    const std::string text = queryValue(request.query, "waitMs");
+    std::int64_t wait = 0;
+    std::from_chars(text.data(), text.data() + text.size(), wait);
+    return { std::clamp<std::int64_t>(wait, 0, m_process.settings.maxWait.count) };
+}
+
+std::string EntryServer::makeId()
+{
+    return fmt::format("request-{:016x}{:016x}", m_random(), m_random());
+}
+
+void EntryServer::serveHttp(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+{
+    if (request.body.size() > static_cast<std::size_t>(m_process.settings.maxBodyBytes)) {
+        return replyError(*responder,
+            { .code = ErrorCode::BodyTooLarge,
+                .ran = Ran::No,
+                .step = "entry.http",
+                .peer = request.peer,
+                .message = fmt::format("expected at most {} bytes", m_process.settings.maxBodyBytes) });
+    }
+    const JobReply reply = [responder](const Result<JobAnswer>& answer) { replyAnswer(*responder, answer); };
+    if (request.path == requestsPath && request.method == HttpMethod::Post)
+        return serveRequests(request, reply);
+    serveJobs(request, reply);
+}
+
+void EntryServer::serveJobs(const HttpRequest& request, const JobReply& reply)
+{
+    if (request.path == jobsPath && request.method == HttpMethod::Post) {
+        const auto spec = parseJob(request.body);
+        if (!spec.has_value())
+            return reply(spec.assume_error());
+        return m_jobs.submit(spec.assume_value(), waitOf(request), reply);
+    }
+    const auto key = keyIn(request.path);
+    if (!key.has_value())
+        return reply(key.assume_error());
+    if (request.method == HttpMethod::Get)
+        return m_jobs.find(key.assume_value(), waitOf(request), reply);
+    if (request.method == HttpMethod::Delete)
+        return m_jobs.cancel(key.assume_value(), reply);
+    reply(Error { .code = ErrorCode::BadRequest,
+        .ran = Ran::No,
+        .step = "entry.http",
+        .peer = request.peer,
+        .message = "expected GET or DELETE" });
+}
+
+void EntryServer::serveRequests(const HttpRequest& request, const JobReply& reply)
+{
+    const std::string ownId = makeId();
+    const auto spec = parseRequest(request.body, ownId);
+    if (!spec.has_value())
+        return reply(spec.assume_error());
+    // A request waits for its end; it has no id to ask by otherwise.
+    const Milliseconds untilDeadline = spec.assume_value().deadlineUnix - Clock::unixNow();
+    const Milliseconds wait { std::clamp<std::int64_t>(untilDeadline.count, 0, m_process.settings.maxWait.count) };
+    if (spec.assume_value().key.job == ownId)
+        return m_jobs.submitUnclaimed(spec.assume_value(), wait, reply);
+    m_jobs.submit(spec.assume_value(), wait, reply);
+}
+
+void EntryServer::shutDown(std::function<void()> done)
+{
+    m_process.events.record(EventKind::ProcessStopping);
+    m_process.server->stopAccepting();
+    m_jobs.beginShutDown();
+    m_shutDownDone = std::move(done);
+    m_shutDownBy = Clock::now() + m_process.settings.shutdownGrace;
+}
+
+void EntryServer::finishShutDown()
+{
+    if (!m_shutDownDone)
+        return;
+    if (!m_jobs.isIdle() && Clock::now() < m_shutDownBy)
+        return;
+    m_timer.reset();
+    m_session.stop(std::exchange(m_shutDownDone, nullptr));
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/EntryServer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "entry/JobService.h"
+#include "wire/ControlSession.h"
+#include "wire/Process.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace oleanderport {
+
+// The process that callers talk to: the HTTP interface of docs/API.md in front of a JobService.
+class EntryServer final : public RoleProcess {
+public:
+    EntryServer(EventLoop&, const Settings&);
+
+    Result<void> start() override;
+    void shutDown(std::function<void()> done) override;
+
+private:
+    void addRpcMethods();
+    void serveHttp(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
+    void serveJobs(const HttpRequest&, const JobReply&);
+    void serveRequests(const HttpRequest&, const JobReply&);
+    Milliseconds waitOf(const HttpRequest&) const;
+    std::string makeId();
+    void finishShutDown();
+
+    Process m_process;
+    ControlClient m_control;
+    ControlSession m_session;
+    JobService m_jobs;
+    std::mt19937_64 m_random;
+    std::unique_ptr<EventLoop::Timer> m_timer;
+    std::function<void()> m_shutDownDone;
+    Milliseconds m_shutDownBy {};
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/ExchangeServer.cpp
@@ -0,0 +1,208 @@
+#include "entry/ExchangeServer.h"
+
+#include "policy/Placement.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds longestPoll { 8'000 };
+
+    Error refuse(ErrorCode code, const SessionId& peer, std::string message)
+    {
+        return Error { .code = code,
+            .ran = Ran::No,
+            .step = "entry.exchange",
+            .peer = peer.instance,
+            .message = std::move(message) };
+    }
+
+} // namespace
+
+ExchangeServer::ExchangeServer(Process& process, JobTable& jobs, std::function<void()> changed)
+    : m_process(process)
+    , m_jobs(jobs)
+    , m_changed(std::move(changed))
+{
+}
+
+void ExchangeServer::setSession(const std::optional<SessionId>& self)
+{
+    m_self = self;
+    m_sidecars.clear();
+}
+
+void ExchangeServer::viewChanged(const ClusterView& view)
+{
+    std::set<SessionId> live;
+    for (const auto& member : view.members) {
+        if (member.node.role != Role::Sidecar)
+            continue;
+        live.insert(member.id);
+        m_sidecars[member.id].member = member;
+    }
+    std::erase_if(m_sidecars, [&](const auto& item) {
+        if (live.contains(item.first))
+            return false;
+        m_jobs.sidecarLost(item.first);
+        return true;
+    });
+}
+
+std::optional<Error> ExchangeServer::refusalFor(const ExchangeRequest& request) const
+{
+    if (!m_self || request.entry != *m_self)
+        return refuse(ErrorCode::StaleIncarnation, request.sidecar, "another life of this entry");
+    const auto sidecar = m_sidecars.find(request.sidecar);
+    if (sidecar == m_sidecars.end())
+        return refuse(ErrorCode::Unavailable, request.sidecar, "this sidecar session is not known here");
+    const ChannelState& channel
+        = request.channel == Channel::Poll ? sidecar->second.poll : sidecar->second.report;
+    if (request.sequence < channel.sequence || request.sequence > channel.sequence + 1)
+        return refuse(ErrorCode::BadRequest, request.sidecar, "sequence number out of order");
+    return std::nullopt;
+}
+
+void ExchangeServer::handle(const ExchangeRequest& request, const Reply& reply)
+{
+    if (const auto refusal = refusalFor(request))
+        return reply(*refusal);
+    Sidecar& sidecar = m_sidecars.at(request.sidecar);
+    ChannelState& channel = request.channel == Channel::Poll ? sidecar.poll : sidecar.report;
+    sidecar.granted = std::max(sidecar.granted, request.grantedTotal);
+    const bool repeated = request.sequence == channel.sequence;
+    if (repeated && channel.answered)
+        return reply(*channel.answered);
+    channel.sequence = request.sequence;
+    channel.answered.reset();
+    if (request.channel == Channel::Poll) {
+        channel.parked = reply;
+        channel.parkedAt = Clock::now();
+        dispatch();
+        return;
+    }
+    takeResults(request);
+    auto tasks = m_jobs.take(sidecar.member.node.service, request.sidecar,
+        static_cast<std::size_t>(std::max<std::int64_t>(sidecar.credit(), 0)));
+    reply(respondTo(sidecar, channel, std::move(tasks)));
+    m_changed();
+    dispatch();
+}
+
+void ExchangeServer::takeResults(const ExchangeRequest& request)
+{
+    for (const auto& result : request.results) {
+        if (m_jobs.result(request.sidecar, result))
+            continue;
+        m_process.metrics.add("results_dropped_total");
+        m_process.events.record(EventKind::ResultDropped,
+            { .job = &result.key, .task = result.task, .detail = request.sidecar.instance });
+    }
+}
+
+ExchangeResponse ExchangeServer::respondTo(
+    Sidecar& sidecar, ChannelState& channel, std::vector<TaskAssignment> tasks)
+{
+    sidecar.sent += tasks.size();
+    for (const auto& task : tasks) {
+        m_process.metrics.add("sends_total");
+        m_process.events.record(
+            EventKind::TaskSent, { .job = &task.key, .task = task.task, .detail = sidecar.member.id.instance });
+    }
+    ExchangeResponse response { .sequence = channel.sequence,
+        .tasks = std::move(tasks),
+        .cancels = std::exchange(sidecar.cancels, {}),
+        .queued = m_jobs.demand(sidecar.member.node.service) };
+    sidecar.knowsOfQueue = !response.queued.empty();
+    channel.answered = response;
+    return response;
+}
+
+void ExchangeServer::answerPoll(Sidecar& sidecar, std::vector<TaskAssignment> tasks)
+{
+    const Reply reply = std::exchange(sidecar.poll.parked, nullptr);
+    reply(respondTo(sidecar, sidecar.poll, std::move(tasks)));
+}
+
+void ExchangeServer::dispatch()
+{
+    collectCancellations();
+    assign();
+    announceDemand();
+}
+
+void ExchangeServer::assign()
+{
+    std::map<std::string, std::vector<SidecarCandidate>> byService;
+    for (const auto& [id, sidecar] : m_sidecars) {
+        if (!sidecar.poll.parked)
+            continue;
+        byService[sidecar.member.node.service].push_back({ .id = id,
+            .sameDataCentre = sidecar.member.node.dataCentre == m_process.settings.dataCentre,
+            .slots = sidecar.member.node.slots,
+            .outstanding = static_cast<std::int64_t>(m_jobs.outstanding(id)),
+            .credit = sidecar.credit() });
+    }
+    std::map<SessionId, std::vector<TaskAssignment>> batches;
+    for (auto& [service, candidates] : byService) {
+        while (m_jobs.queued(service) > 0) {
+            const auto best = pickSidecar(candidates);
+            if (!best)
+                break;
+            SidecarCandidate& chosen = candidates[*best];
+            auto taken = m_jobs.take(service, chosen.id, 1);
+            if (taken.empty())
+                break;
+            batches[chosen.id].push_back(std::move(taken.front()));
+            --chosen.credit;
+            ++chosen.outstanding;
+        }
+    }
+    for (auto& [id, tasks] : batches)
+        answerPoll(m_sidecars.at(id), std::move(tasks));
+}
+
+void ExchangeServer::collectCancellations()
+{
+    std::set<SessionId> touched;
+    for (const auto& cancellation : m_jobs.drainCancellations()) {
+        const auto sidecar = m_sidecars.find(cancellation.sidecar);
+        if (sidecar == m_sidecars.end())
+            continue;
+        sidecar->second.cancels.push_back(cancellation.order);
+        touched.insert(cancellation.sidecar);
+    }
+    for (const auto& id : touched) {
+        Sidecar& sidecar = m_sidecars.at(id);
+        if (sidecar.poll.parked)
+            answerPoll(sidecar, {});
+    }
+}
+
+void ExchangeServer::announceDemand()
+{
+    for (auto& [id, sidecar] : m_sidecars) {
+        const bool mustTell
+            = sidecar.poll.parked && !sidecar.knowsOfQueue && m_jobs.queued(sidecar.member.node.service) > 0;
+        if (mustTell)
+            answerPoll(sidecar, {});
+    }
+}
+
+void ExchangeServer::tick(Milliseconds now)
+{
+    for (auto& [id, sidecar] : m_sidecars) {
+        const bool old = sidecar.poll.parked && now > sidecar.poll.parkedAt + longestPoll;
+        const bool hasCancels = sidecar.poll.parked && !sidecar.cancels.empty();
+        if (old || hasCancels)
+            answerPoll(sidecar, {});
+    }
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/ExchangeServer.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "policy/JobTable.h"
+#include "wire/Process.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace oleanderport {
+
+// The entry's side of the exchanges with sidecars: keeps each sidecar's numbered channels and credit, holds polls
+// until there is work, and hands tasks out.
+class ExchangeServer {
+public:
+    using Reply = std::function<void(Result<ExchangeResponse>)>;
+
+    // `jobs` must outlive this object. `changed` is called after results have changed the table.
+    ExchangeServer(Process&, JobTable& jobs, std::function<void()> changed);
+
+    // The session under which this entry acts, and what it knows of the sidecars.
+    void setSession(const std::optional<SessionId>&);
+    void viewChanged(const ClusterView&);
+
+    void handle(const ExchangeRequest&, const Reply&);
+
+    // Hands out queued tasks and cancellations to the sidecars whose polls are held.
+    void dispatch();
+
+    // Answers polls that have been held for long, so that no connection times out.
+    void tick(Milliseconds now);
+
+private:
+    struct ChannelState {
+        std::uint64_t sequence { 0 };
+        std::optional<ExchangeResponse> answered;
+        Reply parked;
+        Milliseconds parkedAt {};
+    };
+    struct Sidecar {
+        Member member;
+        std::uint64_t granted { 0 };
+        std::uint64_t sent { 0 };
+        bool knowsOfQueue { false };
+        std::vector<CancelOrder> cancels;
+        ChannelState poll;
+        ChannelState report;
+
+        std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
+    };
+
+    std::optional<Error> refusalFor(const ExchangeRequest&) const;
+    void takeResults(const ExchangeRequest&);
+    ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
+    void answerPoll(Sidecar&, std::vector<TaskAssignment>);
+    void assign();
+    void collectCancellations();
+    void announceDemand();
+
+    Process& m_process;
+    JobTable& m_jobs;
+    std::function<void()> m_changed;
+    std::optional<SessionId> m_self;
+    std::map<SessionId, Sidecar> m_sidecars;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/FilterChain.cpp
@@ -0,0 +1,37 @@
+#include "entry/Submission.h"
+
+#include <array>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr std::array<SubmissionFilter, 2> staticFilters { &checkShape, &checkDeadline };
+    constexpr std::array<SubmissionFilter, 3> dynamicFilters { &checkNames, &checkFit, &checkAdmission };
+
+    template <std::size_t size>
+    std::optional<Error> run(const std::array<SubmissionFilter, size>& filters, const Submission& submission)
+    {
+        for (const auto filter : filters) {
+            if (auto refusal = filter(submission))
+                return refusal;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::optional<Error> runStaticFilters(const Submission& submission) { return run(staticFilters, submission); }
+
+std::optional<Error> runDynamicFilters(const Submission& submission) { return run(dynamicFilters, submission); }
+
+std::int64_t weightOf(const ClusterView& view, const std::string& name)
+{
+    for (const auto& team : view.config.teams) {
+        if (team.name == name)
+            return team.weight;
+    }
+    return 1;
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/JobService.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "entry/ExchangeServer.h"
+#include "entry/Submission.h"
+#include "policy/JobTable.h"
+#include "wire/ControlSession.h"
+#include "wire/Process.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+// Answers a caller with a job's state, or with a refusal.
+using JobReply = std::function<void(const Result<JobAnswer>&)>;
+
+// Brings submissions and jobs together: claims a job at control before anything of it may start, joins a resubmission
+// to its job here or at the entry that owns it, takes a job over from a lost owner, and answers those who wait.
+class JobService {
+public:
+    JobService(Process&, ControlClient&, ControlSession&);
+
+    // Submits or joins. Answers with the final state, or with Running once `wait` has passed.
+    void submit(const JobSpec&, Milliseconds wait, const JobReply&);
+
+    // Runs a job that nobody can resubmit: its id is made here and no claim is needed.
+    void submitUnclaimed(const JobSpec&, Milliseconds wait, const JobReply&);
+
+    // The state of a job that may be owned by any entry.
+    void find(const JobKey&, Milliseconds wait, const JobReply&);
+    void cancel(const JobKey&, const JobReply&);
+
+    // The same for the jobs of this entry only, called by other entries.
+    void findHere(const JobKey&, const std::string& digest, Milliseconds wait, const JobReply&);
+    void cancelHere(const JobKey&, const JobReply&);
+
+    void exchange(const ExchangeRequest&, const ExchangeServer::Reply&);
+
+    // Session events; see ControlSession::Callbacks.
+    void sessionOpened(const SessionId&);
+    void sessionEnded();
+    void viewChanged(const ClusterView&);
+
+    void beginShutDown() { m_shuttingDown = true; }
+    bool isIdle() const { return m_jobs->runningJobs() == 0 && m_waiters.empty() && m_pending == 0; }
+
+    void tick();
+
+private:
+    struct Waiter {
+        JobReply reply;
+        Milliseconds until {};
+    };
+    struct Attempt;
+
+    void claim(const std::shared_ptr<Attempt>&);
+    void claimed(const std::shared_ptr<Attempt>&, const ClaimResponse&);
+    void takeOver(const std::shared_ptr<Attempt>&, const ClaimResponse&);
+    void collectFrom(const Member&, const CollectRequest&);
+    void joinElsewhere(const std::shared_ptr<Attempt>&, const std::string& address);
+    void retryLater(const std::shared_ptr<Attempt>&);
+    void finish(const std::shared_ptr<Attempt>&, const Result<JobAnswer>&);
+    // Answers a refusal truthfully: only a job that no entry has claimed did not run.
+    void refuse(const std::shared_ptr<Attempt>&, const Error&);
+
+    void wait(const JobKey&, Milliseconds wait, const JobReply&);
+    void answerWaiters(const JobKey&);
+    void tableChanged();
+    Submission submission(const JobSpec&) const;
+    RpcClient& peer(const std::string& address);
+
+    Process& m_process;
+    ControlClient& m_control;
+    ControlSession& m_session;
+    std::unique_ptr<JobTable> m_jobs;
+    std::unique_ptr<ExchangeServer> m_exchange;
+    std::map<JobKey, std::vector<Waiter>> m_waiters;
+    std::vector<JobKey> m_endedWithoutLease;
+    std::map<std::string, std::unique_ptr<RpcClient>> m_peers;
+    std::size_t m_pending { 0 };
+    bool m_shuttingDown { false };
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/JobTable.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "oleanderport/Messages.h"
+#include "policy/FairQueue.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+struct JobTableOptions {
+    // Attempts per task that end with NotStarted before the task is given up.
+    std::uint32_t maxAttempts { 8 };
+    // How long an ended job's answer is kept after its deadline.
+    Milliseconds answerRetention { 120'000 };
+};
+
+// How a submission meets the jobs that the table already has.
+enum class Match {
+    None,
+    Same,
+    Conflict,
+};
+
+// The jobs that one entry owns, and every decision about them. A task leaves the queue at most once without proof
+// that it did not start: it is bound to one sidecar session, and only a NotStarted answer of that session puts it
+// back. An answer is taken only from the session, attempt and epoch that the task is bound to.
+class JobTable {
+public:
+    explicit JobTable(const JobTableOptions&);
+
+    Match match(const JobKey&, const std::string& digest) const;
+
+    // Takes a job on whose claim this entry holds. All of its tasks are queued.
+    void add(const JobSpec&, const std::string& digest, std::uint64_t epoch, std::int64_t teamWeight);
+
+    // Takes a job over from a lost owner. No task is queued until every sidecar in `sidecars` has been heard or given
+    // up; see collected() and collectFailed().
+    void adopt(const JobSpec&, const std::string& digest, std::uint64_t epoch, std::int64_t teamWeight,
+        const std::vector<SessionId>& sidecars);
+
+    // What one sidecar knows of an adopted job.
+    void collected(const JobKey&, const SessionId& sidecar, const std::vector<TaskResult>&);
+
+    // A sidecar that will never answer. Tasks that nobody accounts for may have started there.
+    void collectFailed(const JobKey&, const SessionId& sidecar);
+
+    // Binds up to `most` queued tasks of a service to a sidecar session, in fair order.
+    std::vector<TaskAssignment> take(const std::string& service, const SessionId& sidecar, std::size_t most);
+
+    // Returns false when the result is late, doubled or foreign; it has then changed nothing.
+    bool result(const SessionId& sidecar, const TaskResult&);
+
+    // The session has ended: what is bound to it may have started.
+    void sidecarLost(const SessionId&);
+
+    // Ends the job as failed. Returns false when it had already ended or is unknown.
+    bool cancel(const JobKey&);
+
+    // Ends jobs whose deadline has passed while tasks still wait, and forgets answers past their retention.
+    void tick(Milliseconds unixNow);
+
+    // Jobs that ended since the last call, in order.
+    std::vector<JobKey> drainEnded();
+
+    // Sidecar sessions that hold tasks of jobs that ended early, with the order to drop them. Drained like above.
+    struct Cancellation {
+        SessionId sidecar;
+        CancelOrder order;
+    };
+    std::vector<Cancellation> drainCancellations();
+
+    // The answer as it stands; nothing for an unknown job.
+    std::optional<JobAnswer> answer(const JobKey&) const;
+
+    std::size_t queued(const std::string& service) const;
+    std::vector<TeamDemand> demand(const std::string& service) const;
+    // Tasks bound to a session and not yet ended.
+    std::size_t outstanding(const SessionId&) const;
+    std::size_t runningJobs() const;
+
+private:
+    enum class TaskState {
+        Undetermined,
+        Queued,
+        Bound,
+        Ended,
+    };
+    struct Task {
+        TaskState state { TaskState::Queued };
+        std::uint32_t attempt { 0 };
+        SessionId sidecar;
+        TaskOutcome outcome { TaskOutcome::NotStarted };
+        std::string body;
+    };
+    struct Job {
+        JobSpec spec;
+        std::string digest;
+        std::uint64_t epoch { 0 };
+        std::int64_t weight { 1 };
+        JobState state { JobState::Running };
+        std::vector<Task> tasks;
+        std::size_t open { 0 };
+        std::set<SessionId> uncollected;
+        bool uncertain { false };
+        std::optional<Error> error;
+    };
+
+    Job* running(const JobKey&);
+    void enqueue(Job&, std::uint32_t task);
+    void bindTo(Job&, std::uint32_t task, const SessionId&);
+    void unbind(Task&);
+    void settle(Job&, std::uint32_t task, TaskOutcome, const std::string& body);
+    void requeue(Job&, std::uint32_t task);
+    void finishCollecting(Job&);
+    void fail(Job&, const Error&);
+    void end(Job&, JobState);
+
+    JobTableOptions m_options;
+    std::map<JobKey, Job> m_jobs;
+    std::map<std::string, FairQueue> m_queues;
+    struct BoundTask {
+        JobKey key;
+        std::uint32_t task { 0 };
+        auto operator<=>(const BoundTask&) const = default;
+    };
+    std::map<SessionId, std::set<BoundTask>> m_bound;
+    std::vector<JobKey> m_ended;
+    std::vector<Cancellation> m_cancellations;
+    std::size_t m_running { 0 };
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/SidecarLedger.cpp
@@ -0,0 +1,181 @@
+#include "policy/SidecarLedger.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace oleanderport {
+
+SidecarLedger::SidecarLedger(const SidecarLedgerOptions& options)
+    : m_options(options)
+{
+}
+
+TaskResult SidecarLedger::notStarted(const TaskAssignment& assignment, const std::string& reason)
+{
+    return TaskResult { .key = assignment.key,
+        .task = assignment.task,
+        .attempt = assignment.attempt,
+        .epoch = assignment.epoch,
+        .outcome = TaskOutcome::NotStarted,
+        .body = reason };
+}
+
+std::optional<TaskResult> SidecarLedger::accept(const SessionId& entry, const TaskAssignment& assignment)
+{
+    JobRecord& job = m_jobs[assignment.key];
+    if (assignment.epoch < job.epoch)
+        return notStarted(assignment, "another entry has taken the job over");
+    job.epoch = assignment.epoch;
+    job.owner = entry;
+    job.forgetAtUnix = std::max(job.forgetAtUnix, assignment.startByUnix + m_options.retention);
+    if (job.cancelled)
+        return notStarted(assignment, "the job is cancelled");
+    const auto [position, isNew] = job.tasks.try_emplace(assignment.task);
+    Record& record = position->second;
+    if (!isNew) {
+        const bool mayStartAgain = record.state == State::Ended
+            && (record.result.outcome == TaskOutcome::NotStarted || assignment.idempotent);
+        if (!mayStartAgain || assignment.attempt <= record.assignment.attempt)
+            return std::nullopt;
+    }
+    record = Record { .state = State::Queued, .assignment = assignment, .result = {} };
+    m_queue.push(assignment.team, 1, { .key = assignment.key, .task = assignment.task });
+    return std::nullopt;
+}
+
+SidecarLedger::NextStart SidecarLedger::next(Milliseconds now, Milliseconds leaseEnd, Milliseconds unixNow)
+{
+    NextStart decision;
+    while (freeSlots() > 0 && now < leaseEnd) {
+        const auto next = m_queue.pop();
+        if (!next)
+            break;
+        Record& record = m_jobs.at(next->key).tasks.at(next->task);
+        if (unixNow >= record.assignment.startByUnix) {
+            record.state = State::Ended;
+            record.result = notStarted(record.assignment, "deadline passed");
+            decision.refused.push_back(record.result);
+            continue;
+        }
+        record.state = State::Running;
+        ++m_running;
+        const std::string run = fmt::format("{}run-{}", m_options.runPrefix, ++m_lastRun);
+        m_runs[run] = *next;
+        decision.start = TaskStart { .run = run, .assignment = record.assignment };
+        break;
+    }
+    return decision;
+}
+
+std::optional<TaskResult> SidecarLedger::ended(
+    const std::string& run, TaskOutcome outcome, const std::string& body, Milliseconds ranFor)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return std::nullopt;
+    const QueuedTask task = found->second;
+    m_runs.erase(found);
+    --m_running;
+    JobRecord& job = m_jobs.at(task.key);
+    Record& record = job.tasks.at(task.task);
+    record.state = State::Ended;
+    record.result = TaskResult { .key = task.key,
+        .task = task.task,
+        .attempt = record.assignment.attempt,
+        .epoch = job.epoch,
+        .outcome = outcome,
+        .body = body,
+        .ranFor = ranFor };
+    record.assignment.payload.clear();
+    return record.result;
+}
+
+Result<CollectResponse> SidecarLedger::collect(const CollectRequest& request)
+{
+    JobRecord& job = m_jobs[request.key];
+    if (request.epoch < job.epoch) {
+        return Error { .code = ErrorCode::StaleEpoch,
+            .ran = Ran::Unknown,
+            .step = "sidecar.collect",
+            .peer = request.owner.instance,
+            .message = fmt::format("epoch {} is below {}", request.epoch, job.epoch) };
+    }
+    job.epoch = request.epoch;
+    job.owner = request.owner;
+    job.forgetAtUnix = std::max(job.forgetAtUnix, request.deadlineUnix + m_options.retention);
+    CollectResponse response;
+    for (auto& [index, record] : job.tasks) {
+        if (record.state == State::Queued) {
+            record.state = State::Ended;
+            record.result = notStarted(record.assignment, "dropped for a new owner");
+        }
+        TaskResult result = record.result;
+        if (record.state == State::Running) {
+            result = notStarted(record.assignment, {});
+            result.outcome = TaskOutcome::Running;
+        }
+        result.epoch = request.epoch;
+        response.tasks.push_back(result);
+    }
+    if (!job.tasks.empty())
+        m_queue.removeJob(job.tasks.begin()->second.assignment.team, request.key);
+    return response;
+}
+
+SidecarLedger::Cancelled SidecarLedger::cancel(const CancelOrder& order)
+{
+    Cancelled cancelled;
+    const auto found = m_jobs.find(order.key);
+    if (found == m_jobs.end() || order.epoch < found->second.epoch)
+        return cancelled;
+    JobRecord& job = found->second;
+    job.cancelled = true;
+    for (auto& [index, record] : job.tasks) {
+        if (record.state != State::Queued)
+            continue;
+        record.state = State::Ended;
+        record.result = notStarted(record.assignment, "the job is cancelled");
+    }
+    if (!job.tasks.empty())
+        m_queue.removeJob(job.tasks.begin()->second.assignment.team, order.key);
+    for (const auto& [run, task] : m_runs) {
+        if (task.key == order.key)
+            cancelled.stop.push_back(run);
+    }
+    return cancelled;
+}
+
+std::vector<TaskResult> SidecarLedger::returnQueued()
+{
+    std::vector<TaskResult> returned;
+    while (const auto next = m_queue.pop()) {
+        Record& record = m_jobs.at(next->key).tasks.at(next->task);
+        record.state = State::Ended;
+        record.result = notStarted(record.assignment, "given back by the sidecar");
+        returned.push_back(record.result);
+    }
+    return returned;
+}
+
+std::optional<SessionId> SidecarLedger::ownerOf(const JobKey& key) const
+{
+    const auto job = m_jobs.find(key);
+    if (job == m_jobs.end())
+        return std::nullopt;
+    return job->second.owner;
+}
+
+void SidecarLedger::forget(Milliseconds unixNow)
+{
+    std::erase_if(m_jobs, [unixNow](const auto& item) {
+        const JobRecord& job = item.second;
+        const bool idle = std::all_of(job.tasks.begin(), job.tasks.end(),
+            [](const auto& task) { return task.second.state == State::Ended; });
+        return idle && unixNow > job.forgetAtUnix;
+    });
+}
+
+std::int64_t SidecarLedger::freeSlots() const { return std::max<std::int64_t>(m_options.slots - m_running, 0); }
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/sidecar/EntryLink.cpp
@@ -0,0 +1,96 @@
+#include "sidecar/EntryLink.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds exchangeTimeout { 15'000 };
+    constexpr Milliseconds retryPause { 100 };
+
+} // namespace
+
+EntryLink::EntryLink(EventLoop& loop, const SessionId& sidecar, const SessionId& entry, const std::string& address,
+    Callbacks callbacks)
+    : m_loop(loop)
+    , m_sidecar(sidecar)
+    , m_entry(entry)
+    , m_callbacks(std::move(callbacks))
+    , m_alive(std::make_shared<bool>(true))
+{
+    m_poll.channel = Channel::Poll;
+    m_poll.client = std::make_unique<RpcClient>(loop, address);
+    m_report.channel = Channel::Report;
+    m_report.client = std::make_unique<RpcClient>(loop, address);
+    begin(m_poll);
+}
+
+void EntryLink::report(const TaskResult& result)
+{
+    m_waiting.push_back(result);
+    flushReport();
+}
+
+void EntryLink::offerRoom()
+{
+    const bool believesFull = m_granted <= m_received;
+    if (m_entryHasQueue && believesFull && m_callbacks.room() > 0 && !m_report.inFlight)
+        begin(m_report);
+}
+
+void EntryLink::flushReport()
+{
+    if (m_report.inFlight || m_waiting.empty())
+        return;
+    begin(m_report);
+}
+
+void EntryLink::begin(ChannelState& state)
+{
+    ++state.sequence;
+    state.inFlight = true;
+    if (state.channel == Channel::Report)
+        state.pending = std::exchange(m_waiting, {});
+    send(state);
+}
+
+void EntryLink::send(ChannelState& state)
+{
+    m_granted = std::max(m_granted, m_received + m_callbacks.room());
+    const ExchangeRequest request { .sidecar = m_sidecar,
+        .entry = m_entry,
+        .channel = state.channel,
+        .sequence = state.sequence,
+        .grantedTotal = m_granted,
+        .results = state.pending };
+    const std::weak_ptr<bool> alive = m_alive;
+    state.client->callTyped<ExchangeResponse>(
+        "exchange", request, exchangeTimeout, [this, alive, &state](const Result<ExchangeResponse>& response) {
+            if (!alive.expired())
+                finished(state, response);
+        });
+}
+
+void EntryLink::finished(ChannelState& state, const Result<ExchangeResponse>& response)
+{
+    if (!response.has_value() || response.assume_value().sequence != state.sequence) {
+        state.retry = m_loop.once(retryPause, [this, &state] { send(state); });
+        return;
+    }
+    const ExchangeResponse& message = response.assume_value();
+    state.inFlight = false;
+    state.pending.clear();
+    m_received += message.tasks.size();
+    m_entryHasQueue = !message.queued.empty();
+    const std::weak_ptr<bool> alive = m_alive;
+    m_callbacks.received(message);
+    if (alive.expired())
+        return;
+    if (state.channel == Channel::Poll)
+        begin(m_poll);
+    flushReport();
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/sidecar/EntryLink.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "wire/Process.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace oleanderport {
+
+// What a sidecar keeps for one entry session: a poll that the entry may hold until it has work, and reports that it
+// answers at once. Each channel sends one numbered exchange at a time and repeats it until it is answered, so results
+// and tasks arrive exactly once while both sessions live.
+class EntryLink {
+public:
+    struct Callbacks {
+        // Tasks and cancellations from the entry.
+        std::function<void(const ExchangeResponse&)> received;
+        // Tasks that this sidecar could take right now.
+        std::function<std::uint64_t()> room;
+    };
+
+    EntryLink(EventLoop&, const SessionId& sidecar, const SessionId& entry, const std::string& address, Callbacks);
+
+    // Sends a result with the next report.
+    void report(const TaskResult&);
+
+    // Tells the entry of new room when it has work waiting and believes that there is none.
+    void offerRoom();
+
+    // No result waits for an answer.
+    bool isSettled() const { return m_report.pending.empty() && m_waiting.empty(); }
+
+    const SessionId& entry() const { return m_entry; }
+
+private:
+    struct ChannelState {
+        Channel channel { Channel::Poll };
+        std::uint64_t sequence { 0 };
+        bool inFlight { false };
+        std::vector<TaskResult> pending;
+        std::unique_ptr<RpcClient> client;
+        std::unique_ptr<EventLoop::Timer> retry;
+    };
+
+    void begin(ChannelState&);
+    void send(ChannelState&);
+    void finished(ChannelState&, const Result<ExchangeResponse>&);
+    void flushReport();
+
+    EventLoop& m_loop;
+    SessionId m_sidecar;
+    SessionId m_entry;
+    Callbacks m_callbacks;
+    ChannelState m_poll;
+    ChannelState m_report;
+    std::vector<TaskResult> m_waiting;
+    std::uint64_t m_received { 0 };
+    // Largest grant sent so far; the entry never sees it fall.
+    std::uint64_t m_granted { 0 };
+    bool m_entryHasQueue { false };
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/sidecar/MinionClient.cpp
@@ -0,0 +1,104 @@
+#include "sidecar/MinionClient.h"
+
+#include "base/Log.h"
+#include "wire/MessageCodec.h"
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds orderTimeout { 2'000 };
+    constexpr int httpOk = 200;
+    constexpr int httpServiceUnavailable = 503;
+
+    MinionRunEnd readEnd(const std::string& run, const Result<HttpAnswer>& answer)
+    {
+        MinionRunEnd end { .run = run, .outcome = TaskOutcome::Unknown, .body = {}, .ranFor = {} };
+        if (!answer.has_value()) {
+            const Error& error = answer.assume_error();
+            end.outcome = error.ran == Ran::No ? TaskOutcome::NotStarted : TaskOutcome::Unknown;
+            end.body = "minion: " + error.message;
+            return end;
+        }
+        if (answer.assume_value().status == httpServiceUnavailable) {
+            // The minion's contract: 503 says that it did not start the task.
+            end.outcome = TaskOutcome::NotStarted;
+            end.body = "the minion refused to start it";
+            return end;
+        }
+        const auto parsed = parseJson(answer.assume_value().body);
+        if (!parsed.has_value() || answer.assume_value().status != httpOk) {
+            end.body = "the minion's answer cannot be read";
+            return end;
+        }
+        const auto message = fromJson<MinionRunAnswer>(parsed.assume_value());
+        if (!message.has_value() || message.assume_value().run != run) {
+            end.body = "the minion answered for another run";
+            return end;
+        }
+        end.outcome = message.assume_value().ok ? TaskOutcome::Done : TaskOutcome::Failed;
+        end.body = message.assume_value().body;
+        return end;
+    }
+
+} // namespace
+
+MinionClient::MinionClient(EventLoop& loop, const MinionClientOptions& options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_lines(static_cast<std::size_t>(std::max<std::int64_t>(options.connections - 1, 1)))
+    , m_orders(loop, options.address)
+{
+}
+
+bool MinionClient::canRun() const
+{
+    return std::any_of(m_lines.begin(), m_lines.end(), [](const Line& line) { return !line.busy; });
+}
+
+void MinionClient::run(const TaskStart& start, std::function<void(const MinionRunEnd&)> callback)
+{
+    const auto line = std::find_if(m_lines.begin(), m_lines.end(), [](const Line& each) { return !each.busy; });
+    if (line == m_lines.end()) {
+        return callback({ .run = start.run, .outcome = TaskOutcome::NotStarted, .body = "no free connection" });
+    }
+    if (!line->connection)
+        line->connection = std::make_unique<HttpConnection>(m_loop, m_options.address);
+    line->busy = true;
+    const MinionRun message { .run = start.run,
+        .caller = start.assignment.key.caller,
+        .job = start.assignment.key.job,
+        .task = start.assignment.task,
+        .attempt = start.assignment.attempt,
+        .needs = start.assignment.needs,
+        .payload = start.assignment.payload };
+    const HttpCall call { .method = HttpMethod::Post,
+        .path = "/run",
+        .body = writeJson(toJson(message)),
+        .timeout = m_options.maxRunTime };
+    const std::size_t index = static_cast<std::size_t>(line - m_lines.begin());
+    const Milliseconds began = Clock::now();
+    line->connection->call(call,
+        [this, index, began, run = start.run, callback = std::move(callback)](const Result<HttpAnswer>& answer) {
+            m_lines[index].busy = false;
+            MinionRunEnd end = readEnd(run, answer);
+            end.ranFor = Clock::now() - began;
+            callback(end);
+        });
+}
+
+void MinionClient::stop(const std::string& run)
+{
+    const HttpCall call { .method = HttpMethod::Post,
+        .path = "/stop",
+        .body = writeJson(toJson(MinionStop { .run = run })),
+        .timeout = orderTimeout };
+    m_orders.call(call, [](const Result<HttpAnswer>& answer) {
+        if (!answer.has_value())
+            logError(LogLevel::Warning, answer.assume_error());
+    });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/sidecar/SidecarServer.cpp
@@ -0,0 +1,292 @@
+#include "sidecar/SidecarServer.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod { 50 };
+
+    Error badMinionCall(std::string message)
+    {
+        return Error { .code = ErrorCode::BadRequest,
+            .ran = Ran::No,
+            .step = "sidecar.minion",
+            .peer = {},
+            .message = std::move(message) };
+    }
+
+} // namespace
+
+SidecarServer::SidecarServer(EventLoop& loop, const Settings& settings)
+    : m_process(loop, settings)
+    , m_control(loop, settings.controlPeers)
+    , m_session(m_process, m_control,
+          { .viewChanged = [this](const ClusterView& view) { viewChanged(view); },
+              .opened = [this](const SessionId&) { openLinks(); },
+              .ended =
+                  [this] {
+                      // The next session is a new life: what the former held is settled by control's word.
+                      if (m_life)
+                          announce(MinionAnnouncement(m_life->announcement));
+                  },
+              .leaseRenewed =
+                  [this] {
+                      if (!m_session.hasLease())
+                          returnQueued();
+                      startTasks();
+                  } })
+{
+    m_process.rpc.addTyped<CollectRequest, CollectResponse>("collect",
+        [this](const CollectRequest& request, const std::function<void(Result<CollectResponse>)>& reply) {
+            if (!m_life || m_session.id() != request.sidecar) {
+                return reply(Error { .code = ErrorCode::StaleIncarnation,
+                    .ran = Ran::Unknown,
+                    .step = "sidecar.collect",
+                    .peer = m_process.settings.instance,
+                    .message = "another life of this sidecar" });
+            }
+            reply(m_life->ledger->collect(request));
+        });
+}
+
+Result<void> SidecarServer::start()
+{
+    BOOST_OUTCOME_TRYV(m_process.listen([this](HttpRequest&& request, std::shared_ptr<HttpResponder> responder) {
+        serveHttp(request, responder);
+    }));
+    m_timer = m_process.loop.every(tickPeriod, [this] { tick(); });
+    return boost::outcome_v2::success();
+}
+
+void SidecarServer::serveHttp(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+{
+    const auto body = parseJson(request.body);
+    if (!body.has_value())
+        return replyError(*responder, body.assume_error());
+    if (request.path == "/v1/minion/announce") {
+        const auto announcement = fromJson<MinionAnnouncement>(body.assume_value());
+        if (!announcement.has_value())
+            return replyError(*responder, announcement.assume_error());
+        if (announcement.assume_value().slots < 1 || announcement.assume_value().connections < 2)
+            return replyError(*responder, badMinionCall("expected at least 1 slot and 2 connections"));
+        announce(announcement.assume_value());
+        return responder->reply({ .body = "{}" });
+    }
+    const auto heartbeat = fromJson<MinionHeartbeat>(body.assume_value());
+    if (!heartbeat.has_value())
+        return replyError(*responder, heartbeat.assume_error());
+    if (!m_life || m_life->announcement.minion != heartbeat.assume_value().minion) {
+        return replyError(*responder,
+            { .code = ErrorCode::StaleIncarnation,
+                .ran = Ran::No,
+                .step = "sidecar.minion",
+                .peer = request.peer,
+                .message = "announce first" });
+    }
+    if (request.path == "/v1/minion/heartbeat") {
+        m_life->heardAt = Clock::now();
+        return responder->reply({ .body = "{}" });
+    }
+    if (request.path == "/v1/minion/leave") {
+        minionLeft("it left");
+        return responder->reply({ .body = "{}" });
+    }
+    replyError(*responder,
+        { .code = ErrorCode::NotFound, .ran = Ran::No, .step = "sidecar.http", .peer = {}, .message = "no such path" });
+}
+
+NodeInfo SidecarServer::nodeInfo(const MinionAnnouncement& announcement) const
+{
+    return { .role = Role::Sidecar,
+        .instance = m_process.settings.instance,
+        .address = m_process.settings.advertise,
+        .dataCentre = m_process.settings.dataCentre,
+        .rack = announcement.rack,
+        .service = announcement.service,
+        .slots = announcement.slots,
+        .connections = announcement.connections,
+        .cpuMillis = announcement.cpuMillis,
+        .memoryMb = announcement.memoryMb,
+        .accelerators = announcement.accelerators };
+}
+
+void SidecarServer::announce(const MinionAnnouncement& announcement)
+{
+    if (m_shutDownDone)
+        return;
+    const bool sameLife = m_life && m_session.id() && m_life->announcement.minion == announcement.minion;
+    if (sameLife) {
+        m_life->heardAt = Clock::now();
+        return;
+    }
+    m_process.events.record(EventKind::MinionAnnounced, { .detail = announcement.minion });
+    m_life = std::make_unique<MinionLife>();
+    m_life->announcement = announcement;
+    m_life->heardAt = Clock::now();
+    m_life->ledger = std::make_unique<SidecarLedger>(
+        SidecarLedgerOptions { .slots = announcement.slots,
+            .runPrefix = announcement.minion + "-",
+            .retention = m_process.settings.answerRetention });
+    m_life->client = std::make_unique<MinionClient>(m_process.loop,
+        MinionClientOptions { .address = announcement.address,
+            .connections = announcement.connections,
+            .maxRunTime = m_process.settings.maxRunTime });
+    const NodeInfo node = nodeInfo(announcement);
+    m_session.stop([this, node] { m_session.start(node); });
+}
+
+void SidecarServer::minionLeft(const char* why)
+{
+    log(LogLevel::Warning, { .step = "sidecar.minion", .peer = m_life->announcement.address }, why);
+    m_process.events.record(EventKind::MinionLeft, { .detail = why });
+    m_life.reset();
+    m_session.stop([] {});
+}
+
+void SidecarServer::viewChanged(const ClusterView& view)
+{
+    if (!m_life)
+        return;
+    std::erase_if(m_life->links, [&view](const auto& link) {
+        return std::none_of(
+            view.members.begin(), view.members.end(), [&link](const Member& member) { return member.id == link.first; });
+    });
+    openLinks();
+}
+
+void SidecarServer::openLinks()
+{
+    if (!m_life || !m_session.id())
+        return;
+    for (const auto& member : m_session.view().members) {
+        if (member.node.role != Role::Entry || m_life->links.contains(member.id))
+            continue;
+        const SessionId entry = member.id;
+        m_life->links[entry] = std::make_unique<EntryLink>(m_process.loop, *m_session.id(), entry, member.node.address,
+            EntryLink::Callbacks {
+                .received = [this, entry](const ExchangeResponse& response) { received(entry, response); },
+                .room = [this] { return room(); } });
+    }
+}
+
+std::uint64_t SidecarServer::room() const
+{
+    if (!m_life || m_shutDownDone || !m_session.hasLease())
+        return 0;
+    const auto capacity = m_life->announcement.slots + m_process.settings.prefetch;
+    const auto used = m_life->ledger->running() + static_cast<std::int64_t>(m_life->ledger->queued());
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(capacity - used, 0));
+}
+
+void SidecarServer::received(const SessionId& entry, const ExchangeResponse& response)
+{
+    for (const auto& order : response.cancels) {
+        for (const auto& run : m_life->ledger->cancel(order).stop)
+            m_life->client->stop(run);
+    }
+    for (const auto& task : response.tasks) {
+        m_process.events.record(EventKind::TaskQueued, { .job = &task.key, .task = task.task });
+        if (const auto refusal = m_life->ledger->accept(entry, task))
+            report(*refusal);
+    }
+    if (!m_session.hasLease() || m_shutDownDone)
+        returnQueued();
+    startTasks();
+}
+
+void SidecarServer::startTasks()
+{
+    if (!m_life)
+        return;
+    while (m_life->client->canRun()) {
+        const auto next = m_life->ledger->next(Clock::now(), m_session.leaseEnd(), Clock::unixNow());
+        for (const auto& refused : next.refused)
+            report(refused);
+        if (!next.start)
+            break;
+        const TaskAssignment& task = next.start->assignment;
+        m_process.events.record(
+            EventKind::TaskStarted, { .job = &task.key, .task = task.task, .detail = next.start->run });
+        m_process.metrics.add("starts_total");
+        m_life->client->run(*next.start, [this](const MinionRunEnd& end) { runEnded(end); });
+    }
+    for (const auto& [entry, link] : m_life->links)
+        link->offerRoom();
+}
+
+void SidecarServer::runEnded(const MinionRunEnd& end)
+{
+    const auto result = m_life->ledger->ended(end.run, end.outcome, end.body, end.ranFor);
+    if (!result)
+        return;
+    m_process.events.record(EventKind::TaskFinished,
+        { .job = &result->key, .task = result->task, .detail = std::string(taskOutcomeName(result->outcome)) });
+    m_process.metrics.observe("run_milliseconds", static_cast<double>(end.ranFor.count));
+    report(*result);
+    startTasks();
+}
+
+void SidecarServer::report(const TaskResult& result)
+{
+    const auto owner = m_life->ledger->ownerOf(result.key);
+    const auto link = owner ? m_life->links.find(*owner) : m_life->links.end();
+    if (link == m_life->links.end()) {
+        // The ledger keeps it for the entry that takes the job over.
+        m_process.events.record(EventKind::ResultDropped, { .job = &result.key, .task = result.task });
+        return;
+    }
+    link->second->report(result);
+}
+
+void SidecarServer::returnQueued()
+{
+    if (!m_life)
+        return;
+    for (const auto& result : m_life->ledger->returnQueued()) {
+        m_process.events.record(EventKind::TaskReturned, { .job = &result.key, .task = result.task });
+        report(result);
+    }
+}
+
+void SidecarServer::tick()
+{
+    if (m_shutDownDone)
+        return finishShutDown();
+    if (!m_life)
+        return;
+    const Milliseconds now = Clock::now();
+    if (now > m_life->heardAt + m_process.settings.minionTimeout)
+        return minionLeft("no heartbeat");
+    m_life->ledger->forget(Clock::unixNow());
+    if (!m_session.hasLease())
+        returnQueued();
+    startTasks();
+}
+
+void SidecarServer::shutDown(std::function<void()> done)
+{
+    m_process.events.record(EventKind::ProcessStopping);
+    m_shutDownDone = std::move(done);
+    m_shutDownBy = Clock::now() + m_process.settings.shutdownGrace;
+    returnQueued();
+    finishShutDown();
+}
+
+void SidecarServer::finishShutDown()
+{
+    const bool settled = !m_life
+        || (m_life->ledger->running() == 0 && m_life->ledger->queued() == 0
+            && std::all_of(m_life->links.begin(), m_life->links.end(),
+                [](const auto& link) { return link.second->isSettled(); }));
+    if (!settled && Clock::now() < m_shutDownBy)
+        return;
+    m_process.server->stopAccepting();
+    m_timer.reset();
+    m_session.stop(std::move(m_shutDownDone));
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/ControlClient.cpp
@@ -0,0 +1,99 @@
+#include "wire/ControlClient.h"
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds retryPause { 50 };
+
+} // namespace
+
+struct ControlClient::Attempt {
+    Lane lane { Lane::Work };
+    std::string method;
+    Json::Value params;
+    Milliseconds giveUpAt {};
+    RpcReply callback;
+    std::unique_ptr<EventLoop::Timer> pause;
+    bool ranUnknown { false };
+};
+
+ControlClient::ControlClient(EventLoop& loop, std::vector<std::string> peers)
+    : m_loop(loop)
+    , m_peers(std::move(peers))
+    , m_leader(m_peers.front())
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+RpcClient& ControlClient::clientFor(Lane lane, const std::string& address)
+{
+    auto& client = m_clients[{ lane, address }];
+    if (!client)
+        client = std::make_unique<RpcClient>(m_loop, address);
+    return *client;
+}
+
+void ControlClient::call(
+    Lane lane, const std::string& method, const Json::Value& params, Milliseconds timeout, RpcReply callback)
+{
+    auto work = std::make_shared<Attempt>();
+    work->lane = lane;
+    work->method = method;
+    work->params = params;
+    work->giveUpAt = Clock::now() + timeout;
+    work->callback = std::move(callback);
+    attempt(std::move(work));
+}
+
+void ControlClient::attempt(std::shared_ptr<Attempt> work)
+{
+    const Milliseconds now = Clock::now();
+    const std::string asked = m_leader;
+    // Half of the time at most goes to one instance, so that a frozen one leaves time for the next.
+    const Milliseconds left = work->giveUpAt - now;
+    const Milliseconds timeout { std::max<std::int64_t>(left.count / 2, 1) };
+    const std::weak_ptr<bool> alive = m_alive;
+    RpcClient& client = clientFor(work->lane, asked);
+    client.call(work->method, work->params, timeout, [this, alive, work, asked](Result<Json::Value> answer) {
+        if (alive.expired())
+            return;
+        const bool tryOther = !answer.has_value()
+            && (answer.assume_error().code == ErrorCode::NotLeader
+                || answer.assume_error().code == ErrorCode::Unavailable
+                || answer.assume_error().code == ErrorCode::Timeout);
+        if (!tryOther)
+            return work->callback(std::move(answer));
+        Error error = answer.assume_error();
+        work->ranUnknown = work->ranUnknown || error.ran == Ran::Unknown;
+        follow(error, asked);
+        if (Clock::now() + retryPause >= work->giveUpAt) {
+            error.code = ErrorCode::Unavailable;
+            error.ran = work->ranUnknown ? Ran::Unknown : Ran::No;
+            return work->callback(error);
+        }
+        work->pause = m_loop.once(retryPause, [this, alive, work] {
+            if (!alive.expired())
+                attempt(work);
+        });
+    });
+}
+
+void ControlClient::follow(const Error& error, const std::string& asked)
+{
+    if (m_leader != asked)
+        return;
+    const bool named = error.code == ErrorCode::NotLeader && error.peer != asked
+        && std::find(m_peers.begin(), m_peers.end(), error.peer) != m_peers.end();
+    if (named) {
+        m_leader = error.peer;
+        return;
+    }
+    const auto position = std::find(m_peers.begin(), m_peers.end(), asked);
+    const auto next = position == m_peers.end() || position + 1 == m_peers.end() ? m_peers.begin() : position + 1;
+    m_leader = *next;
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/ControlClient.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "wire/ControlMessages.h"
+#include "wire/Rpc.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+// Finds the leader among the control instances and calls it. A refusal that says NotLeader is followed to the named
+// leader; an instance that does not answer is passed over for the next. Calls go on separate connections for
+// heartbeats and for the rest, so a slow commit does not delay a lease.
+class ControlClient {
+public:
+    enum class Lane {
+        Session,
+        Work,
+    };
+
+    ControlClient(EventLoop&, std::vector<std::string> peers);
+
+    void call(Lane, const std::string& method, const Json::Value& params, Milliseconds timeout, RpcReply);
+
+    template <typename Response, typename Request>
+    void callTyped(Lane lane, const std::string& method, const Request& request, Milliseconds timeout,
+        std::function<void(Result<Response>)> callback)
+    {
+        call(lane, method, toJson(request), timeout, [callback = std::move(callback)](Result<Json::Value> value) {
+            if (!value.has_value())
+                return callback(std::move(value).assume_error());
+            callback(fromJson<Response>(value.assume_value()));
+        });
+    }
+
+private:
+    struct Attempt;
+
+    RpcClient& clientFor(Lane, const std::string& address);
+    void attempt(std::shared_ptr<Attempt>);
+    void follow(const Error&, const std::string& asked);
+
+    EventLoop& m_loop;
+    std::vector<std::string> m_peers;
+    std::string m_leader;
+    std::map<std::pair<Lane, std::string>, std::unique_ptr<RpcClient>> m_clients;
+    // Guards callbacks that outlive this object.
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/ControlMessages.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "oleanderport/Messages.h"
+
+// Messages of operators towards control, and between a minion and the sidecar beside it.
+namespace oleanderport {
+
+struct DataCentreChange {
+    std::string dataCentre;
+    bool out { false };
+};
+
+struct DataCentreChanged {
+    std::uint64_t viewVersion { 0 };
+    // From this long after the answer on, nothing starts in a data centre that was taken out.
+    Milliseconds inForceWithin {};
+};
+
+// A change of an environment's document. Its text is checked in full before it is accepted.
+struct ApplyDocument {
+    std::string text;
+    // Version in force on which the author based the change.
+    std::uint64_t baseVersion { 0 };
+    // Chosen by the author's tool; the same id sent again gets the first answer again.
+    std::string changeId;
+    std::string author;
+    std::string reason;
+};
+
+struct DocumentApplied {
+    std::uint64_t version { 0 };
+    std::string digest;
+};
+
+struct FindJobResponse {
+    // Empty when no claim on the job is known.
+    SessionId owner;
+    std::string ownerAddress;
+};
+
+// Request or response without content.
+struct Nothing {
+};
+
+// A minion presents itself to its sidecar. `minion` is chosen anew at each start of the minion.
+struct MinionAnnouncement {
+    std::string minion;
+    std::string address;
+    std::string service;
+    std::string rack;
+    std::int64_t slots { 0 };
+    std::int64_t connections { 0 };
+    std::int64_t cpuMillis { 0 };
+    std::int64_t memoryMb { 0 };
+    std::int64_t accelerators { 0 };
+};
+
+struct MinionHeartbeat {
+    std::string minion;
+};
+
+// Sidecar to minion: run one task now. `run` names this one start.
+struct MinionRun {
+    std::string run;
+    std::string caller;
+    std::string job;
+    std::uint32_t task { 0 };
+    std::uint32_t attempt { 0 };
+    TaskNeeds needs;
+    std::string payload;
+};
+
+struct MinionRunAnswer {
+    std::string run;
+    bool ok { false };
+    std::string body;
+};
+
+struct MinionStop {
+    std::string run;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/ControlSession.cpp
@@ -0,0 +1,120 @@
+#include "wire/ControlSession.h"
+
+#include <fmt/format.h>
+
+namespace oleanderport {
+
+ControlSession::ControlSession(Process& process, ControlClient& client, Callbacks callbacks)
+    : m_process(process)
+    , m_client(client)
+    , m_callbacks(std::move(callbacks))
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+void ControlSession::start(const NodeInfo& node)
+{
+    m_node = node;
+    m_timer = m_process.loop.every(m_process.settings.heartbeat, [this] { beat(); });
+    beat();
+}
+
+void ControlSession::beat()
+{
+    if (m_waiting)
+        return;
+    if (m_id)
+        renew();
+    else
+        open();
+}
+
+void ControlSession::open()
+{
+    m_waiting = true;
+    const Milliseconds sentAt = Clock::now();
+    const std::weak_ptr<bool> alive = m_alive;
+    m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "openSession",
+        OpenSessionRequest { .node = m_node }, m_process.settings.lease,
+        [this, alive, sentAt, round = m_round](const Result<SessionResponse>& response) {
+            if (alive.expired() || round != m_round)
+                return;
+            m_waiting = false;
+            if (!response.has_value())
+                return logError(LogLevel::Warning, response.assume_error());
+            m_id = response.assume_value().session;
+            log(LogLevel::Info, { .step = "session.open" }, fmt::format("incarnation {}", m_id->incarnation));
+            m_process.events.record(EventKind::SessionOpened, { .detail = fmt::format("{}", m_id->incarnation) });
+            if (m_callbacks.opened)
+                m_callbacks.opened(*m_id);
+            take(response.assume_value(), sentAt);
+        });
+}
+
+void ControlSession::renew()
+{
+    m_waiting = true;
+    const Milliseconds sentAt = Clock::now();
+    const std::weak_ptr<bool> alive = m_alive;
+    const HeartbeatRequest request { .session = *m_id, .viewVersion = m_view.version };
+    m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "heartbeat", request, m_process.settings.lease,
+        [this, alive, sentAt, round = m_round](const Result<SessionResponse>& response) {
+            if (alive.expired() || round != m_round)
+                return;
+            m_waiting = false;
+            if (response.has_value())
+                return take(response.assume_value(), sentAt);
+            if (response.assume_error().code == ErrorCode::StaleIncarnation)
+                return sessionEnded();
+            logError(LogLevel::Warning, response.assume_error());
+        });
+}
+
+void ControlSession::take(const SessionResponse& response, Milliseconds sentAt)
+{
+    const bool hadLease = hasLease();
+    m_leaseEnd = response.lease.count > 0 ? sentAt + response.lease : Milliseconds {};
+    if (hadLease != hasLease()) {
+        m_process.events.record(hadLease ? EventKind::LeaseLost : EventKind::LeaseGranted,
+            { .detail = fmt::format("view {}", m_view.version) });
+    }
+    if (response.view && response.view->version > m_view.version) {
+        const bool newConfig = response.view->config.version > m_view.config.version;
+        m_view = *response.view;
+        if (newConfig) {
+            m_process.events.record(
+                EventKind::ConfigurationApplied, { .detail = fmt::format("version {}", m_view.config.version) });
+        }
+        if (m_callbacks.viewChanged)
+            m_callbacks.viewChanged(m_view);
+    }
+    if (m_callbacks.leaseRenewed)
+        m_callbacks.leaseRenewed();
+}
+
+void ControlSession::sessionEnded()
+{
+    log(LogLevel::Warning, { .step = "session.ended" }, "control has ended this session");
+    m_process.events.record(EventKind::SessionEnded);
+    m_id.reset();
+    m_leaseEnd = {};
+    if (m_callbacks.ended)
+        m_callbacks.ended();
+    beat();
+}
+
+void ControlSession::stop(std::function<void()> done)
+{
+    m_timer.reset();
+    ++m_round;
+    m_waiting = false;
+    m_leaseEnd = {};
+    if (!m_id)
+        return done();
+    const HeartbeatRequest request { .session = *m_id, .viewVersion = m_view.version };
+    m_id.reset();
+    m_client.callTyped<Nothing>(ControlClient::Lane::Session, "closeSession", request, m_process.settings.lease,
+        [done = std::move(done)](const Result<Nothing>&) { done(); });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/EventLoop.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "oleanderport/Clock.h"
+
+#include <functional>
+#include <memory>
+
+struct event_base;
+
+namespace oleanderport {
+
+// One libevent loop. Every process has one, and all its state is touched only from it.
+class EventLoop {
+public:
+    // Cancels its timer when destroyed.
+    class Timer {
+    public:
+        virtual ~Timer() = default;
+    };
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    EventLoop& operator=(const EventLoop&) = delete;
+
+    // Runs until stop() is called.
+    void run();
+    void stop();
+
+    // Calls back once after the delay, or every period. The timer lives as long as the returned object.
+    std::unique_ptr<Timer> once(Milliseconds delay, std::function<void()>);
+    std::unique_ptr<Timer> every(Milliseconds period, std::function<void()>);
+
+    // Calls back in the loop each time the process receives the signal.
+    std::unique_ptr<Timer> onSignal(int signalNumber, std::function<void()>);
+
+    event_base* base() const { return m_base; }
+
+private:
+    event_base* m_base;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/HttpClient.cpp
@@ -0,0 +1,116 @@
+#include "wire/HttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+#include <optional>
+
+namespace oleanderport {
+
+struct HttpConnection::PendingCall {
+    HttpCallback callback;
+    std::string address;
+    std::shared_ptr<bool> alive;
+    std::optional<evhttp_request_error> error;
+
+    static void failed(evhttp_request_error error, void* self) { static_cast<PendingCall*>(self)->error = error; }
+};
+
+namespace {
+
+    evhttp_cmd_type commandOf(HttpMethod method)
+    {
+        switch (method) {
+        case HttpMethod::Get:
+            return EVHTTP_REQ_GET;
+        case HttpMethod::Delete:
+            return EVHTTP_REQ_DELETE;
+        default:
+            return EVHTTP_REQ_POST;
+        }
+    }
+
+    HttpAnswer readAnswer(evhttp_request* request)
+    {
+        evbuffer* input = evhttp_request_get_input_buffer(request);
+        HttpAnswer answer { .status = evhttp_request_get_response_code(request), .body = {} };
+        answer.body.resize(evbuffer_get_length(input));
+        evbuffer_copyout(input, answer.body.data(), answer.body.size());
+        return answer;
+    }
+
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    constexpr std::int64_t microsecondsPerMillisecond = 1000;
+
+} // namespace
+
+HttpConnection::HttpConnection(EventLoop& loop, std::string address)
+    : m_loop(loop)
+    , m_address(std::move(address))
+    , m_alive(std::make_shared<bool>(true))
+{
+    const auto endpoint = parseEndpoint(m_address);
+    if (!endpoint.has_value())
+        return;
+    m_connection = evhttp_connection_base_new(
+        m_loop.base(), nullptr, endpoint.assume_value().ip.c_str(), endpoint.assume_value().port);
+    // Retrying is a decision of the policy, never of the transport.
+    evhttp_connection_set_retries(m_connection, 0);
+}
+
+HttpConnection::~HttpConnection()
+{
+    *m_alive = false;
+    if (m_connection)
+        evhttp_connection_free(m_connection);
+}
+
+void HttpConnection::call(const HttpCall& message, HttpCallback callback)
+{
+    if (!m_connection) {
+        callback(Error { .code = ErrorCode::Unavailable,
+            .ran = Ran::No,
+            .step = "http.call",
+            .peer = m_address,
+            .message = "not an IP:port" });
+        return;
+    }
+    auto* pending = new PendingCall {
+        .callback = std::move(callback), .address = m_address, .alive = m_alive, .error = std::nullopt
+    };
+    evhttp_request* request = evhttp_request_new(&HttpConnection::finished, pending);
+    evhttp_request_set_error_cb(request, &PendingCall::failed);
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", m_address.c_str());
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(request), message.body.data(), message.body.size());
+    const timeval timeout { static_cast<time_t>(message.timeout.count / millisecondsPerSecond),
+        static_cast<suseconds_t>(message.timeout.count % millisecondsPerSecond * microsecondsPerMillisecond) };
+    evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    evhttp_make_request(m_connection, request, commandOf(message.method), message.path.c_str());
+}
+
+void HttpConnection::finished(evhttp_request* request, void* data)
+{
+    const std::unique_ptr<PendingCall> pending(static_cast<PendingCall*>(data));
+    if (!*pending->alive)
+        return;
+    const int status = request ? evhttp_request_get_response_code(request) : 0;
+    if (request && status != 0 && !pending->error) {
+        pending->callback(readAnswer(request));
+        return;
+    }
+    const bool timedOut = pending->error == EVREQ_HTTP_TIMEOUT;
+    // Without an error of the exchange itself, evhttp reports a request that it never got to send.
+    const bool neverSent = request && !pending->error;
+    pending->callback(Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
+        .ran = neverSent ? Ran::No : Ran::Unknown,
+        .step = "http.call",
+        .peer = pending->address,
+        .message = timedOut ? "no answer in time" : neverSent ? "cannot connect"
+                                                              : "connection lost" });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/MessageCodec.cpp
@@ -0,0 +1,641 @@
+#include "wire/MessageCodec.h"
+
+#include "wire/ControlMessages.h"
+#include "wire/EntryMessages.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+#include <type_traits>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr int maxNesting = 32;
+
+    // Each overload of fields() names the fields of one message once; it serves the writer and the reader.
+    template <typename Archive, typename T>
+    void fields(Archive&, T&);
+
+    std::string_view nameOf(Role value) { return roleName(value); }
+    std::string_view nameOf(TaskOutcome value) { return taskOutcomeName(value); }
+    std::string_view nameOf(Channel value) { return channelName(value); }
+    std::string_view nameOf(JobState value) { return jobStateName(value); }
+
+    std::optional<Role> valueOf(std::string_view name, Role) { return roleFromName(name); }
+    std::optional<TaskOutcome> valueOf(std::string_view name, TaskOutcome) { return taskOutcomeFromName(name); }
+    std::optional<Channel> valueOf(std::string_view name, Channel) { return channelFromName(name); }
+    std::optional<JobState> valueOf(std::string_view name, JobState) { return jobStateFromName(name); }
+
+    class Writer {
+    public:
+        Json::Value take() { return std::move(m_value); }
+
+        template <typename T>
+        void operator()(const char* name, T& field)
+        {
+            m_value[name] = write(field);
+        }
+
+        template <typename T>
+        void operator()(const char* name, std::optional<T>& field)
+        {
+            if (field)
+                m_value[name] = write(*field);
+        }
+
+    private:
+        static Json::Value write(const std::string& text) { return text; }
+        static Json::Value write(bool flag) { return flag; }
+        static Json::Value write(std::int64_t number) { return static_cast<Json::Int64>(number); }
+        static Json::Value write(std::uint64_t number) { return static_cast<Json::UInt64>(number); }
+        static Json::Value write(std::uint32_t number) { return number; }
+        static Json::Value write(Milliseconds time) { return static_cast<Json::Int64>(time.count); }
+        static Json::Value write(const Error& error) { return errorToJson(error); }
+
+        template <typename T>
+        static Json::Value write(const std::vector<T>& list)
+        {
+            Json::Value array(Json::arrayValue);
+            for (const auto& item : list)
+                array.append(write(item));
+            return array;
+        }
+
+        template <typename T>
+        static Json::Value write(const T& message)
+        {
+            if constexpr (std::is_enum_v<T>) {
+                return std::string(nameOf(message));
+            } else {
+                Writer inner;
+                fields(inner, const_cast<T&>(message));
+                return inner.take();
+            }
+        }
+
+        Json::Value m_value { Json::objectValue };
+    };
+
+    // Reads fields until the first fault and keeps that fault.
+    class Reader {
+    public:
+        Reader(const Json::Value& value, std::string& fault)
+            : m_value(value)
+            , m_fault(fault)
+        {
+            if (!value.isObject())
+                fail("", "an object");
+        }
+
+        template <typename T>
+        void operator()(const char* name, T& field)
+        {
+            if (!m_fault.empty())
+                return;
+            const Json::Value* member = m_value.find(name, name + std::char_traits<char>::length(name));
+            if (!member) {
+                fail(name, "this field");
+                return;
+            }
+            read(name, *member, field);
+        }
+
+        template <typename T>
+        void operator()(const char* name, std::optional<T>& field)
+        {
+            if (!m_fault.empty())
+                return;
+            const Json::Value* member = m_value.find(name, name + std::char_traits<char>::length(name));
+            if (!member)
+                return;
+            field.emplace();
+            read(name, *member, *field);
+        }
+
+    private:
+        void fail(const char* name, std::string_view expected)
+        {
+            if (m_fault.empty())
+                m_fault = fmt::format("field '{}': expected {}", name, expected);
+        }
+
+        void read(const char* name, const Json::Value& value, std::string& text)
+        {
+            if (!value.isString())
+                return fail(name, "a string");
+            text = value.asString();
+        }
+
+        void read(const char* name, const Json::Value& value, bool& flag)
+        {
+            if (!value.isBool())
+                return fail(name, "true or false");
+            flag = value.asBool();
+        }
+
+        void read(const char* name, const Json::Value& value, std::int64_t& number)
+        {
+            if (!value.isInt64() || value.asInt64() < 0)
+                return fail(name, "a whole number from 0");
+            number = value.asInt64();
+        }
+
+        void read(const char* name, const Json::Value& value, std::uint64_t& number)
+        {
+            if (!value.isUInt64())
+                return fail(name, "a whole number from 0");
+            number = value.asUInt64();
+        }
+
+        void read(const char* name, const Json::Value& value, std::uint32_t& number)
+        {
+            if (!value.isUInt())
+                return fail(name, "a whole number from 0");
+            number = value.asUInt();
+        }
+
+        void read(const char* name, const Json::Value& value, Milliseconds& time) { read(name, value, time.count); }
+
+        void read(const char*, const Json::Value& value, Error& error) { error = errorFromJson(value, {}); }
+
+        template <typename T>
+        void read(const char* name, const Json::Value& value, std::vector<T>& list)
+        {
+            if (!value.isArray())
+                return fail(name, "an array");
+            list.resize(value.size());
+            for (Json::ArrayIndex i = 0; i < value.size() && m_fault.empty(); ++i)
+                read(name, value[i], list[i]);
+        }
+
+        template <typename T>
+        void read(const char* name, const Json::Value& value, T& message)
+        {
+            if constexpr (std::is_enum_v<T>) {
+                const auto known = value.isString() ? valueOf(value.asString(), T {}) : std::nullopt;
+                if (!known)
+                    return fail(name, "one of the known names");
+                message = *known;
+            } else {
+                Reader inner(value, m_fault);
+                fields(inner, message);
+            }
+        }
+
+        const Json::Value& m_value;
+        std::string& m_fault;
+    };
+
+    template <typename Archive>
+    void fields(Archive& a, SessionId& m)
+    {
+        a("instance", m.instance);
+        a("incarnation", m.incarnation);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, JobKey& m)
+    {
+        a("caller", m.caller);
+        a("job", m.job);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, TaskNeeds& m)
+    {
+        a("cpuMillis", m.cpuMillis);
+        a("memoryMb", m.memoryMb);
+        a("accelerators", m.accelerators);
+        a("runTime", m.runTime);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, TaskSpec& m)
+    {
+        a("needs", m.needs);
+        a("payload", m.payload);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, JobSpec& m)
+    {
+        a("key", m.key);
+        a("team", m.team);
+        a("service", m.service);
+        a("deadlineUnix", m.deadlineUnix);
+        a("idempotent", m.idempotent);
+        a("tasks", m.tasks);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, TaskAssignment& m)
+    {
+        a("key", m.key);
+        a("task", m.task);
+        a("attempt", m.attempt);
+        a("epoch", m.epoch);
+        a("team", m.team);
+        a("idempotent", m.idempotent);
+        a("startByUnix", m.startByUnix);
+        a("needs", m.needs);
+        a("payload", m.payload);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, TaskResult& m)
+    {
+        a("key", m.key);
+        a("task", m.task);
+        a("attempt", m.attempt);
+        a("epoch", m.epoch);
+        a("outcome", m.outcome);
+        a("body", m.body);
+        a("ranFor", m.ranFor);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ExchangeRequest& m)
+    {
+        a("sidecar", m.sidecar);
+        a("entry", m.entry);
+        a("channel", m.channel);
+        a("sequence", m.sequence);
+        a("grantedTotal", m.grantedTotal);
+        a("results", m.results);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, CancelOrder& m)
+    {
+        a("key", m.key);
+        a("epoch", m.epoch);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, TeamDemand& m)
+    {
+        a("team", m.team);
+        a("queued", m.queued);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ExchangeResponse& m)
+    {
+        a("sequence", m.sequence);
+        a("tasks", m.tasks);
+        a("cancels", m.cancels);
+        a("queued", m.queued);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, CollectRequest& m)
+    {
+        a("sidecar", m.sidecar);
+        a("key", m.key);
+        a("epoch", m.epoch);
+        a("owner", m.owner);
+        a("deadlineUnix", m.deadlineUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, CollectResponse& m)
+    {
+        a("tasks", m.tasks);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, NodeInfo& m)
+    {
+        a("role", m.role);
+        a("instance", m.instance);
+        a("address", m.address);
+        a("dataCentre", m.dataCentre);
+        a("rack", m.rack);
+        a("service", m.service);
+        a("slots", m.slots);
+        a("connections", m.connections);
+        a("cpuMillis", m.cpuMillis);
+        a("memoryMb", m.memoryMb);
+        a("accelerators", m.accelerators);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, Member& m)
+    {
+        a("id", m.id);
+        a("node", m.node);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, TeamConfig& m)
+    {
+        a("name", m.name);
+        a("weight", m.weight);
+        a("maxQueued", m.maxQueued);
+        a("callers", m.callers);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ServiceConfig& m)
+    {
+        a("name", m.name);
+        a("maxTasksPerJob", m.maxTasksPerJob);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EnvironmentConfig& m)
+    {
+        a("environment", m.environment);
+        a("version", m.version);
+        a("digest", m.digest);
+        a("teams", m.teams);
+        a("services", m.services);
+        a("dataCentres", m.dataCentres);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ClusterView& m)
+    {
+        a("version", m.version);
+        a("config", m.config);
+        a("dataCentresOut", m.dataCentresOut);
+        a("members", m.members);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, OpenSessionRequest& m)
+    {
+        a("node", m.node);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, HeartbeatRequest& m)
+    {
+        a("session", m.session);
+        a("viewVersion", m.viewVersion);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, SessionResponse& m)
+    {
+        a("session", m.session);
+        a("lease", m.lease);
+        a("view", m.view);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ClaimRequest& m)
+    {
+        a("entry", m.entry);
+        a("key", m.key);
+        a("digest", m.digest);
+        a("service", m.service);
+        a("deadlineUnix", m.deadlineUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ClaimResponse& m)
+    {
+        a("owner", m.owner);
+        a("ownerAddress", m.ownerAddress);
+        a("epoch", m.epoch);
+        a("takenOver", m.takenOver);
+        a("sidecars", m.sidecars);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, JobFailure& m)
+    {
+        a("task", m.task);
+        a("outcome", m.outcome);
+        a("reason", m.reason);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, JobAnswer& m)
+    {
+        a("key", m.key);
+        a("state", m.state);
+        a("results", m.results);
+        a("failures", m.failures);
+        a("error", m.error);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, FindJobHere& m)
+    {
+        a("key", m.key);
+        a("digest", m.digest);
+        a("wait", m.wait);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DataCentreChange& m)
+    {
+        a("dataCentre", m.dataCentre);
+        a("out", m.out);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DataCentreChanged& m)
+    {
+        a("viewVersion", m.viewVersion);
+        a("inForceWithin", m.inForceWithin);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ApplyDocument& m)
+    {
+        a("text", m.text);
+        a("baseVersion", m.baseVersion);
+        a("changeId", m.changeId);
+        a("author", m.author);
+        a("reason", m.reason);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DocumentApplied& m)
+    {
+        a("version", m.version);
+        a("digest", m.digest);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, FindJobResponse& m)
+    {
+        a("owner", m.owner);
+        a("ownerAddress", m.ownerAddress);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, Nothing&)
+    {
+        (void)a;
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionAnnouncement& m)
+    {
+        a("minion", m.minion);
+        a("address", m.address);
+        a("service", m.service);
+        a("rack", m.rack);
+        a("slots", m.slots);
+        a("connections", m.connections);
+        a("cpuMillis", m.cpuMillis);
+        a("memoryMb", m.memoryMb);
+        a("accelerators", m.accelerators);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionHeartbeat& m)
+    {
+        a("minion", m.minion);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionRun& m)
+    {
+        a("run", m.run);
+        a("caller", m.caller);
+        a("job", m.job);
+        a("task", m.task);
+        a("attempt", m.attempt);
+        a("needs", m.needs);
+        a("payload", m.payload);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionRunAnswer& m)
+    {
+        a("run", m.run);
+        a("ok", m.ok);
+        a("body", m.body);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionStop& m)
+    {
+        a("run", m.run);
+    }
+
+} // namespace
+
+template <typename T>
+Json::Value toJson(const T& message)
+{
+    Writer writer;
+    fields(writer, const_cast<T&>(message));
+    return writer.take();
+}
+
+template <typename T>
+Result<T> fromJson(const Json::Value& value)
+{
+    std::string fault;
+    T message {};
+    Reader reader(value, fault);
+    fields(reader, message);
+    if (!fault.empty())
+        return Error { .code = ErrorCode::BadRequest, .ran = Ran::No, .step = "wire.decode", .peer = {}, .message = fault };
+    return message;
+}
+
+#define OLEANDERPORT_MESSAGE(Type)            \
+    template Json::Value toJson(const Type&); \
+    template Result<Type> fromJson(const Json::Value&);
+
+OLEANDERPORT_MESSAGE(JobSpec)
+OLEANDERPORT_MESSAGE(TaskAssignment)
+OLEANDERPORT_MESSAGE(TaskResult)
+OLEANDERPORT_MESSAGE(ExchangeRequest)
+OLEANDERPORT_MESSAGE(ExchangeResponse)
+OLEANDERPORT_MESSAGE(CollectRequest)
+OLEANDERPORT_MESSAGE(CollectResponse)
+OLEANDERPORT_MESSAGE(OpenSessionRequest)
+OLEANDERPORT_MESSAGE(HeartbeatRequest)
+OLEANDERPORT_MESSAGE(SessionResponse)
+OLEANDERPORT_MESSAGE(ClusterView)
+OLEANDERPORT_MESSAGE(EnvironmentConfig)
+OLEANDERPORT_MESSAGE(ClaimRequest)
+OLEANDERPORT_MESSAGE(ClaimResponse)
+OLEANDERPORT_MESSAGE(JobKey)
+OLEANDERPORT_MESSAGE(JobAnswer)
+OLEANDERPORT_MESSAGE(FindJobHere)
+OLEANDERPORT_MESSAGE(NodeInfo)
+OLEANDERPORT_MESSAGE(SessionId)
+OLEANDERPORT_MESSAGE(Member)
+OLEANDERPORT_MESSAGE(DataCentreChange)
+OLEANDERPORT_MESSAGE(DataCentreChanged)
+OLEANDERPORT_MESSAGE(ApplyDocument)
+OLEANDERPORT_MESSAGE(DocumentApplied)
+OLEANDERPORT_MESSAGE(FindJobResponse)
+OLEANDERPORT_MESSAGE(Nothing)
+OLEANDERPORT_MESSAGE(MinionAnnouncement)
+OLEANDERPORT_MESSAGE(MinionHeartbeat)
+OLEANDERPORT_MESSAGE(MinionRun)
+OLEANDERPORT_MESSAGE(MinionRunAnswer)
+OLEANDERPORT_MESSAGE(MinionStop)
+
+#undef OLEANDERPORT_MESSAGE
+
+std::string writeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
+Result<Json::Value> parseJson(const std::string& text)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["stackLimit"] = maxNesting;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string fault;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &fault))
+            return value;
+    } catch (const Json::Exception& exception) {
+        fault = exception.what();
+    }
+    return Error { .code = ErrorCode::BadRequest, .ran = Ran::No, .step = "wire.parse", .peer = {}, .message = fault };
+}
+
+Json::Value errorToJson(const Error& error)
+{
+    Json::Value value(Json::objectValue);
+    value["code"] = std::string(errorCodeName(error.code));
+    value["ran"] = std::string(ranName(error.ran));
+    value["step"] = error.step;
+    value["peer"] = error.peer;
+    value["message"] = error.message;
+    value["retryAfter"] = static_cast<Json::Int64>(error.retryAfter.count);
+    return value;
+}
+
+Error errorFromJson(const Json::Value& value, const std::string& peer)
+{
+    Error error { .code = ErrorCode::Internal, .ran = Ran::Unknown, .step = "wire.error", .peer = peer, .message = {} };
+    if (!value.isObject() || !value["code"].isString() || !value["ran"].isString()) {
+        error.message = "the peer answered with something that is not an error";
+        return error;
+    }
+    error.code = errorCodeFromName(value["code"].asString()).value_or(ErrorCode::Internal);
+    error.ran = ranFromName(value["ran"].asString()).value_or(Ran::Unknown);
+    if (value["step"].isString())
+        error.step = value["step"].asString();
+    if (value["message"].isString())
+        error.message = value["message"].asString();
+    if (value["peer"].isString() && !value["peer"].asString().empty())
+        error.peer = value["peer"].asString();
+    if (value["retryAfter"].isInt64())
+        error.retryAfter = { value["retryAfter"].asInt64() };
+    return error;
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/Process.cpp
@@ -0,0 +1,79 @@
+#include "wire/Process.h"
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr std::size_t eventCapacity = 20'000;
+    constexpr Milliseconds idleConnectionTimeout { 120'000 };
+
+    Json::Value eventToJson(const Event& event)
+    {
+        Json::Value value(Json::objectValue);
+        value["kind"] = std::string(eventKindName(event.kind));
+        value["instance"] = event.instance;
+        value["sequence"] = static_cast<Json::UInt64>(event.sequence);
+        value["logical"] = static_cast<Json::UInt64>(event.logical);
+        value["unixTime"] = static_cast<Json::Int64>(event.unixTime.count);
+        if (!event.job.job.empty())
+            value["job"] = toJson(event.job);
+        if (event.task >= 0)
+            value["task"] = static_cast<Json::Int64>(event.task);
+        if (!event.detail.empty())
+            value["detail"] = event.detail;
+        return value;
+    }
+
+    void serveEvents(const EventRing& ring, const Json::Value& params, const RpcReply& reply)
+    {
+        const bool hasAfter = params.isObject() && params["after"].isUInt64();
+        Json::Value answer(Json::objectValue);
+        answer["forgotten"] = static_cast<Json::UInt64>(ring.forgotten());
+        answer["events"] = Json::Value(Json::arrayValue);
+        for (const auto& event : ring.since(hasAfter ? params["after"].asUInt64() : 0))
+            answer["events"].append(eventToJson(event));
+        reply(answer);
+    }
+
+} // namespace
+
+Process::Process(EventLoop& eventLoop, const Settings& ownSettings)
+    : loop(eventLoop)
+    , settings(ownSettings)
+    , events(ownSettings.instance, eventCapacity)
+{
+    rpc.add("events", [this](const Json::Value& params, const RpcReply& reply) { serveEvents(events, params, reply); });
+}
+
+Result<void> Process::listen(HttpHandler other)
+{
+    const HttpServerOptions options { .address = settings.listen,
+        .maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes),
+        .idleTimeout = idleConnectionTimeout };
+    BOOST_OUTCOME_TRY(server,
+        HttpServer::listen(loop, options,
+            [this, other = std::move(other)](HttpRequest&& request, std::shared_ptr<HttpResponder> responder) {
+                if (request.path == rpcPath)
+                    return rpc.serve(request, std::move(responder));
+                if (request.path == "/metrics")
+                    return responder->reply({ .contentType = "text/plain; version=0.0.4", .body = metrics.text() });
+                if (request.path == "/healthz")
+                    return responder->reply({ .body = "{\"ok\":true}" });
+                if (other)
+                    return other(std::move(request), std::move(responder));
+                replyError(*responder,
+                    { .code = ErrorCode::NotFound, .ran = Ran::No, .step = "http", .message = "no such path" });
+            }));
+    events.record(EventKind::ProcessStarted);
+    return boost::outcome_v2::success();
+}
+
+void replyError(HttpResponder& responder, const Error& error)
+{
+    Json::Value body(Json::objectValue);
+    body["error"] = errorToJson(error);
+    responder.reply(
+        { .status = httpStatus(error.code), .body = writeJson(body), .retryAfter = error.retryAfter });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/wire/Rpc.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "oleanderport/Error.h"
+#include "wire/HttpClient.h"
+#include "wire/HttpServer.h"
+#include "wire/MessageCodec.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+// JSON-RPC 2.0 over persistent evhttp connections. Requests are built by libjsonrpccpp's batch codec; its connectors
+// block and its server answers within the call, so the asynchronous parts stand here (see docs/DESIGN.md).
+namespace oleanderport {
+
+inline constexpr const char* rpcPath = "/rpc";
+
+// Answers one RPC, once, now or later.
+using RpcReply = std::function<void(Result<Json::Value>)>;
+using RpcMethod = std::function<void(const Json::Value& params, RpcReply)>;
+
+// Method table of one process.
+class RpcServer {
+public:
+    void add(const std::string& name, RpcMethod);
+
+    // Adds a method with typed request and response. `function` takes the request and a callback for the result.
+    template <typename Request, typename Response>
+    void addTyped(const std::string& name, std::function<void(Request, std::function<void(Result<Response>)>)> function)
+    {
+        add(name, [function = std::move(function)](const Json::Value& params, RpcReply reply) {
+            Result<Request> request = fromJson<Request>(params);
+            if (!request.has_value())
+                return reply(std::move(request).assume_error());
+            function(std::move(request).assume_value(), [reply = std::move(reply)](Result<Response> response) {
+                if (response.has_value())
+                    return reply(toJson(response.assume_value()));
+                reply(std::move(response).assume_error());
+            });
+        });
+    }
+
+    // Serves one HTTP request whose body is a call or a batch of calls.
+    void serve(const HttpRequest&, std::shared_ptr<HttpResponder>);
+
+private:
+    void dispatch(const Json::Value& call, RpcReply);
+
+    std::map<std::string, RpcMethod> m_methods;
+};
+
+// Calls methods of one peer over one connection, in order.
+class RpcClient {
+public:
+    RpcClient(EventLoop&, const std::string& address);
+
+    void call(const std::string& method, const Json::Value& params, Milliseconds timeout, RpcReply);
+
+    template <typename Response, typename Request>
+    void callTyped(const std::string& method, const Request& request, Milliseconds timeout,
+        std::function<void(Result<Response>)> callback)
+    {
+        call(method, toJson(request), timeout, [callback = std::move(callback)](Result<Json::Value> value) {
+            if (!value.has_value())
+                return callback(std::move(value).assume_error());
+            callback(fromJson<Response>(value.assume_value()));
+        });
+    }
+
+    const std::string& address() const { return m_connection.address(); }
+
+private:
+    HttpConnection m_connection;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/test/base/SettingsTest.cpp
@@ -0,0 +1,52 @@
+#include "base/Settings.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+const std::string good = R"([process]
+role = "entry"
+instance = "entry-1"
+listen = "127.0.0.1:7000"
+data_centre = "dc-a"
+[control]
+peers = ["127.0.0.1:7100"]
+)";
+
+std::string faultsOf(const std::string& text)
+{
+    const auto settings = parseSettings(text, "test.toml");
+    return settings.has_value() ? "" : settings.assume_error().message;
+}
+
+void expectFault(const std::string& text, const std::string& expected)
+{
+    const auto faults = faultsOf(text);
+    cr_assert(faults.find(expected) != std::string::npos, "expected '%s' in '%s'", expected.c_str(), faults.c_str());
+}
+
+} // namespace
+
+Test(Settings, acceptsAMinimalFile) { cr_assert(parseSettings(good, "test.toml").has_value()); }
+
+Test(Settings, namesAnUnknownKeyWithItsLine) { expectFault(good + "peer = 1\n", "test.toml:8: control.peer: unknown key"); }
+
+Test(Settings, namesAWrongType) { expectFault(good + "lease_ms = \"long\"\n", "control.lease_ms: expected a whole number"); }
+
+Test(Settings, namesAValueOutOfRange) { expectFault(good + "lease_ms = 0\n", "control.lease_ms: expected a whole number from 1"); }
+
+Test(Settings, namesAContradiction)
+{
+    expectFault(good + "lease_ms = 1000\nheartbeat_ms = 900\n", "control.heartbeat_ms: expected at most half of lease_ms");
+}
+
+Test(Settings, namesAMissingKey) { expectFault("[process]\nrole = \"entry\"\n", "process.instance: missing"); }
+
+Test(Settings, reportsEveryFaultAtOnce)
+{
+    const auto faults = faultsOf(good + "x = 1\ny = 2\n");
+    cr_assert(faults.find("control.x") != std::string::npos);
+    cr_assert(faults.find("control.y") != std::string::npos);
+}
--- /dev/null
+++ b/test/policy/ControlStateTest.cpp
@@ -0,0 +1,140 @@
+#include "policy/ControlState.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr Milliseconds start { 100'000 };
+constexpr Milliseconds deadline { 160'000 };
+
+class Control {
+public:
+    template <typename Change>
+    Result<ControlOutcome> apply(const Change& change, Milliseconds at = start)
+    {
+        return state.apply({ .stampUnix = at, .change = change });
+    }
+
+    SessionId open(Role role, const std::string& instance)
+    {
+        const NodeInfo node { .role = role, .instance = instance, .dataCentre = "dc-a", .service = "service" };
+        return std::get<SessionId>(apply(OpenSessionRequest { .node = node }).assume_value());
+    }
+
+    Result<ControlOutcome> claim(const SessionId& entry, const std::string& digest = "digest", Milliseconds at = start)
+    {
+        return apply(ClaimRequest { .entry = entry,
+                         .key = { .caller = "caller", .job = "job" },
+                         .digest = digest,
+                         .service = "service",
+                         .deadlineUnix = deadline },
+            at);
+    }
+
+    ControlState state { ControlStateOptions {} };
+};
+
+ClaimResponse response(const Result<ControlOutcome>& outcome)
+{
+    return std::get<ClaimResponse>(outcome.assume_value());
+}
+
+} // namespace
+
+Test(ControlState, givesAJobToTheFirstEntryThatClaimsIt)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    const auto two = control.open(Role::Entry, "entry-2");
+    cr_assert(response(control.claim(one)).owner == one);
+    const auto second = response(control.claim(two));
+    cr_assert(second.owner == one);
+    cr_assert(second.epoch == 1);
+    cr_assert(!second.takenOver);
+}
+
+Test(ControlState, refusesTheSameIdWithOtherContent)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    control.claim(one);
+    const auto other = control.claim(one, "other");
+    cr_assert(!other.has_value());
+    cr_assert(other.assume_error().code == ErrorCode::Conflict);
+}
+
+Test(ControlState, handsAJobOverUnderAHigherEpochOnceItsOwnerIsGone)
+{
+    Control control;
+    const auto sidecar = control.open(Role::Sidecar, "sidecar-1");
+    const auto lost = control.open(Role::Sidecar, "sidecar-2");
+    const auto one = control.open(Role::Entry, "entry-1");
+    const auto two = control.open(Role::Entry, "entry-2");
+    control.claim(one);
+    control.apply(CloseSession { .session = lost });
+    control.apply(CloseSession { .session = one });
+    const auto taken = response(control.claim(two));
+    cr_assert(taken.owner == two);
+    cr_assert(taken.epoch == 2);
+    cr_assert(taken.takenOver);
+    cr_assert(taken.sidecars.size() == 2, "expected the live and the lost sidecar, got %zu", taken.sidecars.size());
+    cr_assert(taken.sidecars[0].id == sidecar);
+    cr_assert(response(control.claim(two)).takenOver, "a repeated claim after a lost answer must collect as well");
+}
+
+Test(ControlState, refusesAClaimOfAnEndedSession)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    control.open(Role::Entry, "entry-1");
+    const auto refused = control.claim(one);
+    cr_assert(!refused.has_value());
+    cr_assert(refused.assume_error().code == ErrorCode::StaleIncarnation);
+}
+
+Test(ControlState, neverGivesAForgottenJobToARunAgain)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    control.claim(one);
+    const Milliseconds muchLater = deadline + Milliseconds { 1'000'000 };
+    const auto refused = control.claim(one, "digest", muchLater);
+    cr_assert(control.state.claims() == 0, "the claim is forgotten after its retention");
+    cr_assert(!refused.has_value());
+    cr_assert(refused.assume_error().code == ErrorCode::DeadlinePassed);
+    cr_assert(refused.assume_error().ran == Ran::Unknown, "an earlier submission may have run");
+}
+
+Test(ControlState, timeOfTheLogNeverGoesBack)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    control.apply(CloseSession {}, deadline);
+    const auto refused = control.claim(one, "digest", start);
+    cr_assert(!refused.has_value(), "a leader whose clock is behind must not reopen a passed deadline");
+}
+
+Test(ControlState, acceptsOneOfTwoChangesThatAreBasedOnTheSameVersion)
+{
+    Control control;
+    const AcceptDocument first { .change = { .baseVersion = 0, .changeId = "one" }, .config = { .digest = "a" } };
+    const AcceptDocument second { .change = { .baseVersion = 0, .changeId = "two" }, .config = { .digest = "b" } };
+    cr_assert(control.apply(first).has_value());
+    const auto refused = control.apply(second);
+    cr_assert(!refused.has_value());
+    cr_assert(refused.assume_error().code == ErrorCode::Conflict);
+    cr_assert(control.state.view().config.digest == "a");
+}
+
+Test(ControlState, answersAResentChangeAsTheFirstTime)
+{
+    Control control;
+    const AcceptDocument change { .change = { .baseVersion = 0, .changeId = "one" }, .config = { .digest = "a" } };
+    const auto first = std::get<DocumentApplied>(control.apply(change).assume_value());
+    const auto again = std::get<DocumentApplied>(control.apply(change).assume_value());
+    cr_assert(first.version == 1);
+    cr_assert(again.version == 1);
+    cr_assert(control.state.view().config.version == 1);
+}
--- /dev/null
+++ b/test/policy/JobTableTest.cpp
@@ -0,0 +1,163 @@
+#include "policy/JobTable.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+const SessionId sidecarOne { .instance = "sidecar-1", .incarnation = 1 };
+const SessionId sidecarTwo { .instance = "sidecar-2", .incarnation = 2 };
+constexpr Milliseconds deadline { 10'000 };
+
+JobSpec jobOf(std::size_t tasks, bool idempotent = false)
+{
+    return { .key = { .caller = "caller", .job = "job" },
+        .team = "team",
+        .service = "service",
+        .deadlineUnix = deadline,
+        .idempotent = idempotent,
+        .tasks = std::vector<TaskSpec>(tasks) };
+}
+
+TaskResult resultFor(const TaskAssignment& assignment, TaskOutcome outcome, const std::string& body = "answer")
+{
+    return { .key = assignment.key,
+        .task = assignment.task,
+        .attempt = assignment.attempt,
+        .epoch = assignment.epoch,
+        .outcome = outcome,
+        .body = body };
+}
+
+JobTable tableWith(const JobSpec& spec)
+{
+    JobTable table({});
+    table.add(spec, "digest", 1, 1);
+    return table;
+}
+
+JobState stateOf(const JobTable& table) { return table.answer(jobOf(1).key)->state; }
+
+} // namespace
+
+Test(JobTable, completesOnlyWithEveryResultAndInTaskOrder)
+{
+    auto table = tableWith(jobOf(2));
+    const auto taken = table.take("service", sidecarOne, 2);
+    cr_assert(table.result(sidecarOne, resultFor(taken[1], TaskOutcome::Done, "second")));
+    cr_assert(stateOf(table) == JobState::Running);
+    cr_assert(table.answer(jobOf(1).key)->results.empty(), "a running job shows no partial results");
+    cr_assert(table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Done, "first")));
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->state == JobState::Complete);
+    cr_assert(answer->results[0] == "first");
+    cr_assert(answer->results[1] == "second");
+}
+
+Test(JobTable, dropsDoubledForeignAndStaleResults)
+{
+    auto table = tableWith(jobOf(2));
+    const auto taken = table.take("service", sidecarOne, 1);
+    auto result = resultFor(taken[0], TaskOutcome::Done);
+    cr_assert(!table.result(sidecarTwo, result), "another sidecar's answer is foreign");
+    result.epoch = 2;
+    cr_assert(!table.result(sidecarOne, result), "another epoch's answer is foreign");
+    result.epoch = 1;
+    result.attempt = 2;
+    cr_assert(!table.result(sidecarOne, result), "another attempt's answer is foreign");
+    result.attempt = 1;
+    cr_assert(table.result(sidecarOne, result));
+    cr_assert(!table.result(sidecarOne, result), "a doubled answer changes nothing");
+}
+
+Test(JobTable, placesATaskElsewhereOnlyWhenItIsProvedNotStarted)
+{
+    auto table = tableWith(jobOf(1));
+    const auto taken = table.take("service", sidecarOne, 1);
+    cr_assert(table.take("service", sidecarTwo, 1).empty());
+    cr_assert(table.result(sidecarOne, resultFor(taken[0], TaskOutcome::NotStarted)));
+    const auto again = table.take("service", sidecarTwo, 1);
+    cr_assert(again.size() == 1);
+    cr_assert(again[0].attempt == 2);
+}
+
+Test(JobTable, failsAJobWhoseSidecarIsLostAndSaysThatItMayHaveRun)
+{
+    auto table = tableWith(jobOf(2));
+    table.take("service", sidecarOne, 1);
+    table.sidecarLost(sidecarOne);
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->state == JobState::Failed);
+    cr_assert(answer->error->ran == Ran::Unknown);
+    cr_assert(answer->results.empty());
+    cr_assert(answer->failures.size() == 2);
+    cr_assert(answer->failures[0].outcome == TaskOutcome::Unknown);
+    cr_assert(answer->failures[1].outcome == TaskOutcome::NotStarted);
+    cr_assert(table.queued("service") == 0, "a failed job starts nothing more");
+}
+
+Test(JobTable, triesAnIdempotentTaskAgainAfterAnUnknownOutcome)
+{
+    auto table = tableWith(jobOf(1, true));
+    table.take("service", sidecarOne, 1);
+    table.sidecarLost(sidecarOne);
+    cr_assert(stateOf(table) == JobState::Running);
+    cr_assert(table.take("service", sidecarTwo, 1).size() == 1);
+}
+
+Test(JobTable, saysNotRunWhenTheDeadlinePassesBeforeAnyStart)
+{
+    auto table = tableWith(jobOf(3));
+    table.tick(deadline);
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->state == JobState::Failed);
+    cr_assert(answer->error->code == ErrorCode::DeadlinePassed);
+    cr_assert(answer->error->ran == Ran::No);
+}
+
+Test(JobTable, doesNotQueueAnAdoptedJobBeforeEverySidecarIsHeard)
+{
+    JobTable table({});
+    table.adopt(jobOf(3), "digest", 2, 1, { sidecarOne, sidecarTwo });
+    const auto key = jobOf(1).key;
+    table.collected(key, sidecarOne,
+        { { .key = key, .task = 1, .attempt = 1, .epoch = 2, .outcome = TaskOutcome::Done, .body = "kept" } });
+    cr_assert(table.queued("service") == 0);
+    table.collected(key, sidecarTwo,
+        { { .key = key, .task = 2, .attempt = 1, .epoch = 2, .outcome = TaskOutcome::Running } });
+    cr_assert(table.queued("service") == 1, "only the task that never started is queued");
+    const auto taken = table.take("service", sidecarOne, 5);
+    cr_assert(taken.size() == 1);
+    cr_assert(taken[0].task == 0);
+}
+
+Test(JobTable, failsAnAdoptedJobWhenASidecarThatMayHoldItIsLost)
+{
+    JobTable table({});
+    table.adopt(jobOf(1), "digest", 2, 1, { sidecarOne });
+    table.sidecarLost(sidecarOne);
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->state == JobState::Failed);
+    cr_assert(answer->error->ran == Ran::Unknown);
+}
+
+Test(JobTable, cancelStopsWhatIsBoundAndDropsWhatWaits)
+{
+    auto table = tableWith(jobOf(3));
+    table.take("service", sidecarOne, 1);
+    cr_assert(table.cancel(jobOf(1).key));
+    cr_assert(!table.cancel(jobOf(1).key), "cancelling again changes nothing");
+    const auto cancellations = table.drainCancellations();
+    cr_assert(cancellations.size() == 1);
+    cr_assert(cancellations[0].sidecar == sidecarOne);
+    cr_assert(table.queued("service") == 0);
+}
+
+Test(JobTable, tellsSameContentFromOtherContent)
+{
+    const auto table = tableWith(jobOf(1));
+    cr_assert(table.match(jobOf(1).key, "digest") == Match::Same);
+    cr_assert(table.match(jobOf(1).key, "other") == Match::Conflict);
+    cr_assert(table.match({ .caller = "caller", .job = "another" }, "digest") == Match::None);
+}
--- /dev/null
+++ b/test/policy/SidecarLedgerTest.cpp
@@ -0,0 +1,133 @@
+#include "policy/SidecarLedger.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+const SessionId entryOne { .instance = "entry-1", .incarnation = 1 };
+const SessionId entryTwo { .instance = "entry-2", .incarnation = 2 };
+const JobKey key { .caller = "caller", .job = "job" };
+constexpr Milliseconds now { 1'000 };
+constexpr Milliseconds leaseEnd { 2'000 };
+constexpr Milliseconds unixNow { 10'000 };
+constexpr Milliseconds startBy { 20'000 };
+
+TaskAssignment assignment(std::uint32_t task, std::uint32_t attempt = 1, std::uint64_t epoch = 1)
+{
+    return { .key = key, .task = task, .attempt = attempt, .epoch = epoch, .team = "team", .startByUnix = startBy };
+}
+
+SidecarLedger ledgerWith(std::int64_t slots) { return SidecarLedger({ .slots = slots, .retention = { 1'000 } }); }
+
+bool starts(SidecarLedger& ledger) { return ledger.next(now, leaseEnd, unixNow).start.has_value(); }
+
+} // namespace
+
+Test(SidecarLedger, startsATaskOnceWhenItArrivesTwice)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryOne, assignment(0));
+    ledger.accept(entryOne, assignment(0));
+    cr_assert(starts(ledger));
+    ledger.accept(entryOne, assignment(0));
+    ledger.accept(entryOne, assignment(0, 2));
+    cr_assert(!starts(ledger), "a task that has started must not start again");
+}
+
+Test(SidecarLedger, startsNothingOnceTheLeaseHasEnded)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryOne, assignment(0));
+    cr_assert(!ledger.next(leaseEnd, leaseEnd, unixNow).start.has_value());
+    cr_assert(starts(ledger), "the task still waits");
+}
+
+Test(SidecarLedger, startsNothingAfterItsStartByTime)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryOne, assignment(0));
+    const auto next = ledger.next(now, leaseEnd, startBy);
+    cr_assert(!next.start.has_value());
+    cr_assert(next.refused.size() == 1);
+    cr_assert(next.refused[0].outcome == TaskOutcome::NotStarted);
+}
+
+Test(SidecarLedger, neverExceedsItsSlots)
+{
+    auto ledger = ledgerWith(2);
+    for (std::uint32_t i = 0; i < 5; ++i)
+        ledger.accept(entryOne, assignment(i));
+    cr_assert(starts(ledger));
+    cr_assert(starts(ledger));
+    cr_assert(!starts(ledger));
+}
+
+Test(SidecarLedger, refusesAFormerOwnerAfterACollect)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryOne, assignment(0));
+    cr_assert(starts(ledger));
+    ledger.accept(entryOne, assignment(1));
+    const auto collected
+        = ledger.collect({ .key = key, .epoch = 2, .owner = entryTwo, .deadlineUnix = startBy });
+    cr_assert(collected.has_value());
+    cr_assert(collected.assume_value().tasks.size() == 2);
+    cr_assert(collected.assume_value().tasks[0].outcome == TaskOutcome::Running);
+    cr_assert(collected.assume_value().tasks[1].outcome == TaskOutcome::NotStarted);
+    const auto refusal = ledger.accept(entryOne, assignment(2));
+    cr_assert(refusal.has_value());
+    cr_assert(refusal->outcome == TaskOutcome::NotStarted);
+    cr_assert(!starts(ledger));
+}
+
+Test(SidecarLedger, remembersARaisedEpochOfAJobItNeverHeld)
+{
+    auto ledger = ledgerWith(4);
+    cr_assert(ledger.collect({ .key = key, .epoch = 2, .owner = entryTwo, .deadlineUnix = startBy }).has_value());
+    ledger.forget(unixNow);
+    cr_assert(ledger.accept(entryOne, assignment(0)).has_value(), "expected a refusal of epoch 1 after epoch 2");
+}
+
+Test(SidecarLedger, refusesACollectOfALowerEpoch)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryTwo, assignment(0, 1, 3));
+    const auto collected = ledger.collect({ .key = key, .epoch = 2, .owner = entryOne, .deadlineUnix = startBy });
+    cr_assert(!collected.has_value());
+    cr_assert(collected.assume_error().code == ErrorCode::StaleEpoch);
+}
+
+Test(SidecarLedger, mayStartAgainWhatItReturned)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryOne, assignment(0));
+    cr_assert(ledger.returnQueued().size() == 1);
+    ledger.accept(entryOne, assignment(0, 2));
+    cr_assert(starts(ledger));
+}
+
+Test(SidecarLedger, reportsTheEndOfARunOnce)
+{
+    auto ledger = ledgerWith(4);
+    ledger.accept(entryOne, assignment(0));
+    const auto next = ledger.next(now, leaseEnd, unixNow);
+    const auto first = ledger.ended(next.start->run, TaskOutcome::Done, "answer", { 5 });
+    cr_assert(first.has_value());
+    cr_assert(first->body == "answer");
+    cr_assert(!ledger.ended(next.start->run, TaskOutcome::Done, "again", { 5 }).has_value());
+}
+
+Test(SidecarLedger, cancelDropsQueuedTasksAndNamesRunsToStop)
+{
+    auto ledger = ledgerWith(1);
+    ledger.accept(entryOne, assignment(0));
+    ledger.accept(entryOne, assignment(1));
+    const auto next = ledger.next(now, leaseEnd, unixNow);
+    const auto cancelled = ledger.cancel({ .key = key, .epoch = 1 });
+    cr_assert(cancelled.stop.size() == 1);
+    cr_assert(cancelled.stop[0] == next.start->run);
+    ledger.ended(next.start->run, TaskOutcome::Failed, "stopped", {});
+    cr_assert(!starts(ledger));
+}
