--- a/src/entry/CallerApi.cpp
+++ b/src/entry/CallerApi.cpp
@@ -27,7 +27,7 @@
             return badField(where, "an object");
         for (const auto& name : value.getMemberNames()) {
             if (std::find(known.begin(), known.end(), name) == known.end())
-                return badField(fmt::format("{}.{}", where, name), "no such field");
+                return badField(fmt::format("{}.{}", where, name), "one of the known fields; this one is not known");
         }
         return boost::outcome_v2::success();
     }
