A resubmission after the deadline gets the answer that is still kept

Cause: the deadline filter ran before the match with known jobs, so a resubmission after the deadline was refused although docs/FAQ.md promises the answer until the retention ends. The deadline is now one of the filters whose refusal is checked against the claims first. Not yet covered by a scenario.

--- a/src/entry/FilterChain.cpp
+++ b/src/entry/FilterChain.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    constexpr std::array<SubmissionFilter, 2> staticFilters { &checkShape, &checkDeadline };
-    constexpr std::array<SubmissionFilter, 3> dynamicFilters { &checkNames, &checkFit, &checkAdmission };
+    constexpr std::array<SubmissionFilter, 1> staticFilters { &checkShape };
+    constexpr std::array<SubmissionFilter, 4> dynamicFilters { &checkDeadline, &checkNames, &checkFit, &checkAdmission };
 
     template <std::size_t size>
     std::optional<Error> run(const std::array<SubmissionFilter, size>& filters, const Submission& submission)
