Deadlines and retention of jobs are ordered by time instead of scanned

Cause: JobTable::tick and SidecarLedger::forget looked at every kept job every 50 ms; with answers kept for minutes that grows with load times retention. Found by reading; the cost was not measured. A task returned after the deadline used to wait for the next scan, it is now given up at once (test first seen red without the check: the job stayed running). Payloads of ended jobs are dropped.

--- a/src/policy/JobTable.cpp
+++ b/src/policy/JobTable.cpp
@@ -53,6 +53,7 @@
     job.weight = teamWeight;
     job.tasks.assign(spec.tasks.size(), Task { .state = TaskState::Undetermined });
     job.open = spec.tasks.size();
+    m_deadlines.insert({ .at = spec.deadlineUnix, .key = spec.key });
     job.uncollected.insert(sidecars.begin(), sidecars.end());
     if (job.uncollected.empty())
         finishCollecting(job);
@@ -181,6 +182,11 @@
         settle(job, index, TaskOutcome::NotStarted, "no sidecar would start it");
         return;
     }
+    const bool isPastDeadline = !m_deadlines.contains({ .at = job.spec.deadlineUnix, .key = job.spec.key });
+    if (isPastDeadline) {
+        settle(job, index, TaskOutcome::NotStarted, "deadline passed");
+        return;
+    }
     task.state = TaskState::Queued;
     m_queues[job.spec.service].pushFront(job.spec.team, job.weight, { .key = job.spec.key, .task = index });
 }
@@ -271,27 +277,34 @@
 {
     job.state = state;
     job.uncollected.clear();
+    m_deadlines.erase({ .at = job.spec.deadlineUnix, .key = job.spec.key });
+    m_forgetTimes.insert({ .at = job.spec.deadlineUnix + m_options.answerRetention, .key = job.spec.key });
+    // Only the answer is needed from here on.
+    job.spec.tasks = {};
     --m_running;
     m_ended.push_back(job.spec.key);
 }
 
 void JobTable::tick(Milliseconds unixNow)
 {
-    for (auto position = m_jobs.begin(); position != m_jobs.end();) {
-        Job& job = position->second;
-        const bool waiting = !m_queues[job.spec.service].empty() || !job.uncollected.empty();
-        if (job.state == JobState::Running && waiting && unixNow >= job.spec.deadlineUnix) {
-            const bool hasQueued = std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) {
-                return task.state == TaskState::Queued || task.state == TaskState::Undetermined;
-            });
-            if (hasQueued)
-                fail(job, jobError(ErrorCode::DeadlinePassed, Ran::Unknown, "deadline passed before every task started"));
-        }
-        if (job.state != JobState::Running && unixNow > job.spec.deadlineUnix + m_options.answerRetention)
-            position = m_jobs.erase(position);
-        else
-            ++position;
+    while (!m_deadlines.empty() && unixNow >= m_deadlines.begin()->at) {
+        const JobKey key = m_deadlines.begin()->key;
+        m_deadlines.erase(m_deadlines.begin());
+        deadlinePassed(m_jobs.at(key));
     }
+    while (!m_forgetTimes.empty() && unixNow > m_forgetTimes.begin()->at) {
+        m_jobs.erase(m_forgetTimes.begin()->key);
+        m_forgetTimes.erase(m_forgetTimes.begin());
+    }
+}
+
+void JobTable::deadlinePassed(Job& job)
+{
+    // What is bound may have started in time; only a task that still waits can no longer run.
+    const bool hasWaiting = std::any_of(job.tasks.begin(), job.tasks.end(),
+        [](const Task& task) { return task.state == TaskState::Queued || task.state == TaskState::Undetermined; });
+    if (hasWaiting)
+        fail(job, jobError(ErrorCode::DeadlinePassed, Ran::Unknown, "deadline passed before every task started"));
 }
 
 std::vector<JobKey> JobTable::drainEnded() { return std::exchange(m_ended, {}); }
--- a/src/policy/JobTable.h
+++ b/src/policy/JobTable.h
@@ -110,7 +110,14 @@
         std::optional<Error> error;
     };
 
+    struct TimedJob {
+        Milliseconds at {};
+        JobKey key;
+        auto operator<=>(const TimedJob&) const = default;
+    };
+
     Job* running(const JobKey&);
+    void deadlinePassed(Job&);
     void enqueue(Job&, std::uint32_t task);
     void bindTo(Job&, std::uint32_t task, const SessionId&);
     void unbind(Task&);
@@ -122,6 +129,9 @@
 
     JobTableOptions m_options;
     std::map<JobKey, Job> m_jobs;
+    // When each running job's deadline passes, and when each ended one is forgotten.
+    std::set<TimedJob> m_deadlines;
+    std::set<TimedJob> m_forgetTimes;
     std::map<std::string, FairQueue> m_queues;
     struct BoundTask {
         JobKey key;
--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -28,7 +28,7 @@
         return notStarted(assignment, "another entry has taken the job over");
     job.epoch = assignment.epoch;
     job.owner = entry;
-    job.forgetAtUnix = std::max(job.forgetAtUnix, assignment.startByUnix + m_options.retention);
+    keepUntil(assignment.key, job, assignment.startByUnix + m_options.retention);
     if (job.cancelled)
         return notStarted(assignment, "the job is cancelled");
     const auto [position, isNew] = job.tasks.try_emplace(assignment.task);
@@ -103,7 +103,7 @@
     }
     job.epoch = request.epoch;
     job.owner = request.owner;
-    job.forgetAtUnix = std::max(job.forgetAtUnix, request.deadlineUnix + m_options.retention);
+    keepUntil(request.key, job, request.deadlineUnix + m_options.retention);
     CollectResponse response;
     for (auto& [index, record] : job.tasks) {
         if (record.state == State::Queued) {
@@ -166,14 +166,28 @@
     return job->second.owner;
 }
 
+void SidecarLedger::keepUntil(const JobKey& key, JobRecord& job, Milliseconds unixTime)
+{
+    if (unixTime <= job.forgetAtUnix)
+        return;
+    m_forgetTimes.erase({ .at = job.forgetAtUnix, .key = key });
+    job.forgetAtUnix = unixTime;
+    m_forgetTimes.insert({ .at = unixTime, .key = key });
+}
+
 void SidecarLedger::forget(Milliseconds unixNow)
 {
-    std::erase_if(m_jobs, [unixNow](const auto& item) {
-        const JobRecord& job = item.second;
-        const bool idle = std::all_of(job.tasks.begin(), job.tasks.end(),
+    while (!m_forgetTimes.empty() && unixNow > m_forgetTimes.begin()->at) {
+        const ForgetTime due = *m_forgetTimes.begin();
+        m_forgetTimes.erase(m_forgetTimes.begin());
+        const JobRecord& job = m_jobs.at(due.key);
+        const bool isIdle = std::all_of(job.tasks.begin(), job.tasks.end(),
             [](const auto& task) { return task.second.state == State::Ended; });
-        return idle && unixNow > job.forgetAtUnix;
-    });
+        if (isIdle)
+            m_jobs.erase(due.key);
+        else
+            keepUntil(due.key, m_jobs.at(due.key), unixNow + m_options.retention);
+    }
 }
 
 std::int64_t SidecarLedger::freeSlots() const { return std::max<std::int64_t>(m_options.slots - m_running, 0); }
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,10 +90,19 @@
         std::map<std::uint32_t, Record> tasks;
     };
 
+    struct ForgetTime {
+        Milliseconds at {};
+        JobKey key;
+        auto operator<=>(const ForgetTime&) const = default;
+    };
+
+    void keepUntil(const JobKey&, JobRecord&, Milliseconds unixTime);
     static TaskResult notStarted(const TaskAssignment&, const std::string& reason);
 
     SidecarLedgerOptions m_options;
     std::map<JobKey, JobRecord> m_jobs;
+    // Jobs by the time at which they may be forgotten; one that was kept for longer stands here again.
+    std::set<ForgetTime> m_forgetTimes;
     FairQueue m_queue;
     std::map<std::string, QueuedTask> m_runs;
     std::int64_t m_running { 0 };
--- a/test/policy/JobTableTest.cpp
+++ b/test/policy/JobTableTest.cpp
@@ -161,3 +161,26 @@
     cr_assert(table.match(jobOf(1).key, "other") == Match::Conflict);
     cr_assert(table.match({ .caller = "caller", .job = "another" }, "digest") == Match::None);
 }
+
+Test(JobTable, givesUpATaskThatIsReturnedAfterTheDeadline)
+{
+    auto table = tableWith(jobOf(1));
+    const auto taken = table.take("service", sidecarOne, 1);
+    table.tick(deadline);
+    cr_assert(stateOf(table) == JobState::Running, "a bound task may have started in time");
+    cr_assert(table.result(sidecarOne, resultFor(taken[0], TaskOutcome::NotStarted)));
+    cr_assert(stateOf(table) == JobState::Failed);
+    cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::No);
+}
+
+Test(JobTable, keepsAnAnswerUntilItsRetentionEnds)
+{
+    auto table = tableWith(jobOf(1));
+    const auto taken = table.take("service", sidecarOne, 1);
+    table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Done));
+    const Milliseconds end = deadline + JobTableOptions {}.answerRetention;
+    table.tick(end);
+    cr_assert(table.answer(jobOf(1).key).has_value());
+    table.tick(end + Milliseconds { 1 });
+    cr_assert(!table.answer(jobOf(1).key).has_value());
+}
--- a/test/policy/SidecarLedgerTest.cpp
+++ b/test/policy/SidecarLedgerTest.cpp
@@ -131,3 +131,15 @@
     ledger.ended(next.start->run, TaskOutcome::Failed, "stopped", {});
     cr_assert(!starts(ledger));
 }
+
+Test(SidecarLedger, keepsARunningJobPastItsRetention)
+{
+    auto ledger = ledgerWith(1);
+    ledger.accept(entryOne, assignment(0));
+    const auto next = ledger.next(now, leaseEnd, unixNow);
+    const Milliseconds past = startBy + Milliseconds { 1'001 };
+    ledger.forget(past);
+    cr_assert(ledger.ended(next.start->run, TaskOutcome::Done, "answer", {}).has_value());
+    ledger.forget(past + Milliseconds { 1'001 });
+    cr_assert(!ledger.ownerOf(key).has_value());
+}
