Codec of control's commands and state; documents per environment

Change: the state is made of plain records (wire/ControlRecords.h) that the message codec writes; ControlCodec adds version and kind. Each environment (trial, production) has its document, history with texts (64 versions), answers of changes (4,096), view and the last steps of the view (1,024), all replicated. Claims, members and views belong to the environment that a process names in [process] environment; data centres out hold for both. Promote carries the trial document when its digest is the one meant. Ruled out: a common view for all environments, since an entry of trial would then find the sidecars of production.

Proof: seeded histories with tiny limits, continued on the original and on the copy read back.

--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -12,6 +12,10 @@
 // milliseconds. src/wire/MessageCodec.h turns each into JSON and back.
 namespace oleanderport {
 
+// The two environments. Each has a document of its own and processes of its own.
+inline constexpr const char* trialEnvironment = "trial";
+inline constexpr const char* productionEnvironment = "production";
+
 // Names one process over one of its lives. Control gives a higher incarnation each time an instance opens a session.
 struct SessionId {
     std::string instance;
@@ -170,6 +174,8 @@
 struct NodeInfo {
     Role role { Role::Entry };
     std::string instance;
+    // Environment that the process belongs to.
+    std::string environment { productionEnvironment };
     // "IP:port" of the process.
     std::string address;
     std::string dataCentre;
@@ -205,6 +211,8 @@
 // The checked content of one environment's document.
 struct EnvironmentConfig {
     std::string environment;
+    // What the document is for, in its author's words.
+    std::string deployment;
     std::uint64_t version { 0 };
     std::string digest;
     std::vector<TeamConfig> teams;
--- a/src/base/EnvironmentDocument.cpp
+++ b/src/base/EnvironmentDocument.cpp
@@ -66,8 +66,8 @@
         checkUnique(config.dataCentres, "data_centres", faults);
         if (config.dataCentres.empty())
             faults.add(nullptr, "data_centres", "expected at least one");
-        if (config.environment.empty())
-            faults.add(nullptr, "environment", "expected a name");
+        if (config.deployment.empty())
+            faults.add(nullptr, "deployment", "expected a name");
     }
 
 } // namespace
@@ -90,8 +90,9 @@
     }
     EnvironmentConfig config;
     TomlSection root(&document, "", faults);
-    root.require("environment");
-    root.text("environment", config.environment);
+    // The former name of the key is still read.
+    root.text("environment", config.deployment);
+    root.text("deployment", config.deployment);
     root.texts("data_centres", config.dataCentres);
     readTables(root, "team", faults, [&config](TomlSection& section) {
         TeamConfig team { .name = {}, .weight = 1, .maxQueued = defaultMaxQueued, .callers = {} };
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -39,6 +39,9 @@
         settings.advertise = settings.listen;
         section.text("advertise", settings.advertise);
         section.text("data_centre", settings.dataCentre);
+        section.text("environment", settings.environment);
+        if (settings.environment != trialEnvironment && settings.environment != productionEnvironment)
+            section.fault("environment", "expected trial or production");
         section.text("log_level", level);
         if (const auto known = roleFromName(role))
             settings.role = *known;
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -14,6 +14,8 @@
     // [process]
     Role role { Role::Entry };
     std::string instance;
+    // Environment whose document this process follows; control instances serve all.
+    std::string environment { productionEnvironment };
     std::string listen;
     // Address at which other processes reach this one; the listening address unless set.
     std::string advertise;
--- /dev/null
+++ b/src/base/UtcText.cpp
@@ -0,0 +1,14 @@
+#include "base/UtcText.h"
+
+#include <fmt/chrono.h>
+
+namespace oleanderport {
+
+std::string utcText(Milliseconds unix)
+{
+    constexpr std::int64_t perSecond = 1'000;
+    const auto seconds = static_cast<std::time_t>(unix.count / perSecond);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), unix.count % perSecond);
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/control/ControlCodec.cpp
@@ -0,0 +1,119 @@
+#include "control/ControlCodec.h"
+
+#include "wire/MessageCodec.h"
+
+#include <fmt/format.h>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr int codecVersion = 1;
+
+    using Change = decltype(ControlCommand::change);
+
+    // Name on the log of each kind of change.
+    template <typename T>
+    constexpr const char* kindOf = nullptr;
+    template <>
+    constexpr const char* kindOf<OpenSessionRequest> = "openSession";
+    template <>
+    constexpr const char* kindOf<CloseSession> = "closeSession";
+    template <>
+    constexpr const char* kindOf<ClaimRequest> = "claim";
+    template <>
+    constexpr const char* kindOf<DataCentreChange> = "dataCentre";
+    template <>
+    constexpr const char* kindOf<AcceptDocument> = "document";
+    template <>
+    constexpr const char* kindOf<PromoteDocument> = "promote";
+
+    Error unreadable(std::string message)
+    {
+        return Error { .code = ErrorCode::Storage,
+            .ran = Ran::Unknown,
+            .step = "control.decode",
+            .peer = {},
+            .message = std::move(message) };
+    }
+
+    Result<Json::Value> parseVersioned(const std::string& text)
+    {
+        auto value = parseJson(text);
+        if (!value.has_value())
+            return unreadable(value.assume_error().message);
+        const Json::Value& object = value.assume_value();
+        if (!object.isObject() || !object["version"].isInt())
+            return unreadable("no version");
+        if (object["version"].asInt() != codecVersion) {
+            return unreadable(
+                fmt::format("version {}, but this program reads {}", object["version"].asInt(), codecVersion));
+        }
+        return value;
+    }
+
+    template <typename T>
+    Result<T> readPart(const Json::Value& value)
+    {
+        auto part = fromJson<T>(value);
+        if (!part.has_value())
+            return unreadable(part.assume_error().message);
+        return part;
+    }
+
+    // Tries the alternatives of the variant one after the other.
+    template <std::size_t index = 0>
+    Result<Change> readChange(const std::string& kind, const Json::Value& value)
+    {
+        if constexpr (index == std::variant_size_v<Change>) {
+            return unreadable(fmt::format("unknown kind '{}'", kind));
+        } else {
+            using Alternative = std::variant_alternative_t<index, Change>;
+            if (kind != kindOf<Alternative>)
+                return readChange<index + 1>(kind, value);
+            BOOST_OUTCOME_TRY(auto change, readPart<Alternative>(value));
+            return Change(std::move(change));
+        }
+    }
+
+} // namespace
+
+std::string encodeCommand(const ControlCommand& command)
+{
+    Json::Value value(Json::objectValue);
+    value["version"] = codecVersion;
+    value["stampUnix"] = static_cast<Json::Int64>(command.stampUnix.count);
+    std::visit(
+        [&value]<typename T>(const T& change) {
+            value["kind"] = kindOf<T>;
+            value["change"] = toJson(change);
+        },
+        command.change);
+    return writeJson(value);
+}
+
+Result<ControlCommand> decodeCommand(const std::string& text)
+{
+    BOOST_OUTCOME_TRY(const auto value, parseVersioned(text));
+    if (!value["stampUnix"].isInt64() || !value["kind"].isString())
+        return unreadable("no stamp or kind");
+    BOOST_OUTCOME_TRY(auto change, readChange(value["kind"].asString(), value["change"]));
+    return ControlCommand { .stampUnix = { value["stampUnix"].asInt64() }, .change = std::move(change) };
+}
+
+std::string encodeState(const ControlState& state)
+{
+    Json::Value value(Json::objectValue);
+    value["version"] = codecVersion;
+    value["state"] = toJson(state.content());
+    return writeJson(value);
+}
+
+Result<ControlState> decodeState(const std::string& text, const ControlStateOptions& options)
+{
+    BOOST_OUTCOME_TRY(const auto value, parseVersioned(text));
+    BOOST_OUTCOME_TRY(const auto content, readPart<ControlContent>(value["state"]));
+    return ControlState(options, content);
+}
+
+} // namespace oleanderport
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -67,8 +67,11 @@
     const bool mayStart = member && (member->node.role != Role::Sidecar || !state.isOut(member->node.dataCentre));
     if (mayStart)
         response.lease = m_process.settings.lease;
-    if (state.view().version != knownView)
-        response.view = state.view();
+    if (!member)
+        return response;
+    const ClusterView& view = state.view(member->node.environment);
+    if (view.version != knownView)
+        response.view = view;
     return response;
 }
 
@@ -118,11 +121,11 @@
                 forward<ClaimResponse, ClaimResponse>(
                     std::move(reply), [](const ClaimResponse& response) { return response; }));
         });
-    m_process.rpc.addTyped<JobKey, FindJobResponse>(
-        "findJob", [this](const JobKey& key, const Reply<FindJobResponse>& reply) {
+    m_process.rpc.addTyped<FindJobRequest, FindJobResponse>(
+        "findJob", [this](const FindJobRequest& request, const Reply<FindJobResponse>& reply) {
             if (const auto refusal = refusalUnlessLeader())
                 return reply(*refusal);
-            reply(m_replicator->state().findJob(key));
+            reply(m_replicator->state().findJob(request));
         });
 }
 
@@ -164,7 +167,7 @@
         m_timers.clear();
         return;
     }
-    const auto& members = m_replicator->state().view().members;
+    const auto members = m_replicator->state().members();
     for (const auto& id : m_timers.expired(members, Clock::now(), m_process.settings.sessionTimeout)) {
         log(LogLevel::Warning, { .step = "control.session", .peer = id.instance }, "session timed out");
         m_process.events.record(EventKind::SessionEnded,
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -102,7 +102,7 @@
 
 void JobService::refuse(const std::shared_ptr<Attempt>& attempt, const Error& refusal)
 {
-    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", attempt->spec.key, claimTimeout,
+    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", findRequest(attempt->spec.key), claimTimeout,
         [this, attempt, refusal](const Result<FindJobResponse>& found) {
             if (!found.has_value()) {
                 Error doubtful = refusal;
@@ -231,7 +231,7 @@
 {
     if (m_jobs->answer(key))
         return this->wait(key, wait, reply);
-    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", key, claimTimeout,
+    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", findRequest(key), claimTimeout,
         [this, key, wait, reply](const Result<FindJobResponse>& found) {
             if (!found.has_value())
                 return reply(found.assume_error());
@@ -256,7 +256,7 @@
 {
     if (m_jobs->answer(key))
         return cancelHere(key, reply);
-    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", key, claimTimeout,
+    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", findRequest(key), claimTimeout,
         [this, key, reply](const Result<FindJobResponse>& found) {
             if (!found.has_value())
                 return reply(found.assume_error());
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -56,6 +56,11 @@
     };
     struct Attempt;
 
+    // Asks for a job of this process's environment.
+    FindJobRequest findRequest(const JobKey& key) const
+    {
+        return { .environment = m_process.settings.environment, .key = key };
+    }
     void claim(const std::shared_ptr<Attempt>&);
     void claimed(const std::shared_ptr<Attempt>&, const ClaimResponse&);
     void takeOver(const std::shared_ptr<Attempt>&, const ClaimResponse&);
--- a/src/policy/ControlState.cpp
+++ b/src/policy/ControlState.cpp
@@ -1,5 +1,8 @@
 #include "policy/ControlState.h"
 
+#include "base/Digest.h"
+#include "policy/DocumentHistory.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -13,11 +16,90 @@
         return Error { .code = code, .ran = Ran::No, .step = step, .peer = {}, .message = std::move(message) };
     }
 
+    // Every field is followed by its length, so that no two changes give the same text.
+    std::string contentDigest(const std::vector<std::string>& parts)
+    {
+        std::string text;
+        for (const auto& part : parts)
+            text += fmt::format("{}:{}\n", part.size(), part);
+        return digestOf(text);
+    }
+
+    DocumentChange documentChange(const AcceptDocument& request, Milliseconds now)
+    {
+        const ApplyDocument& change = request.change;
+        return { .changeId = change.changeId,
+            .digest = contentDigest({ "apply", fmt::format("{}", change.baseVersion), change.author, change.reason,
+                change.text, request.config.digest }),
+            .baseVersion = change.baseVersion,
+            .author = change.author,
+            .reason = change.reason,
+            .whenUnix = now,
+            .promotedFrom = 0,
+            .text = change.text,
+            .config = request.config };
+    }
+
+    DocumentChange documentChange(const PromoteDocument& request, const EnvironmentRecord& trial, Milliseconds now)
+    {
+        return { .changeId = request.changeId,
+            .digest = contentDigest({ "promote", fmt::format("{}", request.baseVersion), request.author,
+                request.reason, request.digest }),
+            .baseVersion = request.baseVersion,
+            .author = request.author,
+            .reason = request.reason,
+            .whenUnix = now,
+            .promotedFrom = trial.view.config.version,
+            .text = trial.history.empty() ? "" : trial.history.back().text,
+            .config = trial.view.config };
+    }
+
+    void recordViewChange(
+        EnvironmentRecord& environment, ViewChangeKind kind, const SessionId& member, std::size_t limit)
+    {
+        environment.viewChanges.push_back({ .version = ++environment.view.version, .kind = kind, .member = member });
+        keepLast(environment.viewChanges, limit);
+    }
+
 } // namespace
 
 ControlState::ControlState(const ControlStateOptions& options)
     : m_options(options)
 {
+    for (const char* name : { productionEnvironment, trialEnvironment }) {
+        EnvironmentRecord environment { .name = name, .view = {}, .history = {}, .changes = {}, .viewChanges = {} };
+        environment.view.config.environment = name;
+        m_environments.push_back(environment);
+    }
+}
+
+ControlState::ControlState(const ControlStateOptions& options, const ControlContent& content)
+    : m_options(options)
+    , m_nowUnix(content.nowUnix)
+    , m_lastIncarnation(content.lastIncarnation)
+    , m_environments(content.environments)
+    , m_endedSidecars(content.endedSidecars)
+    , m_dataCentreChanges(content.dataCentreChanges)
+{
+    for (const auto& claim : content.claims) {
+        const ClaimKey key { claim.environment, claim.key };
+        m_claims.emplace(key, claim);
+        m_claimsByDeadline.emplace(claim.deadlineUnix, key);
+    }
+}
+
+ControlContent ControlState::content() const
+{
+    ControlContent content { .nowUnix = m_nowUnix,
+        .lastIncarnation = m_lastIncarnation,
+        .environments = m_environments,
+        .claims = {},
+        .endedSidecars = m_endedSidecars,
+        .dataCentreChanges = m_dataCentreChanges };
+    content.claims.reserve(m_claims.size());
+    for (const auto& [key, claim] : m_claims)
+        content.claims.push_back(claim);
+    return content;
 }
 
 Result<ControlOutcome> ControlState::apply(const ControlCommand& command)
@@ -27,22 +109,55 @@
     return std::visit([this](const auto& change) { return applyChange(change); }, command.change);
 }
 
+const EnvironmentRecord* ControlState::environment(const std::string& name) const
+{
+    const auto found = std::find_if(m_environments.begin(), m_environments.end(),
+        [&name](const EnvironmentRecord& environment) { return environment.name == name; });
+    return found == m_environments.end() ? nullptr : &*found;
+}
+
+EnvironmentRecord* ControlState::findEnvironment(const std::string& name)
+{
+    return const_cast<EnvironmentRecord*>(environment(name));
+}
+
+const ClusterView& ControlState::view(const std::string& name) const
+{
+    static const ClusterView unknown;
+    const EnvironmentRecord* found = environment(name);
+    return found ? found->view : unknown;
+}
+
+std::vector<Member> ControlState::members() const
+{
+    std::vector<Member> all;
+    for (const auto& environment : m_environments)
+        all.insert(all.end(), environment.view.members.begin(), environment.view.members.end());
+    return all;
+}
+
 const Member* ControlState::member(const SessionId& id) const
 {
-    const auto found = std::find_if(
-        m_view.members.begin(), m_view.members.end(), [&id](const Member& member) { return member.id == id; });
-    return found == m_view.members.end() ? nullptr : &*found;
+    for (const auto& environment : m_environments) {
+        const auto& members = environment.view.members;
+        const auto found = std::find_if(
+            members.begin(), members.end(), [&id](const Member& member) { return member.id == id; });
+        if (found != members.end())
+            return &*found;
+    }
+    return nullptr;
 }
 
 bool ControlState::isOut(const std::string& dataCentre) const
 {
-    const auto& out = m_view.dataCentresOut;
+    // A data centre is out for all environments.
+    const auto& out = m_environments.front().view.dataCentresOut;
     return std::find(out.begin(), out.end(), dataCentre) != out.end();
 }
 
-FindJobResponse ControlState::findJob(const JobKey& key) const
+FindJobResponse ControlState::findJob(const FindJobRequest& request) const
 {
-    const auto claim = m_claims.find(key);
+    const auto claim = m_claims.find({ request.environment, request.key });
     if (claim == m_claims.end())
         return {};
     const Member* owner = member(claim->second.owner);
@@ -51,15 +166,17 @@
 
 Result<ControlOutcome> ControlState::applyChange(const OpenSessionRequest& request)
 {
+    EnvironmentRecord* environment = findEnvironment(request.node.environment);
+    if (!environment)
+        return refuse(ErrorCode::BadRequest, "control.session", "no environment " + request.node.environment);
     // A new life of an instance ends its former one.
-    const auto former = std::find_if(m_view.members.begin(), m_view.members.end(), [&request](const Member& member) {
-        return member.id.instance == request.node.instance;
-    });
-    if (former != m_view.members.end())
-        endSession(SessionId(former->id));
+    for (const auto& former : members()) {
+        if (former.id.instance == request.node.instance)
+            endSession(former.id);
+    }
     const SessionId id { .instance = request.node.instance, .incarnation = ++m_lastIncarnation };
-    m_view.members.push_back({ .id = id, .node = request.node });
-    ++m_view.version;
+    environment->view.members.push_back({ .id = id, .node = request.node });
+    recordViewChange(*environment, ViewChangeKind::MemberJoined, id, m_options.keptViewChanges);
     return ControlOutcome(id);
 }
 
@@ -74,23 +191,27 @@
     const Member* found = member(id);
     if (!found)
         return;
-    if (found->node.role == Role::Sidecar)
-        m_endedSidecars.push_back({ .member = *found, .endedUnix = m_nowUnix });
-    std::erase_if(m_view.members, [&id](const Member& member) { return member.id == id; });
-    ++m_view.version;
+    const Member ended = *found;
+    if (ended.node.role == Role::Sidecar)
+        m_endedSidecars.push_back({ .member = ended, .endedUnix = m_nowUnix });
+    EnvironmentRecord& environment = *findEnvironment(ended.node.environment);
+    std::erase_if(environment.view.members, [&ended](const Member& member) { return member.id == ended.id; });
+    recordViewChange(environment, ViewChangeKind::MemberLeft, ended.id, m_options.keptViewChanges);
 }
 
 Result<ControlOutcome> ControlState::applyChange(const ClaimRequest& request)
 {
-    if (!member(request.entry))
+    const Member* entry = member(request.entry);
+    if (!entry)
         return refuse(ErrorCode::StaleIncarnation, "control.claim", "the entry's session has ended");
     if (request.deadlineUnix > m_nowUnix + m_options.maxDeadline) {
         return refuse(ErrorCode::BadRequest, "control.claim",
             fmt::format("deadline more than {} ms ahead", m_options.maxDeadline.count));
     }
-    const auto found = m_claims.find(request.key);
+    const ClaimKey key { entry->node.environment, request.key };
+    const auto found = m_claims.find(key);
     if (found != m_claims.end()) {
-        Claim& claim = found->second;
+        ClaimRecord& claim = found->second;
         if (claim.digest != request.digest)
             return refuse(ErrorCode::Conflict, "control.claim", "the job id is in use with other content");
         if (!member(claim.owner)) {
@@ -107,18 +228,20 @@
         error.ran = Ran::Unknown;
         return error;
     }
-    const Claim claim { .digest = request.digest,
+    const ClaimRecord claim { .environment = key.first,
+        .key = request.key,
+        .digest = request.digest,
         .service = request.service,
         .owner = request.entry,
         .epoch = 1,
         .firstClaimedUnix = m_nowUnix,
         .deadlineUnix = request.deadlineUnix };
-    m_claims.emplace(request.key, claim);
-    m_claimsByDeadline.emplace(request.deadlineUnix, request.key);
+    m_claims.emplace(key, claim);
+    m_claimsByDeadline.emplace(request.deadlineUnix, key);
     return ControlOutcome(respond(claim, false));
 }
 
-ClaimResponse ControlState::respond(const Claim& claim, bool takenOver) const
+ClaimResponse ControlState::respond(const ClaimRecord& claim, bool takenOver) const
 {
     const Member* owner = member(claim.owner);
     ClaimResponse response { .owner = claim.owner,
@@ -128,12 +251,14 @@
         .sidecars = {} };
     if (!takenOver)
         return response;
-    for (const auto& member : m_view.members) {
+    for (const auto& member : view(claim.environment).members) {
         if (member.node.role == Role::Sidecar && member.node.service == claim.service)
             response.sidecars.push_back(member);
     }
     for (const auto& ended : m_endedSidecars) {
-        if (ended.member.node.service == claim.service && ended.endedUnix >= claim.firstClaimedUnix)
+        const NodeInfo& node = ended.member.node;
+        const bool concerned = node.environment == claim.environment && node.service == claim.service;
+        if (concerned && ended.endedUnix >= claim.firstClaimedUnix)
             response.sidecars.push_back(ended.member);
     }
     return response;
@@ -141,34 +266,69 @@
 
 Result<ControlOutcome> ControlState::applyChange(const DataCentreChange& request)
 {
-    const auto& known = m_view.config.dataCentres;
-    if (std::find(known.begin(), known.end(), request.dataCentre) == known.end())
+    const bool known = std::any_of(m_environments.begin(), m_environments.end(), [&request](const auto& environment) {
+        const auto& names = environment.view.config.dataCentres;
+        return std::find(names.begin(), names.end(), request.dataCentre) != names.end();
+    });
+    // One that is out can come in again, also when no document names it any more.
+    if (!known && !isOut(request.dataCentre))
         return refuse(ErrorCode::NotFound, "control.datacentre", "no data centre " + request.dataCentre);
-    if (isOut(request.dataCentre) != request.out) {
-        std::erase(m_view.dataCentresOut, request.dataCentre);
-        if (request.out)
-            m_view.dataCentresOut.push_back(request.dataCentre);
-        ++m_view.version;
+    DataCentreChanged changed;
+    changed.changed = isOut(request.dataCentre) != request.out;
+    if (changed.changed) {
+        for (auto& environment : m_environments) {
+            std::erase(environment.view.dataCentresOut, request.dataCentre);
+            if (request.out)
+                environment.view.dataCentresOut.push_back(request.dataCentre);
+            recordViewChange(environment, ViewChangeKind::DataCentres, {}, m_options.keptViewChanges);
+        }
+        m_dataCentreChanges.push_back({ .change = request, .whenUnix = m_nowUnix });
+        keepLast(m_dataCentreChanges, m_options.keptDataCentreChanges);
     }
-    return ControlOutcome(DataCentreChanged { .viewVersion = m_view.version, .inForceWithin = {} });
+    changed.viewVersion = view().version;
+    changed.trialViewVersion = view(trialEnvironment).version;
+    return ControlOutcome(changed);
 }
 
 Result<ControlOutcome> ControlState::applyChange(const AcceptDocument& request)
 {
-    const auto before = m_appliedChanges.find(request.change.changeId);
-    if (before != m_appliedChanges.end())
-        return ControlOutcome(before->second);
-    if (request.change.baseVersion != m_view.config.version) {
-        return refuse(ErrorCode::Conflict, "control.apply",
-            fmt::format("based on version {}, but version {} is in force", request.change.baseVersion,
-                m_view.config.version));
-    }
-    const std::uint64_t version = m_view.config.version + 1;
-    m_view.config = request.config;
-    m_view.config.version = version;
-    ++m_view.version;
-    const DocumentApplied applied { .version = version, .digest = request.config.digest };
-    m_appliedChanges.emplace(request.change.changeId, applied);
+    EnvironmentRecord* environment = findEnvironment(request.change.environment);
+    if (!environment)
+        return refuse(ErrorCode::NotFound, "control.apply", "no environment " + request.change.environment);
+    return changeDocument(*environment, documentChange(request, m_nowUnix), std::nullopt);
+}
+
+Result<ControlOutcome> ControlState::applyChange(const PromoteDocument& request)
+{
+    const EnvironmentRecord& trial = *environment(trialEnvironment);
+    const EnvironmentConfig& config = trial.view.config;
+    std::optional<Error> refusal;
+    if (config.version == 0)
+        refusal = refuse(ErrorCode::NotFound, "control.promote", "no document is in force in trial");
+    else if (config.digest != request.digest) {
+        refusal = refuse(ErrorCode::Conflict, "control.promote",
+            fmt::format("digest {} was to be promoted, but version {} with digest {} is in force in trial",
+                request.digest, config.version, config.digest));
+    }
+    return changeDocument(
+        *findEnvironment(productionEnvironment), documentChange(request, trial, m_nowUnix), refusal);
+}
+
+Result<ControlOutcome> ControlState::changeDocument(
+    EnvironmentRecord& environment, const DocumentChange& change, const std::optional<Error>& refusal)
+{
+    const HistoryLimits limits { .versions = m_options.keptVersions, .changes = m_options.keptChanges };
+    if (const auto earlier = earlierAnswer(environment, change.changeId, change.digest)) {
+        if (!earlier->has_value())
+            return earlier->assume_error();
+        return ControlOutcome(earlier->assume_value());
+    }
+    if (refusal)
+        return refuseDocument(environment, change, limits, *refusal);
+    BOOST_OUTCOME_TRY(auto applied, acceptDocument(environment, change, limits));
+    recordViewChange(environment, ViewChangeKind::Config, {}, m_options.keptViewChanges);
+    applied.viewVersion = environment.view.version;
+    environment.changes.back().applied = applied;
     return ControlOutcome(applied);
 }
 
--- a/src/policy/ControlState.h
+++ b/src/policy/ControlState.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "oleanderport/Messages.h"
+#include "policy/DocumentHistory.h"
 #include "wire/ControlMessages.h"
+#include "wire/ControlRecords.h"
 
 #include <cstdint>
 #include <map>
@@ -13,20 +15,11 @@
 
 namespace oleanderport {
 
-struct CloseSession {
-    SessionId session;
-};
-
-// A checked document together with the change that carries it.
-struct AcceptDocument {
-    ApplyDocument change;
-    EnvironmentConfig config;
-};
-
 // One entry of control's log. The leader stamps it; a stamp never goes back.
 struct ControlCommand {
     Milliseconds stampUnix {};
-    std::variant<OpenSessionRequest, CloseSession, ClaimRequest, DataCentreChange, AcceptDocument> change;
+    std::variant<OpenSessionRequest, CloseSession, ClaimRequest, DataCentreChange, AcceptDocument, PromoteDocument>
+        change;
 };
 
 // Result of applying a command, of the kind that belongs to it.
@@ -37,54 +30,67 @@
     Milliseconds claimRetention { 180'000 };
     // Furthest deadline that a claim may have.
     Milliseconds maxDeadline { 900'000 };
+    // Versions of each document that are kept with their text.
+    std::size_t keptVersions { 64 };
+    // Changes of each document whose answer is kept for a resend.
+    std::size_t keptChanges { 4'096 };
+    // Steps of each view that are kept, so that a process behind gets the difference.
+    std::size_t keptViewChanges { 1'024 };
+    // Changes of data centres that are kept.
+    std::size_t keptDataCentreChanges { 64 };
 };
 
-// The state that control instances replicate: sessions, claims, the document in force, data centres out. The same
-// commands in the same order give the same state on every instance; nothing else does.
+// The state that control instances replicate: sessions, claims, each environment's document with its history, data
+// centres out. The same commands in the same order give the same state on every instance; nothing else does.
 class ControlState {
 public:
     explicit ControlState(const ControlStateOptions&);
+    // Goes on from what content() gave.
+    ControlState(const ControlStateOptions&, const ControlContent&);
 
     Result<ControlOutcome> apply(const ControlCommand&);
 
-    const ClusterView& view() const { return m_view; }
+    // What the processes of an environment see; an empty view for an unknown one.
+    const ClusterView& view(const std::string& environment = productionEnvironment) const;
+    // The environment's document, history and view changes; null for an unknown one.
+    const EnvironmentRecord* environment(const std::string& name) const;
+    // Members of all environments.
+    std::vector<Member> members() const;
     const Member* member(const SessionId&) const;
     bool isOut(const std::string& dataCentre) const;
-    FindJobResponse findJob(const JobKey&) const;
+    // Oldest first.
+    const std::vector<DataCentreRecord>& dataCentreChanges() const { return m_dataCentreChanges; }
+    FindJobResponse findJob(const FindJobRequest&) const;
     std::size_t claims() const { return m_claims.size(); }
+    // Everything that is replicated.
+    ControlContent content() const;
 
 private:
-    struct Claim {
-        std::string digest;
-        std::string service;
-        SessionId owner;
-        std::uint64_t epoch { 0 };
-        Milliseconds firstClaimedUnix {};
-        Milliseconds deadlineUnix {};
-    };
-    struct EndedSidecar {
-        Member member;
-        Milliseconds endedUnix {};
-    };
+    using ClaimKey = std::pair<std::string, JobKey>;
 
     Result<ControlOutcome> applyChange(const OpenSessionRequest&);
     Result<ControlOutcome> applyChange(const CloseSession&);
     Result<ControlOutcome> applyChange(const ClaimRequest&);
     Result<ControlOutcome> applyChange(const DataCentreChange&);
     Result<ControlOutcome> applyChange(const AcceptDocument&);
+    Result<ControlOutcome> applyChange(const PromoteDocument&);
 
-    ClaimResponse respond(const Claim&, bool takenOver) const;
+    // Answers a resent change as before, refuses with the given error, or puts the document in force.
+    Result<ControlOutcome> changeDocument(
+        EnvironmentRecord&, const DocumentChange&, const std::optional<Error>& refusal);
+    EnvironmentRecord* findEnvironment(const std::string& name);
+    ClaimResponse respond(const ClaimRecord&, bool takenOver) const;
     void endSession(const SessionId&);
     void forget();
 
     ControlStateOptions m_options;
     Milliseconds m_nowUnix {};
     std::uint64_t m_lastIncarnation { 0 };
-    ClusterView m_view;
-    std::map<JobKey, Claim> m_claims;
-    std::set<std::pair<Milliseconds, JobKey>> m_claimsByDeadline;
+    std::vector<EnvironmentRecord> m_environments;
+    std::map<ClaimKey, ClaimRecord> m_claims;
+    std::set<std::pair<Milliseconds, ClaimKey>> m_claimsByDeadline;
     std::vector<EndedSidecar> m_endedSidecars;
-    std::map<std::string, DocumentApplied> m_appliedChanges;
+    std::vector<DataCentreRecord> m_dataCentreChanges;
 };
 
 } // namespace oleanderport
--- /dev/null
+++ b/src/policy/DocumentHistory.cpp
@@ -0,0 +1,93 @@
+#include "policy/DocumentHistory.h"
+
+#include "base/UtcText.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr const char* step = "control.apply";
+
+    Error refusal(ErrorCode code, std::string message)
+    {
+        return Error { .code = code, .ran = Ran::No, .step = step, .peer = {}, .message = std::move(message) };
+    }
+
+    // Tells the author of a change that lost who won.
+    std::string winnerOver(const EnvironmentRecord& environment, std::uint64_t baseVersion)
+    {
+        const auto winner = std::find_if(environment.history.begin(), environment.history.end(),
+            [baseVersion](const VersionRecord& record) { return record.summary.version == baseVersion + 1; });
+        if (winner == environment.history.end())
+            return fmt::format("version {} is no longer in the history", baseVersion + 1);
+        const VersionSummary& summary = winner->summary;
+        return fmt::format("{} made version {} at {} with change {}, reason '{}', digest {}", summary.author,
+            summary.version, utcText(summary.whenUnix), summary.changeId, summary.reason, summary.digest);
+    }
+
+} // namespace
+
+std::optional<Result<DocumentApplied>> earlierAnswer(
+    const EnvironmentRecord& environment, const std::string& changeId, const std::string& digest)
+{
+    const auto found = std::find_if(environment.changes.begin(), environment.changes.end(),
+        [&changeId](const ChangeRecord& record) { return record.changeId == changeId; });
+    if (found == environment.changes.end())
+        return std::nullopt;
+    if (found->digest != digest)
+        return Result<DocumentApplied>(
+            refusal(ErrorCode::Conflict, fmt::format("change id {} was used for another change", changeId)));
+    if (found->refusal)
+        return Result<DocumentApplied>(*found->refusal);
+    return Result<DocumentApplied>(found->applied);
+}
+
+Error refuseDocument(EnvironmentRecord& environment, const DocumentChange& change, const HistoryLimits& limits,
+    const Error& error)
+{
+    environment.changes.push_back(
+        { .changeId = change.changeId, .digest = change.digest, .applied = {}, .refusal = error });
+    keepLast(environment.changes, limits.changes);
+    return error;
+}
+
+Result<DocumentApplied> acceptDocument(
+    EnvironmentRecord& environment, const DocumentChange& change, const HistoryLimits& limits)
+{
+    const std::uint64_t current = environment.view.config.version;
+    if (change.baseVersion > current) {
+        return refuseDocument(environment, change, limits,
+            refusal(ErrorCode::Conflict,
+                fmt::format("based on version {}, but version {} is the newest", change.baseVersion, current)));
+    }
+    if (change.baseVersion < current) {
+        return refuseDocument(environment, change, limits,
+            refusal(ErrorCode::Conflict,
+                fmt::format("based on version {}, but version {} is in force: {}", change.baseVersion, current,
+                    winnerOver(environment, change.baseVersion))));
+    }
+    EnvironmentConfig& config = environment.view.config;
+    config = change.config;
+    config.environment = environment.name;
+    config.version = current + 1;
+    const DocumentApplied applied { .version = config.version, .digest = config.digest };
+    environment.history.push_back({ .summary = { .version = applied.version,
+                                        .digest = applied.digest,
+                                        .changeId = change.changeId,
+                                        .author = change.author,
+                                        .reason = change.reason,
+                                        .whenUnix = change.whenUnix,
+                                        .promotedFrom = change.promotedFrom },
+        .text = change.text });
+    keepLast(environment.history, limits.versions);
+    environment.changes.push_back(
+        { .changeId = change.changeId, .digest = change.digest, .applied = applied, .refusal = std::nullopt });
+    keepLast(environment.changes, limits.changes);
+    return applied;
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/DocumentHistory.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "wire/ControlRecords.h"
+
+#include <string>
+
+namespace oleanderport {
+
+// A change of one environment's document, whichever way its text was given.
+struct DocumentChange {
+    std::string changeId;
+    // Digest of everything that the change says.
+    std::string digest;
+    std::uint64_t baseVersion { 0 };
+    std::string author;
+    std::string reason;
+    Milliseconds whenUnix {};
+    // Version of the trial document that is promoted; zero otherwise.
+    std::uint64_t promotedFrom { 0 };
+    std::string text;
+    EnvironmentConfig config;
+};
+
+// How much of an environment's past is kept.
+struct HistoryLimits {
+    std::size_t versions { 0 };
+    std::size_t changes { 0 };
+};
+
+// The answer that a change with this id got before, or nothing. Fails with Conflict when the id was used for another
+// change.
+std::optional<Result<DocumentApplied>> earlierAnswer(
+    const EnvironmentRecord&, const std::string& changeId, const std::string& digest);
+
+// Puts a document in force as the next version when the change is based on the one in force; otherwise refuses with
+// Conflict and tells who made the version after the base, and when. Either answer is kept for a resend.
+// The caller records the change of the view.
+Result<DocumentApplied> acceptDocument(EnvironmentRecord&, const DocumentChange&, const HistoryLimits&);
+
+// Keeps a refusal for a resend of the change.
+Error refuseDocument(EnvironmentRecord&, const DocumentChange&, const HistoryLimits&, const Error&);
+
+// Drops the oldest records beyond the limit.
+template <typename T>
+void keepLast(std::vector<T>& records, std::size_t limit)
+{
+    if (records.size() > limit)
+        records.erase(records.begin(), records.end() - static_cast<std::ptrdiff_t>(limit));
+}
+
+} // namespace oleanderport
--- a/src/wire/ControlMessages.h
+++ b/src/wire/ControlMessages.h
@@ -8,16 +8,23 @@
 struct DataCentreChange {
     std::string dataCentre;
     bool out { false };
+    std::string author;
+    std::string reason;
 };
 
 struct DataCentreChanged {
+    // False when the data centre was so already.
+    bool changed { false };
+    // View versions from which on the change is known, in production and in trial.
     std::uint64_t viewVersion { 0 };
+    std::uint64_t trialViewVersion { 0 };
     // From this long after the answer on, nothing starts in a data centre that was taken out.
     Milliseconds inForceWithin {};
 };
 
 // A change of an environment's document. Its text is checked in full before it is accepted.
 struct ApplyDocument {
+    std::string environment { productionEnvironment };
     std::string text;
     // Version in force on which the author based the change.
     std::uint64_t baseVersion { 0 };
@@ -30,6 +37,37 @@
 struct DocumentApplied {
     std::uint64_t version { 0 };
     std::string digest;
+    // View version of the environment from which on the document is known.
+    std::uint64_t viewVersion { 0 };
+};
+
+// Puts the document that is in force in trial in force in production.
+struct PromoteDocument {
+    // Digest of the trial document that is meant.
+    std::string digest;
+    // Version in force in production on which the author based the change.
+    std::uint64_t baseVersion { 0 };
+    std::string changeId;
+    std::string author;
+    std::string reason;
+};
+
+// How one version of a document came to be.
+struct VersionSummary {
+    std::uint64_t version { 0 };
+    std::string digest;
+    std::string changeId;
+    std::string author;
+    std::string reason;
+    Milliseconds whenUnix {};
+    // Version of the trial document that was promoted; zero for a document that was applied.
+    std::uint64_t promotedFrom { 0 };
+};
+
+// A job, in the environment of the process that asks.
+struct FindJobRequest {
+    std::string environment { productionEnvironment };
+    JobKey key;
 };
 
 struct FindJobResponse {
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -15,6 +15,7 @@
 void ControlSession::start(const NodeInfo& node)
 {
     m_node = node;
+    m_node.environment = m_process.settings.environment;
     m_timer = m_process.loop.every(m_process.settings.heartbeat, [this] { beat(); });
     beat();
 }
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -1,6 +1,6 @@
 #include "wire/MessageCodec.h"
 
-#include "wire/ControlMessages.h"
+#include "wire/ControlRecords.h"
 #include "wire/EntryMessages.h"
 
 #include <fmt/format.h>
@@ -22,11 +22,16 @@
     std::string_view nameOf(TaskOutcome value) { return taskOutcomeName(value); }
     std::string_view nameOf(Channel value) { return channelName(value); }
     std::string_view nameOf(JobState value) { return jobStateName(value); }
+    std::string_view nameOf(ViewChangeKind value) { return viewChangeKindName(value); }
 
     std::optional<Role> valueOf(std::string_view name, Role) { return roleFromName(name); }
     std::optional<TaskOutcome> valueOf(std::string_view name, TaskOutcome) { return taskOutcomeFromName(name); }
     std::optional<Channel> valueOf(std::string_view name, Channel) { return channelFromName(name); }
     std::optional<JobState> valueOf(std::string_view name, JobState) { return jobStateFromName(name); }
+    std::optional<ViewChangeKind> valueOf(std::string_view name, ViewChangeKind)
+    {
+        return viewChangeKindFromName(name);
+    }
 
     class Writer {
     public:
@@ -310,6 +315,7 @@
     {
         a("role", m.role);
         a("instance", m.instance);
+        a("environment", m.environment);
         a("address", m.address);
         a("dataCentre", m.dataCentre);
         a("rack", m.rack);
@@ -348,6 +354,7 @@
     void fields(Archive& a, EnvironmentConfig& m)
     {
         a("environment", m.environment);
+        a("deployment", m.deployment);
         a("version", m.version);
         a("digest", m.digest);
         a("teams", m.teams);
@@ -436,18 +443,23 @@
     {
         a("dataCentre", m.dataCentre);
         a("out", m.out);
+        a("author", m.author);
+        a("reason", m.reason);
     }
 
     template <typename Archive>
     void fields(Archive& a, DataCentreChanged& m)
     {
+        a("changed", m.changed);
         a("viewVersion", m.viewVersion);
+        a("trialViewVersion", m.trialViewVersion);
         a("inForceWithin", m.inForceWithin);
     }
 
     template <typename Archive>
     void fields(Archive& a, ApplyDocument& m)
     {
+        a("environment", m.environment);
         a("text", m.text);
         a("baseVersion", m.baseVersion);
         a("changeId", m.changeId);
@@ -460,6 +472,121 @@
     {
         a("version", m.version);
         a("digest", m.digest);
+        a("viewVersion", m.viewVersion);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, PromoteDocument& m)
+    {
+        a("digest", m.digest);
+        a("baseVersion", m.baseVersion);
+        a("changeId", m.changeId);
+        a("author", m.author);
+        a("reason", m.reason);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, VersionSummary& m)
+    {
+        a("version", m.version);
+        a("digest", m.digest);
+        a("changeId", m.changeId);
+        a("author", m.author);
+        a("reason", m.reason);
+        a("whenUnix", m.whenUnix);
+        a("promotedFrom", m.promotedFrom);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, FindJobRequest& m)
+    {
+        a("environment", m.environment);
+        a("key", m.key);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, CloseSession& m)
+    {
+        a("session", m.session);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, AcceptDocument& m)
+    {
+        a("change", m.change);
+        a("config", m.config);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, VersionRecord& m)
+    {
+        a("summary", m.summary);
+        a("text", m.text);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ChangeRecord& m)
+    {
+        a("changeId", m.changeId);
+        a("digest", m.digest);
+        a("applied", m.applied);
+        a("refusal", m.refusal);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DataCentreRecord& m)
+    {
+        a("change", m.change);
+        a("whenUnix", m.whenUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ViewChange& m)
+    {
+        a("version", m.version);
+        a("kind", m.kind);
+        a("member", m.member);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EnvironmentRecord& m)
+    {
+        a("name", m.name);
+        a("view", m.view);
+        a("history", m.history);
+        a("changes", m.changes);
+        a("viewChanges", m.viewChanges);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ClaimRecord& m)
+    {
+        a("environment", m.environment);
+        a("key", m.key);
+        a("digest", m.digest);
+        a("service", m.service);
+        a("owner", m.owner);
+        a("epoch", m.epoch);
+        a("firstClaimedUnix", m.firstClaimedUnix);
+        a("deadlineUnix", m.deadlineUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EndedSidecar& m)
+    {
+        a("member", m.member);
+        a("endedUnix", m.endedUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ControlContent& m)
+    {
+        a("nowUnix", m.nowUnix);
+        a("lastIncarnation", m.lastIncarnation);
+        a("environments", m.environments);
+        a("claims", m.claims);
+        a("endedSidecars", m.endedSidecars);
+        a("dataCentreChanges", m.dataCentreChanges);
     }
 
     template <typename Archive>
@@ -571,7 +698,13 @@
 OLEANDERPORT_MESSAGE(DataCentreChanged)
 OLEANDERPORT_MESSAGE(ApplyDocument)
 OLEANDERPORT_MESSAGE(DocumentApplied)
+OLEANDERPORT_MESSAGE(PromoteDocument)
+OLEANDERPORT_MESSAGE(VersionSummary)
+OLEANDERPORT_MESSAGE(FindJobRequest)
 OLEANDERPORT_MESSAGE(FindJobResponse)
+OLEANDERPORT_MESSAGE(CloseSession)
+OLEANDERPORT_MESSAGE(AcceptDocument)
+OLEANDERPORT_MESSAGE(ControlContent)
 OLEANDERPORT_MESSAGE(Nothing)
 OLEANDERPORT_MESSAGE(MinionAnnouncement)
 OLEANDERPORT_MESSAGE(MinionHeartbeat)
