--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -228,13 +228,27 @@
     std::vector<Member> members;
 };
 
+// What leads from one version of a view to a later one.
+struct ViewDelta {
+    std::uint64_t fromVersion { 0 };
+    std::uint64_t version { 0 };
+    // Set only when the configuration differs from the one that the receiver named.
+    std::optional<EnvironmentConfig> config;
+    std::optional<std::vector<std::string>> dataCentresOut;
+    std::vector<SessionId> left;
+    std::vector<Member> joined;
+};
+
 struct OpenSessionRequest {
     NodeInfo node;
 };
 
 struct HeartbeatRequest {
     SessionId session;
+    // The view that the sender has; zero asks for the whole.
     std::uint64_t viewVersion { 0 };
+    std::uint64_t configVersion { 0 };
+    std::string configDigest;
 };
 
 struct SessionResponse {
@@ -242,7 +256,9 @@
     // Length of the lease, counted by the receiver from the moment it sent the request. Zero: no lease is granted,
     // nothing may start.
     Milliseconds lease {};
-    // Set only when the receiver's view is not the current one.
+    // At most one of both is set, and only when the receiver's view is not the current one: the whole view when the
+    // steps from the receiver's to the current one are no longer kept.
+    std::optional<ViewDelta> delta;
     std::optional<ClusterView> view;
 };
 
--- a/src/base/EventRing.cpp
+++ b/src/base/EventRing.cpp
@@ -38,9 +38,12 @@
 
 std::string_view eventKindName(EventKind kind) { return nameIn(eventKindNames, kind); }
 
-EventRing::EventRing(std::string instance, std::size_t capacity)
+std::optional<EventKind> eventKindFromName(std::string_view name) { return valueIn(eventKindNames, name); }
+
+EventRing::EventRing(std::string instance, std::size_t capacity, LogicalClock& clock)
     : m_instance(std::move(instance))
     , m_capacity(capacity)
+    , m_clock(clock)
 {
 }
 
@@ -49,7 +52,7 @@
     m_events.push_back({ .kind = kind,
         .instance = m_instance,
         .sequence = ++m_sequence,
-        .logical = ++m_logical,
+        .logical = m_clock.next(),
         .unixTime = Clock::unixNow(),
         .job = fields.job ? *fields.job : JobKey {},
         .task = fields.task,
@@ -60,8 +63,6 @@
     }
 }
 
-void EventRing::witness(std::uint64_t logical) { m_logical = std::max(m_logical, logical); }
-
 std::vector<Event> EventRing::since(std::uint64_t after) const
 {
     const auto first = std::find_if(
@@ -72,7 +73,8 @@
 std::vector<Event> mergeEvents(std::vector<Event> events)
 {
     std::sort(events.begin(), events.end(), [](const Event& a, const Event& b) {
-        return std::tie(a.logical, a.instance, a.sequence) < std::tie(b.logical, b.instance, b.sequence);
+        return std::tie(a.logical, a.unixTime, a.instance, a.sequence)
+            < std::tie(b.logical, b.unixTime, b.instance, b.sequence);
     });
     return events;
 }
--- a/src/base/EventRing.h
+++ b/src/base/EventRing.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/LogicalClock.h"
 #include "oleanderport/Clock.h"
 #include "oleanderport/Messages.h"
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +39,7 @@
 };
 
 std::string_view eventKindName(EventKind);
+std::optional<EventKind> eventKindFromName(std::string_view);
 
 // One event of one process. Events of a process are ordered by `sequence`. `logical` is a Lamport time: an event that
 // follows from a message has a higher one than every event before the message was sent, whatever the clocks say.
@@ -60,16 +63,11 @@
 // The last events of this process, bounded in number.
 class EventRing {
 public:
-    EventRing(std::string instance, std::size_t capacity);
+    // Events take their logical time from the clock, which must outlive this object.
+    EventRing(std::string instance, std::size_t capacity, LogicalClock&);
 
     void record(EventKind, const EventFields& = {});
 
-    // Logical time to send along with a message.
-    std::uint64_t stamp() const { return m_logical; }
-
-    // Takes in the logical time that came with a message.
-    void witness(std::uint64_t logical);
-
     // Events with a sequence number above `after`, in order.
     std::vector<Event> since(std::uint64_t after) const;
 
@@ -79,13 +77,14 @@
 private:
     std::string m_instance;
     std::size_t m_capacity;
+    LogicalClock& m_clock;
     std::uint64_t m_sequence { 0 };
-    std::uint64_t m_logical { 0 };
     std::uint64_t m_forgotten { 0 };
     std::deque<Event> m_events;
 };
 
-// One causally ordered line of the events of many processes.
+// One causally ordered line of the events of many processes: no event stands before one that it follows from.
+// Events of the same logical time are concurrent; they stand by their wall-clock time, for reading only.
 std::vector<Event> mergeEvents(std::vector<Event>);
 
 } // namespace oleanderport
--- a/src/cli/Arguments.cpp
+++ b/src/cli/Arguments.cpp
@@ -2,8 +2,18 @@
 
 #include <fmt/format.h>
 
+#include <cstdlib>
+#include <sstream>
+#include <stdexcept>
+
 namespace oleanderport {
 
+namespace {
+
+    constexpr const char* controlVariable = "OLEANDERPORT_CONTROL";
+
+} // namespace
+
 std::optional<cxxopts::ParseResult> parseArguments(
     cxxopts::Options& options, const std::vector<std::string>& arguments)
 {
@@ -33,15 +43,34 @@
     return output == "json";
 }
 
+std::string requiredText(const cxxopts::ParseResult& arguments, const std::string& option)
+{
+    if (arguments.count(option) == 0)
+        throw std::runtime_error(fmt::format("--{} is missing; --help tells more", option));
+    return arguments[option].as<std::string>();
+}
+
 void addControlOption(cxxopts::Options& options)
 {
-    options.add_options()("control", "IP:port of each control instance, separated by commas",
+    options.add_options()("control",
+        "IP:port of each control instance, separated by commas; the variable OLEANDERPORT_CONTROL unless given",
         cxxopts::value<std::vector<std::string>>());
 }
 
 std::vector<std::string> controlPeers(const cxxopts::ParseResult& arguments)
 {
-    return arguments["control"].as<std::vector<std::string>>();
+    std::vector<std::string> peers;
+    if (arguments.count("control") > 0) {
+        peers = arguments["control"].as<std::vector<std::string>>();
+    } else if (const char* text = std::getenv(controlVariable)) {
+        std::istringstream stream(text);
+        for (std::string peer; std::getline(stream, peer, ',');)
+            peers.push_back(peer);
+    }
+    std::erase(peers, "");
+    if (peers.empty())
+        throw std::runtime_error(fmt::format("no control instance: give --control or set {}", controlVariable));
+    return peers;
 }
 
 } // namespace oleanderport
--- a/src/cli/Arguments.h
+++ b/src/cli/Arguments.h
@@ -16,7 +16,11 @@
 void addOutputOption(cxxopts::Options&);
 bool wantsJson(const cxxopts::ParseResult&);
 
-// Adds --control with the addresses of the control instances.
+// Value of an option that must be given; throws a message that names it otherwise.
+std::string requiredText(const cxxopts::ParseResult&, const std::string& option);
+
+// Adds --control with the addresses of the control instances. When it is not given, the environment variable
+// OLEANDERPORT_CONTROL is read instead.
 void addControlOption(cxxopts::Options&);
 std::vector<std::string> controlPeers(const cxxopts::ParseResult&);
 
--- /dev/null
+++ b/src/cli/DocumentCommands.cpp
@@ -0,0 +1,297 @@
+#include "base/EnvironmentDocument.h"
+#include "base/LineDiff.h"
+#include "base/UtcText.h"
+#include "cli/ControlCalls.h"
+
+#include <fmt/format.h>
+
+namespace oleanderport {
+
+namespace {
+
+    // Tells how to send a change again whose answer may have been lost.
+    ExitCode failChange(const Error& error, const std::string& changeId, std::uint64_t baseVersion)
+    {
+        if (error.ran == Ran::Unknown) {
+            fmt::print(stderr,
+                "oleanderport: it is not known whether the change was accepted; send it again with --change-id {} "
+                "--base-version {}\n",
+                changeId, baseVersion);
+        }
+        return failWith(error);
+    }
+
+    void addChangeOptions(cxxopts::Options& options)
+    {
+        options.add_options()("base-version", "Version on which the change is based; the one in force unless given",
+            cxxopts::value<std::uint64_t>())(
+            "change-id", "Id of this change, to send it again; needs --base-version", cxxopts::value<std::string>());
+        addAuthorOptions(options);
+        addWaitOptions(options);
+    }
+
+    struct ChangeNames {
+        std::string changeId;
+        std::uint64_t baseVersion { 0 };
+    };
+
+    Result<ChangeNames> namesOf(
+        const cxxopts::ParseResult& arguments, const std::vector<std::string>& peers, const std::string& environment)
+    {
+        const bool hasBase = arguments.count("base-version") > 0;
+        const bool hasId = arguments.count("change-id") > 0;
+        if (hasId && !hasBase)
+            throw std::runtime_error("--change-id needs --base-version, so that a resend is the same change");
+        ChangeNames names { .changeId = hasId ? arguments["change-id"].as<std::string>() : makeChangeId() };
+        if (hasBase) {
+            names.baseVersion = arguments["base-version"].as<std::uint64_t>();
+            return names;
+        }
+        BOOST_OUTCOME_TRY(const auto status, fetchStatus(peers, environment));
+        names.baseVersion = status.view.config.version;
+        return names;
+    }
+
+    // Text of --file, or of the earlier version that --rollback-to names.
+    Result<std::string> textOf(
+        const cxxopts::ParseResult& arguments, const std::vector<std::string>& peers, const std::string& environment)
+    {
+        const bool hasFile = arguments.count("file") > 0;
+        const bool hasVersion = arguments.count("rollback-to") > 0;
+        if (hasFile == hasVersion)
+            throw std::runtime_error("give either --file or --rollback-to");
+        if (hasFile) {
+            const auto file = arguments["file"].as<std::string>();
+            BOOST_OUTCOME_TRY(auto text, readFile(file));
+            BOOST_OUTCOME_TRY(parseEnvironment(text, file));
+            return text;
+        }
+        BOOST_OUTCOME_TRY(
+            const auto record, fetchVersion(peers, environment, arguments["rollback-to"].as<std::uint64_t>()));
+        return record.text;
+    }
+
+    ExitCode finishChange(const cxxopts::ParseResult& arguments, const std::vector<std::string>& peers,
+        const std::string& environment, const ChangeNames& names, const DocumentApplied& applied)
+    {
+        if (wantsJson(arguments)) {
+            Json::Value value = toJson(applied);
+            value["environment"] = environment;
+            value["changeId"] = names.changeId;
+            fmt::print("{}\n", prettyJson(value));
+        } else {
+            fmt::print("{} version {} digest {} accepted\n", environment, applied.version, applied.digest);
+        }
+        std::fflush(stdout);
+        const auto confirmed = awaitConfirmation(
+            peers, arguments, { .environment = environment, .viewVersion = applied.viewVersion, .dataCentre = {} });
+        return confirmed.has_value() ? ExitCode::Success : failWith(confirmed.assume_error());
+    }
+
+    Json::Value summaryJson(const std::vector<VersionSummary>& versions)
+    {
+        Json::Value list(Json::arrayValue);
+        for (const auto& version : versions)
+            list.append(toJson(version));
+        return list;
+    }
+
+    void printVersions(const std::vector<VersionSummary>& versions)
+    {
+        for (const auto& version : versions) {
+            fmt::print("version {} at {} by {}{}: {} (change {}, digest {})\n", version.version,
+                utcText(version.whenUnix), version.author,
+                version.promotedFrom > 0 ? fmt::format(", promoted from trial version {}", version.promotedFrom) : "",
+                version.reason.empty() ? "no reason given" : version.reason, version.changeId, version.digest);
+        }
+    }
+
+    ExitCode printDifference(const cxxopts::ParseResult& arguments, const std::string& before, const std::string& after)
+    {
+        const auto lines = lineDiff(before, after);
+        if (wantsJson(arguments)) {
+            Json::Value value(Json::objectValue);
+            value["differs"] = !lines.empty();
+            value["lines"] = Json::Value(Json::arrayValue);
+            for (const auto& line : lines)
+                value["lines"].append(line);
+            fmt::print("{}\n", prettyJson(value));
+        } else {
+            for (const auto& line : lines)
+                fmt::print("{}\n", line);
+        }
+        return lines.empty() ? ExitCode::Success : ExitCode::Refused;
+    }
+
+    // Text of a version, or nothing when the environment has no document yet.
+    Result<std::string> versionText(
+        const std::vector<std::string>& peers, const std::string& environment, std::uint64_t version)
+    {
+        const auto record = fetchVersion(peers, environment, version);
+        if (record.has_value())
+            return record.assume_value().text;
+        if (version == 0 && record.assume_error().code == ErrorCode::NotFound)
+            return std::string();
+        return record.assume_error();
+    }
+
+} // namespace
+
+ExitCode runValidate(const std::vector<std::string>& arguments)
+{
+    cxxopts::Options options("oleanderport validate", "Checks an environment document in full without applying it.");
+    options.add_options()("file", "TOML file, or - for standard input", cxxopts::value<std::string>());
+    addOutputOption(options);
+    const auto parsed = parseArguments(options, arguments);
+    if (!parsed)
+        return ExitCode::Success;
+    const std::string file = requiredText(*parsed, "file");
+    const auto text = readFile(file);
+    if (!text.has_value())
+        return failWith(text.assume_error());
+    const auto config = parseEnvironment(text.assume_value(), file);
+    if (!config.has_value())
+        return failWith(config.assume_error());
+    const EnvironmentConfig& checked = config.assume_value();
+    if (wantsJson(*parsed))
+        fmt::print("{}\n", prettyJson(toJson(DocumentChecked { checked.deployment, checked.digest })));
+    else
+        fmt::print("document of {} is valid, digest {}\n", checked.deployment, checked.digest);
+    return ExitCode::Success;
+}
+
+ExitCode runApply(const std::vector<std::string>& arguments)
+{
+    cxxopts::Options options("oleanderport apply",
+        "Puts an environment document, or an earlier version of it, in force as the next version.");
+    addControlOption(options);
+    addEnvironmentOption(options);
+    addOutputOption(options);
+    options.add_options()("file", "TOML file, or - for standard input", cxxopts::value<std::string>())(
+        "rollback-to", "Earlier version whose text becomes the next version", cxxopts::value<std::uint64_t>());
+    addChangeOptions(options);
+    const auto parsed = parseArguments(options, arguments);
+    if (!parsed)
+        return ExitCode::Success;
+    const auto peers = controlPeers(*parsed);
+    const auto environment = environmentOf(*parsed);
+    const auto text = textOf(*parsed, peers, environment);
+    if (!text.has_value())
+        return failWith(text.assume_error());
+    const auto names = namesOf(*parsed, peers, environment);
+    if (!names.has_value())
+        return failWith(names.assume_error());
+    const ApplyDocument change { .environment = environment,
+        .text = text.assume_value(),
+        .baseVersion = names.assume_value().baseVersion,
+        .changeId = names.assume_value().changeId,
+        .author = authorOf(*parsed),
+        .reason = (*parsed)["reason"].as<std::string>() };
+    const auto applied = askControl<DocumentApplied>(peers, "applyDocument", change);
+    if (!applied.has_value())
+        return failChange(applied.assume_error(), change.changeId, change.baseVersion);
+    return finishChange(*parsed, peers, environment, names.assume_value(), applied.assume_value());
+}
+
+ExitCode runPromote(const std::vector<std::string>& arguments)
+{
+    cxxopts::Options options(
+        "oleanderport promote", "Puts exactly the document that is in force in trial in force in production.");
+    addControlOption(options);
+    addOutputOption(options);
+    options.add_options()(
+        "digest", "Digest of the trial document that is meant; the one in force unless given", cxxopts::value<std::string>());
+    addChangeOptions(options);
+    const auto parsed = parseArguments(options, arguments);
+    if (!parsed)
+        return ExitCode::Success;
+    const auto peers = controlPeers(*parsed);
+    const auto names = namesOf(*parsed, peers, productionEnvironment);
+    if (!names.has_value())
+        return failWith(names.assume_error());
+    PromoteDocument change { .digest = {},
+        .baseVersion = names.assume_value().baseVersion,
+        .changeId = names.assume_value().changeId,
+        .author = authorOf(*parsed),
+        .reason = (*parsed)["reason"].as<std::string>() };
+    if (parsed->count("digest") > 0) {
+        change.digest = (*parsed)["digest"].as<std::string>();
+    } else {
+        const auto trial = fetchStatus(peers, trialEnvironment);
+        if (!trial.has_value())
+            return failWith(trial.assume_error());
+        change.digest = trial.assume_value().view.config.digest;
+    }
+    const auto applied = askControl<DocumentApplied>(peers, "promoteDocument", change);
+    if (!applied.has_value()) {
+        if (applied.assume_error().ran == Ran::Unknown)
+            fmt::print(stderr, "oleanderport: the digest was {}; give it with --digest\n", change.digest);
+        return failChange(applied.assume_error(), change.changeId, change.baseVersion);
+    }
+    return finishChange(*parsed, peers, productionEnvironment, names.assume_value(), applied.assume_value());
+}
+
+ExitCode runDiff(const std::vector<std::string>& arguments)
+{
+    cxxopts::Options options("oleanderport diff",
+        "Prints the lines in which documents differ: the one in force and a file, two versions, or with --promote the "
+        "ones of production and trial. Exit code 0: no difference, 1: differences.");
+    addControlOption(options);
+    addEnvironmentOption(options);
+    addOutputOption(options);
+    options.add_options()("file", "Compare the document in force with this file", cxxopts::value<std::string>())(
+        "from", "Version to compare; the one in force unless given", cxxopts::value<std::uint64_t>()->default_value("0"))(
+        "to", "Version to compare with; the one in force unless given", cxxopts::value<std::uint64_t>()->default_value("0"))(
+        "promote", "Compare what is in force in production with what is in trial");
+    const auto parsed = parseArguments(options, arguments);
+    if (!parsed)
+        return ExitCode::Success;
+    const auto peers = controlPeers(*parsed);
+    const bool promote = parsed->count("promote") > 0;
+    const std::string environment = promote ? productionEnvironment : environmentOf(*parsed);
+    const auto before = versionText(peers, environment, (*parsed)["from"].as<std::uint64_t>());
+    if (!before.has_value())
+        return failWith(before.assume_error());
+    const auto after = parsed->count("file") > 0
+        ? readFile((*parsed)["file"].as<std::string>())
+        : versionText(peers, promote ? trialEnvironment : environment, (*parsed)["to"].as<std::uint64_t>());
+    if (!after.has_value())
+        return failWith(after.assume_error());
+    return printDifference(*parsed, before.assume_value(), after.assume_value());
+}
+
+ExitCode runHistory(const std::vector<std::string>& arguments)
+{
+    cxxopts::Options options("oleanderport history",
+        "Prints who put each version of a document in force, when and why, or with --version the text of one.");
+    addControlOption(options);
+    addEnvironmentOption(options);
+    addOutputOption(options);
+    options.add_options()("version", "Print the text of this version", cxxopts::value<std::uint64_t>());
+    const auto parsed = parseArguments(options, arguments);
+    if (!parsed)
+        return ExitCode::Success;
+    const auto peers = controlPeers(*parsed);
+    const auto environment = environmentOf(*parsed);
+    if (parsed->count("version") > 0) {
+        const auto record = fetchVersion(peers, environment, (*parsed)["version"].as<std::uint64_t>());
+        if (!record.has_value())
+            return failWith(record.assume_error());
+        if (wantsJson(*parsed))
+            fmt::print("{}\n", prettyJson(toJson(record.assume_value())));
+        else
+            fmt::print("{}", record.assume_value().text);
+        return ExitCode::Success;
+    }
+    const auto versions
+        = askControl<DocumentVersions>(peers, "history", EnvironmentRequest { .environment = environment });
+    if (!versions.has_value())
+        return failWith(versions.assume_error());
+    if (wantsJson(*parsed))
+        fmt::print("{}\n", prettyJson(summaryJson(versions.assume_value().versions)));
+    else
+        printVersions(versions.assume_value().versions);
+    return ExitCode::Success;
+}
+
+} // namespace oleanderport
--- a/src/cli/JobCommands.cpp
+++ b/src/cli/JobCommands.cpp
@@ -57,8 +57,8 @@
 
     std::string jobPath(const cxxopts::ParseResult& arguments)
     {
-        return fmt::format("/v1/jobs/{}/{}", encode(arguments["caller"].as<std::string>()),
-            encode(arguments["job"].as<std::string>()));
+        return fmt::format("/v1/jobs/{}/{}", encode(requiredText(arguments, "caller")),
+            encode(requiredText(arguments, "job")));
     }
 
     void addKeyOptions(cxxopts::Options& options)
@@ -79,7 +79,7 @@
     const auto parsed = parseArguments(options, arguments);
     if (!parsed)
         return ExitCode::Success;
-    const auto text = readFile((*parsed)["file"].as<std::string>());
+    const auto text = readFile(requiredText(*parsed, "file"));
     if (!text.has_value())
         return failWith(text.assume_error());
     std::string body = text.assume_value();
@@ -92,7 +92,7 @@
         body = writeJson(job.assume_value());
     }
     const std::int64_t wait = (*parsed)["wait"].as<std::int64_t>();
-    const std::string entry = (*parsed)["entry"].as<std::string>();
+    const std::string entry = requiredText(*parsed, "entry");
     const HttpCall call { .method = HttpMethod::Post,
         .path = fmt::format("/v1/jobs?waitMs={}", wait),
         .body = body,
@@ -110,7 +110,7 @@
     if (!parsed)
         return ExitCode::Success;
     const std::int64_t wait = (*parsed)["wait"].as<std::int64_t>();
-    const std::string entry = (*parsed)["entry"].as<std::string>();
+    const std::string entry = requiredText(*parsed, "entry");
     const HttpCall call { .method = HttpMethod::Get,
         .path = fmt::format("{}?waitMs={}", jobPath(*parsed), wait),
         .body = {},
@@ -126,7 +126,7 @@
     const auto parsed = parseArguments(options, arguments);
     if (!parsed)
         return ExitCode::Success;
-    const std::string entry = (*parsed)["entry"].as<std::string>();
+    const std::string entry = requiredText(*parsed, "entry");
     const HttpCall call {
         .method = HttpMethod::Delete, .path = jobPath(*parsed), .body = {}, .timeout = answerSlack
     };
--- /dev/null
+++ b/src/cli/TimelineCommand.cpp
@@ -0,0 +1,149 @@
+#include "base/EventRing.h"
+#include "base/UtcText.h"
+#include "cli/ControlCalls.h"
+
+#include <fmt/format.h>
+
+#include <set>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds collectTimeout { 5'000 };
+
+    // Which events are shown.
+    struct Selection {
+        std::optional<JobKey> job;
+        Milliseconds sinceUnix {};
+    };
+
+    struct Collected {
+        std::vector<Event> events;
+        // What the time line may lack, in plain words.
+        std::vector<std::string> gaps;
+    };
+
+    bool isSelected(const Event& event, const Selection& selection)
+    {
+        if (event.unixTime < selection.sinceUnix)
+            return false;
+        return !selection.job || event.job == *selection.job;
+    }
+
+    // Addresses of the control instances and of every member of both environments.
+    std::set<std::string> processes(const std::vector<std::string>& peers, Collected& collected)
+    {
+        std::set<std::string> addresses(peers.begin(), peers.end());
+        for (const char* environment : { productionEnvironment, trialEnvironment }) {
+            const auto status = fetchStatus(peers, environment);
+            if (!status.has_value()) {
+                // The control instances that answer still have a part of the line.
+                collected.gaps.push_back("no list of members: " + describe(status.assume_error()));
+                break;
+            }
+            for (const auto& member : status.assume_value().view.members)
+                addresses.insert(member.node.address);
+        }
+        return addresses;
+    }
+
+    void collect(const std::string& address, const Selection& selection, Collected& collected)
+    {
+        const auto answer = rpcAndWait(address, "events", Json::Value(Json::objectValue), collectTimeout);
+        if (!answer.has_value()) {
+            collected.gaps.push_back(fmt::format("{}: {}", address, describe(answer.assume_error())));
+            return;
+        }
+        const Json::Value& value = answer.assume_value();
+        if (!value.isObject() || !value["events"].isArray()) {
+            collected.gaps.push_back(fmt::format("{}: the answer holds no events", address));
+            return;
+        }
+        if (value["forgotten"].isUInt64() && value["forgotten"].asUInt64() > 0)
+            collected.gaps.push_back(
+                fmt::format("{}: the oldest {} events have been overwritten", address, value["forgotten"].asUInt64()));
+        for (const auto& item : value["events"]) {
+            const auto event = fromJson<Event>(item);
+            if (event.has_value() && isSelected(event.assume_value(), selection))
+                collected.events.push_back(event.assume_value());
+            else if (!event.has_value())
+                collected.gaps.push_back(fmt::format("{}: {}", address, describe(event.assume_error())));
+        }
+    }
+
+    Selection selectionOf(const cxxopts::ParseResult& arguments)
+    {
+        Selection selection { .job = std::nullopt, .sinceUnix = { arguments["since"].as<std::int64_t>() } };
+        if (arguments.count("last") > 0)
+            selection.sinceUnix = Clock::unixNow() - Milliseconds { arguments["last"].as<std::int64_t>() };
+        if (arguments.count("job") == 0)
+            return selection;
+        const auto name = arguments["job"].as<std::string>();
+        const auto slash = name.find('/');
+        if (slash == std::string::npos || slash == 0 || slash + 1 == name.size())
+            throw std::runtime_error("--job: expected CALLER/JOB");
+        selection.job = JobKey { .caller = name.substr(0, slash), .job = name.substr(slash + 1) };
+        return selection;
+    }
+
+    void printEvent(const Event& event)
+    {
+        fmt::print("{:>8} {} {:<16} {:<21}", event.logical, utcText(event.unixTime), event.instance,
+            eventKindName(event.kind));
+        if (!event.job.job.empty())
+            fmt::print(" job={}/{}", event.job.caller, event.job.job);
+        if (event.task >= 0)
+            fmt::print(" task={}", event.task);
+        if (!event.detail.empty())
+            fmt::print(" {}", event.detail);
+        fmt::print("\n");
+    }
+
+    void printJson(const Collected& collected)
+    {
+        Json::Value value(Json::objectValue);
+        value["events"] = Json::Value(Json::arrayValue);
+        for (const auto& event : collected.events)
+            value["events"].append(toJson(event));
+        value["gaps"] = Json::Value(Json::arrayValue);
+        for (const auto& gap : collected.gaps)
+            value["gaps"].append(gap);
+        fmt::print("{}\n", prettyJson(value));
+    }
+
+} // namespace
+
+ExitCode runTimeline(const std::vector<std::string>& arguments)
+{
+    cxxopts::Options options("oleanderport timeline",
+        "Collects the events of control, entries and sidecars and prints them in causal order, one a line: logical "
+        "time, wall-clock time of the process, process, event.");
+    addControlOption(options);
+    addOutputOption(options);
+    options.add_options()("job", "Only events of this job, as CALLER/JOB", cxxopts::value<std::string>())("since",
+        "Only events after this time, in milliseconds since 1970, by the clock of the process that recorded each",
+        cxxopts::value<std::int64_t>()->default_value("0"))(
+        "last", "Only events of the last so many milliseconds", cxxopts::value<std::int64_t>());
+    const auto parsed = parseArguments(options, arguments);
+    if (!parsed)
+        return ExitCode::Success;
+    const Selection selection = selectionOf(*parsed);
+    const auto peers = controlPeers(*parsed);
+    Collected collected;
+    const auto addresses = processes(peers, collected);
+    for (const auto& address : addresses)
+        collect(address, selection, collected);
+    collected.events = mergeEvents(std::move(collected.events));
+    if (wantsJson(*parsed)) {
+        printJson(collected);
+    } else {
+        for (const auto& event : collected.events)
+            printEvent(event);
+    }
+    for (const auto& gap : collected.gaps)
+        fmt::print(stderr, "oleanderport: the line may lack events: {}\n", gap);
+    return collected.events.empty() && !collected.gaps.empty() ? ExitCode::Unreachable : ExitCode::Success;
+}
+
+} // namespace oleanderport
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -1,7 +1,8 @@
 #include "control/ControlServer.h"
 
-#include "base/EnvironmentDocument.h"
+#include "control/Forward.h"
 #include "control/LocalReplicator.h"
+#include "policy/ViewDelta.h"
 
 #include <fmt/format.h>
 
@@ -11,26 +12,16 @@
 
     constexpr Milliseconds tickPeriod { 100 };
 
-    // Passes the alternative that belongs to the proposed command on to the one who asked.
-    template <typename Wanted, typename Response>
-    Replicator::Done forward(std::function<void(Result<Response>)> reply, std::function<Response(const Wanted&)> make)
-    {
-        return [reply = std::move(reply), make = std::move(make)](const Result<ControlOutcome>& outcome) {
-            if (!outcome.has_value())
-                return reply(outcome.assume_error());
-            reply(make(std::get<Wanted>(outcome.assume_value())));
-        };
-    }
-
 } // namespace
 
 ControlServer::ControlServer(EventLoop& loop, const Settings& settings)
     : m_process(loop, settings)
     , m_replicator(std::make_unique<LocalReplicator>(ControlStateOptions {}))
+    , m_operatorMethods(m_process, *m_replicator, m_timers)
 {
     addSessionMethods();
     addClaimMethods();
-    addOperatorMethods();
+    m_operatorMethods.add();
 }
 
 Result<void> ControlServer::start()
@@ -48,36 +39,28 @@
     done();
 }
 
-std::optional<Error> ControlServer::refusalUnlessLeader() const
-{
-    if (m_replicator->isLeader())
-        return std::nullopt;
-    return Error { .code = ErrorCode::NotLeader,
-        .ran = Ran::No,
-        .step = "control",
-        .peer = m_replicator->leaderAddress(),
-        .message = "this instance is not the leader" };
-}
-
-SessionResponse ControlServer::sessionResponse(const SessionId& id, std::uint64_t knownView) const
+SessionResponse ControlServer::sessionResponse(const SessionId& id, const KnownView& known) const
 {
     const ControlState& state = m_replicator->state();
     const Member* member = state.member(id);
-    SessionResponse response { .session = id, .lease = {}, .view = std::nullopt };
+    SessionResponse response { .session = id, .lease = {}, .delta = std::nullopt, .view = std::nullopt };
     const bool mayStart = member && (member->node.role != Role::Sidecar || !state.isOut(member->node.dataCentre));
     if (mayStart)
         response.lease = m_process.settings.lease;
     if (!member)
         return response;
-    const ClusterView& view = state.view(member->node.environment);
-    if (view.version != knownView)
-        response.view = view;
+    const EnvironmentRecord& environment = *state.environment(member->node.environment);
+    if (environment.view.version == known.version)
+        return response;
+    response.delta = viewDelta(environment, known);
+    if (!response.delta)
+        response.view = environment.view;
     return response;
 }
 
 void ControlServer::heartbeat(const HeartbeatRequest& request, const Reply<SessionResponse>& reply)
 {
-    if (const auto refusal = refusalUnlessLeader())
+    if (const auto refusal = refusalUnlessLeader(*m_replicator))
         return reply(*refusal);
     if (!m_replicator->state().member(request.session)) {
         return reply(Error { .code = ErrorCode::StaleIncarnation,
@@ -86,8 +69,11 @@
             .peer = m_process.settings.instance,
             .message = "the session has ended" });
     }
-    m_timers.heard(request.session, Clock::now());
-    reply(sessionResponse(request.session, request.viewVersion));
+    m_timers.heard(request.session, Clock::now(), request.viewVersion);
+    reply(sessionResponse(request.session,
+        { .version = request.viewVersion,
+            .configVersion = request.configVersion,
+            .configDigest = request.configDigest }));
 }
 
 void ControlServer::addSessionMethods()
@@ -96,10 +82,10 @@
         "openSession", [this](const OpenSessionRequest& request, Reply<SessionResponse> reply) {
             m_replicator->propose(
                 request, forward<SessionId, SessionResponse>(std::move(reply), [this](const SessionId& id) {
-                    m_timers.heard(id, Clock::now());
+                    m_timers.heard(id, Clock::now(), 0);
                     m_process.events.record(EventKind::SessionOpened,
                         { .detail = fmt::format("{} incarnation {}", id.instance, id.incarnation) });
-                    return sessionResponse(id, 0);
+                    return sessionResponse(id, {});
                 }));
         });
     m_process.rpc.addTyped<HeartbeatRequest, SessionResponse>(
@@ -123,44 +109,12 @@
         });
     m_process.rpc.addTyped<FindJobRequest, FindJobResponse>(
         "findJob", [this](const FindJobRequest& request, const Reply<FindJobResponse>& reply) {
-            if (const auto refusal = refusalUnlessLeader())
+            if (const auto refusal = refusalUnlessLeader(*m_replicator))
                 return reply(*refusal);
             reply(m_replicator->state().findJob(request));
         });
 }
 
-void ControlServer::addOperatorMethods()
-{
-    m_process.rpc.addTyped<Nothing, ClusterView>("view", [this](const Nothing&, const Reply<ClusterView>& reply) {
-        if (const auto refusal = refusalUnlessLeader())
-            return reply(*refusal);
-        reply(m_replicator->state().view());
-    });
-    m_process.rpc.addTyped<ApplyDocument, DocumentApplied>(
-        "applyDocument", [this](const ApplyDocument& change, Reply<DocumentApplied> reply) {
-            auto config = parseEnvironment(change.text, "document");
-            if (!config.has_value())
-                return reply(std::move(config).assume_error());
-            m_replicator->propose(AcceptDocument { .change = change, .config = config.assume_value() },
-                forward<DocumentApplied, DocumentApplied>(std::move(reply), [this](const DocumentApplied& applied) {
-                    m_process.events.record(
-                        EventKind::ConfigurationApplied, { .detail = fmt::format("version {}", applied.version) });
-                    return applied;
-                }));
-        });
-    m_process.rpc.addTyped<DataCentreChange, DataCentreChanged>(
-        "changeDataCentre", [this](const DataCentreChange& change, Reply<DataCentreChanged> reply) {
-            m_replicator->propose(change,
-                forward<DataCentreChanged, DataCentreChanged>(
-                    std::move(reply), [this, change](DataCentreChanged changed) {
-                        changed.inForceWithin = m_process.settings.lease;
-                        m_process.events.record(change.out ? EventKind::DataCentreOut : EventKind::DataCentreIn,
-                            { .detail = change.dataCentre });
-                        return changed;
-                    }));
-        });
-}
-
 void ControlServer::tick()
 {
     if (!m_replicator->isLeader()) {
--- a/src/control/ControlServer.h
+++ b/src/control/ControlServer.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "control/OperatorMethods.h"
 #include "control/Replicator.h"
 #include "control/SessionTimers.h"
+#include "policy/ViewDelta.h"
 #include "wire/Process.h"
 
 #include <functional>
@@ -23,16 +25,14 @@
 
     void addSessionMethods();
     void addClaimMethods();
-    void addOperatorMethods();
-    // Nothing when this instance may answer; NotLeader otherwise.
-    std::optional<Error> refusalUnlessLeader() const;
-    SessionResponse sessionResponse(const SessionId&, std::uint64_t knownView) const;
+    SessionResponse sessionResponse(const SessionId&, const KnownView&) const;
     void heartbeat(const HeartbeatRequest&, const Reply<SessionResponse>&);
     void tick();
 
     Process m_process;
     std::unique_ptr<Replicator> m_replicator;
     SessionTimers m_timers;
+    OperatorMethods m_operatorMethods;
     std::unique_ptr<EventLoop::Timer> m_timer;
 };
 
--- a/src/control/SessionTimers.cpp
+++ b/src/control/SessionTimers.cpp
@@ -2,18 +2,27 @@
 
 namespace oleanderport {
 
-void SessionTimers::heard(const SessionId& id, Milliseconds now) { m_heard[id] = now; }
+void SessionTimers::heard(const SessionId& id, Milliseconds now, std::uint64_t viewVersion)
+{
+    m_heard[id] = { .at = now, .viewVersion = viewVersion };
+}
+
+std::uint64_t SessionTimers::confirmedView(const SessionId& id) const
+{
+    const auto heard = m_heard.find(id);
+    return heard == m_heard.end() ? 0 : heard->second.viewVersion;
+}
 
 std::vector<SessionId> SessionTimers::expired(
     const std::vector<Member>& members, Milliseconds now, Milliseconds timeout)
 {
-    std::map<SessionId, Milliseconds> kept;
+    std::map<SessionId, Heard> kept;
     std::vector<SessionId> expired;
     for (const auto& member : members) {
         const auto heard = m_heard.find(member.id);
-        const Milliseconds last = heard == m_heard.end() ? now : heard->second;
+        const Heard last = heard == m_heard.end() ? Heard { .at = now } : heard->second;
         kept[member.id] = last;
-        if (now >= last + timeout)
+        if (now >= last.at + timeout)
             expired.push_back(member.id);
     }
     m_heard = std::move(kept);
--- a/src/control/SessionTimers.h
+++ b/src/control/SessionTimers.h
@@ -11,7 +11,11 @@
 // When each session was last heard of by this control instance. Only the leader uses it.
 class SessionTimers {
 public:
-    void heard(const SessionId&, Milliseconds now);
+    // `viewVersion` is the view that the holder of the session says it has.
+    void heard(const SessionId&, Milliseconds now, std::uint64_t viewVersion);
+
+    // The view that the holder confirmed last; zero when it was not heard of.
+    std::uint64_t confirmedView(const SessionId&) const;
 
     // Sessions among `members` that have been silent for `timeout`. One never heard of counts from now on, so a new
     // leader gives every session the full time.
@@ -21,7 +25,12 @@
     void clear() { m_heard.clear(); }
 
 private:
-    std::map<SessionId, Milliseconds> m_heard;
+    struct Heard {
+        Milliseconds at {};
+        std::uint64_t viewVersion { 0 };
+    };
+
+    std::map<SessionId, Heard> m_heard;
 };
 
 } // namespace oleanderport
--- /dev/null
+++ b/src/policy/ViewDelta.cpp
@@ -0,0 +1,82 @@
+#include "policy/ViewDelta.h"
+
+#include <algorithm>
+#include <set>
+
+namespace oleanderport {
+
+namespace {
+
+    // Net effect of a run of steps.
+    struct Steps {
+        std::set<SessionId> joined;
+        std::set<SessionId> left;
+        bool dataCentres { false };
+    };
+
+    void take(Steps& steps, const ViewChange& change)
+    {
+        switch (change.kind) {
+        case ViewChangeKind::MemberJoined:
+            steps.joined.insert(change.member);
+            break;
+        case ViewChangeKind::MemberLeft:
+            // One that came and went in between was never known.
+            if (steps.joined.erase(change.member) == 0)
+                steps.left.insert(change.member);
+            break;
+        case ViewChangeKind::DataCentres:
+            steps.dataCentres = true;
+            break;
+        case ViewChangeKind::Config:
+            break;
+        }
+    }
+
+} // namespace
+
+std::optional<ViewDelta> viewDelta(
+    const EnvironmentRecord& environment, const KnownView& known)
+{
+    const ClusterView& view = environment.view;
+    const auto& changes = environment.viewChanges;
+    // A process without any view needs the whole, whatever is kept.
+    if (known.version == 0 || known.version > view.version)
+        return std::nullopt;
+    const bool kept = known.version == view.version || (!changes.empty() && changes.front().version <= known.version + 1);
+    if (!kept)
+        return std::nullopt;
+    Steps steps;
+    for (const auto& change : changes) {
+        if (change.version > known.version)
+            take(steps, change);
+    }
+    ViewDelta delta { .fromVersion = known.version, .version = view.version };
+    if (view.config.version != known.configVersion || view.config.digest != known.configDigest)
+        delta.config = view.config;
+    if (steps.dataCentres)
+        delta.dataCentresOut = view.dataCentresOut;
+    delta.left.assign(steps.left.begin(), steps.left.end());
+    for (const auto& member : view.members) {
+        if (steps.joined.contains(member.id))
+            delta.joined.push_back(member);
+    }
+    return delta;
+}
+
+bool applyDelta(ClusterView& view, const ViewDelta& delta)
+{
+    if (view.version != delta.fromVersion)
+        return false;
+    view.version = delta.version;
+    if (delta.config)
+        view.config = *delta.config;
+    if (delta.dataCentresOut)
+        view.dataCentresOut = *delta.dataCentresOut;
+    const std::set<SessionId> left(delta.left.begin(), delta.left.end());
+    std::erase_if(view.members, [&left](const Member& member) { return left.contains(member.id); });
+    view.members.insert(view.members.end(), delta.joined.begin(), delta.joined.end());
+    return true;
+}
+
+} // namespace oleanderport
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -1,5 +1,7 @@
 #include "wire/ControlSession.h"
 
+#include "policy/ViewDelta.h"
+
 #include <fmt/format.h>
 
 namespace oleanderport {
@@ -57,8 +59,7 @@
     m_waiting = true;
     const Milliseconds sentAt = Clock::now();
     const std::weak_ptr<bool> alive = m_alive;
-    const HeartbeatRequest request { .session = *m_id, .viewVersion = m_view.version };
-    m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "heartbeat", request, m_process.settings.lease,
+    m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "heartbeat", heartbeatRequest(), m_process.settings.lease,
         [this, alive, sentAt, round = m_round](const Result<SessionResponse>& response) {
             if (alive.expired() || round != m_round)
                 return;
@@ -79,20 +80,39 @@
         m_process.events.record(hadLease ? EventKind::LeaseLost : EventKind::LeaseGranted,
             { .detail = fmt::format("view {}", m_view.version) });
     }
-    if (response.view && response.view->version > m_view.version) {
-        const bool newConfig = response.view->config.version > m_view.config.version;
-        m_view = *response.view;
-        if (newConfig) {
-            m_process.events.record(
-                EventKind::ConfigurationApplied, { .detail = fmt::format("version {}", m_view.config.version) });
-        }
-        if (m_callbacks.viewChanged)
-            m_callbacks.viewChanged(m_view);
-    }
+    takeView(response);
     if (m_callbacks.leaseRenewed)
         m_callbacks.leaseRenewed();
 }
 
+HeartbeatRequest ControlSession::heartbeatRequest() const
+{
+    return { .session = *m_id,
+        .viewVersion = m_needsWholeView ? 0 : m_view.version,
+        .configVersion = m_view.config.version,
+        .configDigest = m_view.config.digest };
+}
+
+void ControlSession::takeView(const SessionResponse& response)
+{
+    const std::uint64_t before = m_view.version;
+    const std::uint64_t configBefore = m_view.config.version;
+    if (response.view && response.view->version > before)
+        m_view = *response.view;
+    if (response.view)
+        m_needsWholeView = false;
+    if (response.delta && response.delta->version > before)
+        m_needsWholeView = !applyDelta(m_view, *response.delta);
+    if (m_view.version == before)
+        return;
+    if (m_view.config.version > configBefore) {
+        m_process.events.record(
+            EventKind::ConfigurationApplied, { .detail = fmt::format("version {}", m_view.config.version) });
+    }
+    if (m_callbacks.viewChanged)
+        m_callbacks.viewChanged(m_view);
+}
+
 void ControlSession::sessionEnded()
 {
     log(LogLevel::Warning, { .step = "session.ended" }, "control has ended this session");
@@ -112,7 +132,7 @@
     m_leaseEnd = {};
     if (!m_id)
         return done();
-    const HeartbeatRequest request { .session = *m_id, .viewVersion = m_view.version };
+    const HeartbeatRequest request = heartbeatRequest();
     m_id.reset();
     m_client.callTyped<Nothing>(ControlClient::Lane::Session, "closeSession", request, m_process.settings.lease,
         [done = std::move(done)](const Result<Nothing>&) { done(); });
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -43,6 +43,9 @@
     void open();
     void renew();
     void take(const SessionResponse&, Milliseconds sentAt);
+    // Brings the view up to date. A view never goes back to an older version.
+    void takeView(const SessionResponse&);
+    HeartbeatRequest heartbeatRequest() const;
     void sessionEnded();
 
     Process& m_process;
@@ -51,6 +54,8 @@
     NodeInfo m_node;
     std::optional<SessionId> m_id;
     ClusterView m_view;
+    // Set when a difference did not fit the view.
+    bool m_needsWholeView { false };
     Milliseconds m_leaseEnd {};
     bool m_waiting { false };
     std::uint64_t m_round { 0 };
--- a/src/wire/EventLoop.h
+++ b/src/wire/EventLoop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/LogicalClock.h"
 #include "oleanderport/Clock.h"
 
 #include <functional>
@@ -36,8 +37,12 @@
 
     event_base* base() const { return m_base; }
 
+    // Lamport time of the process, carried by its messages.
+    LogicalClock& logicalClock() { return m_logicalClock; }
+
 private:
     event_base* m_base;
+    LogicalClock m_logicalClock;
 };
 
 } // namespace oleanderport
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -1,7 +1,9 @@
 #include "wire/MessageCodec.h"
 
+#include "base/EventRing.h"
 #include "wire/ControlRecords.h"
 #include "wire/EntryMessages.h"
+#include "wire/OperatorMessages.h"
 
 #include <fmt/format.h>
 
@@ -22,12 +24,14 @@
     std::string_view nameOf(TaskOutcome value) { return taskOutcomeName(value); }
     std::string_view nameOf(Channel value) { return channelName(value); }
     std::string_view nameOf(JobState value) { return jobStateName(value); }
+    std::string_view nameOf(EventKind value) { return eventKindName(value); }
     std::string_view nameOf(ViewChangeKind value) { return viewChangeKindName(value); }
 
     std::optional<Role> valueOf(std::string_view name, Role) { return roleFromName(name); }
     std::optional<TaskOutcome> valueOf(std::string_view name, TaskOutcome) { return taskOutcomeFromName(name); }
     std::optional<Channel> valueOf(std::string_view name, Channel) { return channelFromName(name); }
     std::optional<JobState> valueOf(std::string_view name, JobState) { return jobStateFromName(name); }
+    std::optional<EventKind> valueOf(std::string_view name, EventKind) { return eventKindFromName(name); }
     std::optional<ViewChangeKind> valueOf(std::string_view name, ViewChangeKind)
     {
         return viewChangeKindFromName(name);
@@ -371,6 +375,17 @@
         a("members", m.members);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, ViewDelta& m)
+    {
+        a("fromVersion", m.fromVersion);
+        a("version", m.version);
+        a("config", m.config);
+        a("dataCentresOut", m.dataCentresOut);
+        a("left", m.left);
+        a("joined", m.joined);
+    }
+
     template <typename Archive>
     void fields(Archive& a, OpenSessionRequest& m)
     {
@@ -382,6 +397,8 @@
     {
         a("session", m.session);
         a("viewVersion", m.viewVersion);
+        a("configVersion", m.configVersion);
+        a("configDigest", m.configDigest);
     }
 
     template <typename Archive>
@@ -389,6 +406,7 @@
     {
         a("session", m.session);
         a("lease", m.lease);
+        a("delta", m.delta);
         a("view", m.view);
     }
 
@@ -558,6 +576,74 @@
         a("viewChanges", m.viewChanges);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, Event& m)
+    {
+        a("kind", m.kind);
+        a("instance", m.instance);
+        a("sequence", m.sequence);
+        a("logical", m.logical);
+        a("unixTime", m.unixTime);
+        a("job", m.job);
+        // Absent for an event that concerns no task.
+        std::optional<std::int64_t> task;
+        if (m.task >= 0)
+            task = m.task;
+        a("task", task);
+        m.task = task.value_or(-1);
+        a("detail", m.detail);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EnvironmentRequest& m)
+    {
+        a("environment", m.environment);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DocumentVersions& m)
+    {
+        a("environment", m.environment);
+        a("versions", m.versions);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, VersionRequest& m)
+    {
+        a("environment", m.environment);
+        a("version", m.version);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ValidateDocument& m)
+    {
+        a("environment", m.environment);
+        a("text", m.text);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DocumentChecked& m)
+    {
+        a("deployment", m.deployment);
+        a("digest", m.digest);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MemberConfirmation& m)
+    {
+        a("member", m.member);
+        a("viewVersion", m.viewVersion);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ControlStatus& m)
+    {
+        a("leader", m.leader);
+        a("view", m.view);
+        a("confirmations", m.confirmations);
+        a("dataCentreChanges", m.dataCentreChanges);
+    }
+
     template <typename Archive>
     void fields(Archive& a, ClaimRecord& m)
     {
@@ -703,6 +789,15 @@
 OLEANDERPORT_MESSAGE(FindJobRequest)
 OLEANDERPORT_MESSAGE(FindJobResponse)
 OLEANDERPORT_MESSAGE(CloseSession)
+OLEANDERPORT_MESSAGE(ViewDelta)
+OLEANDERPORT_MESSAGE(Event)
+OLEANDERPORT_MESSAGE(VersionRecord)
+OLEANDERPORT_MESSAGE(EnvironmentRequest)
+OLEANDERPORT_MESSAGE(DocumentVersions)
+OLEANDERPORT_MESSAGE(VersionRequest)
+OLEANDERPORT_MESSAGE(ValidateDocument)
+OLEANDERPORT_MESSAGE(DocumentChecked)
+OLEANDERPORT_MESSAGE(ControlStatus)
 OLEANDERPORT_MESSAGE(AcceptDocument)
 OLEANDERPORT_MESSAGE(ControlContent)
 OLEANDERPORT_MESSAGE(Nothing)
--- a/src/wire/Process.cpp
+++ b/src/wire/Process.cpp
@@ -7,23 +7,6 @@
     constexpr std::size_t eventCapacity = 20'000;
     constexpr Milliseconds idleConnectionTimeout { 120'000 };
 
-    Json::Value eventToJson(const Event& event)
-    {
-        Json::Value value(Json::objectValue);
-        value["kind"] = std::string(eventKindName(event.kind));
-        value["instance"] = event.instance;
-        value["sequence"] = static_cast<Json::UInt64>(event.sequence);
-        value["logical"] = static_cast<Json::UInt64>(event.logical);
-        value["unixTime"] = static_cast<Json::Int64>(event.unixTime.count);
-        if (!event.job.job.empty())
-            value["job"] = toJson(event.job);
-        if (event.task >= 0)
-            value["task"] = static_cast<Json::Int64>(event.task);
-        if (!event.detail.empty())
-            value["detail"] = event.detail;
-        return value;
-    }
-
     void serveEvents(const EventRing& ring, const Json::Value& params, const RpcReply& reply)
     {
         const bool hasAfter = params.isObject() && params["after"].isUInt64();
@@ -31,7 +14,7 @@
         answer["forgotten"] = static_cast<Json::UInt64>(ring.forgotten());
         answer["events"] = Json::Value(Json::arrayValue);
         for (const auto& event : ring.since(hasAfter ? params["after"].asUInt64() : 0))
-            answer["events"].append(eventToJson(event));
+            answer["events"].append(toJson(event));
         reply(answer);
     }
 
@@ -40,8 +23,9 @@
 Process::Process(EventLoop& eventLoop, const Settings& ownSettings)
     : loop(eventLoop)
     , settings(ownSettings)
-    , events(ownSettings.instance, eventCapacity)
+    , events(ownSettings.instance, eventCapacity, eventLoop.logicalClock())
 {
+    rpc.useClock(eventLoop.logicalClock());
     rpc.add("events", [this](const Json::Value& params, const RpcReply& reply) { serveEvents(events, params, reply); });
 }
 
--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -1,5 +1,6 @@
 #include "wire/Rpc.h"
 
+#include <fmt/format.h>
 #include <jsonrpccpp/client/batchcall.h>
 
 namespace oleanderport {
@@ -17,10 +18,15 @@
             .message = std::move(message) };
     }
 
-    Json::Value envelope(const Json::Value& id, const Result<Json::Value>& result)
+    // Member of the envelope that carries the sender's logical time.
+    constexpr const char* logicalMember = "logical";
+
+    Json::Value envelope(const Json::Value& id, const Result<Json::Value>& result, const LogicalClock* clock)
     {
         Json::Value value(Json::objectValue);
         value["jsonrpc"] = "2.0";
+        if (clock)
+            value[logicalMember] = static_cast<Json::UInt64>(clock->stamp());
         value["id"] = id;
         if (result.has_value()) {
             value["result"] = result.assume_value();
@@ -47,7 +53,14 @@
         }
     };
 
-    Result<Json::Value> unwrap(const Result<HttpAnswer>& answer, const std::string& peer)
+    // The batch codec keeps its envelope to itself, so the stamp is put into its text, behind the first brace.
+    std::string stamped(std::string text, std::uint64_t logical)
+    {
+        const auto brace = text.find('{');
+        return text.insert(brace + 1, fmt::format("\"{}\":{},", logicalMember, logical));
+    }
+
+    Result<Json::Value> unwrap(const Result<HttpAnswer>& answer, const std::string& peer, LogicalClock& clock)
     {
         if (!answer.has_value())
             return answer.assume_error();
@@ -60,6 +73,8 @@
                 .peer = peer,
                 .message = "not a JSON-RPC answer" };
         }
+        if (first[logicalMember].isUInt64())
+            clock.witness(first[logicalMember].asUInt64());
         if (first.isMember("error"))
             return errorFromJson(first["error"]["data"], peer);
         return first["result"];
@@ -73,7 +88,7 @@
 {
     const auto parsed = parseJson(request.body);
     if (!parsed.has_value()) {
-        responder->reply({ .status = 400, .body = writeJson(envelope({}, parsed.assume_error())) });
+        responder->reply({ .status = 400, .body = writeJson(envelope({}, parsed.assume_error(), m_clock)) });
         return;
     }
     const Json::Value& body = parsed.assume_value();
@@ -82,7 +97,7 @@
     batch->isBatch = body.isArray();
     batch->missing = batch->isBatch ? body.size() : 1;
     if (batch->missing == 0) {
-        batch->responder->reply({ .status = 400, .body = writeJson(envelope({}, badCall("empty batch"))) });
+        batch->responder->reply({ .status = 400, .body = writeJson(envelope({}, badCall("empty batch"), m_clock)) });
         return;
     }
     const Json::ArrayIndex count = batch->missing;
@@ -90,7 +105,8 @@
         const Json::Value& call = batch->isBatch ? body[i] : body;
         const Json::Value id = call.isObject() ? call["id"] : Json::Value();
         dispatch(call,
-            [batch, i, id](const Result<Json::Value>& result) { batch->finish(i, envelope(id, result)); });
+            [this, batch, i, id](
+                const Result<Json::Value>& result) { batch->finish(i, envelope(id, result, m_clock)); });
     }
 }
 
@@ -98,14 +114,22 @@
 {
     if (!call.isObject() || call["jsonrpc"] != "2.0" || !call["method"].isString())
         return reply(badCall("not a JSON-RPC 2.0 call"));
+    witness(call);
     const auto method = m_methods.find(call["method"].asString());
     if (method == m_methods.end())
         return reply(badCall("unknown method " + call["method"].asString()));
     method->second(call["params"], std::move(reply));
 }
 
+void RpcServer::witness(const Json::Value& call) const
+{
+    if (m_clock && call[logicalMember].isUInt64())
+        m_clock->witness(call[logicalMember].asUInt64());
+}
+
 RpcClient::RpcClient(EventLoop& loop, const std::string& address)
-    : m_connection(loop, address)
+    : m_clock(loop.logicalClock())
+    , m_connection(loop, address)
 {
 }
 
@@ -113,10 +137,15 @@
 {
     jsonrpc::BatchCall batch;
     batch.addCall(method, params);
-    HttpCall message { .method = HttpMethod::Post, .path = rpcPath, .body = batch.toString(true), .timeout = timeout };
-    m_connection.call(message, [peer = address(), callback = std::move(callback)](const Result<HttpAnswer>& answer) {
-        callback(unwrap(answer, peer));
-    });
+    const HttpCall message { .method = HttpMethod::Post,
+        .path = rpcPath,
+        .body = stamped(batch.toString(true), m_clock.stamp()),
+        .timeout = timeout };
+    // The clock belongs to the loop, which outlives every call made on it.
+    m_connection.call(
+        message, [&clock = m_clock, peer = address(), callback = std::move(callback)](const Result<HttpAnswer>& answer) {
+            callback(unwrap(answer, peer, clock));
+        });
 }
 
 } // namespace oleanderport
--- a/src/wire/Rpc.h
+++ b/src/wire/Rpc.h
@@ -23,6 +23,9 @@
 // Method table of one process.
 class RpcServer {
 public:
+    // Logical time comes in with every request and goes out with every response. The clock must outlive this object.
+    void useClock(LogicalClock& clock) { m_clock = &clock; }
+
     void add(const std::string& name, RpcMethod);
 
     // Adds a method with typed request and response. `function` takes the request and a callback for the result.
@@ -46,11 +49,14 @@
 
 private:
     void dispatch(const Json::Value& call, RpcReply);
+    void witness(const Json::Value& call) const;
 
+    LogicalClock* m_clock { nullptr };
     std::map<std::string, RpcMethod> m_methods;
 };
 
-// Calls methods of one peer over one connection, in order.
+// Calls methods of one peer over one connection, in order. The loop's logical clock travels with every call and goes
+// on from the peer's with every answer.
 class RpcClient {
 public:
     RpcClient(EventLoop&, const std::string& address);
@@ -71,6 +77,7 @@
     const std::string& address() const { return m_connection.address(); }
 
 private:
+    LogicalClock& m_clock;
     HttpConnection m_connection;
 };
 
