--- a/src/base/EnvironmentDocument.cpp
+++ b/src/base/EnvironmentDocument.cpp
@@ -39,35 +39,77 @@
         }
     }
 
-    template <typename T>
-    void checkUnique(const std::vector<T>& items, std::string_view key, TomlFaults& faults)
+    // A name together with the place at which it stands.
+    struct PlacedName {
+        std::string name;
+        const toml::node* node { nullptr };
+    };
+
+    // The strings of one list, with their places.
+    std::vector<PlacedName> namesIn(const toml::table& table, const char* key)
     {
-        std::set<std::string> seen;
-        for (const auto& item : items) {
-            if (!seen.insert(item).second)
-                faults.add(nullptr, key, fmt::format("'{}' stands twice", item));
+        std::vector<PlacedName> names;
+        const auto* list = table.get_as<toml::array>(key);
+        if (!list)
+            return names;
+        for (const auto& item : *list) {
+            if (item.is_string())
+                names.push_back({ .name = item.as_string()->get(), .node = &item });
         }
+        return names;
     }
 
-    void checkTogether(const EnvironmentConfig& config, TomlFaults& faults)
+    // The names of the tables of one array, with their places.
+    std::vector<PlacedName> namesOfTables(const toml::table& document, const char* key)
     {
-        std::vector<std::string> teams;
-        std::vector<std::string> callers;
-        std::vector<std::string> services;
-        for (const auto& team : config.teams) {
-            teams.push_back(team.name);
-            callers.insert(callers.end(), team.callers.begin(), team.callers.end());
+        std::vector<PlacedName> names;
+        const auto* list = document.get_as<toml::array>(key);
+        if (!list)
+            return names;
+        for (const auto& item : *list) {
+            const auto* name = item.is_table() ? item.as_table()->get_as<std::string>("name") : nullptr;
+            if (name)
+                names.push_back({ .name = name->get(), .node = name });
         }
-        for (const auto& service : config.services)
-            services.push_back(service.name);
-        checkUnique(teams, "team.name", faults);
-        checkUnique(callers, "team.callers", faults);
-        checkUnique(services, "service.name", faults);
-        checkUnique(config.dataCentres, "data_centres", faults);
+        return names;
+    }
+
+    std::vector<PlacedName> callersIn(const toml::table& document)
+    {
+        std::vector<PlacedName> callers;
+        const auto* teams = document.get_as<toml::array>("team");
+        if (!teams)
+            return callers;
+        for (const auto& team : *teams) {
+            if (!team.is_table())
+                continue;
+            const auto names = namesIn(*team.as_table(), "callers");
+            callers.insert(callers.end(), names.begin(), names.end());
+        }
+        return callers;
+    }
+
+    void checkNames(const std::vector<PlacedName>& names, std::string_view key, TomlFaults& faults)
+    {
+        std::set<std::string> seen;
+        for (const auto& [name, node] : names) {
+            if (name.empty())
+                faults.add(node, key, "expected a name that is not empty");
+            else if (!seen.insert(name).second)
+                faults.add(node, key, fmt::format("'{}' stands twice", name));
+        }
+    }
+
+    void checkTogether(const toml::table& document, const EnvironmentConfig& config, TomlFaults& faults)
+    {
+        checkNames(namesOfTables(document, "team"), "team.name", faults);
+        checkNames(callersIn(document), "team.callers", faults);
+        checkNames(namesOfTables(document, "service"), "service.name", faults);
+        checkNames(namesIn(document, "data_centres"), "data_centres", faults);
         if (config.dataCentres.empty())
-            faults.add(nullptr, "data_centres", "expected at least one");
+            faults.add(document.get("data_centres"), "data_centres", "expected at least one");
         if (config.deployment.empty())
-            faults.add(nullptr, "deployment", "expected a name");
+            faults.add(document.get("deployment"), "deployment", "expected a name");
     }
 
 } // namespace
@@ -90,7 +132,7 @@
     }
     EnvironmentConfig config;
     TomlSection root(&document, "", faults);
-    // The former name of the key is still read.
+    // Former name of the key.
     root.text("environment", config.deployment);
     root.text("deployment", config.deployment);
     root.texts("data_centres", config.dataCentres);
@@ -109,7 +151,7 @@
         config.services.push_back(service);
     });
     root.finish();
-    checkTogether(config, faults);
+    checkTogether(document, config, faults);
     if (!faults.empty())
         return bad(faults.text());
     config.digest = digestOf(text);
--- /dev/null
+++ b/test/base/EnvironmentDocumentTest.cpp
@@ -0,0 +1,58 @@
+#include "base/EnvironmentDocument.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+const std::string good = R"(deployment = "yard"
+data_centres = ["dc-a", "dc-b"]
+[[team]]
+name = "stables"
+callers = ["one"]
+[[service]]
+name = "dispatch"
+)";
+
+void expectFault(const std::string& text, const std::string& expected)
+{
+    const auto config = parseEnvironment(text, "doc.toml");
+    const std::string faults = config.has_value() ? "no fault" : config.assume_error().message;
+    cr_assert(faults.find(expected) != std::string::npos, "expected '%s' in '%s'", expected.c_str(), faults.c_str());
+}
+
+} // namespace
+
+Test(EnvironmentDocument, readsAGoodDocument)
+{
+    const auto config = parseEnvironment(good, "doc.toml");
+    cr_assert(config.has_value());
+    cr_assert(config.assume_value().deployment == "yard");
+    cr_assert(config.assume_value().teams.size() == 1);
+}
+
+Test(EnvironmentDocument, namesTheLineOfATeamThatStandsTwice)
+{
+    expectFault(good + "[[team]]\nname = \"stables\"\n", "doc.toml:9: team.name: 'stables' stands twice");
+}
+
+Test(EnvironmentDocument, namesTheLineOfACallerInTwoTeams)
+{
+    expectFault(good + "[[team]]\nname = \"other\"\ncallers = [\"two\",\n\"one\"]\n", "doc.toml:11: team.callers: 'one'");
+}
+
+Test(EnvironmentDocument, namesTheLineOfAnEmptyName)
+{
+    expectFault(good + "[[service]]\nname = \"\"\n", "doc.toml:9: service.name: expected a name");
+}
+
+Test(EnvironmentDocument, namesTheLineOfAnUnknownKey)
+{
+    expectFault(good + "limit = 3\n", "doc.toml:8: service.limit: unknown key");
+}
+
+Test(EnvironmentDocument, refusesADocumentWithoutDataCentres)
+{
+    expectFault("deployment = \"yard\"\ndata_centres = []\n", "doc.toml:2: data_centres: expected at least one");
+}
--- /dev/null
+++ b/test/base/EventRingTest.cpp
@@ -0,0 +1,144 @@
+#include "base/EventRing.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr std::size_t processCount = 5;
+constexpr int steps = 400;
+
+// A process with its own clock, and what it knows by messages: the events from which its next one follows.
+struct Node {
+    explicit Node(const std::string& name)
+        : ring(name, 10'000, clock)
+    {
+    }
+
+    LogicalClock clock;
+    EventRing ring;
+    std::set<std::string> known;
+};
+
+struct Message {
+    std::uint64_t stamp { 0 };
+    std::set<std::string> known;
+};
+
+std::string nameOf(const Event& event) { return fmt::format("{}#{}", event.instance, event.sequence); }
+
+// A random exchange of messages, each delivered at any later time or never.
+class Exchange {
+public:
+    explicit Exchange(unsigned seed)
+        : m_random(seed)
+    {
+        for (std::size_t i = 0; i < processCount; ++i)
+            m_nodes.push_back(std::make_unique<Node>(fmt::format("node-{}", i)));
+    }
+
+    void run()
+    {
+        for (int i = 0; i < steps; ++i) {
+            Node& node = *m_nodes[below(processCount)];
+            switch (below(3)) {
+            case 0:
+                record(node);
+                break;
+            case 1:
+                m_messages.push_back({ .stamp = node.clock.stamp(), .known = node.known });
+                break;
+            default:
+                receive(node);
+            }
+        }
+    }
+
+    // Every event, under wall clocks that have nothing to do with one another.
+    std::vector<Event> events()
+    {
+        std::vector<Event> all;
+        for (const auto& node : m_nodes) {
+            const std::int64_t offset = static_cast<std::int64_t>(below(1'000'000));
+            for (auto event : node->ring.since(0)) {
+                event.unixTime = { offset + static_cast<std::int64_t>(below(1'000)) };
+                all.push_back(event);
+            }
+        }
+        std::shuffle(all.begin(), all.end(), m_random);
+        return all;
+    }
+
+    // By name of an event, those that it follows from.
+    const std::map<std::string, std::set<std::string>>& causes() const { return m_causes; }
+
+private:
+    std::size_t below(std::size_t bound) { return m_random() % bound; }
+
+    void record(Node& node)
+    {
+        node.ring.record(EventKind::TaskQueued);
+        const auto name = nameOf(node.ring.since(0).back());
+        m_causes[name] = node.known;
+        node.known.insert(name);
+    }
+
+    void receive(Node& node)
+    {
+        if (m_messages.empty())
+            return;
+        const Message& message = m_messages[below(m_messages.size())];
+        node.clock.witness(message.stamp);
+        node.known.insert(message.known.begin(), message.known.end());
+    }
+
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<Message> m_messages;
+    std::map<std::string, std::set<std::string>> m_causes;
+};
+
+} // namespace
+
+Test(EventRing, noEventStandsBeforeOneThatItFollowsFromWhateverTheClocksSay)
+{
+    for (unsigned seed = 1; seed <= 30; ++seed) {
+        Exchange exchange(seed);
+        exchange.run();
+        std::set<std::string> seen;
+        for (const auto& event : mergeEvents(exchange.events())) {
+            for (const auto& cause : exchange.causes().at(nameOf(event)))
+                cr_assert(seen.contains(cause), "seed %u: %s stands before %s, from which it follows", seed,
+                    nameOf(event).c_str(), cause.c_str());
+            seen.insert(nameOf(event));
+        }
+        cr_assert(seen.size() == exchange.causes().size());
+    }
+}
+
+Test(EventRing, concurrentEventsStandByTheirWallClock)
+{
+    const Event late { .instance = "a", .sequence = 1, .logical = 4, .unixTime = { 20 } };
+    const Event early { .instance = "b", .sequence = 1, .logical = 4, .unixTime = { 10 } };
+    const auto merged = mergeEvents({ late, early });
+    cr_assert(merged[0].instance == "b", "expected b first, got %s", merged[0].instance.c_str());
+}
+
+Test(EventRing, countsWhatItForgets)
+{
+    LogicalClock clock;
+    EventRing ring("node", 3, clock);
+    for (int i = 0; i < 5; ++i)
+        ring.record(EventKind::TaskQueued);
+    cr_assert(ring.forgotten() == 2, "expected 2, got %zu", static_cast<std::size_t>(ring.forgotten()));
+    cr_assert(ring.since(0).size() == 3);
+    cr_assert(ring.since(0).front().sequence == 3);
+}
--- /dev/null
+++ b/test/policy/ViewDeltaTest.cpp
@@ -0,0 +1,129 @@
+#include "policy/ViewDelta.h"
+
+#include "policy/ControlState.h"
+#include "wire/MessageCodec.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <random>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr int histories = 40;
+constexpr int changes = 300;
+constexpr std::size_t kept = 50;
+
+// Control under random changes of one environment, with every view that there was.
+class History {
+public:
+    explicit History(unsigned seed)
+        : m_random(seed)
+        , m_state(ControlStateOptions { .keptViewChanges = kept })
+    {
+        views.push_back(environment().view);
+    }
+
+    void change()
+    {
+        const Milliseconds now { 1'000 + static_cast<std::int64_t>(views.size()) };
+        m_state.apply({ .stampUnix = now, .change = next() });
+        if (environment().view.version != views.back().version)
+            views.push_back(environment().view);
+    }
+
+    const EnvironmentRecord& environment() const { return *m_state.environment(productionEnvironment); }
+
+    std::vector<ClusterView> views;
+
+private:
+    std::uint64_t below(std::uint64_t bound) { return m_random() % bound; }
+
+    decltype(ControlCommand::change) next()
+    {
+        const auto& view = environment().view;
+        switch (below(5)) {
+        case 0:
+        case 1:
+            return OpenSessionRequest { .node = { .instance = fmt::format("node-{}", below(20)), .service = "s" } };
+        case 2:
+            return CloseSession { .session = view.members.empty() ? SessionId {}
+                                                                  : view.members[below(view.members.size())].id };
+        case 3:
+            return DataCentreChange { .dataCentre = fmt::format("dc-{}", below(2)), .out = below(2) == 0 };
+        default:
+            return AcceptDocument { .change = { .baseVersion = view.config.version,
+                                        .changeId = fmt::format("change-{}", ++m_changes) },
+                .config = { .digest = fmt::format("digest-{}", below(3)), .dataCentres = { "dc-0", "dc-1" } } };
+        }
+    }
+
+    std::mt19937_64 m_random;
+    ControlState m_state;
+    std::uint64_t m_changes { 0 };
+};
+
+KnownView knownOf(const ClusterView& view)
+{
+    return { .version = view.version, .configVersion = view.config.version, .configDigest = view.config.digest };
+}
+
+std::string textOf(const ClusterView& view) { return writeJson(toJson(view)); }
+
+} // namespace
+
+Test(ViewDelta, leadsFromAnyKeptViewToTheCurrentOne)
+{
+    for (unsigned seed = 1; seed <= histories; ++seed) {
+        History history(seed);
+        for (int i = 0; i < changes; ++i)
+            history.change();
+        const std::string expected = textOf(history.environment().view);
+        for (ClusterView view : history.views) {
+            const std::uint64_t from = view.version;
+            const bool isKept = from > 0 && from + kept >= history.environment().view.version;
+            const auto delta = viewDelta(history.environment(), knownOf(view));
+            cr_assert(delta.has_value() == isKept, "seed %u from %zu: expected %s", seed,
+                static_cast<std::size_t>(from), isKept ? "a difference" : "the whole view");
+            if (!delta)
+                continue;
+            const auto carried = fromJson<ViewDelta>(toJson(*delta));
+            cr_assert(applyDelta(view, carried.assume_value()));
+            const std::string actual = textOf(view);
+            cr_assert(actual == expected, "seed %u from %zu: expected %s, got %s", seed,
+                static_cast<std::size_t>(from), expected.c_str(), actual.c_str());
+        }
+    }
+}
+
+Test(ViewDelta, carriesTheConfigurationOnlyWhenItIsAnother)
+{
+    History history(3);
+    for (int i = 0; i < changes; ++i)
+        history.change();
+    KnownView known = knownOf(history.environment().view);
+    --known.version;
+    const auto same = viewDelta(history.environment(), known);
+    cr_assert(same.has_value());
+    cr_assert(!same->config);
+    known.configDigest = "another";
+    cr_assert(viewDelta(history.environment(), known)->config.has_value());
+}
+
+Test(ViewDelta, doesNotFitAnotherView)
+{
+    ClusterView view { .version = 5 };
+    cr_assert(!applyDelta(view, { .fromVersion = 4, .version = 6 }));
+    cr_assert(view.version == 5);
+}
+
+Test(ViewDelta, givesTheWholeToOneThatNamesAViewThatNeverWas)
+{
+    History history(4);
+    history.change();
+    KnownView known = knownOf(history.environment().view);
+    known.version += 10;
+    cr_assert(!viewDelta(history.environment(), known));
+}
