Calls and requests end in time, and an unreadable answer is unknown

Cause: evhttp's timeout counts silence, so a peer that trickles stretched a call without end (red: aTricklingPeerCannotStretchTheTimeout, 20 s), and a later call's timeout ended the earlier one on the same connection (red: the waiting call went out). An answer that was not JSON, or of the wrong type, came back as bad_request with ran: no, although the peer had had the call (red: RpcTest on the answer 5). The server neither bounded connections nor the time that a request may take to arrive. Change: a total timer per call; the timeout of a connection is that of the call under way; a call that never went out says ran: no. HttpServer counts connections through references to their bufferevents, stops accepting at a limit, and answers a slow sender with 408. Every method reaches the handler. Not covered: evhttp 2.1 has no hook for its own error pages, so a header over 16 KiB and a body over four times the limit get its plain 4xx page.

--- a/src/wire/ControlClient.h
+++ b/src/wire/ControlClient.h
@@ -28,10 +28,8 @@
     void callTyped(Lane lane, const std::string& method, const Request& request, Milliseconds timeout,
         std::function<void(Result<Response>)> callback)
     {
-        call(lane, method, toJson(request), timeout, [callback = std::move(callback)](Result<Json::Value> value) {
-            if (!value.has_value())
-                return callback(std::move(value).assume_error());
-            callback(fromJson<Response>(value.assume_value()));
+        call(lane, method, toJson(request), timeout, [callback = std::move(callback)](const Result<Json::Value>& value) {
+            callback(readAnswer<Response>(value, "control"));
         });
     }
 
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -5,15 +5,17 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace oleanderport {
 
 struct HttpConnection::PendingCall {
+    HttpConnection* connection { nullptr };
     HttpCallback callback;
-    std::string address;
-    std::shared_ptr<bool> alive;
+    evhttp_request* request { nullptr };
     std::optional<evhttp_request_error> error;
+    std::unique_ptr<EventLoop::Timer> timer;
 
     static void failed(evhttp_request_error error, void* self) { static_cast<PendingCall*>(self)->error = error; }
 };
@@ -41,6 +43,9 @@
         return answer;
     }
 
+    // evhttp's timeout ends a silent call and a connect, and knows whether the call was sent. The total comes just
+    // after it and ends the rest: an answer that trickles in, or the wait behind a slow call.
+    constexpr Milliseconds totalSlack { 50 };
     constexpr std::int64_t millisecondsPerSecond = 1000;
     constexpr std::int64_t microsecondsPerMillisecond = 1000;
 
@@ -49,7 +54,6 @@
 HttpConnection::HttpConnection(EventLoop& loop, std::string address)
     : m_loop(loop)
     , m_address(std::move(address))
-    , m_alive(std::make_shared<bool>(true))
 {
     const auto endpoint = parseEndpoint(m_address);
     if (!endpoint.has_value())
@@ -62,7 +66,6 @@
 
 HttpConnection::~HttpConnection()
 {
-    *m_alive = false;
     if (m_connection)
         evhttp_connection_free(m_connection);
 }
@@ -77,10 +80,13 @@
             .message = "not an IP:port" });
         return;
     }
-    auto* pending = new PendingCall {
-        .callback = std::move(callback), .address = m_address, .alive = m_alive, .error = std::nullopt
-    };
+    m_pending.push_back(std::make_unique<PendingCall>());
+    PendingCall* pending = m_pending.back().get();
+    pending->connection = this;
+    pending->callback = std::move(callback);
+    pending->timer = m_loop.once(message.timeout + totalSlack, [this, pending] { expire(pending); });
     evhttp_request* request = evhttp_request_new(&HttpConnection::finished, pending);
+    pending->request = request;
     evhttp_request_set_error_cb(request, &PendingCall::failed);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", m_address.c_str());
@@ -88,15 +94,39 @@
     evbuffer_add(evhttp_request_get_output_buffer(request), message.body.data(), message.body.size());
     const timeval timeout { static_cast<time_t>(message.timeout.count / millisecondsPerSecond),
         static_cast<suseconds_t>(message.timeout.count % millisecondsPerSecond * microsecondsPerMillisecond) };
-    evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    // The timeout belongs to the connection: changing it here would end an earlier call too soon.
+    if (m_pending.size() == 1)
+        evhttp_connection_set_timeout_tv(m_connection, &timeout);
     evhttp_make_request(m_connection, request, commandOf(message.method), message.path.c_str());
 }
 
+std::unique_ptr<HttpConnection::PendingCall> HttpConnection::takePending(PendingCall* pending)
+{
+    const auto position = std::find_if(
+        m_pending.begin(), m_pending.end(), [pending](const auto& each) { return each.get() == pending; });
+    auto taken = std::move(*position);
+    m_pending.erase(position);
+    return taken;
+}
+
+void HttpConnection::expire(PendingCall* pending)
+{
+    const bool underWay = m_pending.front().get() == pending;
+    // Neither evhttp's callback nor a timer follows a cancelled request.
+    const auto taken = takePending(pending);
+    evhttp_cancel_request(taken->request);
+    taken->callback(Error { .code = ErrorCode::Timeout,
+        .ran = underWay ? Ran::Unknown : Ran::No,
+        .step = "http.call",
+        .peer = m_address,
+        .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
+}
+
 void HttpConnection::finished(evhttp_request* request, void* data)
 {
-    const std::unique_ptr<PendingCall> pending(static_cast<PendingCall*>(data));
-    if (!*pending->alive)
-        return;
+    auto* ended = static_cast<PendingCall*>(data);
+    const std::string peer = ended->connection->address();
+    const auto pending = ended->connection->takePending(ended);
     const int status = request ? evhttp_request_get_response_code(request) : 0;
     if (request && status != 0 && !pending->error) {
         pending->callback(readAnswer(request));
@@ -108,7 +138,7 @@
     pending->callback(Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
         .ran = neverSent ? Ran::No : Ran::Unknown,
         .step = "http.call",
-        .peer = pending->address,
+        .peer = peer,
         .message = timedOut ? "no answer in time" : neverSent ? "cannot connect"
                                                               : "connection lost" });
 }
--- a/src/wire/HttpClient.h
+++ b/src/wire/HttpClient.h
@@ -5,6 +5,7 @@
 #include "wire/HttpServer.h"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,7 @@
     HttpMethod method { HttpMethod::Post };
     std::string path;
     std::string body;
+    // From the call to the last byte of its answer, the wait for earlier calls included.
     Milliseconds timeout {};
 };
 
@@ -28,8 +30,8 @@
 using HttpCallback = std::function<void(Result<HttpAnswer>)>;
 
 // One persistent connection to one peer. Calls made while one is under way wait in order. After an error the next
-// call connects anew. Errors: Unavailable when no whole answer came (ran is No only when the connection was never
-// made), Timeout when it took too long.
+// call connects anew. Errors: Unavailable when no whole answer came, Timeout when it took too long; ran is No only
+// when the call was never sent. Callbacks are not called once this object is destroyed; a callback may destroy it.
 class HttpConnection {
 public:
     // `address` is "IP:port".
@@ -44,12 +46,14 @@
 private:
     struct PendingCall;
     static void finished(evhttp_request*, void* pending);
+    void expire(PendingCall*);
+    std::unique_ptr<PendingCall> takePending(PendingCall*);
 
     EventLoop& m_loop;
     std::string m_address;
     evhttp_connection* m_connection { nullptr };
-    // Shared with calls under way, so that a callback knows when this object is gone.
-    std::shared_ptr<bool> m_alive;
+    // In the order of the calls; the first is the one under way.
+    std::list<std::unique_ptr<PendingCall>> m_pending;
 };
 
 } // namespace oleanderport
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -1,12 +1,19 @@
 #include "wire/HttpServer.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <fmt/format.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <charconv>
+#include <map>
+#include <string_view>
 
 namespace oleanderport {
 
@@ -18,6 +25,13 @@
     constexpr std::size_t hardLimitFactor = 4;
     constexpr std::int64_t millisecondsPerSecond = 1000;
 
+    constexpr Milliseconds sweepPeriod { 250 };
+    constexpr ev_uint16_t everyMethod = 0xffff;
+    constexpr std::string_view tooSlowAnswer
+        = "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nConnection: close\r\n"
+          "Content-Length: 106\r\n\r\n"
+          R"({"error":{"code":"timeout","ran":"no","step":"http","peer":"","message":"sent too slowly","retryAfter":0}})";
+
     HttpMethod methodOf(evhttp_request* request)
     {
         switch (evhttp_request_get_command(request)) {
@@ -54,6 +68,85 @@
 
 } // namespace
 
+// evhttp tells of requests only once they are whole, and never of a closed connection. So each connection's
+// bufferevent is referenced here from its start, its input is watched, and a sweep lets it go once evhttp has.
+struct HttpServer::Connections {
+    struct Connection {
+        // When the first byte of an unfinished request came; unset between requests and while one is handled.
+        std::optional<Milliseconds> receivingSince;
+        std::size_t openRequests { 0 };
+        bool cutOff { false };
+    };
+
+    ~Connections()
+    {
+        for (const auto& [connection, state] : all)
+            release(connection, state.get());
+    }
+
+    void add(bufferevent* connection)
+    {
+        bufferevent_incref(connection);
+        auto state = std::make_shared<Connection>();
+        evbuffer_add_cb(bufferevent_get_input(connection), &Connections::inputChanged, state.get());
+        all[connection] = std::move(state);
+    }
+
+    static void inputChanged(evbuffer*, const evbuffer_cb_info* change, void* state)
+    {
+        auto* connection = static_cast<Connection*>(state);
+        if (change->n_added > 0 && !connection->receivingSince)
+            connection->receivingSince = Clock::now();
+    }
+
+    // evhttp takes its callbacks off when it frees a connection.
+    static bool isFreed(bufferevent* connection)
+    {
+        bufferevent_data_cb read = nullptr;
+        bufferevent_data_cb write = nullptr;
+        bufferevent_event_cb event = nullptr;
+        bufferevent_getcb(connection, &read, &write, &event, nullptr);
+        return !read && !write && !event;
+    }
+
+    static void release(bufferevent* connection, Connection* state)
+    {
+        evbuffer_remove_cb(bufferevent_get_input(connection), &Connections::inputChanged, state);
+        bufferevent_decref(connection);
+    }
+
+    void sweep(Milliseconds now)
+    {
+        for (auto position = all.begin(); position != all.end();) {
+            bufferevent* connection = position->first;
+            if (isFreed(connection)) {
+                release(connection, position->second.get());
+                position = all.erase(position);
+                continue;
+            }
+            Connection& state = *position->second;
+            const bool tooSlow = state.openRequests == 0 && !state.cutOff && state.receivingSince
+                && now > *state.receivingSince + requestTimeout;
+            if (tooSlow)
+                cutOff(connection, state);
+            ++position;
+        }
+    }
+
+    // Closed below evhttp, which then meets the end of its input and frees the connection.
+    static void cutOff(bufferevent* connection, Connection& state)
+    {
+        state.cutOff = true;
+        const evutil_socket_t socket = bufferevent_getfd(connection);
+        (void)::send(socket, tooSlowAnswer.data(), tooSlowAnswer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        ::shutdown(socket, SHUT_RDWR);
+    }
+
+    std::map<bufferevent*, std::shared_ptr<Connection>> all;
+    Milliseconds requestTimeout {};
+    std::size_t most { 0 };
+};
+
 HttpResponder::HttpResponder(evhttp_request* request)
     : m_request(request)
 {
@@ -91,14 +184,27 @@
     evbuffer_free(body);
 }
 
-HttpServer::HttpServer(EventLoop& loop, HttpHandler handler)
+HttpServer::HttpServer(EventLoop& loop, const HttpServerOptions& options, HttpHandler handler)
     : m_handler(std::move(handler))
     , m_http(evhttp_new(loop.base()))
     , m_openRequests(std::make_shared<std::size_t>(0))
+    , m_connections(std::make_shared<Connections>())
 {
-    evhttp_set_allowed_methods(m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT);
+    m_connections->requestTimeout = options.requestTimeout;
+    m_connections->most = options.maxConnections;
+    // A method that is not served gets a typed error from the handler, not evhttp's page.
+    evhttp_set_allowed_methods(m_http, everyMethod);
     evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(maxHeaderBytes));
+    evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(options.maxBodyBytes * hardLimitFactor));
+    if (options.idleTimeout.count > 0)
+        evhttp_set_timeout(m_http, static_cast<int>(options.idleTimeout.count / millisecondsPerSecond));
     evhttp_set_gencb(m_http, &HttpServer::received, this);
+    evhttp_set_bevcb(m_http, &HttpServer::accept, this);
+    m_sweep = loop.every(sweepPeriod, [this] {
+        m_connections->sweep(Clock::now());
+        if (m_socket && m_connections->all.size() < m_connections->most)
+            evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
+    });
 }
 
 HttpServer::~HttpServer() { evhttp_free(m_http); }
@@ -107,10 +213,7 @@
     EventLoop& loop, const HttpServerOptions& options, HttpHandler handler)
 {
     BOOST_OUTCOME_TRY(const auto endpoint, parseEndpoint(options.address));
-    std::unique_ptr<HttpServer> server(new HttpServer(loop, std::move(handler)));
-    evhttp_set_max_body_size(server->m_http, static_cast<ev_ssize_t>(options.maxBodyBytes * hardLimitFactor));
-    if (options.idleTimeout.count > 0)
-        evhttp_set_timeout(server->m_http, static_cast<int>(options.idleTimeout.count / millisecondsPerSecond));
+    std::unique_ptr<HttpServer> server(new HttpServer(loop, options, std::move(handler)));
     server->m_socket = evhttp_bind_socket_with_handle(server->m_http, endpoint.ip.c_str(), endpoint.port);
     if (!server->m_socket) {
         return Error { .code = ErrorCode::Unavailable,
@@ -130,6 +233,29 @@
     m_socket = nullptr;
 }
 
+std::uint16_t HttpServer::port() const
+{
+    sockaddr_storage address {};
+    socklen_t size = sizeof(address);
+    if (!m_socket
+        || getsockname(evhttp_bound_socket_get_fd(m_socket), reinterpret_cast<sockaddr*>(&address), &size) != 0)
+        return 0;
+    // The port stands at the same place for both address families.
+    return ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+}
+
+std::size_t HttpServer::connections() const { return m_connections->all.size(); }
+
+bufferevent* HttpServer::accept(event_base* base, void* self)
+{
+    auto* server = static_cast<HttpServer*>(self);
+    bufferevent* connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    server->m_connections->add(connection);
+    if (server->m_socket && server->m_connections->all.size() >= server->m_connections->most)
+        evconnlistener_disable(evhttp_bound_socket_get_listener(server->m_socket));
+    return connection;
+}
+
 void HttpServer::received(evhttp_request* request, void* self)
 {
     auto* server = static_cast<HttpServer*>(self);
@@ -141,9 +267,17 @@
         .body = bodyOf(request) };
     auto counter = server->m_openRequests;
     ++*counter;
-    std::shared_ptr<HttpResponder> responder(new HttpResponder(request), [counter](HttpResponder* self) {
+    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+    const std::shared_ptr<Connections::Connection> state = server->m_connections->all.at(connection);
+    ++state->openRequests;
+    state->receivingSince.reset();
+    std::shared_ptr<HttpResponder> responder(new HttpResponder(request), [counter, state](HttpResponder* self) {
         delete self;
         --*counter;
+        --state->openRequests;
+        // Bytes of a further request may have come meanwhile; its time counts from here.
+        if (state->receivingSince)
+            state->receivingSince = Clock::now();
     });
     server->m_handler(std::move(message), std::move(responder));
 }
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -7,6 +7,8 @@
 #include <memory>
 #include <string>
 
+struct bufferevent;
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -58,11 +60,18 @@
 struct HttpServerOptions {
     // "IP:port".
     std::string address;
+    // A body over this and up to four times as long reaches the handler, which gives its own error; a longer one is
+    // refused with status 413 by evhttp.
     std::size_t maxBodyBytes { 0 };
     Milliseconds idleTimeout {};
+    // From the first byte of a request to its last. A slower sender is answered with status 408 and cut off.
+    Milliseconds requestTimeout { 30'000 };
+    // Connections that may be open; further ones wait in the listening socket's queue.
+    std::size_t maxConnections { 10'000 };
 };
 
-// An evhttp server. Every request goes to one handler, which may answer later.
+// An evhttp server. Every request goes to one handler, which may answer later. What is no HTTP, or has more than
+// 16 KiB of header, is refused by evhttp itself with a plain page and never reaches the handler.
 class HttpServer {
 public:
     // Fails with Unavailable when the address cannot be bound.
@@ -74,17 +83,28 @@
     // Accepts no further connections; open ones stay.
     void stopAccepting();
 
+    // Port that is bound; of use when the address asked for port 0.
+    std::uint16_t port() const;
+
+    // Connections that are open, as of the last sweep.
+    std::size_t connections() const;
+
     // Requests that have been received and not yet answered.
     std::size_t openRequests() const { return *m_openRequests; }
 
 private:
-    HttpServer(EventLoop&, HttpHandler);
+    struct Connections;
+
+    HttpServer(EventLoop&, const HttpServerOptions&, HttpHandler);
+    static bufferevent* accept(event_base*, void* self);
     static void received(evhttp_request*, void* self);
 
     HttpHandler m_handler;
     evhttp* m_http;
     evhttp_bound_socket* m_socket { nullptr };
     std::shared_ptr<std::size_t> m_openRequests;
+    std::shared_ptr<Connections> m_connections;
+    std::unique_ptr<EventLoop::Timer> m_sweep;
 };
 
 // Splits "IP:port". Fails with BadSettings on anything else.
--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -51,15 +51,15 @@
     {
         if (!answer.has_value())
             return answer.assume_error();
-        BOOST_OUTCOME_TRY(const auto value, parseJson(answer.assume_value().body));
+        const auto parsed = parseJson(answer.assume_value().body);
+        if (!parsed.has_value())
+            return unreadableAnswer(peer, "not JSON");
+        const Json::Value& value = parsed.assume_value();
         const Json::Value& first = value.isArray() && !value.empty() ? value[0] : value;
-        if (!first.isObject() || first["jsonrpc"] != "2.0") {
-            return Error { .code = ErrorCode::Unavailable,
-                .ran = Ran::Unknown,
-                .step = "rpc.answer",
-                .peer = peer,
-                .message = "not a JSON-RPC answer" };
-        }
+        const bool isAnswer = first.isObject() && first["jsonrpc"] == "2.0"
+            && (first.isMember("result") || first.isMember("error"));
+        if (!isAnswer)
+            return unreadableAnswer(peer, "not a JSON-RPC answer");
         if (first.isMember("error"))
             return errorFromJson(first["error"]["data"], peer);
         return first["result"];
@@ -67,6 +67,15 @@
 
 } // namespace
 
+Error unreadableAnswer(const std::string& peer, const std::string& why)
+{
+    return Error { .code = ErrorCode::Unavailable,
+        .ran = Ran::Unknown,
+        .step = "rpc.answer",
+        .peer = peer,
+        .message = why };
+}
+
 void RpcServer::add(const std::string& name, RpcMethod method) { m_methods[name] = std::move(method); }
 
 void RpcServer::serve(const HttpRequest& request, std::shared_ptr<HttpResponder> responder)
--- a/src/wire/Rpc.h
+++ b/src/wire/Rpc.h
@@ -50,6 +50,21 @@
     std::map<std::string, RpcMethod> m_methods;
 };
 
+// The error for an answer that cannot be read. The peer has had the call, so ran is Unknown.
+Error unreadableAnswer(const std::string& peer, const std::string& why);
+
+// Reads a typed answer of a peer.
+template <typename Response>
+Result<Response> readAnswer(const Result<Json::Value>& value, const std::string& peer)
+{
+    if (!value.has_value())
+        return value.assume_error();
+    Result<Response> response = fromJson<Response>(value.assume_value());
+    if (!response.has_value())
+        return unreadableAnswer(peer, response.assume_error().message);
+    return response;
+}
+
 // Calls methods of one peer over one connection, in order.
 class RpcClient {
 public:
@@ -61,11 +76,10 @@
     void callTyped(const std::string& method, const Request& request, Milliseconds timeout,
         std::function<void(Result<Response>)> callback)
     {
-        call(method, toJson(request), timeout, [callback = std::move(callback)](Result<Json::Value> value) {
-            if (!value.has_value())
-                return callback(std::move(value).assume_error());
-            callback(fromJson<Response>(value.assume_value()));
-        });
+        call(method, toJson(request), timeout,
+            [peer = address(), callback = std::move(callback)](const Result<Json::Value>& value) {
+                callback(readAnswer<Response>(value, peer));
+            });
     }
 
     const std::string& address() const { return m_connection.address(); }
--- /dev/null
+++ b/test/wire/ControlClientTest.cpp
@@ -0,0 +1,125 @@
+#include "wire/ControlClient.h"
+
+#include "support/RawPeer.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+
+using namespace oleanderport;
+
+namespace {
+
+// A control instance that answers "who" with its own address, or names the leader.
+struct Instance {
+    explicit Instance(EventLoop& loop)
+    {
+        auto listening = HttpServer::listen(loop, { .address = "127.0.0.1:0", .maxBodyBytes = 1'000'000 },
+            [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
+                methods.serve(request, std::move(responder));
+            });
+        cr_assert(listening.has_value());
+        server = std::move(listening).assume_value();
+        address = fmt::format("127.0.0.1:{}", server->port());
+        methods.add("who", [this](const Json::Value&, const RpcReply& reply) {
+            ++calls;
+            if (leader.empty())
+                return reply(Json::Value(address));
+            reply(Error { .code = ErrorCode::NotLeader, .ran = Ran::No, .step = "control", .peer = leader });
+        });
+    }
+
+    RpcServer methods;
+    std::unique_ptr<HttpServer> server;
+    std::string address;
+    // Empty when this instance leads.
+    std::string leader;
+    int calls { 0 };
+};
+
+Result<Json::Value> ask(EventLoop& loop, ControlClient& client, Milliseconds timeout)
+{
+    std::optional<Result<Json::Value>> end;
+    client.call(ControlClient::Lane::Work, "who", {}, timeout,
+        [&end](const Result<Json::Value>& answer) { end = answer; });
+    cr_assert(runUntil(loop, [&end] { return end.has_value(); }), "expected the client to give up in time");
+    return *end;
+}
+
+} // namespace
+
+Test(ControlClient, followsTheNamedLeaderAndRemembersIt)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    Instance three(loop);
+    one.leader = three.address;
+    two.leader = three.address;
+    ControlClient client(loop, { one.address, two.address, three.address });
+    const auto answer = ask(loop, client, { 10'000 });
+    cr_assert(answer.has_value());
+    cr_assert(answer.assume_value() == three.address);
+    cr_assert(two.calls == 0, "expected no call to an instance that was not named");
+    cr_assert(ask(loop, client, { 10'000 }).has_value());
+    cr_assert(one.calls == 1 && three.calls == 2);
+}
+
+Test(ControlClient, passesOverAnInstanceThatIsGone)
+{
+    EventLoop loop;
+    std::string gone;
+    {
+        const RawServer closed(loop, {});
+        gone = closed.address();
+    }
+    Instance live(loop);
+    ControlClient client(loop, { gone, live.address });
+    const auto answer = ask(loop, client, { 10'000 });
+    cr_assert(answer.has_value());
+}
+
+Test(ControlClient, passesOverAFrozenInstanceWithinTheTimeout)
+{
+    EventLoop loop;
+    const RawServer frozen(loop, {});
+    Instance live(loop);
+    ControlClient client(loop, { frozen.address(), live.address });
+    cr_assert(ask(loop, client, { 3'000 }).has_value());
+}
+
+Test(ControlClient, givesUpInTimeWhenInstancesNameEachOther)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    one.leader = two.address;
+    two.leader = one.address;
+    ControlClient client(loop, { one.address, two.address });
+    const auto answer = ask(loop, client, { 400 });
+    cr_assert(!answer.has_value());
+    cr_assert(answer.assume_error().code == ErrorCode::Unavailable);
+    cr_assert(answer.assume_error().ran == Ran::No, "no instance took the call");
+}
+
+Test(ControlClient, saysUnknownWhenAnInstanceMayHaveTakenTheCall)
+{
+    EventLoop loop;
+    const RawServer frozen(loop, {});
+    ControlClient client(loop, { frozen.address() });
+    const auto answer = ask(loop, client, { 300 });
+    cr_assert(!answer.has_value());
+    cr_assert(answer.assume_error().ran == Ran::Unknown);
+}
+
+Test(ControlClient, aLeaderThatIsNoPeerIsNotFollowed)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    one.leader = "127.0.0.1:1";
+    ControlClient client(loop, { one.address, two.address });
+    const auto answer = ask(loop, client, { 10'000 });
+    cr_assert(answer.has_value());
+    cr_assert(answer.assume_value() == two.address);
+}
--- /dev/null
+++ b/test/wire/HttpServerTest.cpp
@@ -0,0 +1,177 @@
+#include "wire/HttpServer.h"
+
+#include "support/RawPeer.h"
+#include "wire/Process.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr std::size_t maxBody = 1'000;
+
+// A server whose handler answers each request with its path, and counts.
+struct EchoServer {
+    explicit EchoServer(const HttpServerOptions& options)
+    {
+        auto listening = HttpServer::listen(loop, options,
+            [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+                ++handled;
+                last = request;
+                if (request.path == "/hold") {
+                    held = responder;
+                    return;
+                }
+                responder->reply({ .body = "path:" + request.path });
+            });
+        cr_assert(listening.has_value());
+        server = std::move(listening).assume_value();
+    }
+
+    std::unique_ptr<RawConnection> connect() { return rawConnect(loop, server->port()); }
+
+    // The server still serves others.
+    void expectServing()
+    {
+        const auto other = connect();
+        other->send("GET /alive HTTP/1.1\r\nHost: x\r\n\r\n");
+        cr_assert(runUntil(loop, [&other] { return countOf(other->received(), "path:/alive") == 1; }));
+    }
+
+    EventLoop loop;
+    std::unique_ptr<HttpServer> server;
+    std::shared_ptr<HttpResponder> held;
+    HttpRequest last;
+    int handled { 0 };
+};
+
+HttpServerOptions options() { return { .address = "127.0.0.1:0", .maxBodyBytes = maxBody }; }
+
+std::string post(const std::string& path, std::size_t declared, const std::string& body)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{}", path, declared, body);
+}
+
+} // namespace
+
+Test(HttpServer, servesPipelinedRequestsInOrder)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send("GET /one HTTP/1.1\r\nHost: x\r\n\r\nGET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "path:/two") == 1; }));
+    cr_assert(peer->received().find("path:/one") < peer->received().find("path:/two"));
+}
+
+Test(HttpServer, answersAWholeRequestAndDropsTheGarbageBehindIt)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send("GET /one HTTP/1.1\r\nHost: x\r\n\r\n\x01\x02 garbage without sense\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "path:/one") == 1; }));
+    cr_assert(runUntil(echo.loop, [&peer] { return peer->closedByPeer() || countOf(peer->received(), "HTTP/1.1 4"); }));
+    cr_assert(echo.handled == 1, "expected 1 handled request, got %d", echo.handled);
+    echo.expectServing();
+}
+
+Test(HttpServer, handsEveryMethodToTheHandler)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send("PATCH /any HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "path:/any") == 1; }));
+    cr_assert(echo.last.method == HttpMethod::Other);
+}
+
+Test(HttpServer, letsTheHandlerRefuseABodyALittleOverTheLimit)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send(post("/big", 2 * maxBody, std::string(2 * maxBody, 'x')));
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "path:/big") == 1; }));
+    cr_assert(echo.last.body.size() == 2 * maxBody);
+}
+
+Test(HttpServer, refusesABodyFarOverTheLimitWithoutReadingIt)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send(post("/huge", 100 * maxBody, std::string(5 * maxBody, 'x')));
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "HTTP/1.1 413") == 1; }));
+    cr_assert(echo.handled == 0);
+    echo.expectServing();
+}
+
+Test(HttpServer, refusesTooLargeAHeader)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send("GET /x HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(40'000, 'x') + "\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&peer] { return peer->closedByPeer() || countOf(peer->received(), "HTTP/1.1 4"); }));
+    cr_assert(echo.handled == 0);
+    echo.expectServing();
+}
+
+Test(HttpServer, cutsOffASlowSenderWithATypedError)
+{
+    HttpServerOptions slow = options();
+    slow.requestTimeout = { 200 };
+    EchoServer echo(slow);
+    const auto peer = echo.connect();
+    peer->send("POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n");
+    const auto trickle = echo.loop.every({ 20 }, [&peer] { peer->send("x"); });
+    cr_assert(runUntil(echo.loop, [&peer] { return peer->closedByPeer(); }));
+    cr_assert(countOf(peer->received(), "HTTP/1.1 408") == 1, "got '%s'", peer->received().c_str());
+    cr_assert(countOf(peer->received(), R"("ran":"no")") == 1);
+    cr_assert(echo.handled == 0);
+    echo.expectServing();
+}
+
+Test(HttpServer, aSlowHandlerIsNoSlowSender)
+{
+    HttpServerOptions slow = options();
+    slow.requestTimeout = { 100 };
+    EchoServer echo(slow);
+    const auto peer = echo.connect();
+    peer->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    bool sweptTwice = false;
+    const auto later = echo.loop.once({ 700 }, [&sweptTwice] { sweptTwice = true; });
+    cr_assert(runUntil(echo.loop, [&sweptTwice] { return sweptTwice; }));
+    echo.held->reply({ .body = "late" });
+    echo.held.reset();
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "late") == 1; }));
+}
+
+Test(HttpServer, holdsNoMoreConnectionsThanAllowedAndTakesOthersAfterwards)
+{
+    HttpServerOptions few = options();
+    few.maxConnections = 2;
+    EchoServer echo(few);
+    const auto first = echo.connect();
+    const auto second = echo.connect();
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.server->connections() == 2; }));
+    const auto third = echo.connect();
+    third->send("GET /third HTTP/1.1\r\nHost: x\r\n\r\n");
+    bool waited = false;
+    const auto later = echo.loop.once({ 600 }, [&waited] { waited = true; });
+    cr_assert(runUntil(echo.loop, [&waited] { return waited; }));
+    cr_assert(echo.handled == 0, "a third connection was served beside two");
+    first->close();
+    cr_assert(runUntil(echo.loop, [&third] { return countOf(third->received(), "path:/third") == 1; }));
+}
+
+Test(HttpServer, aResponderOutlivesItsConnection)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    peer->close();
+    // evhttp reads nothing while a request is handled, so it meets the close with the answer.
+    echo.held->reply({ .body = "to nobody" });
+    echo.held.reset();
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.server->connections() == 0; }));
+    cr_assert(echo.server->openRequests() == 0);
+}
