--- a/samples/demo/run.sh
+++ b/samples/demo/run.sh
@@ -38,7 +38,9 @@
     "$build/fake-minion" --listen "127.0.0.1:$((17300 + i))" --sidecar "127.0.0.1:$((17200 + i))" \
         --service echo --name "minion-$i" & pids+=($!)
 done
-until [ "$("$build/oleanderport" status --control "$control" | grep -c '^\(sidecar\|entry\)')" = 14 ]; do sleep 0.1; done
+# Every process has opened its session and knows of all others.
+current() { "$build/oleanderport" status --control "$control" | grep '^\(sidecar\|entry\)' | grep -vc '(behind)'; }
+until [ "$(current)" = 14 ]; do sleep 0.1; done
 
 {
     printf '{"caller":"demo-caller","job":"job-1","team":"demo","service":"echo","tasks":['
