Scenarios: a runner with real processes, and the first three

Cause: at-most-once and whole answers were shown by unit tests of single policies only; nothing ran the real processes through a failure. Ruled out: a harness in shell (no judgement over events), a cluster simulator (not wanted).

Entries and sidecars tell which view they hold (knownView), so that a wait can rest on it.

--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -10,6 +10,16 @@
     , m_callbacks(std::move(callbacks))
     , m_alive(std::make_shared<bool>(true))
 {
+    m_process.rpc.add("knownView", [this](const Json::Value&, const RpcReply& reply) { reply(knownView()); });
+}
+
+Json::Value ControlSession::knownView() const
+{
+    Json::Value value(Json::objectValue);
+    value["version"] = static_cast<Json::UInt64>(m_view.version);
+    value["configurationVersion"] = static_cast<Json::UInt64>(m_view.config.version);
+    value["hasLease"] = hasLease();
+    return value;
 }
 
 void ControlSession::start(const NodeInfo& node)
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -44,6 +44,8 @@
     void renew();
     void take(const SessionResponse&, Milliseconds sentAt);
     void sessionEnded();
+    // Answer of the "knownView" method: what this process has in force, for operators and tests.
+    Json::Value knownView() const;
 
     Process& m_process;
     ControlClient& m_client;
--- /dev/null
+++ b/test/support/FaultRelay.cpp
@@ -0,0 +1,223 @@
+#include "support/FaultRelay.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <deque>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds pumpPeriod { 2 };
+
+    sockaddr_in localAddress(std::uint16_t port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    std::string readAll(bufferevent* stream)
+    {
+        evbuffer* input = bufferevent_get_input(stream);
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        return bytes;
+    }
+
+    bool hasOutput(bufferevent* stream) { return evbuffer_get_length(bufferevent_get_output(stream)) > 0; }
+
+} // namespace
+
+struct FaultRelay::Connection {
+    // Bytes on their way; `client` is null for a repeated request, whose answer nobody gets.
+    struct Held {
+        Milliseconds due {};
+        bool towardsTarget { false };
+        std::string bytes;
+    };
+    FaultRelay* relay { nullptr };
+    bufferevent* client { nullptr };
+    bufferevent* target { nullptr };
+    std::deque<Held> held;
+    // One side has closed: the rest is flushed, then both are.
+    bool closing { false };
+    bool lossy { false };
+
+    ~Connection()
+    {
+        if (client)
+            bufferevent_free(client);
+        if (target)
+            bufferevent_free(target);
+    }
+
+    bool isFlushed() const
+    {
+        return held.empty() && (!client || !hasOutput(client)) && (!target || !hasOutput(target));
+    }
+
+    static void clientReadable(bufferevent*, void* self)
+    {
+        auto* connection = static_cast<Connection*>(self);
+        connection->relay->fromClient(*connection);
+    }
+
+    static void targetReadable(bufferevent*, void* self)
+    {
+        auto* connection = static_cast<Connection*>(self);
+        connection->relay->fromTarget(*connection);
+    }
+
+    static void changed(bufferevent* stream, short what, void* self)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+            return;
+        auto* connection = static_cast<Connection*>(self);
+        connection->closing = true;
+        // What was to go to the side that closed cannot be delivered any more.
+        evbuffer* output = bufferevent_get_output(stream);
+        evbuffer_drain(output, evbuffer_get_length(output));
+        bufferevent_disable(stream, EV_READ | EV_WRITE);
+    }
+};
+
+FaultRelay::FaultRelay(EventLoop& loop, std::uint16_t listenPort, std::uint16_t targetPort)
+    : m_loop(loop)
+    , m_listenPort(listenPort)
+    , m_targetPort(targetPort)
+{
+}
+
+FaultRelay::~FaultRelay()
+{
+    if (m_listener)
+        evconnlistener_free(m_listener);
+}
+
+Result<void> FaultRelay::start()
+{
+    const sockaddr_in address = localAddress(m_listenPort);
+    m_listener = evconnlistener_new_bind(
+        m_loop.base(),
+        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self) {
+            static_cast<FaultRelay*>(self)->accepted(descriptor);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+        reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (!m_listener) {
+        return Error { .code = ErrorCode::Unavailable,
+            .ran = Ran::No,
+            .step = "relay.listen",
+            .peer = std::to_string(m_listenPort),
+            .message = "cannot bind this port" };
+    }
+    m_timer = m_loop.every(pumpPeriod, [this] { pump(); });
+    return boost::outcome_v2::success();
+}
+
+void FaultRelay::setFault(const RelayFault& fault)
+{
+    m_fault = fault;
+    const bool drops = fault.dropRequests || fault.dropAnswers;
+    std::erase_if(m_connections,
+        [&](const auto& connection) { return fault.refuse || (connection->lossy && !drops); });
+}
+
+bufferevent* FaultRelay::connectToTarget()
+{
+    bufferevent* stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    const sockaddr_in address = localAddress(m_targetPort);
+    bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    return stream;
+}
+
+void FaultRelay::accepted(int descriptor)
+{
+    if (m_fault.refuse) {
+        evutil_closesocket(descriptor);
+        return;
+    }
+    auto connection = std::make_unique<Connection>();
+    connection->relay = this;
+    connection->client = bufferevent_socket_new(
+        m_loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    connection->target = connectToTarget();
+    bufferevent_setcb(
+        connection->client, &Connection::clientReadable, nullptr, &Connection::changed, connection.get());
+    bufferevent_setcb(
+        connection->target, &Connection::targetReadable, nullptr, &Connection::changed, connection.get());
+    bufferevent_enable(connection->client, EV_READ | EV_WRITE);
+    bufferevent_enable(connection->target, EV_READ | EV_WRITE);
+    m_connections.push_back(std::move(connection));
+}
+
+void FaultRelay::fromClient(Connection& connection)
+{
+    std::string bytes = readAll(connection.client);
+    if (m_fault.dropRequests) {
+        connection.lossy = true;
+        return;
+    }
+    if (m_fault.repeatAfter.count > 0)
+        repeat(bytes);
+    connection.held.push_back({ .due = Clock::now() + m_fault.delay, .towardsTarget = true, .bytes = std::move(bytes) });
+}
+
+void FaultRelay::fromTarget(Connection& connection)
+{
+    std::string bytes = readAll(connection.target);
+    if (!connection.client)
+        return;
+    if (m_fault.dropAnswers) {
+        connection.lossy = true;
+        return;
+    }
+    if (m_fault.swallowAnswers > 0) {
+        --m_fault.swallowAnswers;
+        ++m_swallowed;
+        connection.closing = true;
+        return;
+    }
+    connection.held.push_back({ .due = Clock::now() + m_fault.delay, .towardsTarget = false, .bytes = std::move(bytes) });
+}
+
+void FaultRelay::repeat(const std::string& bytes)
+{
+    ++m_repeated;
+    auto connection = std::make_unique<Connection>();
+    connection->relay = this;
+    connection->target = connectToTarget();
+    bufferevent_setcb(
+        connection->target, &Connection::targetReadable, nullptr, &Connection::changed, connection.get());
+    bufferevent_enable(connection->target, EV_READ | EV_WRITE);
+    connection->held.push_back(
+        { .due = Clock::now() + m_fault.repeatAfter, .towardsTarget = true, .bytes = bytes });
+    m_connections.push_back(std::move(connection));
+}
+
+void FaultRelay::pump()
+{
+    const Milliseconds now = Clock::now();
+    for (const auto& connection : m_connections) {
+        auto& held = connection->held;
+        while (!held.empty() && held.front().due <= now) {
+            bufferevent* stream = held.front().towardsTarget ? connection->target : connection->client;
+            if (stream)
+                bufferevent_write(stream, held.front().bytes.data(), held.front().bytes.size());
+            held.pop_front();
+        }
+    }
+    // A cut hides from either side that the other has closed.
+    const bool cut = m_fault.dropRequests && m_fault.dropAnswers;
+    std::erase_if(m_connections, [cut](const auto& connection) {
+        return connection->closing && (connection->isFlushed()) && !(cut && connection->client);
+    });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/test/support/Scenario.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+
+namespace oleanderport {
+
+struct ScenarioOptions {
+    // TOML file; docs/PROOFS.md describes its words.
+    std::filesystem::path file;
+    // Folder with the built programs.
+    std::filesystem::path build;
+    // First of the hundred ports that the run may use.
+    std::uint16_t basePort { 0 };
+};
+
+// Runs one scenario with real processes in a temporary folder. Returns an empty text when it holds, otherwise what
+// was expected and what was seen. Every process that it started has ended by then.
+std::string runScenario(const ScenarioOptions&);
+
+} // namespace oleanderport
--- /dev/null
+++ b/test/support/ScenarioDeployment.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "oleanderport/Messages.h"
+#include "support/FaultRelay.h"
+#include "support/ScenarioProcesses.h"
+#include "wire/EventLoop.h"
+
+#include <jsoncpp/json/json.h>
+#include <toml++/toml.h>
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+// Thrown when a scenario does not hold or cannot be run. The text says what was expected and what was seen.
+struct ScenarioFailure : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct DeploymentOptions {
+    // Folder with the built programs.
+    std::filesystem::path build;
+    // Scratch folder of this run.
+    std::filesystem::path folder;
+    // First of the hundred ports that this run may use.
+    std::uint16_t basePort { 0 };
+};
+
+// The processes, settings, relays and addresses of one scenario. Names: control-N, entry-N, sidecar-N, minion-N.
+class ScenarioDeployment {
+public:
+    // Reads the tables "deployment" and "relay" of a scenario.
+    ScenarioDeployment(EventLoop&, const toml::table& scenario, DeploymentOptions);
+
+    // Starts everything and waits until control knows every entry and sidecar, and every entry knows them.
+    void startAll();
+
+    // Starts one process by its name, or by its name a further life of it.
+    void start(const std::string& name);
+
+    // Starts a daemon with a settings text of the scenario's own.
+    void startWith(const std::string& name, const std::string& settings);
+
+    // Asks each process to stop in the order entries, sidecars, minions, control, and waits for each.
+    void stopAll();
+
+    // Runs the loop until the condition holds. Fails after a generous limit with the text that `what` gives.
+    void until(const std::function<bool()>& holds, const std::function<std::string()>& what);
+
+    // One RPC, waited for with a short timeout.
+    Result<Json::Value> call(const std::string& address, const std::string& method, const Json::Value& params);
+
+    // Runs the operators' tool with the addresses of control added and returns its exit code.
+    int runTool(const std::vector<std::string>& arguments);
+
+    // Where a caller or operator reaches the process.
+    std::string address(const std::string& name) const;
+    std::string dataFolder(const std::string& name) const { return m_options.folder / (name + ".data"); }
+    std::string dataCentre(const std::string& name) const;
+    std::vector<std::string> names() const;
+    std::string startsFile(const std::string& minion) const { return m_options.folder / (minion + ".starts"); }
+    std::filesystem::path folder() const { return m_options.folder; }
+    Milliseconds lease() const;
+
+    ScenarioProcesses& processes() { return m_processes; }
+    FaultRelay& relay(const std::string& name);
+    EventLoop& loop() { return m_loop; }
+
+private:
+    struct RelayPlace {
+        std::string to;
+        bool advertised { false };
+        std::vector<std::string> usedBy;
+        std::uint16_t port { 0 };
+        std::unique_ptr<FaultRelay> relay;
+    };
+
+    std::uint16_t port(const std::string& name) const;
+    std::string advertised(const std::string& name) const;
+    std::string settingsText(const std::string& name) const;
+    std::vector<std::string> controlPeers(const std::string& name) const;
+    void startMinion(const std::string& name);
+    void startRelays(const toml::table& scenario);
+    void applyDocument();
+    void awaitMembers();
+
+    EventLoop& m_loop;
+    DeploymentOptions m_options;
+    ScenarioProcesses m_processes;
+    toml::table m_settings;
+    std::string m_document;
+    std::vector<std::string> m_dataCentres;
+    std::int64_t m_controls;
+    std::int64_t m_entries;
+    std::int64_t m_sidecars;
+    std::int64_t m_slots;
+    std::map<std::string, RelayPlace> m_relays;
+    std::map<std::string, int> m_minionLives;
+    int m_toolRuns { 0 };
+};
+
+} // namespace oleanderport
