--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -47,6 +47,8 @@
     void takeView(const SessionResponse&);
     HeartbeatRequest heartbeatRequest() const;
     void sessionEnded();
+    // Answer of the "knownView" method: what this process has in force, for operators and tests.
+    Json::Value knownView() const;
 
     Process& m_process;
     ControlClient& m_client;
