--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -56,6 +56,7 @@
         section.require("peers");
         section.texts("peers", settings.controlPeers);
         section.text("data_folder", settings.dataFolder);
+        section.flag("bootstrap", settings.bootstrap);
         section.time("lease_ms", settings.lease, timeRange);
         section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
         section.time("heartbeat_ms", settings.heartbeat, timeRange);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -22,7 +22,10 @@
 
     // [control]: addresses of all control instances.
     std::vector<std::string> controlPeers;
+    // Where a control instance keeps its state; empty for a single instance that keeps it in memory.
     std::string dataFolder;
+    // A control instance with an empty data folder may found a new group, once all peers are there and empty as well.
+    bool bootstrap { false };
     Milliseconds lease { 3'000 };
     Milliseconds sessionTimeout { 5'000 };
     Milliseconds heartbeat { 500 };
--- a/src/base/TomlReader.cpp
+++ b/src/base/TomlReader.cpp
@@ -54,6 +54,16 @@
     value = node->as_string()->get();
 }
 
+void TomlSection::flag(std::string_view key, bool& value)
+{
+    const toml::node* node = find(key);
+    if (!node)
+        return;
+    if (!node->is_boolean())
+        return fault(key, "expected true or false");
+    value = node->as_boolean()->get();
+}
+
 void TomlSection::number(std::string_view key, std::int64_t& value, NumberRange range)
 {
     const toml::node* node = find(key);
--- a/src/base/TomlReader.h
+++ b/src/base/TomlReader.h
@@ -40,6 +40,7 @@
     void text(std::string_view key, std::string& value);
     void number(std::string_view key, std::int64_t& value, NumberRange);
     void time(std::string_view key, Milliseconds& value, NumberRange);
+    void flag(std::string_view key, bool& value);
     void texts(std::string_view key, std::vector<std::string>& value);
     // Reports the key when it is absent.
     void require(std::string_view key);
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -14,6 +14,9 @@
 
     virtual ~Replicator() = default;
 
+    // Makes the replicator ready. The rest may be called only after it has succeeded.
+    virtual Result<void> start() { return boost::outcome_v2::success(); }
+
     // Commits and applies the change, then calls back. NotLeader (ran: no) names the leader as peer when it is known;
     // Unavailable (ran: unknown) means that the outcome is not known.
     virtual void propose(decltype(ControlCommand::change), Done) = 0;
--- /dev/null
+++ b/src/policy/Raft.cpp
@@ -0,0 +1,320 @@
+#include "policy/Raft.h"
+
+#include <algorithm>
+
+namespace oleanderport {
+
+Raft::Raft(const RaftOptions& options, const RaftStored& stored, Milliseconds now)
+    : m_options(options)
+    , m_self(stored.self)
+    , m_boot(stored.boot)
+    , m_life(stored.life)
+    , m_bootTerm(stored.hard.term)
+    , m_random(options.seed)
+    , m_hard(stored.hard)
+    , m_log(stored)
+    , m_startedAt(now)
+    , m_heardLeaderAt(now)
+{
+    m_bootIndex = m_log.lastIndex();
+    m_synced = m_log.lastIndex();
+    m_commit = m_log.snapshot().index;
+    drawElectionTimeout(now);
+    // An incarnation that is no voter has made no promise that others count on.
+    m_verified = !isVoter() || voters().size() == 1;
+}
+
+RaftActions Raft::take()
+{
+    RaftActions actions = std::move(m_actions);
+    m_actions = {};
+    return actions;
+}
+
+bool Raft::isVoter(const RaftMember& member) const
+{
+    return std::find(voters().begin(), voters().end(), member) != voters().end();
+}
+
+RaftMessage Raft::make(RaftMessageKind kind, const std::string& to) const
+{
+    return RaftMessage { .kind = kind,
+        .to = to,
+        .from = m_self,
+        .boot = m_boot,
+        .life = m_life,
+        .bootTerm = m_bootTerm,
+        .bootIndex = m_bootIndex,
+        .verified = m_verified,
+        .term = m_hard.term };
+}
+
+RaftMessage Raft::answer(RaftMessageKind kind, const RaftMessage& request) const
+{
+    RaftMessage message = make(kind, request.from.address);
+    message.sentAt = request.sentAt;
+    return message;
+}
+
+void Raft::send(RaftMessage message, std::uint64_t afterWrite)
+{
+    const std::uint64_t needed = std::max(afterWrite, m_hardStateWrite);
+    if (needed <= m_syncedWrite)
+        m_actions.send.push_back(std::move(message));
+    else
+        m_held.push_back({ .afterWrite = needed, .message = std::move(message) });
+}
+
+void Raft::write(RaftWrite write)
+{
+    write.number = ++m_lastWrite;
+    if (write.hard)
+        m_hardStateWrite = write.number;
+    // An installed snapshot replaces entries that may differ from it.
+    const bool installs = write.snapshot && write.truncateAfter;
+    const auto truncatedTo = installs ? std::optional<std::uint64_t>(0) : write.truncateAfter;
+    if (truncatedTo)
+        m_synced = std::min(m_synced, *truncatedTo);
+    m_pendingWrites.push_back(
+        { .number = write.number, .lastIndex = m_log.lastIndex(), .truncatedTo = truncatedTo });
+    m_actions.writes.push_back(std::move(write));
+}
+
+void Raft::writeHardState() { write({ .hard = m_hard }); }
+
+RaftActions Raft::written(std::uint64_t number, Milliseconds now)
+{
+    m_syncedWrite = std::max(m_syncedWrite, number);
+    while (!m_pendingWrites.empty() && m_pendingWrites.front().number <= number) {
+        m_synced = m_pendingWrites.front().lastIndex;
+        m_pendingWrites.pop_front();
+    }
+    for (const auto& pending : m_pendingWrites) {
+        if (pending.truncatedTo)
+            m_synced = std::min(m_synced, *pending.truncatedTo);
+    }
+    std::deque<HeldMessage> held;
+    held.swap(m_held);
+    for (auto& message : held)
+        send(std::move(message.message), message.afterWrite);
+    if (leads())
+        advanceCommit();
+    else if (m_role == RaftRole::Candidate && m_votes.size() >= majority() && m_hardStateWrite <= m_syncedWrite)
+        lead(now);
+    return take();
+}
+
+void Raft::drawElectionTimeout(Milliseconds now)
+{
+    const std::int64_t least = m_options.electionLeast.count;
+    const std::int64_t span = m_options.electionMost.count - least;
+    m_electionAt = now + Milliseconds { least + static_cast<std::int64_t>(m_random() % (span + 1)) };
+}
+
+RaftActions Raft::tick(Milliseconds now)
+{
+    if (hasNoGroup() || !m_verified) {
+        if (now >= m_heartbeatAt) {
+            m_heartbeatAt = now + m_options.heartbeat;
+            sayHello(now);
+        }
+        checkVerified(now);
+        if (hasNoGroup())
+            bootstrapIfAllEmpty();
+    }
+    if (leads()) {
+        const Milliseconds patience = m_options.electionLeast;
+        if (now >= m_leadingSince + patience && !majorityAnswered(now, patience))
+            follow(m_hard.term, now);
+    }
+    if (leads()) {
+        changeMembership(now);
+        if (now >= m_heartbeatAt) {
+            m_heartbeatAt = now + m_options.heartbeat;
+            for (auto& [peer, progress] : m_progress)
+                sendHeartbeat(peer, progress, now);
+        }
+    } else if (now >= m_electionAt) {
+        drawElectionTimeout(now);
+        if (m_verified && isVoter())
+            startPreVote(now);
+    }
+    return take();
+}
+
+RaftActions Raft::receive(const RaftMessage& message, Milliseconds now)
+{
+    if (!acceptSender(message))
+        return take();
+    mergeEvidence(message.evidence);
+    if (m_actions.stale)
+        return take();
+    switch (message.kind) {
+    case RaftMessageKind::Hello:
+        receiveHello(message);
+        return take();
+    case RaftMessageKind::HelloReply:
+        receiveHelloReply(message);
+        checkVerified(now);
+        return take();
+    case RaftMessageKind::Stale:
+        return take();
+    case RaftMessageKind::PreVote:
+        receivePreVote(message, now);
+        return take();
+    case RaftMessageKind::Vote:
+        receiveVote(message, now);
+        return take();
+    default:
+        break;
+    }
+    if (message.term > m_hard.term)
+        follow(message.term, now);
+    switch (message.kind) {
+    case RaftMessageKind::PreVoteReply:
+    case RaftMessageKind::VoteReply:
+        receiveVoteReply(message, now);
+        break;
+    case RaftMessageKind::Append:
+        receiveAppend(message, now);
+        break;
+    case RaftMessageKind::AppendReply:
+        receiveAppendReply(message, now);
+        break;
+    case RaftMessageKind::Snapshot:
+        receiveSnapshot(message, now);
+        break;
+    default:
+        receiveSnapshotReply(message, now);
+        break;
+    }
+    return take();
+}
+
+bool Raft::mayVote(Milliseconds now) const
+{
+    if (!m_verified)
+        return false;
+    if (leads())
+        return !isConfirmedLeader(now) && !majorityAnswered(now, m_options.electionLeast);
+    return now >= m_heardLeaderAt + m_options.electionLeast;
+}
+
+bool Raft::isUpToDate(const RaftMessage& message) const
+{
+    if (message.logTerm != m_log.lastTerm())
+        return message.logTerm > m_log.lastTerm();
+    return message.index >= m_log.lastIndex();
+}
+
+void Raft::startPreVote(Milliseconds now)
+{
+    m_role = RaftRole::PreCandidate;
+    m_leader.clear();
+    m_votes = { m_self.incarnation };
+    if (m_votes.size() >= majority())
+        return startElection(now);
+    for (const auto& voter : voters()) {
+        RaftMessage message = make(RaftMessageKind::PreVote, voter.address);
+        message.index = m_log.lastIndex();
+        message.logTerm = m_log.lastTerm();
+        message.sentAt = now;
+        if (voter != m_self)
+            send(std::move(message));
+    }
+}
+
+void Raft::startElection(Milliseconds now)
+{
+    m_role = RaftRole::Candidate;
+    ++m_hard.term;
+    m_hard.votedFor = m_self.incarnation;
+    m_votes = { m_self.incarnation };
+    writeHardState();
+    drawElectionTimeout(now);
+    for (const auto& voter : voters()) {
+        RaftMessage message = make(RaftMessageKind::Vote, voter.address);
+        message.index = m_log.lastIndex();
+        message.logTerm = m_log.lastTerm();
+        message.sentAt = now;
+        if (voter != m_self)
+            send(std::move(message));
+    }
+}
+
+void Raft::receivePreVote(const RaftMessage& message, Milliseconds now)
+{
+    RaftMessage reply = answer(RaftMessageKind::PreVoteReply, message);
+    reply.granted = mayVote(now) && message.term >= m_hard.term && isUpToDate(message);
+    // Which election it is about: a reply counts only in the term in which it was asked for.
+    reply.logTerm = message.term;
+    send(std::move(reply));
+}
+
+void Raft::receiveVote(const RaftMessage& message, Milliseconds now)
+{
+    RaftMessage reply = answer(RaftMessageKind::VoteReply, message);
+    reply.logTerm = message.term;
+    // Refused without taking over the term: a candidate must not depose a leader that a majority still follows.
+    if (!mayVote(now))
+        return send(std::move(reply));
+    if (message.term > m_hard.term)
+        follow(message.term, now);
+    reply.term = m_hard.term;
+    const bool isFree = m_hard.votedFor.empty() || m_hard.votedFor == message.from.incarnation;
+    reply.granted = message.term == m_hard.term && isFree && isUpToDate(message);
+    if (reply.granted && m_hard.votedFor.empty()) {
+        m_hard.votedFor = message.from.incarnation;
+        writeHardState();
+        drawElectionTimeout(now);
+    }
+    send(std::move(reply));
+}
+
+void Raft::receiveVoteReply(const RaftMessage& message, Milliseconds now)
+{
+    const bool preVote = message.kind == RaftMessageKind::PreVoteReply;
+    const RaftRole wanted = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
+    const bool counts = message.granted && message.verified && isVoter(message.from);
+    if (m_role != wanted || message.logTerm != m_hard.term || !counts)
+        return;
+    m_votes.insert(message.from.incarnation);
+    if (m_votes.size() < majority())
+        return;
+    if (preVote)
+        startElection(now);
+    else if (m_hardStateWrite <= m_syncedWrite)
+        lead(now);
+}
+
+void Raft::follow(std::uint64_t term, Milliseconds now)
+{
+    if (leads() || m_role == RaftRole::PreCandidate || m_role == RaftRole::Candidate)
+        drawElectionTimeout(now);
+    m_role = RaftRole::Follower;
+    m_leader.clear();
+    m_progress.clear();
+    if (term <= m_hard.term)
+        return;
+    m_hard = { .term = term, .votedFor = {} };
+    writeHardState();
+}
+
+void Raft::lead(Milliseconds now)
+{
+    m_role = RaftRole::Leader;
+    m_leader = m_self.address;
+    m_leadingSince = now;
+    m_heartbeatAt = now + m_options.heartbeat;
+    m_progress.clear();
+    std::set<std::string> addresses(m_options.peers.begin(), m_options.peers.end());
+    for (const auto& voter : voters())
+        addresses.insert(voter.address);
+    addresses.erase(m_self.address);
+    for (const auto& address : addresses)
+        m_progress[address].next = m_log.lastIndex() + 1;
+    m_termStart = m_log.lastIndex() + 1;
+    appendAsLeader({ RaftEntry { .kind = RaftEntryKind::Empty } }, now);
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/Raft.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "policy/RaftLog.h"
+#include "policy/RaftMessages.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace oleanderport {
+
+struct RaftOptions {
+    // Addresses of all instances, this one included.
+    std::vector<std::string> peers;
+    // Found a group once every peer is known to have an empty folder.
+    bool bootstrap { false };
+    Milliseconds heartbeat { 150 };
+    // Entries or a snapshot chunk not answered after this time are sent again.
+    Milliseconds resend { 600 };
+    // A follower waits a random time between these two for its leader.
+    Milliseconds electionLeast { 1'000 };
+    Milliseconds electionMost { 2'000 };
+    // A leader is confirmed while a majority has answered messages sent within this time. Shorter than the least
+    // election timeout by more than clocks drift within it.
+    Milliseconds confirmWindow { 800 };
+    // How long a restarted voter waits for the evidence of every other voter before it goes on without.
+    Milliseconds verifyWait { 6'000 };
+    std::size_t maxEntriesPerMessage { 256 };
+    std::size_t maxBytesPerMessage { 1'048'576 };
+    // Entries kept before a snapshot, so that an instance a little behind needs no snapshot.
+    std::uint64_t keptEntries { 500 };
+    std::uint64_t seed { 0 };
+};
+
+// What the caller has to do, in this order: queue the writes, send the messages, install, apply.
+struct RaftActions {
+    std::vector<RaftWrite> writes;
+    std::vector<RaftMessage> send;
+    std::optional<RaftSnapshot> install;
+    std::vector<RaftEntry> committed;
+    // The data folder is older than what this instance promised with it. Nothing further may be done under this
+    // incarnation.
+    bool stale { false };
+};
+
+// Agreement on one log among control instances: events in, actions out. Time is an argument and never goes back.
+class Raft {
+public:
+    Raft(const RaftOptions&, const RaftStored&, Milliseconds now);
+
+    RaftActions tick(Milliseconds now);
+    RaftActions receive(const RaftMessage&, Milliseconds now);
+    // All writes up to this number are synced.
+    RaftActions written(std::uint64_t number, Milliseconds now);
+    // Appends commands in one batch. Only a leader may be asked; the entries follow lastIndex().
+    RaftActions propose(const std::vector<std::string>& commands, Milliseconds now);
+    // Replaces the applied entries up to `index` by a snapshot of the state after it.
+    RaftActions compact(std::uint64_t index, std::string data);
+
+    bool leads() const { return m_role == RaftRole::Leader; }
+    // True while no other instance can lead and every entry committed before is applied here.
+    bool isConfirmedLeader(Milliseconds now) const;
+    // Address of the leader; empty when none is known.
+    const std::string& leaderAddress() const { return m_leader; }
+    std::uint64_t term() const { return m_hard.term; }
+    std::uint64_t lastIndex() const { return m_log.lastIndex(); }
+    std::uint64_t commitIndex() const { return m_commit; }
+    const std::vector<RaftMember>& voters() const { return m_log.voters(); }
+    // Voters by what is committed.
+    const std::vector<RaftMember>& committedVoters() const { return m_log.votersAt(m_commit); }
+    bool isVoter() const { return isVoter(m_self); }
+
+private:
+    enum class RaftRole {
+        Follower,
+        PreCandidate,
+        Candidate,
+        Leader,
+    };
+    // What a leader knows of one peer.
+    struct Progress {
+        std::string incarnation;
+        bool verified { false };
+        std::uint64_t next { 1 };
+        std::uint64_t match { 0 };
+        std::uint64_t snapshotIndex { 0 };
+        std::uint64_t snapshotOffset { 0 };
+        // When the entries or chunk that are not answered yet were sent.
+        std::optional<Milliseconds> inFlightSince;
+        std::optional<Milliseconds> answeredSentAt;
+    };
+    struct HeldMessage {
+        std::uint64_t afterWrite { 0 };
+        RaftMessage message;
+    };
+    struct PendingWrite {
+        std::uint64_t number { 0 };
+        std::uint64_t lastIndex { 0 };
+        std::optional<std::uint64_t> truncatedTo;
+    };
+
+    RaftActions take();
+    RaftMessage make(RaftMessageKind, const std::string& to) const;
+    RaftMessage answer(RaftMessageKind, const RaftMessage& request) const;
+    // Sends once the write is synced, and never before the term is.
+    void send(RaftMessage, std::uint64_t afterWrite = 0);
+    void write(RaftWrite);
+    void writeHardState();
+
+    bool isVoter(const RaftMember&) const;
+    std::size_t majority() const { return voters().size() / 2 + 1; }
+    bool hasNoGroup() const { return m_log.lastIndex() == 0; }
+
+    // Compares a message with what is known of its sender; false when it must be dropped.
+    bool acceptSender(const RaftMessage&);
+    void noteEvidence(const RaftMessage&);
+    void mergeEvidence(const std::vector<RaftEvidence>&);
+    bool contradictsOwnFolder(const RaftEvidence&) const;
+    void sayHello(Milliseconds now);
+    void receiveHello(const RaftMessage&);
+    void receiveHelloReply(const RaftMessage&);
+    void checkVerified(Milliseconds now);
+    void bootstrapIfAllEmpty();
+
+    bool mayVote(Milliseconds now) const;
+    bool isUpToDate(const RaftMessage&) const;
+    void startPreVote(Milliseconds now);
+    void startElection(Milliseconds now);
+    void receivePreVote(const RaftMessage&, Milliseconds now);
+    void receiveVote(const RaftMessage&, Milliseconds now);
+    void receiveVoteReply(const RaftMessage&, Milliseconds now);
+    void follow(std::uint64_t term, Milliseconds now);
+    void lead(Milliseconds now);
+    void drawElectionTimeout(Milliseconds now);
+
+    void receiveAppend(const RaftMessage&, Milliseconds now);
+    void receiveAppendReply(const RaftMessage&, Milliseconds now);
+    void receiveSnapshot(const RaftMessage&, Milliseconds now);
+    void receiveSnapshotReply(const RaftMessage&, Milliseconds now);
+    void heardFromLeader(const RaftMessage&, Milliseconds now);
+    // Appends what the log lacks; the number of the write, or zero when there was nothing to write.
+    std::uint64_t appendMissing(const RaftMessage&);
+    Progress* progressOf(const RaftMessage&);
+    void sendHeartbeat(const std::string& peer, Progress&, Milliseconds now);
+    void sendAppend(const std::string& peer, Milliseconds now, bool evenEmpty);
+    void addEvidence(RaftMessage&) const;
+    void sendSnapshot(const std::string& peer, Progress&, Milliseconds now);
+    void appendAsLeader(std::vector<RaftEntry>, Milliseconds now);
+    void advanceCommit();
+    void commitUpTo(std::uint64_t index);
+    void changeMembership(Milliseconds now);
+    bool majorityAnswered(Milliseconds now, Milliseconds window) const;
+
+    RaftOptions m_options;
+    RaftMember m_self;
+    std::uint64_t m_boot;
+    std::uint64_t m_life;
+    std::uint64_t m_bootTerm;
+    std::uint64_t m_bootIndex;
+    std::mt19937_64 m_random;
+
+    RaftHardState m_hard;
+    RaftLog m_log;
+    std::uint64_t m_commit { 0 };
+    std::uint64_t m_synced { 0 };
+    std::uint64_t m_lastWrite { 0 };
+    std::uint64_t m_syncedWrite { 0 };
+    std::uint64_t m_hardStateWrite { 0 };
+    std::deque<PendingWrite> m_pendingWrites;
+    std::deque<HeldMessage> m_held;
+
+    RaftRole m_role { RaftRole::Follower };
+    std::string m_leader;
+    Milliseconds m_startedAt;
+    // A leader was heard then; a start counts, since a leader may have been heard just before it.
+    Milliseconds m_heardLeaderAt;
+    Milliseconds m_electionAt {};
+    Milliseconds m_leadingSince {};
+    Milliseconds m_heartbeatAt {};
+    std::uint64_t m_termStart { 0 };
+    std::set<std::string> m_votes;
+    std::map<std::string, Progress> m_progress;
+
+    bool m_verified { false };
+    std::set<std::string> m_helloed;
+    std::map<std::string, RaftMessage> m_emptyPeers;
+    std::map<std::string, RaftEvidence> m_evidence;
+    RaftSnapshot m_incoming;
+    RaftActions m_actions;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RaftEvidence.cpp
@@ -0,0 +1,151 @@
+#include "policy/Raft.h"
+
+#include <algorithm>
+#include <tuple>
+
+// How an instance whose folder is older than its promises is found out, and how a group begins.
+namespace oleanderport {
+
+namespace {
+
+    auto promise(const RaftEvidence& evidence) { return std::tie(evidence.term, evidence.index); }
+
+} // namespace
+
+bool Raft::contradictsOwnFolder(const RaftEvidence& evidence) const
+{
+    if (evidence.boot > m_boot)
+        return true;
+    if (evidence.boot == m_boot)
+        return evidence.life != m_life;
+    // Promises of former starts. An index promised in an older term may have been replaced by a later leader.
+    return evidence.term > m_bootTerm || (evidence.term == m_bootTerm && evidence.index > m_bootIndex);
+}
+
+bool Raft::acceptSender(const RaftMessage& message)
+{
+    const auto known = m_evidence.find(message.from.incarnation);
+    if (known != m_evidence.end()) {
+        const RaftEvidence& evidence = known->second;
+        const bool formerLife = message.boot < evidence.boot;
+        const bool otherLife = message.boot == evidence.boot && message.life != evidence.life;
+        const bool restarted = message.boot > evidence.boot;
+        const bool older = restarted
+            && (evidence.term > message.bootTerm
+                || (evidence.term == message.bootTerm && evidence.index > message.bootIndex));
+        if (formerLife || otherLife || older) {
+            if (message.kind != RaftMessageKind::Stale) {
+                RaftMessage notice = make(RaftMessageKind::Stale, message.from.address);
+                notice.evidence.push_back(evidence);
+                send(std::move(notice));
+            }
+            return false;
+        }
+    }
+    noteEvidence(message);
+    return true;
+}
+
+void Raft::noteEvidence(const RaftMessage& message)
+{
+    RaftEvidence seen { .incarnation = message.from.incarnation,
+        .boot = message.boot,
+        .life = message.life,
+        .term = message.term,
+        .index = 0 };
+    if (message.kind == RaftMessageKind::AppendReply && message.granted)
+        seen.index = message.index;
+    if (message.kind == RaftMessageKind::Append)
+        seen.index = message.synced;
+    mergeEvidence({ seen });
+}
+
+void Raft::mergeEvidence(const std::vector<RaftEvidence>& evidence)
+{
+    for (const auto& seen : evidence) {
+        if (seen.incarnation == m_self.incarnation) {
+            m_actions.stale = m_actions.stale || contradictsOwnFolder(seen);
+            continue;
+        }
+        auto [known, added] = m_evidence.try_emplace(seen.incarnation, seen);
+        if (added)
+            continue;
+        if (seen.boot > known->second.boot) {
+            known->second.boot = seen.boot;
+            known->second.life = seen.life;
+        }
+        if (promise(seen) > promise(known->second))
+            std::tie(known->second.term, known->second.index) = promise(seen);
+    }
+}
+
+void Raft::sayHello(Milliseconds now)
+{
+    std::set<std::string> addresses(m_options.peers.begin(), m_options.peers.end());
+    for (const auto& voter : voters())
+        addresses.insert(voter.address);
+    for (const auto& address : addresses) {
+        RaftMessage hello = make(RaftMessageKind::Hello, address);
+        hello.sentAt = now;
+        if (address != m_self.address)
+            send(std::move(hello));
+    }
+}
+
+void Raft::receiveHello(const RaftMessage& message)
+{
+    RaftMessage reply = answer(RaftMessageKind::HelloReply, message);
+    reply.logTerm = message.life;
+    reply.empty = hasNoGroup();
+    reply.granted = m_options.bootstrap && hasNoGroup();
+    const auto known = m_evidence.find(message.from.incarnation);
+    if (known != m_evidence.end())
+        reply.evidence.push_back(known->second);
+    send(std::move(reply));
+}
+
+void Raft::receiveHelloReply(const RaftMessage& message)
+{
+    // An answer to a former start says nothing about this one.
+    if (message.logTerm != m_life)
+        return;
+    m_helloed.insert(message.from.address);
+    if (message.empty)
+        m_emptyPeers[message.from.address] = message;
+    else
+        m_emptyPeers.erase(message.from.address);
+}
+
+void Raft::checkVerified(Milliseconds now)
+{
+    if (m_verified)
+        return;
+    const bool allHeard = std::all_of(voters().begin(), voters().end(), [this](const RaftMember& voter) {
+        return voter == m_self || m_helloed.contains(voter.address);
+    });
+    m_verified = allHeard || now >= m_startedAt + m_options.verifyWait;
+}
+
+void Raft::bootstrapIfAllEmpty()
+{
+    if (!m_options.bootstrap)
+        return;
+    RaftEntry entry { .index = 1, .term = 1, .kind = RaftEntryKind::Configuration, .data = {}, .voters = { m_self } };
+    for (const auto& address : m_options.peers) {
+        if (address == m_self.address)
+            continue;
+        const auto empty = m_emptyPeers.find(address);
+        // Every instance must be there and empty: one that is away may hold the group's state.
+        if (empty == m_emptyPeers.end())
+            return;
+        const bool peerFounds = empty->second.granted && address < m_self.address;
+        if (peerFounds)
+            return;
+        entry.voters.push_back(empty->second.from);
+    }
+    m_hard.term = std::max<std::uint64_t>(m_hard.term, 1);
+    m_log.append(entry);
+    write({ .hard = m_hard, .truncateAfter = std::nullopt, .entries = { entry } });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RaftLog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "policy/RaftMessages.h"
+
+#include <deque>
+#include <optional>
+
+namespace oleanderport {
+
+// Removes entries that do not join the snapshot: a crash may come between installing a snapshot and dropping the log.
+void dropEntriesApartFromSnapshot(RaftStored&);
+
+// The entries that an instance holds, the snapshot that stands for the older ones, and the voters that follow from them.
+class RaftLog {
+public:
+    RaftLog() = default;
+    explicit RaftLog(const RaftStored&);
+
+    std::uint64_t firstIndex() const { return m_baseIndex + 1; }
+    std::uint64_t lastIndex() const { return m_baseIndex + m_entries.size(); }
+    std::uint64_t lastTerm() const { return m_entries.empty() ? m_baseTerm : m_entries.back().term; }
+    // Term of the entry; nothing when it is not held.
+    std::optional<std::uint64_t> termAt(std::uint64_t index) const;
+    // The entry must be held.
+    const RaftEntry& at(std::uint64_t index) const { return m_entries[index - firstIndex()]; }
+
+    void append(const RaftEntry&);
+    void truncateAfter(std::uint64_t index);
+    // Replaces everything by the snapshot.
+    void install(const RaftSnapshot&);
+    // Puts the snapshot in place of the entries before `firstKept`.
+    void compact(RaftSnapshot, std::uint64_t firstKept);
+
+    // Empty (index 0) when there is none yet.
+    const RaftSnapshot& snapshot() const { return m_snapshot; }
+    // Voters by the last configuration entry, committed or not.
+    const std::vector<RaftMember>& voters() const { return m_configurations.back().voters; }
+    std::uint64_t configurationIndex() const { return m_configurations.back().index; }
+    // Voters in force at an index of the snapshot's or later.
+    const std::vector<RaftMember>& votersAt(std::uint64_t index) const;
+
+private:
+    struct Configuration {
+        std::uint64_t index { 0 };
+        std::vector<RaftMember> voters;
+    };
+
+    std::uint64_t m_baseIndex { 0 };
+    std::uint64_t m_baseTerm { 0 };
+    std::deque<RaftEntry> m_entries;
+    RaftSnapshot m_snapshot;
+    std::vector<Configuration> m_configurations { Configuration {} };
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RaftMessages.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "oleanderport/Clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+// What control instances write and send to agree on one log.
+namespace oleanderport {
+
+// One life of a data folder at an address. A folder that was lost or restored from a copy gets a new incarnation.
+struct RaftMember {
+    std::string address;
+    std::string incarnation;
+
+    bool operator==(const RaftMember&) const = default;
+};
+
+enum class RaftEntryKind {
+    // First entry of a leader's term.
+    Empty,
+    Command,
+    // Replaces the set of voters from the moment it is appended.
+    Configuration,
+};
+
+struct RaftEntry {
+    std::uint64_t index { 0 };
+    std::uint64_t term { 0 };
+    RaftEntryKind kind { RaftEntryKind::Empty };
+    std::string data;
+    std::vector<RaftMember> voters;
+};
+
+// State after the entry `index`, in place of all entries up to it.
+struct RaftSnapshot {
+    std::uint64_t index { 0 };
+    std::uint64_t term { 0 };
+    std::vector<RaftMember> voters;
+    std::string data;
+};
+
+struct RaftHardState {
+    std::uint64_t term { 0 };
+    // Incarnation that got this instance's vote in the term; empty when none.
+    std::string votedFor;
+};
+
+// What an instance finds in its data folder at start.
+struct RaftStored {
+    RaftMember self;
+    // Counts the starts with this folder; this start included.
+    std::uint64_t boot { 0 };
+    // Random number of this start. Tells two starts with the same count apart.
+    std::uint64_t life { 0 };
+    RaftHardState hard;
+    std::optional<RaftSnapshot> snapshot;
+    // Consecutive entries. They may begin before the snapshot's index, never later than one after it.
+    std::vector<RaftEntry> entries;
+};
+
+// One change of the data folder. Changes are carried out in the order of their numbers.
+struct RaftWrite {
+    std::uint64_t number { 0 };
+    std::optional<RaftHardState> hard;
+    // Entries after this index are removed before `entries` are appended.
+    std::optional<std::uint64_t> truncateAfter;
+    std::vector<RaftEntry> entries;
+    std::optional<RaftSnapshot> snapshot;
+    // With a snapshot: entries before this index are dropped.
+    std::uint64_t firstKept { 0 };
+};
+
+// Highest known promises of an incarnation. Its folder must hold them again after each restart.
+struct RaftEvidence {
+    std::string incarnation;
+    std::uint64_t boot { 0 };
+    std::uint64_t life { 0 };
+    // Highest term it told, and the highest index that it told to have synced in that term.
+    std::uint64_t term { 0 };
+    std::uint64_t index { 0 };
+};
+
+enum class RaftMessageKind {
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+    Append,
+    AppendReply,
+    Snapshot,
+    SnapshotReply,
+    // Asks a peer for its evidence about the sender.
+    Hello,
+    HelloReply,
+    // Tells the receiver that its folder is older than what it promised.
+    Stale,
+};
+
+struct RaftMessage {
+    RaftMessageKind kind { RaftMessageKind::Hello };
+    std::string to;
+    RaftMember from;
+    std::uint64_t boot { 0 };
+    std::uint64_t life { 0 };
+    // Term and last index of the sender's folder at its start.
+    std::uint64_t bootTerm { 0 };
+    std::uint64_t bootIndex { 0 };
+    // Whether the sender has checked its folder against what its peers know.
+    bool verified { false };
+    std::uint64_t term { 0 };
+    // Vote, PreVote: the sender's last entry. Append: the entry before `entries`. AppendReply: synced up to here when
+    // granted, else a hint where to go on. Snapshot, SnapshotReply: the snapshot's index.
+    std::uint64_t index { 0 };
+    // Term of the entry at `index`. Vote and PreVote replies: the term of the request. HelloReply: `life` of the request.
+    std::uint64_t logTerm { 0 };
+    std::uint64_t commit { 0 };
+    // Append: the leader's own synced index.
+    std::uint64_t synced { 0 };
+    // Replies: consent. HelloReply: the sender has no log and is set to bootstrap.
+    bool granted { false };
+    // HelloReply: the sender has no log.
+    bool empty { false };
+    // Requests: the sender's clock. Replies: the same value again.
+    Milliseconds sentAt {};
+    std::vector<RaftEntry> entries;
+    std::vector<RaftMember> voters;
+    std::string data;
+    std::uint64_t offset { 0 };
+    bool last { false };
+    std::vector<RaftEvidence> evidence;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RaftReplication.cpp
@@ -0,0 +1,339 @@
+#include "policy/Raft.h"
+
+#include <algorithm>
+
+// The part of the agreement that carries entries and snapshots from the leader to its peers.
+namespace oleanderport {
+
+namespace {
+
+    constexpr std::size_t snapshotChunkBytes = 1'048'576;
+
+    // End of a chunk that begins at `offset`, never within a character of UTF-8.
+    std::size_t chunkEnd(const std::string& data, std::size_t offset)
+    {
+        std::size_t end = std::min(data.size(), offset + snapshotChunkBytes);
+        while (end < data.size() && (static_cast<unsigned char>(data[end]) & 0xC0U) == 0x80U)
+            --end;
+        return end;
+    }
+
+} // namespace
+
+RaftActions Raft::propose(const std::vector<std::string>& commands, Milliseconds now)
+{
+    std::vector<RaftEntry> entries;
+    entries.reserve(commands.size());
+    for (const auto& command : commands)
+        entries.push_back({ .kind = RaftEntryKind::Command, .data = command });
+    appendAsLeader(std::move(entries), now);
+    return take();
+}
+
+void Raft::appendAsLeader(std::vector<RaftEntry> entries, Milliseconds now)
+{
+    for (auto& entry : entries) {
+        entry.index = m_log.lastIndex() + 1;
+        entry.term = m_hard.term;
+        m_log.append(entry);
+    }
+    write({ .entries = std::move(entries) });
+    for (const auto& [peer, progress] : m_progress) {
+        if (!progress.inFlightSince)
+            sendAppend(peer, now, false);
+    }
+}
+
+void Raft::addEvidence(RaftMessage& message) const
+{
+    for (const auto& voter : voters()) {
+        const auto known = m_evidence.find(voter.incarnation);
+        if (known != m_evidence.end())
+            message.evidence.push_back(known->second);
+    }
+}
+
+void Raft::sendHeartbeat(const std::string& peer, Progress& progress, Milliseconds now)
+{
+    if (!progress.inFlightSince || now >= *progress.inFlightSince + m_options.resend)
+        return sendAppend(peer, now, true);
+    // Joins any log, and its answer waits for no sync: a slow disk does not unseat a leader.
+    RaftMessage message = make(RaftMessageKind::Append, peer);
+    message.synced = m_synced;
+    message.sentAt = now;
+    addEvidence(message);
+    send(std::move(message));
+}
+
+void Raft::sendAppend(const std::string& peer, Milliseconds now, bool evenEmpty)
+{
+    Progress& progress = m_progress[peer];
+    const auto previousTerm = m_log.termAt(progress.next - 1);
+    if (!previousTerm)
+        return sendSnapshot(peer, progress, now);
+    RaftMessage message = make(RaftMessageKind::Append, peer);
+    message.index = progress.next - 1;
+    message.logTerm = *previousTerm;
+    message.commit = m_commit;
+    message.synced = m_synced;
+    message.sentAt = now;
+    std::size_t bytes = 0;
+    for (std::uint64_t index = progress.next; index <= m_log.lastIndex(); ++index) {
+        const RaftEntry& entry = m_log.at(index);
+        const bool full = message.entries.size() >= m_options.maxEntriesPerMessage
+            || (!message.entries.empty() && bytes + entry.data.size() > m_options.maxBytesPerMessage);
+        if (full)
+            break;
+        bytes += entry.data.size();
+        message.entries.push_back(entry);
+    }
+    if (message.entries.empty() && !evenEmpty)
+        return;
+    addEvidence(message);
+    if (!message.entries.empty())
+        progress.inFlightSince = now;
+    send(std::move(message));
+}
+
+void Raft::sendSnapshot(const std::string& peer, Progress& progress, Milliseconds now)
+{
+    const RaftSnapshot& snapshot = m_log.snapshot();
+    if (progress.snapshotIndex != snapshot.index) {
+        progress.snapshotIndex = snapshot.index;
+        progress.snapshotOffset = 0;
+    }
+    const std::size_t end = chunkEnd(snapshot.data, progress.snapshotOffset);
+    RaftMessage message = make(RaftMessageKind::Snapshot, peer);
+    message.index = snapshot.index;
+    message.logTerm = snapshot.term;
+    message.voters = snapshot.voters;
+    message.data = snapshot.data.substr(progress.snapshotOffset, end - progress.snapshotOffset);
+    message.offset = progress.snapshotOffset;
+    message.last = end == snapshot.data.size();
+    message.sentAt = now;
+    progress.inFlightSince = now;
+    send(std::move(message));
+}
+
+void Raft::heardFromLeader(const RaftMessage& message, Milliseconds now)
+{
+    m_role = RaftRole::Follower;
+    m_leader = message.from.address;
+    m_heardLeaderAt = now;
+    drawElectionTimeout(now);
+}
+
+void Raft::receiveAppend(const RaftMessage& message, Milliseconds now)
+{
+    RaftMessage reply = answer(RaftMessageKind::AppendReply, message);
+    if (message.term < m_hard.term)
+        return send(std::move(reply));
+    heardFromLeader(message, now);
+    // What is committed here agrees with every leader, held as an entry or not.
+    const auto previousTerm = m_log.termAt(message.index);
+    const bool joins = message.index <= m_commit || previousTerm == message.logTerm;
+    if (!joins) {
+        const std::uint64_t before = message.index == 0 ? 0 : message.index - 1;
+        reply.index = std::min(m_log.lastIndex(), std::max(before, m_commit));
+        return send(std::move(reply));
+    }
+    const std::uint64_t writeNumber = appendMissing(message);
+    const std::uint64_t agreed = message.index + message.entries.size();
+    commitUpTo(std::min(message.commit, agreed));
+    reply.granted = true;
+    // A heartbeat is answered at once with what is synced; entries are answered for once they are.
+    const bool waits = writeNumber > 0 || (!message.entries.empty() && m_synced < agreed);
+    reply.index = waits ? agreed : std::min(agreed, m_synced);
+    send(std::move(reply), waits ? m_lastWrite : 0);
+}
+
+std::uint64_t Raft::appendMissing(const RaftMessage& message)
+{
+    RaftWrite change;
+    for (const auto& entry : message.entries) {
+        if (entry.index <= m_commit || entry.index < m_log.firstIndex())
+            continue;
+        if (entry.index <= m_log.lastIndex()) {
+            if (m_log.termAt(entry.index) == entry.term)
+                continue;
+            m_log.truncateAfter(entry.index - 1);
+            change.truncateAfter = entry.index - 1;
+        }
+        m_log.append(entry);
+        change.entries.push_back(entry);
+    }
+    if (change.entries.empty())
+        return 0;
+    write(std::move(change));
+    return m_lastWrite;
+}
+
+Raft::Progress* Raft::progressOf(const RaftMessage& message)
+{
+    const auto found = m_progress.find(message.from.address);
+    if (!leads() || message.term != m_hard.term || found == m_progress.end())
+        return nullptr;
+    Progress& progress = found->second;
+    if (progress.incarnation != message.from.incarnation) {
+        progress = Progress {};
+        progress.incarnation = message.from.incarnation;
+        progress.next = m_log.lastIndex() + 1;
+    }
+    progress.verified = message.verified;
+    if (progress.inFlightSince == message.sentAt)
+        progress.inFlightSince.reset();
+    if (!progress.answeredSentAt || *progress.answeredSentAt < message.sentAt)
+        progress.answeredSentAt = message.sentAt;
+    return &progress;
+}
+
+void Raft::receiveAppendReply(const RaftMessage& message, Milliseconds now)
+{
+    Progress* progress = progressOf(message);
+    if (!progress)
+        return;
+    if (message.granted) {
+        progress->match = std::max(progress->match, message.index);
+        progress->next = std::max(progress->next, progress->match + 1);
+        advanceCommit();
+    } else {
+        progress->next = std::max(progress->match + 1, std::min(progress->next - 1, message.index + 1));
+        progress->next = std::max<std::uint64_t>(progress->next, 1);
+    }
+    if (!progress->inFlightSince)
+        sendAppend(message.from.address, now, !message.granted);
+}
+
+void Raft::receiveSnapshot(const RaftMessage& message, Milliseconds now)
+{
+    if (message.term < m_hard.term)
+        return send(answer(RaftMessageKind::AppendReply, message));
+    heardFromLeader(message, now);
+    if (message.index <= m_commit) {
+        RaftMessage reply = answer(RaftMessageKind::AppendReply, message);
+        reply.granted = true;
+        reply.index = std::min(m_commit, m_synced);
+        return send(std::move(reply));
+    }
+    if (message.offset == 0)
+        m_incoming = { .index = message.index, .term = message.logTerm, .voters = message.voters, .data = {} };
+    const bool fits = m_incoming.index == message.index && m_incoming.data.size() == message.offset;
+    if (fits)
+        m_incoming.data += message.data;
+    if (!fits || !message.last) {
+        RaftMessage reply = answer(RaftMessageKind::SnapshotReply, message);
+        reply.index = message.index;
+        reply.offset = m_incoming.index == message.index ? m_incoming.data.size() : 0;
+        return send(std::move(reply));
+    }
+    m_log.install(m_incoming);
+    m_commit = m_incoming.index;
+    write({ .truncateAfter = m_incoming.index, .snapshot = m_incoming, .firstKept = m_incoming.index + 1 });
+    RaftMessage reply = answer(RaftMessageKind::AppendReply, message);
+    reply.granted = true;
+    reply.index = m_incoming.index;
+    m_actions.committed.clear();
+    m_actions.install = std::move(m_incoming);
+    m_incoming = {};
+    send(std::move(reply), m_lastWrite);
+}
+
+void Raft::receiveSnapshotReply(const RaftMessage& message, Milliseconds now)
+{
+    Progress* progress = progressOf(message);
+    if (!progress || message.index != progress->snapshotIndex)
+        return;
+    progress->snapshotOffset = std::min<std::uint64_t>(message.offset, m_log.snapshot().data.size());
+    if (!progress->inFlightSince)
+        sendAppend(message.from.address, now, false);
+}
+
+void Raft::advanceCommit()
+{
+    std::vector<std::uint64_t> matches;
+    for (const auto& voter : voters()) {
+        const auto found = m_progress.find(voter.address);
+        const bool counts = found != m_progress.end() && found->second.incarnation == voter.incarnation
+            && found->second.verified;
+        matches.push_back(voter == m_self ? m_synced : counts ? found->second.match
+                                                              : 0);
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const std::uint64_t agreed = matches[majority() - 1];
+    // Entries of former terms are committed along with one of this term, never alone.
+    if (agreed > m_commit && m_log.termAt(agreed) == m_hard.term)
+        commitUpTo(agreed);
+}
+
+void Raft::commitUpTo(std::uint64_t index)
+{
+    while (m_commit < std::min(index, m_log.lastIndex())) {
+        ++m_commit;
+        m_actions.committed.push_back(m_log.at(m_commit));
+    }
+}
+
+RaftActions Raft::compact(std::uint64_t index, std::string data)
+{
+    if (index <= m_log.snapshot().index || index > m_commit)
+        return take();
+    RaftSnapshot snapshot { .index = index,
+        .term = *m_log.termAt(index),
+        .voters = m_log.votersAt(index),
+        .data = std::move(data) };
+    const std::uint64_t firstKept = index > m_options.keptEntries ? index - m_options.keptEntries + 1 : 1;
+    m_log.compact(snapshot, firstKept);
+    write({ .snapshot = std::move(snapshot), .firstKept = firstKept });
+    return take();
+}
+
+bool Raft::majorityAnswered(Milliseconds now, Milliseconds window) const
+{
+    std::size_t count = 0;
+    for (const auto& voter : voters()) {
+        if (voter == m_self) {
+            ++count;
+            continue;
+        }
+        const auto found = m_progress.find(voter.address);
+        if (found == m_progress.end() || found->second.incarnation != voter.incarnation)
+            continue;
+        const Progress& progress = found->second;
+        if (progress.verified && progress.answeredSentAt && now < *progress.answeredSentAt + window)
+            ++count;
+    }
+    return count >= majority();
+}
+
+bool Raft::isConfirmedLeader(Milliseconds now) const
+{
+    return leads() && m_commit >= m_termStart && majorityAnswered(now, m_options.confirmWindow);
+}
+
+void Raft::changeMembership(Milliseconds now)
+{
+    // One change at a time, and none before this term has committed.
+    const bool settled = m_log.configurationIndex() <= m_commit && isConfirmedLeader(now);
+    if (!settled)
+        return;
+    for (const auto& [address, progress] : m_progress) {
+        const RaftMember member { .address = address, .incarnation = progress.incarnation };
+        const bool caughtUp = progress.match >= m_commit && progress.match > 0;
+        const bool present
+            = progress.answeredSentAt && now < *progress.answeredSentAt + m_options.confirmWindow && progress.verified;
+        if (member.incarnation.empty() || isVoter(member) || !caughtUp || !present)
+            continue;
+        RaftEntry change { .kind = RaftEntryKind::Configuration, .data = {}, .voters = voters() };
+        // The former incarnation leaves in an entry of its own: two sets that differ by two members may have
+        // majorities without a common member.
+        const auto former = std::find_if(change.voters.begin(), change.voters.end(),
+            [&address = address](const RaftMember& voter) { return voter.address == address; });
+        if (former != change.voters.end())
+            change.voters.erase(former);
+        else
+            change.voters.push_back(member);
+        return appendAsLeader({ change }, now);
+    }
+}
+
+} // namespace oleanderport
--- a/src/wire/EventLoop.cpp
+++ b/src/wire/EventLoop.cpp
@@ -67,6 +67,13 @@
     return timer;
 }
 
+std::unique_ptr<EventLoop::Timer> EventLoop::onReadable(int descriptor, std::function<void()> callback)
+{
+    auto timer = std::make_unique<EventTimer>(m_base, descriptor, EV_READ | EV_PERSIST, std::move(callback));
+    timer->add();
+    return timer;
+}
+
 std::unique_ptr<EventLoop::Timer> EventLoop::onSignal(int signalNumber, std::function<void()> callback)
 {
     auto timer = std::make_unique<EventTimer>(m_base, signalNumber, EV_SIGNAL | EV_PERSIST, std::move(callback));
--- a/src/wire/EventLoop.h
+++ b/src/wire/EventLoop.h
@@ -34,6 +34,9 @@
     // Calls back in the loop each time the process receives the signal.
     std::unique_ptr<Timer> onSignal(int signalNumber, std::function<void()>);
 
+    // Calls back in the loop as long as the descriptor has something to read.
+    std::unique_ptr<Timer> onReadable(int descriptor, std::function<void()>);
+
     event_base* base() const { return m_base; }
 
 private:
--- a/test/base/SettingsTest.cpp
+++ b/test/base/SettingsTest.cpp
@@ -35,6 +35,13 @@
 
 Test(Settings, namesAWrongType) { expectFault(good + "lease_ms = \"long\"\n", "control.lease_ms: expected a whole number"); }
 
+Test(Settings, readsWhetherAControlInstanceMayFoundAGroup)
+{
+    cr_assert(!parseSettings(good, "test.toml").assume_value().bootstrap);
+    cr_assert(parseSettings(good + "bootstrap = true\n", "test.toml").assume_value().bootstrap);
+    expectFault(good + "bootstrap = 1\n", "control.bootstrap: expected true or false");
+}
+
 Test(Settings, namesAValueOutOfRange) { expectFault(good + "lease_ms = 0\n", "control.lease_ms: expected a whole number from 1"); }
 
 Test(Settings, namesAContradiction)
--- /dev/null
+++ b/test/policy/RaftTest.cpp
@@ -0,0 +1,372 @@
+#include "support/RaftCluster.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace oleanderport;
+using namespace oleanderport::test;
+
+namespace {
+
+void expectNoFaults(const RaftCluster& cluster)
+{
+    cr_assert(cluster.faults.empty(), "seed %llu: %s", static_cast<unsigned long long>(cluster.options.seed),
+        cluster.faults.empty() ? "" : cluster.faults.front().c_str());
+}
+
+void expectReached(RaftCluster& cluster, const char* what, const std::function<bool()>& condition)
+{
+    const bool reached = cluster.runUntil(condition);
+    expectNoFaults(cluster);
+    cr_assert(reached, "seed %llu: expected %s", static_cast<unsigned long long>(cluster.options.seed), what);
+}
+
+void expectWhole(RaftCluster& cluster)
+{
+    expectReached(cluster, "all instances to be voters", [&] { return cluster.isWhole(); });
+}
+
+bool isCommitted(const RaftCluster& cluster, const std::string& command)
+{
+    return std::any_of(cluster.committed.rbegin(), cluster.committed.rend(),
+        [&](const auto& entry) { return entry.second.data == command; });
+}
+
+// Commits the commands one after the other. One that a lost leader took is proposed again.
+void commitMany(RaftCluster& cluster, const std::string& prefix, int count)
+{
+    constexpr std::int64_t patience = 5'000;
+    constexpr int attempts = 20;
+    for (int i = 0; i < count; ++i) {
+        const std::string command = fmt::format("{}-{}", prefix, i);
+        for (int attempt = 0; attempt < attempts && !isCommitted(cluster, command); ++attempt) {
+            expectReached(cluster, "a leader", [&] { return cluster.propose(command); });
+            cluster.runUntil([&] { return isCommitted(cluster, command); }, patience);
+        }
+        cr_assert(isCommitted(cluster, command), "seed %llu: expected %s to commit",
+            static_cast<unsigned long long>(cluster.options.seed), command.c_str());
+    }
+}
+
+void healAndCompare(RaftCluster& cluster)
+{
+    cluster.heal();
+    cluster.options.loss = 0;
+    for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+        if (!cluster.nodes[i].raft)
+            cluster.start(i);
+    }
+    expectWhole(cluster);
+    expectReached(cluster, "a proposal to be taken", [&] { return cluster.propose("last"); });
+    expectReached(cluster, "all instances to apply the last command", [&] {
+        return cluster.committed.rbegin()->second.data == "last" && cluster.allApplied(cluster.committed.rbegin()->first);
+    });
+    for (const auto& node : cluster.nodes)
+        cr_assert(node.applied == cluster.nodes.front().applied, "seed %llu: expected the state of %s on %s",
+            static_cast<unsigned long long>(cluster.options.seed), cluster.nodes.front().address.c_str(),
+            node.address.c_str());
+    std::size_t commands = 0;
+    for (const auto& [index, entry] : cluster.committed)
+        commands += entry.kind == RaftEntryKind::Command ? 1 : 0;
+    cr_assert(cluster.nodes.front().applied.size() == commands, "seed %llu: expected %zu commands, got %zu",
+        static_cast<unsigned long long>(cluster.options.seed), commands, cluster.nodes.front().applied.size());
+}
+
+// Random faults; a disk is damaged only while a majority of the voters keeps its own.
+void disturb(RaftCluster& cluster, std::set<std::size_t>& damaged, std::vector<RaftStored>& copies)
+{
+    enum class Fault { Propose,
+        Crash,
+        Start,
+        Cut,
+        Heal,
+        Freeze,
+        LoseDisk,
+        Copy,
+        Restore,
+        Loss };
+    constexpr std::uint64_t kinds = 24;
+    const std::size_t node = cluster.random() % cluster.nodes.size();
+    const std::size_t other = cluster.random() % cluster.nodes.size();
+    const bool mayDamage = damaged.size() < (cluster.nodes.size() - 1) / 2 || damaged.contains(node);
+    const auto draw = cluster.random() % kinds;
+    switch (draw < 10 ? static_cast<Fault>(draw) : Fault::Propose) {
+    case Fault::Propose:
+        for (std::uint64_t i = 0; i < cluster.random() % 4; ++i)
+            cluster.propose(fmt::format("command-{}-{}", cluster.now.count, i));
+        break;
+    case Fault::Crash:
+        cluster.crash(node);
+        if (cluster.random() % 2 == 0)
+            cluster.start(node);
+        break;
+    case Fault::Start:
+        for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+            if (!cluster.nodes[i].raft)
+                cluster.start(i);
+        }
+        break;
+    case Fault::Cut:
+        cluster.cut(node, other);
+        break;
+    case Fault::Heal:
+        cluster.heal();
+        break;
+    case Fault::Freeze:
+        cluster.freeze(node, static_cast<std::int64_t>(cluster.random() % 4'000));
+        break;
+    case Fault::LoseDisk:
+        if (mayDamage) {
+            cluster.loseDisk(node);
+            cluster.start(node);
+            damaged.insert(node);
+        }
+        break;
+    case Fault::Copy:
+        copies[node] = cluster.nodes[node].disk;
+        break;
+    case Fault::Restore:
+        if (mayDamage && copies[node].boot > 0) {
+            cluster.restore(node, copies[node], true);
+            cluster.start(node);
+            damaged.insert(node);
+        }
+        break;
+    case Fault::Loss:
+        cluster.options.loss = static_cast<double>(cluster.random() % 30) / 100;
+        break;
+    }
+    if (cluster.isWhole())
+        damaged.clear();
+}
+
+void runSchedule(std::uint64_t seed)
+{
+    constexpr std::array<std::int64_t, 3> delays { 10, 60, 300 };
+    constexpr std::array<std::int64_t, 3> syncs { 5, 60, 400 };
+    RaftCluster cluster({ .size = seed % 4 == 0 ? 5U : 3U,
+        .seed = seed,
+        .duplication = 0.05,
+        .maxDelay = delays[seed % delays.size()],
+        .maxSync = syncs[seed / delays.size() % syncs.size()] });
+    expectWhole(cluster);
+    std::set<std::size_t> damaged;
+    std::vector<RaftStored> copies(cluster.nodes.size());
+    for (int i = 0; i < 150; ++i) {
+        disturb(cluster, damaged, copies);
+        cluster.run(static_cast<std::int64_t>(cluster.random() % 400));
+        expectNoFaults(cluster);
+    }
+    healAndCompare(cluster);
+}
+
+} // namespace
+
+Test(Raft, foundsAGroupOnlyWhenEveryInstanceIsThereAndEmpty)
+{
+    RaftCluster cluster({ .seed = 1 });
+    cluster.crash(2);
+    cluster.run(30'000);
+    cr_assert(cluster.committed.empty(), "expected no group while an instance is away");
+    cluster.start(2);
+    expectWhole(cluster);
+}
+
+Test(Raft, anEmptiedFounderDoesNotFoundASecondGroup)
+{
+    RaftCluster cluster({ .seed = 2 });
+    expectWhole(cluster);
+    commitMany(cluster, "a", 5);
+    cluster.loseDisk(0);
+    cluster.crash(1);
+    cluster.start(0);
+    cluster.run(60'000);
+    cr_assert(!cluster.leader(), "expected no leader from one emptied folder and one voter");
+    cluster.start(1);
+    healAndCompare(cluster);
+}
+
+Test(Raft, keepsItsGuaranteesUnderRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 600; ++seed)
+        runSchedule(seed);
+}
+
+Test(Raft, losesNothingWhenASecondDiskGoesRightAfterARepair)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RaftCluster cluster({ .seed = seed, .loss = 0.05, .maxDelay = 40, .maxSync = 100 });
+        expectWhole(cluster);
+        commitMany(cluster, "a", 30);
+        for (std::size_t lost = 0; lost < 3; ++lost) {
+            cluster.loseDisk(lost);
+            cluster.start(lost);
+            expectReached(cluster, "a leader", [&] { return cluster.propose(fmt::format("b-{}", lost)); });
+            expectWhole(cluster);
+        }
+        healAndCompare(cluster);
+    }
+}
+
+Test(Raft, anOlderCopyThatItsStoreDoesNotNoticeIsReadmittedUnderANewIncarnation)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RaftCluster cluster({ .seed = seed, .loss = 0.05 });
+        expectWhole(cluster);
+        const std::size_t restored = seed % 3;
+        const std::size_t behind = (restored + 1) % 3;
+        const RaftStored copy = cluster.nodes[restored].disk;
+        // The one that stays behind knows nothing of what the restored one acknowledged.
+        for (std::size_t other = 0; other < 3; ++other) {
+            cluster.cut(other, behind);
+            cluster.cut(behind, other);
+        }
+        commitMany(cluster, "a", 20);
+        cluster.restore(restored, copy, false);
+        cluster.start(restored);
+        cluster.heal();
+        expectReached(cluster, "the older copy to be found", [&] { return cluster.staleFound > 0; });
+        healAndCompare(cluster);
+    }
+}
+
+Test(Raft, anInstanceThatRestartsWithItsOwnFolderStaysAVoter)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RaftCluster cluster({ .seed = seed, .loss = 0.1, .duplication = 0.1, .maxDelay = 200 });
+        expectWhole(cluster);
+        for (int round = 0; round < 10; ++round) {
+            commitMany(cluster, fmt::format("round-{}", round), 3);
+            const std::size_t node = cluster.random() % 3;
+            cluster.crash(node);
+            cluster.start(node);
+        }
+        healAndCompare(cluster);
+        cr_assert(cluster.staleFound == 0, "seed %llu: expected no folder to be taken for an older copy",
+            static_cast<unsigned long long>(seed));
+    }
+}
+
+Test(Raft, bringsAnInstanceUpThatMissedHundredsOfChangesByLogOrSnapshot)
+{
+    for (const std::uint64_t kept : { 10U, 1'000U }) {
+        RaftCluster cluster({ .seed = 7, .snapshotEvery = 100, .keptEntries = kept });
+        expectWhole(cluster);
+        cluster.crash(2);
+        commitMany(cluster, "a", 500);
+        cluster.start(2);
+        healAndCompare(cluster);
+        const std::size_t expected = kept == 10 ? 1 : 0;
+        cr_assert(cluster.snapshotsInstalled == expected, "expected %zu snapshots, got %zu", expected,
+            cluster.snapshotsInstalled);
+    }
+}
+
+Test(Raft, aLeaderCutOffOnOneSideIsNoLongerConfirmedWhenAnotherLeads)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        RaftCluster cluster({ .seed = seed });
+        expectWhole(cluster);
+        const std::string former = cluster.leader()->leaderAddress();
+        const auto node = static_cast<std::size_t>(former.back() - '0');
+        // It still receives everything, but nothing that it sends arrives, or the other way round.
+        for (std::size_t other = 0; other < 3; ++other) {
+            if (seed % 2 == 0)
+                cluster.cut(node, other);
+            else
+                cluster.cut(other, node);
+        }
+        expectReached(cluster, "another leader",
+            [&] { return cluster.leader() && cluster.leader()->leaderAddress() != former; });
+        healAndCompare(cluster);
+    }
+}
+
+Test(Raft, aLeaderFrozenLongerThanTheElectionTimeoutIsNotConfirmedWhenItResumes)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        RaftCluster cluster({ .seed = seed });
+        expectWhole(cluster);
+        const std::string former = cluster.leader()->leaderAddress();
+        const auto node = static_cast<std::size_t>(former.back() - '0');
+        cluster.freeze(node, 5'000);
+        expectReached(cluster, "another leader",
+            [&] { return cluster.leader() && cluster.leader()->leaderAddress() != former; });
+        healAndCompare(cluster);
+    }
+}
+
+Test(Raft, aRestartedFollowerRefusesVotesForAWholeElectionTimeout)
+{
+    const RaftOptions options { .peers = { "a", "b", "c" } };
+    RaftStored stored { .self = { "a", "ia" }, .boot = 2 };
+    stored.entries.push_back({ .index = 1,
+        .term = 1,
+        .kind = RaftEntryKind::Configuration,
+        .data = {},
+        .voters = { { "a", "ia" }, { "b", "ib" }, { "c", "ic" } } });
+    stored.hard.term = 1;
+    const Milliseconds begin { 50'000 };
+    Raft raft(options, stored, begin);
+    RaftMessage hello { .kind = RaftMessageKind::HelloReply, .to = "a", .from = { "b", "ib" }, .boot = 1, .term = 1 };
+    raft.receive(hello, begin);
+    hello.from = { "c", "ic" };
+    raft.receive(hello, begin);
+    const RaftMessage request { .kind = RaftMessageKind::PreVote,
+        .to = "a",
+        .from = { "b", "ib" },
+        .boot = 1,
+        .verified = true,
+        .term = 1,
+        .index = 1,
+        .logTerm = 1 };
+    const auto granted = [&](Milliseconds at) { return raft.receive(request, at).send.front().granted; };
+    cr_assert(!granted(begin + Milliseconds { options.electionLeast.count - 1 }), "expected a refusal before the timeout");
+    cr_assert(granted(begin + options.electionLeast), "expected consent after the timeout");
+}
+
+Test(Raft, aLeaderCountsItselfOnlyAfterItsOwnSync)
+{
+    RaftCluster cluster({ .seed = 11 });
+    expectWhole(cluster);
+    const auto leader = static_cast<std::size_t>(cluster.leader()->leaderAddress().back() - '0');
+    cluster.nodes[leader].stalledDisk = true;
+    cluster.cut(leader, (leader + 1) % 3);
+    cluster.propose("unsynced");
+    cluster.run(500);
+    cr_assert(!isCommitted(cluster, "unsynced"), "expected one synced copy of three not to be enough");
+}
+
+Test(Raft, aFollowerAnswersOnlyAfterItsSync)
+{
+    RaftCluster cluster({ .seed = 12 });
+    expectWhole(cluster);
+    const auto leader = static_cast<std::size_t>(cluster.leader()->leaderAddress().back() - '0');
+    for (std::size_t other = 1; other < 3; ++other)
+        cluster.nodes[(leader + other) % 3].stalledDisk = true;
+    cluster.propose("unsynced");
+    cluster.run(5'000);
+    cr_assert(!isCommitted(cluster, "unsynced"), "expected one synced copy of three not to be enough");
+    cr_assert(cluster.leader(), "expected a slow disk not to unseat the leader");
+}
+
+Test(Raft, anInstanceAdmittedAnewVotesOnlyOnceItHasSyncedWhatIsCommitted)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        RaftCluster cluster({ .seed = seed });
+        expectWhole(cluster);
+        commitMany(cluster, "a", 30);
+        const auto leader = static_cast<std::size_t>(cluster.leader()->leaderAddress().back() - '0');
+        const std::size_t lost = (leader + 1) % 3;
+        cluster.loseDisk(lost);
+        cluster.nodes[lost].stalledDisk = true;
+        cluster.start(lost);
+        cluster.run(5'000);
+        cr_assert(!cluster.isWhole(), "seed %lu: expected a learner that has synced nothing not to be admitted", seed);
+        cluster.nodes[lost].stalledDisk = false;
+        healAndCompare(cluster);
+    }
+}
--- /dev/null
+++ b/test/support/RaftCluster.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "policy/Raft.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleanderport::test {
+
+struct ClusterOptions {
+    std::size_t size { 3 };
+    std::uint64_t seed { 0 };
+    double loss { 0 };
+    double duplication { 0 };
+    std::int64_t maxDelay { 20 };
+    std::int64_t maxSync { 15 };
+    // Applied entries after which an instance makes a snapshot.
+    std::uint64_t snapshotEvery { 40 };
+    std::uint64_t keptEntries { 10 };
+};
+
+// Control instances with an in-memory network and disks that keep only what was synced, on a virtual clock. Breaches
+// of the guarantees are collected in `faults`.
+class RaftCluster {
+public:
+    struct Node {
+        std::string address;
+        RaftStored disk;
+        std::unique_ptr<Raft> raft;
+        std::vector<RaftWrite> unsynced;
+        Milliseconds syncDone {};
+        Milliseconds frozenUntil {};
+        // Its disk syncs nothing any more.
+        bool stalledDisk { false };
+        std::vector<std::string> applied;
+        std::uint64_t appliedIndex { 0 };
+    };
+
+    explicit RaftCluster(const ClusterOptions&);
+
+    void run(std::int64_t milliseconds);
+    // Runs until the condition holds; false when it does not within the limit.
+    bool runUntil(const std::function<bool()>&, std::int64_t limit = 120'000);
+
+    void crash(std::size_t);
+    void start(std::size_t);
+    void freeze(std::size_t node, std::int64_t milliseconds) { nodes[node].frozenUntil = now + Milliseconds { milliseconds }; }
+    // Crashes the instance and empties its disk.
+    void loseDisk(std::size_t);
+    // Crashes the instance and puts an older copy in place of its disk, either seen as a copy by its own store or not.
+    void restore(std::size_t, const RaftStored& copy, bool noticed);
+    void cut(std::size_t from, std::size_t to) { cuts.insert({ from, to }); }
+    void heal() { cuts.clear(); }
+
+    Raft* leader();
+    // Proposes at the confirmed leader; false when there is none.
+    bool propose(const std::string&);
+    // True when the confirmed leader's committed voters are the present incarnations of all instances.
+    bool isWhole();
+    bool allApplied(std::uint64_t index) const;
+
+    std::vector<Node> nodes;
+    Milliseconds now { 1'000'000 };
+    std::set<std::pair<std::size_t, std::size_t>> cuts;
+    std::vector<std::string> faults;
+    // What was committed anywhere, by index.
+    std::map<std::uint64_t, RaftEntry> committed;
+    ClusterOptions options;
+    std::mt19937_64 random;
+    std::size_t snapshotsInstalled { 0 };
+    std::size_t staleFound { 0 };
+
+private:
+    struct Parcel {
+        std::size_t from { 0 };
+        std::size_t to { 0 };
+        RaftMessage message;
+    };
+
+    void step();
+    void perform(std::size_t, RaftActions);
+    void post(std::size_t from, const RaftMessage&);
+    void apply(Node&, const RaftEntry&);
+    void check();
+    std::string newIncarnation() { return "i" + std::to_string(++m_incarnations); }
+    std::size_t indexOf(const std::string& address) const;
+    bool chance(double probability);
+    static void store(RaftStored&, const RaftWrite&);
+
+    std::multimap<Milliseconds, Parcel> m_network;
+    std::map<std::uint64_t, std::string> m_leaders;
+    std::uint64_t m_incarnations { 0 };
+};
+
+} // namespace oleanderport::test
