--- a/test/policy/ViewDeltaTest.cpp
+++ b/test/policy/ViewDeltaTest.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace oleanderport;
@@ -89,6 +90,11 @@
                 static_cast<std::size_t>(from), isKept ? "a difference" : "the whole view");
             if (!delta)
                 continue;
+            for (const auto& left : delta->left) {
+                const bool wasThere = std::any_of(view.members.begin(), view.members.end(),
+                    [&left](const Member& member) { return member.id == left; });
+                cr_assert(wasThere, "seed %u: %s left, but was never in the view", seed, left.instance.c_str());
+            }
             const auto carried = fromJson<ViewDelta>(toJson(*delta));
             cr_assert(applyDelta(view, carried.assume_value()));
             const std::string actual = textOf(view);
