--- a/src/cli/ControlCalls.cpp
+++ b/src/cli/ControlCalls.cpp
@@ -75,7 +75,7 @@
 
 std::string environmentOf(const cxxopts::ParseResult& arguments)
 {
-    const auto name = arguments["environment"].as<std::string>();
+    auto name = arguments["environment"].as<std::string>();
     if (name != trialEnvironment && name != productionEnvironment)
         throw std::runtime_error("--environment: expected trial or production");
     return name;
