Control runs as a replicated group over its data folders

Cause: one control instance in memory lost everything with its process.

Change: RaftReplicator carries the core's messages over JSON-RPC (one call at a time and peer; what is due meanwhile goes with the next), keeps the log in the data folder and applies what is committed; ControlServer takes it when a data folder is set. Proposals whose leader is lost end as unavailable (ran: unknown); not_leader (ran: no) only where nothing was appended.

--- a/samples/demo/run.sh
+++ b/samples/demo/run.sh
@@ -25,6 +25,7 @@
 [control]
 peers = ["$control"]
 data_folder = "$work/$2"
+bootstrap = true
 TOML
     "$build/oleanderportd" --settings "$work/$2.toml" & pids+=($!)
 }
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -1,7 +1,6 @@
 #include "control/ControlServer.h"
 
 #include "control/Forward.h"
-#include "control/LocalReplicator.h"
 #include "policy/ViewDelta.h"
 
 #include <fmt/format.h>
@@ -16,7 +15,7 @@
 
 ControlServer::ControlServer(EventLoop& loop, const Settings& settings)
     : m_process(loop, settings)
-    , m_replicator(std::make_unique<LocalReplicator>(ControlStateOptions {}))
+    , m_replicator(makeReplicator(m_process, ControlStateOptions {}))
     , m_operatorMethods(m_process, *m_replicator, m_timers)
 {
     addSessionMethods();
@@ -26,6 +25,7 @@
 
 Result<void> ControlServer::start()
 {
+    BOOST_OUTCOME_TRYV(m_replicator->start());
     BOOST_OUTCOME_TRYV(m_process.listen({}));
     m_timer = m_process.loop.every(tickPeriod, [this] { tick(); });
     return boost::outcome_v2::success();
--- /dev/null
+++ b/src/control/RaftReplicator.cpp
@@ -0,0 +1,338 @@
+#include "control/RaftReplicator.h"
+
+#include "control/ControlCodec.h"
+#include "control/RaftCodec.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <random>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod { 20 };
+    constexpr Milliseconds callTimeout { 1'000 };
+    constexpr std::size_t maxOutbox = 64;
+    constexpr std::uint64_t snapshotEvery = 1'000;
+    // A message may grow in JSON, and a call carries more than entries.
+    constexpr std::int64_t bodyShare = 8;
+    constexpr std::size_t maxMessageBytes = 1'048'576;
+    constexpr const char* methodName = "raft";
+
+    [[noreturn]] void stopProcess(const Error& error)
+    {
+        logError(LogLevel::Error, error);
+        std::_Exit(EXIT_FAILURE);
+    }
+
+    std::size_t sizeOf(const RaftMessage& message)
+    {
+        std::size_t bytes = message.data.size();
+        for (const auto& entry : message.entries)
+            bytes += entry.data.size();
+        return bytes;
+    }
+
+    std::size_t messageLimit(const Settings& settings)
+    {
+        return std::min(maxMessageBytes, static_cast<std::size_t>(settings.maxBodyBytes / bodyShare));
+    }
+
+} // namespace
+
+class RaftReplicator::Completions {
+public:
+    Completions()
+        : m_descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+    }
+
+    ~Completions() { ::close(m_descriptor); }
+    Completions(const Completions&) = delete;
+    Completions& operator=(const Completions&) = delete;
+
+    int descriptor() const { return m_descriptor; }
+
+    void add(const Result<std::uint64_t>& result)
+    {
+        {
+            const std::lock_guard guard(m_mutex);
+            m_results.push_back(result);
+        }
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const auto written = ::write(m_descriptor, &one, sizeof one);
+    }
+
+    std::vector<Result<std::uint64_t>> take()
+    {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto read = ::read(m_descriptor, &count, sizeof count);
+        const std::lock_guard guard(m_mutex);
+        return std::move(m_results);
+    }
+
+private:
+    int m_descriptor;
+    std::mutex m_mutex;
+    std::vector<Result<std::uint64_t>> m_results;
+};
+
+RaftReplicator::RaftReplicator(Process& process, const ControlStateOptions& options)
+    : m_process(process)
+    , m_stateOptions(options)
+    , m_state(options)
+    , m_alive(std::make_shared<bool>(true))
+{
+    m_process.rpc.add(methodName, [this](const Json::Value& params, const RpcReply& reply) {
+        receive(params);
+        reply(Json::Value(Json::objectValue));
+    });
+}
+
+RaftReplicator::~RaftReplicator()
+{
+    // The store's thread ends before what it reports to.
+    m_store.reset();
+}
+
+Result<void> RaftReplicator::start()
+{
+    const auto& peers = m_process.settings.controlPeers;
+    const std::string& own = m_process.settings.advertise;
+    if (std::find(peers.begin(), peers.end(), own) == peers.end()) {
+        return Error { .code = ErrorCode::BadSettings,
+            .ran = Ran::No,
+            .step = "control.start",
+            .peer = own,
+            .message = "control.peers does not name this instance's own address" };
+    }
+    BOOST_OUTCOME_TRYV(open(false));
+    m_timer = m_process.loop.every(tickPeriod, [this] { perform(m_raft->tick(Clock::now())); });
+    return boost::outcome_v2::success();
+}
+
+Result<void> RaftReplicator::open(bool renewIncarnation)
+{
+    m_raft.reset();
+    m_store.reset();
+    m_completions = std::make_shared<Completions>();
+    m_wake = m_process.loop.onReadable(m_completions->descriptor(), [this] { storeFinished(); });
+    BOOST_OUTCOME_TRY(m_store,
+        LogStore::open({ .folder = m_process.settings.dataFolder,
+                           .address = m_process.settings.advertise,
+                           .renewIncarnation = renewIncarnation },
+            [completions = m_completions](const Result<std::uint64_t>& result) { completions->add(result); }));
+    const RaftStored& stored = m_store->stored();
+    m_state = ControlState(m_stateOptions);
+    m_applied = 0;
+    m_snapshotIndex = 0;
+    if (stored.snapshot)
+        install(*stored.snapshot);
+    std::random_device device;
+    const RaftOptions options { .peers = m_process.settings.controlPeers,
+        .bootstrap = m_process.settings.bootstrap,
+        .maxBytesPerMessage = messageLimit(m_process.settings),
+        .seed = (static_cast<std::uint64_t>(device()) << 32U) | device() };
+    m_raft = std::make_unique<Raft>(options, stored, Clock::now());
+    const std::uint64_t last = m_raft->lastIndex();
+    log(LogLevel::Info, { .step = "control.start", .peer = stored.self.incarnation },
+        fmt::format("start {} of this data folder, log up to {}", stored.boot, last));
+    if (last == 0 && !options.bootstrap) {
+        log(LogLevel::Warning, { .step = "control.start" },
+            "the data folder is empty: waiting for the group to admit this instance. A new group is founded only by an "
+            "instance with control.bootstrap = true");
+    }
+    return boost::outcome_v2::success();
+}
+
+void RaftReplicator::propose(decltype(ControlCommand::change) change, Done done)
+{
+    if (!isLeader()) {
+        return done(Error { .code = ErrorCode::NotLeader,
+            .ran = Ran::No,
+            .step = "control.propose",
+            .peer = leaderAddress(),
+            .message = "this instance is not the leader" });
+    }
+    const ControlCommand command { .stampUnix = Clock::unixNow(), .change = std::move(change) };
+    RaftActions actions = m_raft->propose({ encodeCommand(command) }, Clock::now());
+    m_proposals[m_raft->lastIndex()] = { .term = m_raft->term(), .done = std::move(done) };
+    perform(std::move(actions));
+}
+
+bool RaftReplicator::isLeader() const { return m_raft && m_raft->isConfirmedLeader(Clock::now()); }
+
+std::string RaftReplicator::leaderAddress() const
+{
+    // A leader that is not confirmed has nobody to name.
+    if (!m_raft || m_raft->leads())
+        return {};
+    return m_raft->leaderAddress();
+}
+
+void RaftReplicator::receive(const Json::Value& params)
+{
+    for (const auto& item : params["messages"]) {
+        const auto message = raftMessageFromJson(item);
+        const bool isMine = message.has_value() && message.assume_value().to == m_process.settings.advertise;
+        if (m_raft && isMine)
+            perform(m_raft->receive(message.assume_value(), Clock::now()));
+    }
+}
+
+void RaftReplicator::storeFinished()
+{
+    const auto completions = m_completions;
+    for (const auto& result : completions->take()) {
+        // Joining anew within this loop leaves the rest to a store that is gone.
+        if (completions != m_completions)
+            return;
+        if (!result.has_value())
+            stopProcess(result.assume_error());
+        perform(m_raft->written(result.assume_value(), Clock::now()));
+    }
+}
+
+void RaftReplicator::perform(RaftActions actions)
+{
+    if (actions.stale)
+        return joinAnew();
+    for (auto& write : actions.writes)
+        m_store->write(std::move(write));
+    for (auto& message : actions.send)
+        post(std::move(message));
+    if (actions.install)
+        install(*actions.install);
+    for (const auto& entry : actions.committed)
+        apply(entry);
+    compactIfDue();
+    failLostProposals();
+    noteLeadership();
+}
+
+void RaftReplicator::post(RaftMessage message)
+{
+    PeerLink& link = m_links[message.to];
+    if (!link.client)
+        link.client = std::make_unique<RpcClient>(m_process.loop, message.to);
+    link.outbox.push_back(std::move(message));
+    // The core sends again what matters.
+    while (link.outbox.size() > maxOutbox)
+        link.outbox.pop_front();
+    flush(link);
+}
+
+void RaftReplicator::flush(PeerLink& link)
+{
+    if (link.busy || link.outbox.empty())
+        return;
+    Json::Value params;
+    std::size_t bytes = 0;
+    while (!link.outbox.empty()) {
+        const RaftMessage& message = link.outbox.front();
+        bytes += sizeOf(message);
+        if (!params["messages"].empty() && bytes > messageLimit(m_process.settings))
+            break;
+        params["messages"].append(raftMessageToJson(message));
+        link.outbox.pop_front();
+    }
+    link.busy = true;
+    const std::weak_ptr<bool> alive = m_alive;
+    link.client->call(methodName, params, callTimeout, [this, alive, &link](const Result<Json::Value>&) {
+        if (alive.expired())
+            return;
+        link.busy = false;
+        flush(link);
+    });
+}
+
+void RaftReplicator::install(const RaftSnapshot& snapshot)
+{
+    auto state = decodeState(snapshot.data, m_stateOptions);
+    if (!state.has_value())
+        stopProcess(state.assume_error());
+    m_state = std::move(state).assume_value();
+    m_applied = snapshot.index;
+    m_snapshotIndex = snapshot.index;
+}
+
+void RaftReplicator::apply(const RaftEntry& entry)
+{
+    m_applied = entry.index;
+    if (entry.kind == RaftEntryKind::Configuration) {
+        std::string members;
+        for (const auto& voter : entry.voters)
+            members += fmt::format(" {}/{}", voter.address, voter.incarnation.substr(0, 8));
+        log(LogLevel::Info, { .step = "control.membership" }, "voters:" + members);
+    }
+    if (entry.kind != RaftEntryKind::Command)
+        return;
+    const auto command = decodeCommand(entry.data);
+    if (!command.has_value())
+        stopProcess(command.assume_error());
+    const auto outcome = m_state.apply(command.assume_value());
+    const auto proposal = m_proposals.find(entry.index);
+    if (proposal == m_proposals.end())
+        return;
+    const Proposal own = std::move(proposal->second);
+    m_proposals.erase(proposal);
+    if (own.term == entry.term)
+        return own.done(outcome);
+    own.done(Error { .code = ErrorCode::Unavailable,
+        .ran = Ran::Unknown,
+        .step = "control.propose",
+        .peer = leaderAddress(),
+        .message = "another leader took over" });
+}
+
+void RaftReplicator::compactIfDue()
+{
+    if (m_applied < m_snapshotIndex + snapshotEvery)
+        return;
+    m_snapshotIndex = m_applied;
+    perform(m_raft->compact(m_applied, encodeState(m_state)));
+}
+
+void RaftReplicator::joinAnew()
+{
+    log(LogLevel::Error, { .step = "control.start", .peer = m_process.settings.dataFolder },
+        "the data folder is older than what this instance promised: joining again as a new member");
+    const auto opened = open(true);
+    if (!opened.has_value())
+        stopProcess(opened.assume_error());
+    failLostProposals();
+}
+
+void RaftReplicator::failLostProposals()
+{
+    if (m_raft->leads() || m_proposals.empty())
+        return;
+    auto lost = std::move(m_proposals);
+    m_proposals.clear();
+    for (const auto& [index, proposal] : lost) {
+        proposal.done(Error { .code = ErrorCode::Unavailable,
+            .ran = Ran::Unknown,
+            .step = "control.propose",
+            .peer = leaderAddress(),
+            .message = "leadership was lost before the change was committed" });
+    }
+}
+
+void RaftReplicator::noteLeadership()
+{
+    if (m_knownLeader == m_raft->leaderAddress())
+        return;
+    m_knownLeader = m_raft->leaderAddress();
+    if (m_raft->leads())
+        m_process.events.record(EventKind::LeaderElected, { .detail = fmt::format("term {}", m_raft->term()) });
+    log(LogLevel::Info, { .step = "control.leader", .peer = m_knownLeader },
+        m_knownLeader.empty() ? "no leader known" : fmt::format("leader of term {}", m_raft->term()));
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/control/RaftReplicator.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "control/LogStore.h"
+#include "control/Replicator.h"
+#include "policy/Raft.h"
+#include "wire/Process.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace oleanderport {
+
+// One instance of a control group: carries the consensus core's messages over JSON-RPC (method "raft"), keeps its log
+// in the data folder and applies what is committed. Stops the process when the disk fails, since an instance that
+// cannot sync must not go on answering.
+class RaftReplicator final : public Replicator {
+public:
+    // The process must outlive this object. Its settings name the peers, this instance's own address among them.
+    RaftReplicator(Process&, const ControlStateOptions&);
+    ~RaftReplicator() override;
+
+    // Opens the data folder and joins the group. Fails with Storage or BadSettings.
+    Result<void> start() override;
+
+    void propose(decltype(ControlCommand::change), Done) override;
+    bool isLeader() const override;
+    std::string leaderAddress() const override;
+    const ControlState& state() const override { return m_state; }
+
+private:
+    // Messages to one peer. One call is under way at a time; what is due meanwhile goes with the next.
+    struct PeerLink {
+        std::unique_ptr<RpcClient> client;
+        std::deque<RaftMessage> outbox;
+        bool busy { false };
+    };
+    struct Proposal {
+        std::uint64_t term { 0 };
+        Done done;
+    };
+    // Results that the store's thread hands to the loop.
+    class Completions;
+
+    Result<void> open(bool renewIncarnation);
+    void receive(const Json::Value& params);
+    void storeFinished();
+    void perform(RaftActions);
+    void post(RaftMessage);
+    void flush(PeerLink&);
+    void install(const RaftSnapshot&);
+    void apply(const RaftEntry&);
+    void compactIfDue();
+    void joinAnew();
+    void failLostProposals();
+    void noteLeadership();
+
+    Process& m_process;
+    ControlStateOptions m_stateOptions;
+    ControlState m_state;
+    std::uint64_t m_applied { 0 };
+    std::uint64_t m_snapshotIndex { 0 };
+    std::shared_ptr<Completions> m_completions;
+    std::unique_ptr<LogStore> m_store;
+    std::unique_ptr<Raft> m_raft;
+    std::map<std::string, PeerLink> m_links;
+    std::map<std::uint64_t, Proposal> m_proposals;
+    std::string m_knownLeader;
+    std::unique_ptr<EventLoop::Timer> m_wake;
+    std::unique_ptr<EventLoop::Timer> m_timer;
+    // Guards callbacks that outlive this object.
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace oleanderport
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -3,10 +3,13 @@
 #include "policy/ControlState.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace oleanderport {
 
+struct Process;
+
 // Carries commands to all control instances and applies each once it is committed.
 class Replicator {
 public:
@@ -30,4 +33,8 @@
     virtual const ControlState& state() const = 0;
 };
 
+// The group when a data folder is set. Otherwise a single instance that keeps its state in memory, for trials. The
+// process must outlive the replicator.
+std::unique_ptr<Replicator> makeReplicator(Process&, const ControlStateOptions&);
+
 } // namespace oleanderport
