An entry asks for the view when a sidecar calls that it does not know

Cause: ./run.sh submits as soon as control shows all members, but an entry hears of them only with its next heartbeat, up to 500 ms later, and a refused sidecar tries again after 100 ms.

Change: a call by a sidecar session that the view does not hold makes the entry renew at once, at most ten times a heartbeat.

Seen red: with the call taken out the new test fails with 'expected 1 request for the view, got 0'.

--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-ExchangeServer::ExchangeServer(Process& process, JobTable& jobs, std::function<void()> changed)
+ExchangeServer::ExchangeServer(Process& process, JobTable& jobs, Callbacks callbacks)
     : m_process(process)
     , m_jobs(jobs)
-    , m_changed(std::move(changed))
+    , m_callbacks(std::move(callbacks))
 {
 }
 
@@ -71,8 +71,11 @@
 
 void ExchangeServer::handle(const ExchangeRequest& request, const Reply& reply)
 {
-    if (const auto refusal = refusalFor(request))
+    if (const auto refusal = refusalFor(request)) {
+        if (m_self && request.entry == *m_self && !m_sidecars.contains(request.sidecar))
+            m_callbacks.unknownSidecar();
         return reply(*refusal);
+    }
     Sidecar& sidecar = m_sidecars.at(request.sidecar);
     ChannelState& channel = request.channel == Channel::Poll ? sidecar.poll : sidecar.report;
     sidecar.granted = std::max(sidecar.granted, request.grantedTotal);
@@ -91,7 +94,7 @@
     auto tasks = m_jobs.take(sidecar.member.node.service, request.sidecar,
         static_cast<std::size_t>(std::max<std::int64_t>(sidecar.credit(), 0)));
     reply(respondTo(sidecar, channel, std::move(tasks)));
-    m_changed();
+    m_callbacks.changed();
     dispatch();
 }
 
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -17,8 +17,15 @@
 public:
     using Reply = std::function<void(Result<ExchangeResponse>)>;
 
-    // `jobs` must outlive this object. `changed` is called after results have changed the table.
-    ExchangeServer(Process&, JobTable& jobs, std::function<void()> changed);
+    struct Callbacks {
+        // Results have changed the table.
+        std::function<void()> changed;
+        // A sidecar session called that the view does not hold: the view is older than the sidecar.
+        std::function<void()> unknownSidecar;
+    };
+
+    // `jobs` must outlive this object.
+    ExchangeServer(Process&, JobTable& jobs, Callbacks);
 
     // The session under which this entry acts, and what it knows of the sidecars.
     void setSession(const std::optional<SessionId>&);
@@ -61,7 +68,7 @@
 
     Process& m_process;
     JobTable& m_jobs;
-    std::function<void()> m_changed;
+    Callbacks m_callbacks;
     std::optional<SessionId> m_self;
     std::map<SessionId, Sidecar> m_sidecars;
 };
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -360,7 +360,9 @@
     m_exchange.reset();
     m_jobs = std::make_unique<JobTable>(
         JobTableOptions { .answerRetention = m_process.settings.answerRetention });
-    m_exchange = std::make_unique<ExchangeServer>(m_process, *m_jobs, [this] { tableChanged(); });
+    m_exchange = std::make_unique<ExchangeServer>(m_process, *m_jobs,
+        ExchangeServer::Callbacks {
+            .changed = [this] { tableChanged(); }, .unknownSidecar = [this] { m_session.refresh(); } });
     for (const auto& [key, waiting] : waiters) {
         for (const auto& waiter : waiting)
             waiter.reply(unavailable("this entry has lost its session; submit the same job again"));
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -4,6 +4,12 @@
 
 namespace oleanderport {
 
+namespace {
+
+    constexpr std::int64_t refreshesPerHeartbeat = 10;
+
+} // namespace
+
 ControlSession::ControlSession(Process& process, ControlClient& client, Callbacks callbacks)
     : m_process(process)
     , m_client(client)
@@ -19,6 +25,16 @@
     beat();
 }
 
+void ControlSession::refresh()
+{
+    const Milliseconds now = Clock::now();
+    const Milliseconds gap { m_process.settings.heartbeat.count / refreshesPerHeartbeat };
+    if (!m_id || m_waiting || now < m_refreshedAt + gap)
+        return;
+    m_refreshedAt = now;
+    renew();
+}
+
 void ControlSession::beat()
 {
     if (m_waiting)
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -30,6 +30,10 @@
     // Closes the session at control, then calls back, also when control does not answer.
     void stop(std::function<void()> done);
 
+    // Asks control for the current view now rather than at the next heartbeat. Calls that follow each other within a
+    // tenth of a heartbeat, or while an answer is awaited, do nothing.
+    void refresh();
+
     // Set while a session is open.
     const std::optional<SessionId>& id() const { return m_id; }
     const ClusterView& view() const { return m_view; }
@@ -53,6 +57,7 @@
     ClusterView m_view;
     Milliseconds m_leaseEnd {};
     bool m_waiting { false };
+    Milliseconds m_refreshedAt {};
     std::uint64_t m_round { 0 };
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::shared_ptr<bool> m_alive;
