Minions that fail what others run get no work, and return slowly

Cause: a minion that fails at once is always free and so attracts work. Weighed: judging at the sidecar, at control, at the entry; see DESIGN.md, Bad minions. The entry compares the minions of a service without a message. Change: policy/MinionHealth (ejection with a floor, probes, stragglers, pause after refusals) gives Placement an allowance per sidecar; ExchangeServer records accepted results and bounds both of its channels by it. Broken to see red: the floor, the comparison with others, late ends during an ejection, the pause, the ejection itself; each failed its test. The gain on real processes is not measured yet.

--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -1,7 +1,5 @@
 #include "entry/ExchangeServer.h"
 
-#include "policy/Placement.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -36,6 +34,7 @@
 {
     m_self = self;
     m_sidecars.clear();
+    m_health.clear();
 }
 
 void ExchangeServer::viewChanged(const ClusterView& view)
@@ -45,16 +44,34 @@
         if (member.node.role != Role::Sidecar)
             continue;
         live.insert(member.id);
-        m_sidecars[member.id].member = member;
+        Sidecar& sidecar = m_sidecars[member.id];
+        sidecar.member = member;
+        healthOf(sidecar).add(member.id, member.node.slots);
     }
     std::erase_if(m_sidecars, [&](const auto& item) {
         if (live.contains(item.first))
             return false;
         m_jobs.sidecarLost(item.first);
+        healthOf(item.second).remove(item.first);
         return true;
     });
 }
 
+MinionHealth& ExchangeServer::healthOf(const Sidecar& sidecar)
+{
+    return m_health.try_emplace(sidecar.member.node.service, MinionHealthOptions {}).first->second;
+}
+
+SidecarCandidate ExchangeServer::candidateFor(const SessionId& id, const Sidecar& sidecar)
+{
+    return { .id = id,
+        .sameDataCentre = sidecar.member.node.dataCentre == m_process.settings.dataCentre,
+        .slots = sidecar.member.node.slots,
+        .outstanding = static_cast<std::int64_t>(m_jobs.outstanding(id)),
+        .credit = sidecar.credit(),
+        .allowance = healthOf(sidecar).allowance(id, Clock::now()) };
+}
+
 std::optional<Error> ExchangeServer::refusalFor(const ExchangeRequest& request) const
 {
     if (!m_self || request.entry != *m_self)
@@ -89,7 +106,7 @@
     }
     takeResults(request);
     auto tasks = m_jobs.take(sidecar.member.node.service, request.sidecar,
-        static_cast<std::size_t>(std::max<std::int64_t>(sidecar.credit(), 0)));
+        static_cast<std::size_t>(sendable(candidateFor(request.sidecar, sidecar))));
     reply(respondTo(sidecar, channel, std::move(tasks)));
     m_changed();
     dispatch();
@@ -97,9 +114,12 @@
 
 void ExchangeServer::takeResults(const ExchangeRequest& request)
 {
+    MinionHealth& health = healthOf(m_sidecars.at(request.sidecar));
     for (const auto& result : request.results) {
-        if (m_jobs.result(request.sidecar, result))
+        if (m_jobs.result(request.sidecar, result)) {
+            health.record(request.sidecar, result.outcome, result.ranFor, Clock::now());
             continue;
+        }
         m_process.metrics.add("results_dropped_total");
         m_process.events.record(EventKind::ResultDropped,
             { .job = &result.key, .task = result.task, .detail = request.sidecar.instance });
@@ -143,11 +163,7 @@
     for (const auto& [id, sidecar] : m_sidecars) {
         if (!sidecar.poll.parked)
             continue;
-        byService[sidecar.member.node.service].push_back({ .id = id,
-            .sameDataCentre = sidecar.member.node.dataCentre == m_process.settings.dataCentre,
-            .slots = sidecar.member.node.slots,
-            .outstanding = static_cast<std::int64_t>(m_jobs.outstanding(id)),
-            .credit = sidecar.credit() });
+        byService[sidecar.member.node.service].push_back(candidateFor(id, sidecar));
     }
     std::map<SessionId, std::vector<TaskAssignment>> batches;
     for (auto& [service, candidates] : byService) {
@@ -197,6 +213,8 @@
 
 void ExchangeServer::tick(Milliseconds now)
 {
+    for (const auto& [service, health] : m_health)
+        m_process.metrics.set("minions_ejected", static_cast<double>(health.ejected(now)));
     for (auto& [id, sidecar] : m_sidecars) {
         const bool old = sidecar.poll.parked && now > sidecar.poll.parkedAt + longestPoll;
         const bool hasCancels = sidecar.poll.parked && !sidecar.cancels.empty();
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "policy/JobTable.h"
+#include "policy/MinionHealth.h"
+#include "policy/Placement.h"
 #include "wire/Process.h"
 
 #include <cstdint>
@@ -51,6 +53,8 @@
         std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
     };
 
+    MinionHealth& healthOf(const Sidecar&);
+    SidecarCandidate candidateFor(const SessionId&, const Sidecar&);
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
     void takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
@@ -64,6 +68,8 @@
     std::function<void()> m_changed;
     std::optional<SessionId> m_self;
     std::map<SessionId, Sidecar> m_sidecars;
+    // By service.
+    std::map<std::string, MinionHealth> m_health;
 };
 
 } // namespace oleanderport
--- /dev/null
+++ b/src/policy/MinionHealth.cpp
@@ -0,0 +1,174 @@
+#include "policy/MinionHealth.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace oleanderport {
+
+namespace {
+
+    // Weight of a new run time in the mean.
+    constexpr double newRunWeight = 0.2;
+
+    Milliseconds doubled(Milliseconds first, int times, Milliseconds longest)
+    {
+        Milliseconds length = first;
+        for (int i = 0; i < times && length < longest; ++i)
+            length = length * 2;
+        return std::min(length, longest);
+    }
+
+    double medianOf(std::vector<double> values)
+    {
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+        std::nth_element(values.begin(), middle, values.end());
+        return *middle;
+    }
+
+} // namespace
+
+MinionHealth::MinionHealth(const MinionHealthOptions& options)
+    : m_options(options)
+{
+}
+
+void MinionHealth::add(const SessionId& id, std::int64_t slots) { m_minions[id].slots = slots; }
+
+void MinionHealth::remove(const SessionId& id) { m_minions.erase(id); }
+
+void MinionHealth::record(const SessionId& id, TaskOutcome outcome, Milliseconds ranFor, Milliseconds now)
+{
+    const auto found = m_minions.find(id);
+    if (found == m_minions.end() || outcome == TaskOutcome::Running)
+        return;
+    Minion& minion = found->second;
+    if (outcome == TaskOutcome::NotStarted)
+        return refused(minion, now);
+    const bool good = outcome == TaskOutcome::Done;
+    countRun(minion, good, ranFor, now);
+    if (minion.ejectedUntil)
+        return advanceProbation(minion, good, now);
+    if (!good && failsMoreThanOthers(id, minion) && mayEject(now))
+        eject(minion, now);
+}
+
+void MinionHealth::decay(Minion& minion, Milliseconds now) const
+{
+    const double halves = static_cast<double>((now - minion.countedAt).count) / static_cast<double>(m_options.halfLife.count);
+    const double factor = std::exp2(-std::max(halves, 0.0));
+    minion.results *= factor;
+    minion.failures *= factor;
+    minion.countedAt = now;
+}
+
+void MinionHealth::countRun(Minion& minion, bool good, Milliseconds ranFor, Milliseconds now)
+{
+    decay(minion, now);
+    minion.refusals = 0;
+    minion.results += 1;
+    if (!good) {
+        minion.failures += 1;
+        // A failed run says nothing of the minion's speed.
+        return;
+    }
+    const double time = static_cast<double>(ranFor.count);
+    minion.meanRunTime = minion.timed == 0 ? time : minion.meanRunTime + newRunWeight * (time - minion.meanRunTime);
+    minion.timed += 1;
+}
+
+void MinionHealth::refused(Minion& minion, Milliseconds now)
+{
+    // Tasks that were under way together are refused together; they count once.
+    if (now < minion.pausedUntil)
+        return;
+    minion.pausedUntil = now + doubled(m_options.refusalPause, minion.refusals, m_options.longestRefusalPause);
+    ++minion.refusals;
+}
+
+void MinionHealth::eject(Minion& minion, Milliseconds now)
+{
+    minion.ejectedUntil = now + doubled(m_options.ejectFor, minion.ejections, m_options.longestEjection);
+    minion.probation = 1;
+    ++minion.ejections;
+}
+
+void MinionHealth::advanceProbation(Minion& minion, bool good, Milliseconds now)
+{
+    // Ends of runs that were under way when it was ejected prove nothing.
+    if (now < *minion.ejectedUntil)
+        return;
+    if (!good)
+        return eject(minion, now);
+    minion.probation *= 2;
+    if (minion.probation < minion.slots)
+        return;
+    minion.ejectedUntil.reset();
+    minion.ejections = 0;
+    minion.results = 0;
+    minion.failures = 0;
+}
+
+bool MinionHealth::mayEject(Milliseconds now) const
+{
+    if (m_minions.size() < 2)
+        return false;
+    const auto most = static_cast<std::size_t>(m_options.maxEjectedShare * static_cast<double>(m_minions.size()));
+    return ejected(now) < std::max<std::size_t>(most, 1);
+}
+
+bool MinionHealth::failsMoreThanOthers(const SessionId& id, const Minion& minion) const
+{
+    if (minion.results < m_options.minResults)
+        return false;
+    const double share = minion.failures / minion.results;
+    std::vector<double> others;
+    for (const auto& [otherId, other] : m_minions) {
+        if (otherId != id && other.results >= 1)
+            others.push_back(other.failures / other.results);
+    }
+    return share >= m_options.failShare && !others.empty() && share >= medianOf(others) + m_options.excess;
+}
+
+std::int64_t MinionHealth::earned(const SessionId& id, const Minion& minion) const
+{
+    if (minion.timed < m_options.minResults)
+        return minion.slots;
+    std::vector<double> others;
+    for (const auto& [otherId, other] : m_minions) {
+        if (otherId != id && other.timed >= m_options.minResults)
+            others.push_back(other.meanRunTime);
+    }
+    if (others.empty())
+        return minion.slots;
+    const double usual = std::max(medianOf(others), 1.0);
+    if (minion.meanRunTime < usual * m_options.stragglerRatio)
+        return minion.slots;
+    const double share = usual / minion.meanRunTime;
+    return std::max<std::int64_t>(std::llround(share * static_cast<double>(minion.slots)), 1);
+}
+
+std::optional<std::int64_t> MinionHealth::allowance(const SessionId& id, Milliseconds now) const
+{
+    const auto found = m_minions.find(id);
+    if (found == m_minions.end())
+        return std::nullopt;
+    const Minion& minion = found->second;
+    const bool isEjected = minion.ejectedUntil && now < *minion.ejectedUntil;
+    if (isEjected || now < minion.pausedUntil)
+        return 0;
+    if (minion.ejectedUntil)
+        return minion.probation;
+    const std::int64_t most = earned(id, minion);
+    if (most >= minion.slots)
+        return std::nullopt;
+    return most;
+}
+
+std::size_t MinionHealth::ejected(Milliseconds now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_minions.begin(), m_minions.end(),
+        [now](const auto& item) { return item.second.ejectedUntil && now < *item.second.ejectedUntil; }));
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/MinionHealth.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "oleanderport/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace oleanderport {
+
+struct MinionHealthOptions {
+    // Results that are needed before a minion is judged, counted with decay.
+    double minResults { 6 };
+    // Time after which a result counts half.
+    Milliseconds halfLife { 10'000 };
+    // A minion is ejected when its share of failed results reaches `failShare` and exceeds the median of the other
+    // minions by `excess`. The comparison keeps a bad job or a bad release, which fails everywhere, from ejecting.
+    double failShare { 0.5 };
+    double excess { 0.3 };
+    // Largest share of the service's minions that may be ejected at the same time; one of two or more always may.
+    double maxEjectedShare { 0.3 };
+    // Length of the first ejection; each further one in a row doubles it up to the longest.
+    Milliseconds ejectFor { 2'000 };
+    Milliseconds longestEjection { 60'000 };
+    // A minion whose mean run time is this many times the median of the others gets less work.
+    double stragglerRatio { 2 };
+    // Pause after a minion refused a task; doubles with each refusal in a row up to the longest.
+    Milliseconds refusalPause { 50 };
+    Milliseconds longestRefusalPause { 2'000 };
+};
+
+// Decides how much work the minions of one service may hold from one entry, from the results that the entry sees. A
+// minion that fails what others run is ejected for a time, then probed with one task; each success doubles what it may
+// hold until it is back. A slow one is held to the share of its slots that its speed earns. One that refuses tasks is
+// left alone for a short pause.
+class MinionHealth {
+public:
+    explicit MinionHealth(const MinionHealthOptions&);
+
+    // A minion that is there. `slots` is what it may hold in full health. Known minions keep their record.
+    void add(const SessionId&, std::int64_t slots);
+    void remove(const SessionId&);
+
+    // A result that the entry has taken as valid.
+    void record(const SessionId&, TaskOutcome, Milliseconds ranFor, Milliseconds now);
+
+    // Tasks that this entry may have there at the same time; nothing when there is no bound.
+    std::optional<std::int64_t> allowance(const SessionId&, Milliseconds now) const;
+
+    std::size_t ejected(Milliseconds now) const;
+
+private:
+    struct Minion {
+        std::int64_t slots { 0 };
+        double results { 0 };
+        double failures { 0 };
+        Milliseconds countedAt {};
+        double meanRunTime { 0 };
+        double timed { 0 };
+        // Set while ejected and, once it has passed, while on probation.
+        std::optional<Milliseconds> ejectedUntil;
+        std::int64_t probation { 0 };
+        int ejections { 0 };
+        Milliseconds pausedUntil {};
+        int refusals { 0 };
+    };
+
+    void decay(Minion&, Milliseconds now) const;
+    void countRun(Minion&, bool good, Milliseconds ranFor, Milliseconds now);
+    void refused(Minion&, Milliseconds now);
+    void eject(Minion&, Milliseconds now);
+    void advanceProbation(Minion&, bool good, Milliseconds now);
+    bool mayEject(Milliseconds now) const;
+    bool failsMoreThanOthers(const SessionId&, const Minion&) const;
+    std::int64_t earned(const SessionId&, const Minion&) const;
+
+    MinionHealthOptions m_options;
+    std::map<SessionId, Minion> m_minions;
+};
+
+} // namespace oleanderport
--- a/src/policy/Placement.cpp
+++ b/src/policy/Placement.cpp
@@ -1,5 +1,6 @@
 #include "policy/Placement.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace oleanderport {
@@ -17,11 +18,19 @@
 
 } // namespace
 
+std::int64_t sendable(const SidecarCandidate& candidate)
+{
+    const std::int64_t credit = std::max<std::int64_t>(candidate.credit, 0);
+    if (!candidate.allowance)
+        return credit;
+    return std::min(credit, std::max<std::int64_t>(*candidate.allowance - candidate.outstanding, 0));
+}
+
 std::optional<std::size_t> pickSidecar(const std::vector<SidecarCandidate>& candidates)
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].credit <= 0)
+        if (sendable(candidates[i]) == 0)
             continue;
         if (!best || rank(candidates[i]) < rank(candidates[*best]))
             best = i;
--- a/src/policy/Placement.h
+++ b/src/policy/Placement.h
@@ -19,8 +19,13 @@
     std::int64_t outstanding { 0 };
     // Further tasks that the sidecar allows this entry to send.
     std::int64_t credit { 0 };
+    // Most tasks that this entry may have there, by the minion's record; nothing for no bound.
+    std::optional<std::int64_t> allowance;
 };
 
+// Tasks that may be sent there now: the credit, bound by the allowance.
+std::int64_t sendable(const SidecarCandidate&);
+
 // Picks the sidecar for the next task: one with a slot that is free as far as this entry knows, then the nearest, then
 // the least loaded relative to its slots. Nothing when no candidate has credit.
 std::optional<std::size_t> pickSidecar(const std::vector<SidecarCandidate>&);
