--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -70,7 +70,7 @@
         const Json::Value& value = parsed.assume_value();
         const Json::Value& first = value.isArray() && !value.empty() ? value[0] : value;
         const bool isAnswer = first.isObject() && first["jsonrpc"] == "2.0"
-            && (first.isMember("result") || first.isMember("error"));
+            && (first.isMember("result") || first["error"].isObject());
         if (!isAnswer)
             return unreadableAnswer(peer, "not a JSON-RPC answer");
         if (first[logicalMember].isUInt64())
