--- a/test/support/ScenarioDeployment.cpp
+++ b/test/support/ScenarioDeployment.cpp
@@ -199,7 +199,9 @@
         toml::table { { "process",
                           toml::table { { "role", roleOf(name) }, { "instance", name }, { "listen", address(name) },
                               { "advertise", advertised(name) }, { "data_centre", dataCentre(name) } } },
-            { "control", toml::table { { "peers", peers }, { "data_folder", dataFolder(name) } } } });
+            { "control",
+                toml::table { { "peers", peers }, { "data_folder", dataFolder(name) },
+                    { "bootstrap", name == "control-1" } } } });
     std::ostringstream text;
     text << settings;
     return text.str();
