--- a/src/control/RaftCodec.cpp
+++ b/src/control/RaftCodec.cpp
@@ -28,6 +28,19 @@
 
     Json::UInt64 number(std::uint64_t value) { return value; }
 
+    // Fields with their default value are left out: heartbeats are many and small.
+    void putNumber(Json::Value& value, const char* name, std::uint64_t field)
+    {
+        if (field != 0)
+            value[name] = number(field);
+    }
+
+    void putFlag(Json::Value& value, const char* name, bool field)
+    {
+        if (field)
+            value[name] = true;
+    }
+
     template <typename Enum, std::size_t size>
     Enum kindFrom(const Json::Value& value, const NameTable<Enum, size>& names)
     {
@@ -197,25 +210,29 @@
     value["kind"] = std::string(nameIn(messageKindNames, message.kind));
     value["to"] = message.to;
     value["from"] = memberToJson(message.from);
-    value["boot"] = number(message.boot);
-    value["life"] = number(message.life);
-    value["bootTerm"] = number(message.bootTerm);
-    value["bootIndex"] = number(message.bootIndex);
-    value["verified"] = message.verified;
-    value["term"] = number(message.term);
-    value["index"] = number(message.index);
-    value["logTerm"] = number(message.logTerm);
-    value["commit"] = number(message.commit);
-    value["synced"] = number(message.synced);
-    value["granted"] = message.granted;
-    value["empty"] = message.empty;
+    putNumber(value, "boot", message.boot);
+    putNumber(value, "life", message.life);
+    putNumber(value, "bootTerm", message.bootTerm);
+    putNumber(value, "bootIndex", message.bootIndex);
+    putNumber(value, "term", message.term);
+    putNumber(value, "index", message.index);
+    putNumber(value, "logTerm", message.logTerm);
+    putNumber(value, "commit", message.commit);
+    putNumber(value, "synced", message.synced);
+    putNumber(value, "offset", message.offset);
+    putFlag(value, "verified", message.verified);
+    putFlag(value, "granted", message.granted);
+    putFlag(value, "empty", message.empty);
+    putFlag(value, "last", message.last);
     value["sentAt"] = static_cast<Json::Int64>(message.sentAt.count);
-    value["entries"] = entriesToJson(message.entries);
-    value["voters"] = votersToJson(message.voters);
-    value["data"] = message.data;
-    value["offset"] = number(message.offset);
-    value["last"] = message.last;
-    value["evidence"] = evidenceToJson(message.evidence);
+    if (!message.entries.empty())
+        value["entries"] = entriesToJson(message.entries);
+    if (!message.voters.empty())
+        value["voters"] = votersToJson(message.voters);
+    if (!message.data.empty())
+        value["data"] = message.data;
+    if (!message.evidence.empty())
+        value["evidence"] = evidenceToJson(message.evidence);
     return value;
 }
 
--- a/src/policy/Raft.cpp
+++ b/src/policy/Raft.cpp
@@ -20,8 +20,9 @@
     m_synced = m_log.lastIndex();
     m_commit = m_log.snapshot().index;
     drawElectionTimeout(now);
-    // An incarnation that is no voter has made no promise that others count on.
-    m_verified = !isVoter() || voters().size() == 1;
+    // A first start has made no promise yet, and a group of one has nobody to ask.
+    const bool isAlone = isVoter() && voters().size() == 1;
+    m_verified = m_boot <= 1 || hasNoGroup() || isAlone;
 }
 
 RaftActions Raft::take()
--- a/src/policy/RaftEvidence.cpp
+++ b/src/policy/RaftEvidence.cpp
@@ -121,7 +121,7 @@
     if (m_verified)
         return;
     const bool allHeard = std::all_of(voters().begin(), voters().end(), [this](const RaftMember& voter) {
-        return voter == m_self || m_helloed.contains(voter.address);
+        return voter.address == m_self.address || m_helloed.contains(voter.address);
     });
     m_verified = allHeard || now >= m_startedAt + m_options.verifyWait;
 }
