--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "policy/JobTable.h"
+#include "policy/MinionHealth.h"
+#include "policy/Placement.h"
 #include "wire/Process.h"
 
 #include <cstdint>
@@ -17,8 +19,15 @@
 public:
     using Reply = std::function<void(Result<ExchangeResponse>)>;
 
-    // `jobs` must outlive this object. `changed` is called after results have changed the table.
-    ExchangeServer(Process&, JobTable& jobs, std::function<void()> changed);
+    struct Callbacks {
+        // Results have changed the table.
+        std::function<void()> changed;
+        // A sidecar session called that the view does not hold: the view is older than the sidecar.
+        std::function<void()> unknownSidecar;
+    };
+
+    // `jobs` must outlive this object.
+    ExchangeServer(Process&, JobTable& jobs, Callbacks);
 
     // The session under which this entry acts, and what it knows of the sidecars.
     void setSession(const std::optional<SessionId>&);
@@ -51,6 +60,8 @@
         std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
     };
 
+    MinionHealth& healthOf(const Sidecar&);
+    SidecarCandidate candidateFor(const SessionId&, const Sidecar&);
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
     void takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
@@ -61,9 +72,11 @@
 
     Process& m_process;
     JobTable& m_jobs;
-    std::function<void()> m_changed;
+    Callbacks m_callbacks;
     std::optional<SessionId> m_self;
     std::map<SessionId, Sidecar> m_sidecars;
+    // By service.
+    std::map<std::string, MinionHealth> m_health;
 };
 
 } // namespace oleanderport
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -6,12 +6,28 @@
 
 namespace oleanderport {
 
+namespace {
+
+    constexpr std::int64_t refreshesPerHeartbeat = 10;
+
+} // namespace
+
 ControlSession::ControlSession(Process& process, ControlClient& client, Callbacks callbacks)
     : m_process(process)
     , m_client(client)
     , m_callbacks(std::move(callbacks))
     , m_alive(std::make_shared<bool>(true))
 {
+    m_process.rpc.add("knownView", [this](const Json::Value&, const RpcReply& reply) { reply(knownView()); });
+}
+
+Json::Value ControlSession::knownView() const
+{
+    Json::Value value(Json::objectValue);
+    value["version"] = static_cast<Json::UInt64>(m_view.version);
+    value["configurationVersion"] = static_cast<Json::UInt64>(m_view.config.version);
+    value["hasLease"] = hasLease();
+    return value;
 }
 
 void ControlSession::start(const NodeInfo& node)
@@ -22,6 +38,16 @@
     beat();
 }
 
+void ControlSession::refresh()
+{
+    const Milliseconds now = Clock::now();
+    const Milliseconds gap { m_process.settings.heartbeat.count / refreshesPerHeartbeat };
+    if (!m_id || m_waiting || now < m_refreshedAt + gap)
+        return;
+    m_refreshedAt = now;
+    renew();
+}
+
 void ControlSession::beat()
 {
     if (m_waiting)
