A leader back from a freeze gives every session its full time again

Cause (found by reading): after a freeze longer than the session timeout the leader's own clock says that everyone was silent, and it would end all sessions at once when no other leader had taken over. It was safe, as their leases had run out, but failed every running job.

--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr Milliseconds tickPeriod { 100 };
+    constexpr Milliseconds longestTickGap { 1'000 };
 
 } // namespace
 
@@ -117,12 +118,16 @@
 
 void ControlServer::tick()
 {
-    if (!m_replicator->isLeader()) {
+    const Milliseconds now = Clock::now();
+    // After a freeze of this process the silence of the others proves nothing.
+    const bool wasFrozen = now > m_lastTick + longestTickGap;
+    m_lastTick = now;
+    if (wasFrozen || !m_replicator->isLeader()) {
         m_timers.clear();
         return;
     }
     const auto members = m_replicator->state().members();
-    for (const auto& id : m_timers.expired(members, Clock::now(), m_process.settings.sessionTimeout)) {
+    for (const auto& id : m_timers.expired(members, now, m_process.settings.sessionTimeout)) {
         log(LogLevel::Warning, { .step = "control.session", .peer = id.instance }, "session timed out");
         m_process.events.record(EventKind::SessionEnded,
             { .detail = fmt::format("{} incarnation {}", id.instance, id.incarnation) });
--- a/src/control/ControlServer.h
+++ b/src/control/ControlServer.h
@@ -34,6 +34,7 @@
     SessionTimers m_timers;
     OperatorMethods m_operatorMethods;
     std::unique_ptr<EventLoop::Timer> m_timer;
+    Milliseconds m_lastTick {};
 };
 
 } // namespace oleanderport
