Planned stops cut nothing; crossed results and unknown attempts are kept

Cause, each found by a scenario of this commit or by reading for one: - An entry that was asked to stop closed its port at once, so sidecars that had not opened their report connection could not bring results; it waited out its grace and cut its callers (entry-stops-with-work). - A minion's leave, and a minion lost, dropped the sidecar's state at once: what ran, and what an entry had just sent, became unknown (minion-leaves, minion-killed). The same race stood in the sidecar's own shutdown. - A result that overtook the answer to a collect call was dropped, and its job never ended (unit test, results-cross-the-collection). - A minion that refused got the same task back until its attempts were used up (request-idempotent-tried-again, sidecar-killed-with-empty-memory); the refusal then said ran: no although an earlier attempt was unknown. - A collect call to a dead sidecar was repeated without a pause. A job that had ended was not shown to a caller who came while the lease was lost.

Ruled out: counting a returned task as unknown (truthful, but fails whole jobs at a planned stop); returning tasks on arrival while a minion is left alone (bounces up to the whole grant).

Change: sidecars say that they leave, the entry sends nothing further and says how much it has sent in all, and the sidecar goes once it has received as much, all runs have ended and every result is acknowledged. The leave call of a minion is answered then. Entries accept connections until the last reply has left the process. A minion that refused is left alone for 50 ms doubling to 1 s, and entries prefer others for 1 s. Cap of attempts 64 instead of 8.

--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -129,6 +129,8 @@
     // messages cannot make an entry send too much.
     std::uint64_t grantedTotal { 0 };
     std::vector<TaskResult> results;
+    // The sidecar is leaving: the entry sends nothing further, whatever was granted.
+    bool leaving { false };
 };
 
 // Tells a sidecar to forget or stop the tasks of a job.
@@ -149,6 +151,8 @@
     std::vector<CancelOrder> cancels;
     // Tasks that wait at the entry and that this sidecar could run, by team.
     std::vector<TeamDemand> queued;
+    // Tasks sent to this sidecar in all. A sidecar that leaves has received everything once it counts as many.
+    std::uint64_t sentTotal { 0 };
 };
 
 // A new owner asks a sidecar what it knows of a job and raises the epoch there.
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -178,7 +178,7 @@
 void EntryServer::shutDown(std::function<void()> done)
 {
     m_process.events.record(EventKind::ProcessStopping);
-    m_process.server->stopAccepting();
+    // Connections are accepted until the end: sidecars bring the last results, other entries ask for joined jobs.
     m_jobs.beginShutDown();
     m_shutDownDone = std::move(done);
     m_shutDownBy = Clock::now() + m_process.settings.shutdownGrace;
@@ -188,8 +188,10 @@
 {
     if (!m_shutDownDone)
         return;
-    if (!m_jobs.isIdle() && Clock::now() < m_shutDownBy)
+    const bool settled = m_jobs.isIdle() && m_process.server->unsentReplies() == 0;
+    if (!settled && Clock::now() < m_shutDownBy)
         return;
+    m_process.server->stopAccepting();
     m_timer.reset();
     m_session.stop(std::exchange(m_shutDownDone, nullptr));
 }
--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr Milliseconds longestPoll { 8'000 };
+    constexpr Milliseconds avoidAfterReturn { 1'000 };
 
     Error refuse(ErrorCode code, const SessionId& peer, std::string message)
     {
@@ -76,6 +77,7 @@
     Sidecar& sidecar = m_sidecars.at(request.sidecar);
     ChannelState& channel = request.channel == Channel::Poll ? sidecar.poll : sidecar.report;
     sidecar.granted = std::max(sidecar.granted, request.grantedTotal);
+    sidecar.leaving = sidecar.leaving || request.leaving;
     const bool repeated = request.sequence == channel.sequence;
     if (repeated && channel.answered)
         return reply(*channel.answered);
@@ -87,23 +89,29 @@
         dispatch();
         return;
     }
-    takeResults(request);
-    auto tasks = m_jobs.take(sidecar.member.node.service, request.sidecar,
-        static_cast<std::size_t>(std::max<std::int64_t>(sidecar.credit(), 0)));
+    const bool gaveBack = takeResults(request);
+    if (gaveBack)
+        sidecar.returnedAt = Clock::now();
+    const std::int64_t most = gaveBack ? 0 : std::max<std::int64_t>(sidecar.credit(), 0);
+    auto tasks = m_jobs.take(sidecar.member.node.service, request.sidecar, static_cast<std::size_t>(most));
     reply(respondTo(sidecar, channel, std::move(tasks)));
     m_changed();
     dispatch();
 }
 
-void ExchangeServer::takeResults(const ExchangeRequest& request)
+bool ExchangeServer::takeResults(const ExchangeRequest& request)
 {
+    bool gaveBack = false;
     for (const auto& result : request.results) {
-        if (m_jobs.result(request.sidecar, result))
+        if (m_jobs.result(request.sidecar, result)) {
+            gaveBack = gaveBack || result.outcome == TaskOutcome::NotStarted;
             continue;
+        }
         m_process.metrics.add("results_dropped_total");
         m_process.events.record(EventKind::ResultDropped,
             { .job = &result.key, .task = result.task, .detail = request.sidecar.instance });
     }
+    return gaveBack;
 }
 
 ExchangeResponse ExchangeServer::respondTo(
@@ -118,7 +126,8 @@
     ExchangeResponse response { .sequence = channel.sequence,
         .tasks = std::move(tasks),
         .cancels = std::exchange(sidecar.cancels, {}),
-        .queued = m_jobs.demand(sidecar.member.node.service) };
+        .queued = m_jobs.demand(sidecar.member.node.service),
+        .sentTotal = sidecar.sent };
     sidecar.knowsOfQueue = !response.queued.empty();
     channel.answered = response;
     return response;
@@ -143,9 +152,12 @@
     for (const auto& [id, sidecar] : m_sidecars) {
         if (!sidecar.poll.parked)
             continue;
+        const bool returnedLately
+            = sidecar.returnedAt.count > 0 && Clock::now() < sidecar.returnedAt + avoidAfterReturn;
         byService[sidecar.member.node.service].push_back({ .id = id,
             .sameDataCentre = sidecar.member.node.dataCentre == m_process.settings.dataCentre,
-            .slots = sidecar.member.node.slots,
+            // Without slots it ranks behind every sidecar that is not busy.
+            .slots = returnedLately ? 0 : sidecar.member.node.slots,
             .outstanding = static_cast<std::int64_t>(m_jobs.outstanding(id)),
             .credit = sidecar.credit() });
     }
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -43,16 +43,23 @@
         Member member;
         std::uint64_t granted { 0 };
         std::uint64_t sent { 0 };
+        bool leaving { false };
+        // When it last gave a task back; others go first for a while.
+        Milliseconds returnedAt {};
         bool knowsOfQueue { false };
         std::vector<CancelOrder> cancels;
         ChannelState poll;
         ChannelState report;
 
-        std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
+        std::int64_t credit() const
+        {
+            return leaving ? 0 : static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent);
+        }
     };
 
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
-    void takeResults(const ExchangeRequest&);
+    // Returns true when a task was given back.
+    bool takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
     void answerPoll(Sidecar&, std::vector<TaskAssignment>);
     void assign();
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -196,11 +196,20 @@
                     return;
                 }
                 // The sidecar may only be slow; control's word on its session ends the wait.
-                if (m_session.id() && *m_session.id() == request.owner)
-                    collectFrom(member, request);
+                collectLater(member, request);
             });
 }
 
+void JobService::collectLater(const Member& member, const CollectRequest& request)
+{
+    auto& timer = m_collectRetries[{ request.key, member.id }];
+    timer = m_process.loop.once(retryPause, [this, member, request] {
+        m_collectRetries.erase({ request.key, member.id });
+        if (m_session.id() && *m_session.id() == request.owner)
+            collectFrom(member, request);
+    });
+}
+
 void JobService::joinElsewhere(const std::shared_ptr<Attempt>& attempt, const std::string& address)
 {
     const Milliseconds left = attempt->until - Clock::now();
@@ -304,6 +313,8 @@
     const bool final = answer->state != JobState::Running;
     if (final && m_session.hasLease())
         return reply(*answer);
+    if (final)
+        m_endedWithoutLease.push_back(key);
     if (!final && wait.count == 0)
         return reply(*answer);
     m_waiters[key].push_back({ .reply = reply, .until = Clock::now() + wait });
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -60,6 +60,7 @@
     void claimed(const std::shared_ptr<Attempt>&, const ClaimResponse&);
     void takeOver(const std::shared_ptr<Attempt>&, const ClaimResponse&);
     void collectFrom(const Member&, const CollectRequest&);
+    void collectLater(const Member&, const CollectRequest&);
     void joinElsewhere(const std::shared_ptr<Attempt>&, const std::string& address);
     void retryLater(const std::shared_ptr<Attempt>&);
     void finish(const std::shared_ptr<Attempt>&, const Result<JobAnswer>&);
@@ -79,6 +80,7 @@
     std::unique_ptr<ExchangeServer> m_exchange;
     std::map<JobKey, std::vector<Waiter>> m_waiters;
     std::vector<JobKey> m_endedWithoutLease;
+    std::map<std::pair<JobKey, SessionId>, std::unique_ptr<EventLoop::Timer>> m_collectRetries;
     std::map<std::string, std::unique_ptr<RpcClient>> m_peers;
     std::size_t m_pending { 0 };
     bool m_shuttingDown { false };
--- a/src/policy/JobTable.cpp
+++ b/src/policy/JobTable.cpp
@@ -16,7 +16,14 @@
 
     ErrorCode codeOf(TaskOutcome outcome)
     {
-        return outcome == TaskOutcome::Unknown ? ErrorCode::SidecarLost : ErrorCode::MinionFailed;
+        switch (outcome) {
+        case TaskOutcome::Unknown:
+            return ErrorCode::SidecarLost;
+        case TaskOutcome::NotStarted:
+            return ErrorCode::MinionRefused;
+        default:
+            return ErrorCode::MinionFailed;
+        }
     }
 
 } // namespace
@@ -72,7 +79,9 @@
     Job* job = running(key);
     if (!job || !job->uncollected.contains(sidecar))
         return;
-    for (const auto& result : results) {
+    for (const auto& answered : results) {
+        const auto early = job->early.find({ sidecar, answered.task });
+        const TaskResult& result = early == job->early.end() ? answered : early->second;
         if (result.task >= job->tasks.size() || job->tasks[result.task].state != TaskState::Undetermined)
             continue;
         Task& task = job->tasks[result.task];
@@ -157,12 +166,21 @@
     return taken;
 }
 
+bool JobTable::keepEarly(Job& job, const SessionId& sidecar, const TaskResult& result)
+{
+    if (!job.uncollected.contains(sidecar) || result.outcome == TaskOutcome::Running)
+        return false;
+    return job.early.try_emplace({ sidecar, result.task }, result).second;
+}
+
 bool JobTable::result(const SessionId& sidecar, const TaskResult& result)
 {
     Job* job = running(result.key);
     if (!job || result.epoch != job->epoch || result.task >= job->tasks.size())
         return false;
     Task& task = job->tasks[result.task];
+    if (task.state == TaskState::Undetermined)
+        return keepEarly(*job, sidecar, result);
     if (task.state != TaskState::Bound || task.sidecar != sidecar || task.attempt != result.attempt)
         return false;
     if (result.outcome == TaskOutcome::Running)
@@ -197,9 +215,12 @@
     if (task.state == TaskState::Bound)
         m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
     if (outcome == TaskOutcome::Unknown && job.spec.idempotent && task.attempt < m_options.maxAttempts) {
+        task.mayHaveStarted = true;
         enqueue(job, index);
         return;
     }
+    if (outcome == TaskOutcome::NotStarted && task.mayHaveStarted)
+        outcome = TaskOutcome::Unknown;
     task.state = TaskState::Ended;
     task.outcome = outcome;
     task.body = body;
@@ -260,7 +281,7 @@
             task.state = TaskState::Ended;
         } else if (task.state != TaskState::Ended) {
             // While sidecars are still being asked, a former owner may have started it.
-            const bool known = job.uncollected.empty();
+            const bool known = job.uncollected.empty() && !task.mayHaveStarted;
             task.outcome = known ? TaskOutcome::NotStarted : TaskOutcome::Unknown;
             task.body = known ? "not started when the job ended" : "not known yet when the job ended";
             task.state = TaskState::Ended;
@@ -277,6 +298,7 @@
 {
     job.state = state;
     job.uncollected.clear();
+    job.early.clear();
     m_deadlines.erase({ .at = job.spec.deadlineUnix, .key = job.spec.key });
     m_forgetTimes.insert({ .at = job.spec.deadlineUnix + m_options.answerRetention, .key = job.spec.key });
     // Only the answer is needed from here on.
--- a/src/policy/JobTable.h
+++ b/src/policy/JobTable.h
@@ -8,13 +8,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oleanderport {
 
 struct JobTableOptions {
     // Attempts per task that end with NotStarted before the task is given up.
-    std::uint32_t maxAttempts { 8 };
+    std::uint32_t maxAttempts { 64 };
     // How long an ended job's answer is kept after its deadline.
     Milliseconds answerRetention { 120'000 };
 };
@@ -94,6 +95,8 @@
         TaskState state { TaskState::Queued };
         std::uint32_t attempt { 0 };
         SessionId sidecar;
+        // A former attempt of an idempotent task may have started.
+        bool mayHaveStarted { false };
         TaskOutcome outcome { TaskOutcome::NotStarted };
         std::string body;
     };
@@ -106,6 +109,9 @@
         std::vector<Task> tasks;
         std::size_t open { 0 };
         std::set<SessionId> uncollected;
+        // Ends of runs that were reported before the sidecar's answer to the collect call, which may still say that
+        // they are running.
+        std::map<std::pair<SessionId, std::uint32_t>, TaskResult> early;
         bool uncertain { false };
         std::optional<Error> error;
     };
@@ -124,6 +130,7 @@
     void settle(Job&, std::uint32_t task, TaskOutcome, const std::string& body);
     void requeue(Job&, std::uint32_t task);
     void finishCollecting(Job&);
+    bool keepEarly(Job&, const SessionId&, const TaskResult&);
     void fail(Job&, const Error&);
     void end(Job&, JobState);
 
--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -158,6 +158,19 @@
     return returned;
 }
 
+std::vector<TaskResult> SidecarLedger::loseRunning()
+{
+    std::vector<std::string> runs;
+    for (const auto& [run, task] : m_runs)
+        runs.push_back(run);
+    std::vector<TaskResult> lost;
+    for (const auto& run : runs) {
+        if (const auto result = ended(run, TaskOutcome::Unknown, "the minion is lost", {}))
+            lost.push_back(*result);
+    }
+    return lost;
+}
+
 std::optional<SessionId> SidecarLedger::ownerOf(const JobKey& key) const
 {
     const auto job = m_jobs.find(key);
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -62,6 +62,9 @@
     // Gives every queued task back as not started: lease lost, data centre out, or shutdown.
     std::vector<TaskResult> returnQueued();
 
+    // Ends every run as unknown: the minion is gone without a word.
+    std::vector<TaskResult> loseRunning();
+
     // Who is to hear of a job's results now.
     std::optional<SessionId> ownerOf(const JobKey&) const;
 
--- a/src/sidecar/EntryLink.cpp
+++ b/src/sidecar/EntryLink.cpp
@@ -40,9 +40,22 @@
         begin(m_report);
 }
 
+void EntryLink::leave()
+{
+    m_leaving = true;
+    flushReport();
+}
+
+bool EntryLink::isSettled() const
+{
+    const bool reported = m_report.pending.empty() && m_waiting.empty();
+    return reported && (!m_leaving || (m_sentInAll && m_received >= *m_sentInAll));
+}
+
 void EntryLink::flushReport()
 {
-    if (m_report.inFlight || m_waiting.empty())
+    const bool mustSayLeaving = m_leaving && !m_sentInAll;
+    if (m_report.inFlight || (m_waiting.empty() && !mustSayLeaving))
         return;
     begin(m_report);
 }
@@ -51,6 +64,8 @@
 {
     ++state.sequence;
     state.inFlight = true;
+    // A repetition says what was said first, since the entry does not read it again.
+    state.leaving = m_leaving;
     if (state.channel == Channel::Report)
         state.pending = std::exchange(m_waiting, {});
     send(state);
@@ -64,7 +79,8 @@
         .channel = state.channel,
         .sequence = state.sequence,
         .grantedTotal = m_granted,
-        .results = state.pending };
+        .results = state.pending,
+        .leaving = state.leaving };
     const std::weak_ptr<bool> alive = m_alive;
     state.client->callTyped<ExchangeResponse>(
         "exchange", request, exchangeTimeout, [this, alive, &state](const Result<ExchangeResponse>& response) {
@@ -84,6 +100,8 @@
     state.pending.clear();
     m_received += message.tasks.size();
     m_entryHasQueue = !message.queued.empty();
+    if (state.leaving)
+        m_sentInAll = message.sentTotal;
     const std::weak_ptr<bool> alive = m_alive;
     m_callbacks.received(message);
     if (alive.expired())
--- a/src/sidecar/EntryLink.h
+++ b/src/sidecar/EntryLink.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace oleanderport {
@@ -29,8 +30,11 @@
     // Tells the entry of new room when it has work waiting and believes that there is none.
     void offerRoom();
 
-    // No result waits for an answer.
-    bool isSettled() const { return m_report.pending.empty() && m_waiting.empty(); }
+    // Tells the entry that this sidecar takes nothing further.
+    void leave();
+
+    // No result waits for an answer and, after leave(), nothing that the entry has sent is still on its way.
+    bool isSettled() const;
 
     const SessionId& entry() const { return m_entry; }
 
@@ -39,6 +43,7 @@
         Channel channel { Channel::Poll };
         std::uint64_t sequence { 0 };
         bool inFlight { false };
+        bool leaving { false };
         std::vector<TaskResult> pending;
         std::unique_ptr<RpcClient> client;
         std::unique_ptr<EventLoop::Timer> retry;
@@ -60,6 +65,9 @@
     // Largest grant sent so far; the entry never sees it fall.
     std::uint64_t m_granted { 0 };
     bool m_entryHasQueue { false };
+    bool m_leaving { false };
+    // Tasks that the entry has sent in all; set once it knows that this sidecar is leaving.
+    std::optional<std::uint64_t> m_sentInAll;
     std::shared_ptr<bool> m_alive;
 };
 
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Milliseconds tickPeriod { 50 };
+    constexpr Milliseconds leastHoldOff { 50 };
+    constexpr Milliseconds mostHoldOff { 1'000 };
 
     Error badMinionCall(std::string message)
     {
@@ -73,6 +75,20 @@
             return replyError(*responder, announcement.assume_error());
         if (announcement.assume_value().slots < 1 || announcement.assume_value().connections < 2)
             return replyError(*responder, badMinionCall("expected at least 1 slot and 2 connections"));
+        const bool otherLife = m_life && m_life->announcement.minion != announcement.assume_value().minion;
+        if (m_shutDownDone || otherLife || (m_life && m_life->leaving)) {
+            // The former life ends first, so that what it held is given back.
+            if (otherLife) {
+                loseRunning();
+                beginLeaving("another life of it was announced");
+            }
+            return replyError(*responder,
+                { .code = ErrorCode::Unavailable,
+                    .ran = Ran::No,
+                    .step = "sidecar.minion",
+                    .peer = request.peer,
+                    .message = "a former life is being settled; announce again" });
+        }
         announce(announcement.assume_value());
         return responder->reply({ .body = "{}" });
     }
@@ -92,8 +108,8 @@
         return responder->reply({ .body = "{}" });
     }
     if (request.path == "/v1/minion/leave") {
-        minionLeft("it left");
-        return responder->reply({ .body = "{}" });
+        m_life->leaveCalls.push_back(responder);
+        return beginLeaving("it left");
     }
     replyError(*responder,
         { .code = ErrorCode::NotFound, .ran = Ran::No, .step = "sidecar.http", .peer = {}, .message = "no such path" });
@@ -118,6 +134,8 @@
 {
     if (m_shutDownDone)
         return;
+    if (m_life && m_life->leaving)
+        return finishLeaving();
     const bool sameLife = m_life && m_session.id() && m_life->announcement.minion == announcement.minion;
     if (sameLife) {
         m_life->heardAt = Clock::now();
@@ -139,12 +157,36 @@
     m_session.stop([this, node] { m_session.start(node); });
 }
 
-void SidecarServer::minionLeft(const char* why)
+void SidecarServer::beginLeaving(const char* why)
 {
+    if (m_life->leaving)
+        return;
     log(LogLevel::Warning, { .step = "sidecar.minion", .peer = m_life->announcement.address }, why);
     m_process.events.record(EventKind::MinionLeft, { .detail = why });
+    m_life->leaving = true;
+    m_life->leaveBy = Clock::now() + m_process.settings.shutdownGrace;
+    returnQueued();
+    for (const auto& [entry, link] : m_life->links)
+        link->leave();
+}
+
+bool SidecarServer::isSettled() const
+{
+    return m_life->ledger->running() == 0 && m_life->ledger->queued() == 0
+        && std::all_of(m_life->links.begin(), m_life->links.end(),
+            [](const auto& link) { return link.second->isSettled(); });
+}
+
+void SidecarServer::finishLeaving()
+{
+    for (const auto& call : m_life->leaveCalls)
+        call->reply({ .body = "{}" });
     m_life.reset();
-    m_session.stop([] {});
+    if (!m_shutDownDone)
+        return m_session.stop([] {});
+    m_process.server->stopAccepting();
+    m_timer.reset();
+    m_session.stop(std::move(m_shutDownDone));
 }
 
 void SidecarServer::viewChanged(const ClusterView& view)
@@ -175,7 +217,7 @@
 
 std::uint64_t SidecarServer::room() const
 {
-    if (!m_life || m_shutDownDone || !m_session.hasLease())
+    if (!m_life || m_life->leaving || !m_session.hasLease() || Clock::now() < m_life->holdOffUntil)
         return 0;
     const auto capacity = m_life->announcement.slots + m_process.settings.prefetch;
     const auto used = m_life->ledger->running() + static_cast<std::int64_t>(m_life->ledger->queued());
@@ -193,14 +235,14 @@
         if (const auto refusal = m_life->ledger->accept(entry, task))
             report(*refusal);
     }
-    if (!m_session.hasLease() || m_shutDownDone)
+    if (!m_session.hasLease() || m_life->leaving)
         returnQueued();
     startTasks();
 }
 
 void SidecarServer::startTasks()
 {
-    if (!m_life)
+    if (!m_life || m_life->leaving || Clock::now() < m_life->holdOffUntil)
         return;
     while (m_life->client->canRun()) {
         const auto next = m_life->ledger->next(Clock::now(), m_session.leaseEnd(), Clock::unixNow());
@@ -227,9 +269,27 @@
         { .job = &result->key, .task = result->task, .detail = std::string(taskOutcomeName(result->outcome)) });
     m_process.metrics.observe("run_milliseconds", static_cast<double>(end.ranFor.count));
     report(*result);
+    if (end.outcome == TaskOutcome::NotStarted)
+        holdOff();
+    else
+        m_life->holdOff = {};
     startTasks();
 }
 
+void SidecarServer::holdOff()
+{
+    m_life->holdOff = std::clamp(m_life->holdOff * 2, leastHoldOff, mostHoldOff);
+    m_life->holdOffUntil = Clock::now() + m_life->holdOff;
+    // What came after this waits here instead of bouncing; what waits already has better chances elsewhere.
+    returnQueued();
+}
+
+void SidecarServer::loseRunning()
+{
+    for (const auto& result : m_life->ledger->loseRunning())
+        report(result);
+}
+
 void SidecarServer::report(const TaskResult& result)
 {
     const auto owner = m_life->ledger->ownerOf(result.key);
@@ -254,13 +314,18 @@
 
 void SidecarServer::tick()
 {
-    if (m_shutDownDone)
-        return finishShutDown();
     if (!m_life)
         return;
     const Milliseconds now = Clock::now();
-    if (now > m_life->heardAt + m_process.settings.minionTimeout)
-        return minionLeft("no heartbeat");
+    if (m_life->leaving) {
+        if (isSettled() || now >= m_life->leaveBy)
+            finishLeaving();
+        return;
+    }
+    if (now > m_life->heardAt + m_process.settings.minionTimeout) {
+        loseRunning();
+        return beginLeaving("no heartbeat");
+    }
     m_life->ledger->forget(Clock::unixNow());
     if (!m_session.hasLease())
         returnQueued();
@@ -271,19 +336,8 @@
 {
     m_process.events.record(EventKind::ProcessStopping);
     m_shutDownDone = std::move(done);
-    m_shutDownBy = Clock::now() + m_process.settings.shutdownGrace;
-    returnQueued();
-    finishShutDown();
-}
-
-void SidecarServer::finishShutDown()
-{
-    const bool settled = !m_life
-        || (m_life->ledger->running() == 0 && m_life->ledger->queued() == 0
-            && std::all_of(m_life->links.begin(), m_life->links.end(),
-                [](const auto& link) { return link.second->isSettled(); }));
-    if (!settled && Clock::now() < m_shutDownBy)
-        return;
+    if (m_life)
+        return beginLeaving("this sidecar is shutting down");
     m_process.server->stopAccepting();
     m_timer.reset();
     m_session.stop(std::move(m_shutDownDone));
--- a/src/sidecar/SidecarServer.h
+++ b/src/sidecar/SidecarServer.h
@@ -30,11 +30,23 @@
         std::unique_ptr<SidecarLedger> ledger;
         std::unique_ptr<MinionClient> client;
         std::map<SessionId, std::unique_ptr<EntryLink>> links;
+        // After a refusal the minion is left alone for a while, so that tasks do not bounce off it.
+        Milliseconds holdOff {};
+        Milliseconds holdOffUntil {};
+        // Nothing further is taken; the life ends once everything is settled, at the latest then.
+        bool leaving { false };
+        Milliseconds leaveBy {};
+        // The minion waits here for the end of its leave call.
+        std::vector<std::shared_ptr<HttpResponder>> leaveCalls;
     };
 
     void serveHttp(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
     void announce(const MinionAnnouncement&);
-    void minionLeft(const char* why);
+    void beginLeaving(const char* why);
+    void finishLeaving();
+    bool isSettled() const;
+    void holdOff();
+    void loseRunning();
     NodeInfo nodeInfo(const MinionAnnouncement&) const;
 
     void viewChanged(const ClusterView&);
@@ -46,7 +58,6 @@
     void report(const TaskResult&);
     void returnQueued();
     void tick();
-    void finishShutDown();
 
     Process m_process;
     ControlClient m_control;
@@ -54,7 +65,6 @@
     std::unique_ptr<MinionLife> m_life;
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::function<void()> m_shutDownDone;
-    Milliseconds m_shutDownBy {};
 };
 
 } // namespace oleanderport
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -52,10 +52,37 @@
 
     std::string reasonOf(int status) { return status < 300 ? "OK" : "Refused"; }
 
+    // Counts one reply from its begin until it has left the process or its connection has closed.
+    struct UnsentReply {
+        std::shared_ptr<std::size_t> count;
+
+        static void begin(evhttp_request* request, const std::shared_ptr<std::size_t>& count)
+        {
+            ++*count;
+            auto* reply = new UnsentReply { .count = count };
+            evhttp_connection_set_closecb(evhttp_request_get_connection(request), &UnsentReply::closed, reply);
+            evhttp_request_set_on_complete_cb(request, &UnsentReply::sent, reply);
+        }
+
+        static void sent(evhttp_request* request, void* self)
+        {
+            evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+            closed(nullptr, self);
+        }
+
+        static void closed(evhttp_connection*, void* self)
+        {
+            auto* reply = static_cast<UnsentReply*>(self);
+            --*reply->count;
+            delete reply;
+        }
+    };
+
 } // namespace
 
-HttpResponder::HttpResponder(evhttp_request* request)
+HttpResponder::HttpResponder(evhttp_request* request, std::shared_ptr<std::size_t> unsent)
     : m_request(request)
+    , m_unsent(std::move(unsent))
 {
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), &HttpResponder::connectionClosed, this);
 }
@@ -78,7 +105,7 @@
         return;
     evhttp_request* request = m_request;
     m_request = nullptr;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+    UnsentReply::begin(request, m_unsent);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", answer.contentType.c_str());
     if (answer.retryAfter.count > 0) {
@@ -95,6 +122,7 @@
     : m_handler(std::move(handler))
     , m_http(evhttp_new(loop.base()))
     , m_openRequests(std::make_shared<std::size_t>(0))
+    , m_unsentReplies(std::make_shared<std::size_t>(0))
 {
     evhttp_set_allowed_methods(m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT);
     evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(maxHeaderBytes));
@@ -141,7 +169,7 @@
         .body = bodyOf(request) };
     auto counter = server->m_openRequests;
     ++*counter;
-    std::shared_ptr<HttpResponder> responder(new HttpResponder(request), [counter](HttpResponder* self) {
+    std::shared_ptr<HttpResponder> responder(new HttpResponder(request, server->m_unsentReplies), [counter](HttpResponder* self) {
         delete self;
         --*counter;
     });
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -39,7 +39,8 @@
 // The right to answer one request, once, at any later time in the loop. Safe to use after the peer has gone.
 class HttpResponder {
 public:
-    explicit HttpResponder(evhttp_request*);
+    // `unsent` counts replies that were begun and have not left the process yet.
+    HttpResponder(evhttp_request*, std::shared_ptr<std::size_t> unsent);
     ~HttpResponder();
     HttpResponder(const HttpResponder&) = delete;
     HttpResponder& operator=(const HttpResponder&) = delete;
@@ -51,6 +52,7 @@
     static void connectionClosed(evhttp_connection*, void* self);
 
     evhttp_request* m_request;
+    std::shared_ptr<std::size_t> m_unsent;
 };
 
 using HttpHandler = std::function<void(HttpRequest&&, std::shared_ptr<HttpResponder>)>;
@@ -77,6 +79,9 @@
     // Requests that have been received and not yet answered.
     std::size_t openRequests() const { return *m_openRequests; }
 
+    // Replies that have not left the process whole yet. One whose peer has gone does not count.
+    std::size_t unsentReplies() const { return *m_unsentReplies; }
+
 private:
     HttpServer(EventLoop&, HttpHandler);
     static void received(evhttp_request*, void* self);
@@ -85,6 +90,7 @@
     evhttp* m_http;
     evhttp_bound_socket* m_socket { nullptr };
     std::shared_ptr<std::size_t> m_openRequests;
+    std::shared_ptr<std::size_t> m_unsentReplies;
 };
 
 // Splits "IP:port". Fails with BadSettings on anything else.
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -264,6 +264,7 @@
         a("sequence", m.sequence);
         a("grantedTotal", m.grantedTotal);
         a("results", m.results);
+        a("leaving", m.leaving);
     }
 
     template <typename Archive>
@@ -287,6 +288,7 @@
         a("tasks", m.tasks);
         a("cancels", m.cancels);
         a("queued", m.queued);
+        a("sentTotal", m.sentTotal);
     }
 
     template <typename Archive>
--- a/test/policy/JobTableTest.cpp
+++ b/test/policy/JobTableTest.cpp
@@ -184,3 +184,45 @@
     table.tick(end + Milliseconds { 1 });
     cr_assert(!table.answer(jobOf(1).key).has_value());
 }
+
+Test(JobTable, keepsAResultThatOvertakesTheAnswerToTheCollectCall)
+{
+    JobTable table({});
+    table.adopt(jobOf(2), "digest", 2, 1, { sidecarOne });
+    TaskResult ended { .key = jobOf(1).key, .task = 0, .attempt = 1, .epoch = 2, .outcome = TaskOutcome::Done };
+    ended.body = "first";
+    cr_assert(table.result(sidecarOne, ended));
+    cr_assert(!table.result(sidecarOne, ended), "a doubled early result changes nothing");
+    cr_assert(!table.result(sidecarTwo, ended), "a sidecar that is not asked holds nothing");
+    TaskResult running = ended;
+    running.outcome = TaskOutcome::Running;
+    table.collected(jobOf(1).key, sidecarOne, { running });
+    const auto taken = table.take("service", sidecarOne, 2);
+    cr_assert(taken.size() == 1, "expected the task that never started, actual %zu tasks", taken.size());
+    cr_assert(table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Done, "second")));
+    cr_assert(stateOf(table) == JobState::Complete);
+    cr_assert(table.answer(jobOf(1).key)->results[0] == "first");
+}
+
+Test(JobTable, doesNotSayThatARequestDidNotRunAfterAnUnknownAttempt)
+{
+    JobTable table({ .maxAttempts = 2 });
+    table.add(jobOf(1, true), "digest", 1, 1);
+    const auto first = table.take("service", sidecarOne, 1);
+    cr_assert(table.result(sidecarOne, resultFor(first[0], TaskOutcome::Unknown)));
+    const auto second = table.take("service", sidecarTwo, 1);
+    cr_assert(table.result(sidecarTwo, resultFor(second[0], TaskOutcome::NotStarted)));
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->state == JobState::Failed);
+    cr_assert(answer->error->ran == Ran::Unknown, "expected ran unknown, actual no");
+    cr_assert(answer->failures[0].outcome == TaskOutcome::Unknown);
+}
+
+Test(JobTable, doesNotSayThatACancelledRequestDidNotRunAfterAnUnknownAttempt)
+{
+    auto table = tableWith(jobOf(1, true));
+    const auto first = table.take("service", sidecarOne, 1);
+    cr_assert(table.result(sidecarOne, resultFor(first[0], TaskOutcome::Unknown)));
+    cr_assert(table.cancel(jobOf(1).key));
+    cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::Unknown, "expected ran unknown, actual no");
+}
--- a/test/policy/SidecarLedgerTest.cpp
+++ b/test/policy/SidecarLedgerTest.cpp
@@ -143,3 +143,17 @@
     ledger.forget(past + Milliseconds { 1'001 });
     cr_assert(!ledger.ownerOf(key).has_value());
 }
+
+Test(SidecarLedger, endsEveryRunAsUnknownWhenTheMinionIsLost)
+{
+    auto ledger = ledgerWith(2);
+    ledger.accept(entryOne, assignment(0));
+    ledger.accept(entryOne, assignment(1));
+    const auto first = ledger.next(now, leaseEnd, unixNow).start;
+    ledger.next(now, leaseEnd, unixNow);
+    const auto lost = ledger.loseRunning();
+    cr_assert(lost.size() == 2, "expected 2 results, actual %zu", lost.size());
+    cr_assert(lost[0].outcome == TaskOutcome::Unknown);
+    cr_assert(ledger.running() == 0);
+    cr_assert(!ledger.ended(first->run, TaskOutcome::Done, "late", {}), "a late answer changes nothing");
+}
--- a/test/support/FakeMinion.cpp
+++ b/test/support/FakeMinion.cpp
@@ -20,6 +20,8 @@
 using namespace oleanderport;
 
 constexpr Milliseconds callTimeout { 1'000 };
+// The sidecar answers once everything under way has ended.
+constexpr Milliseconds leaveTimeout { 60'000 };
 constexpr int badPayload = 400;
 constexpr std::size_t maxBodyBytes = 16 * 1024 * 1024;
 
@@ -81,9 +83,13 @@
 
     void leave(const std::function<void()>& done)
     {
+        if (!m_timer)
+            return;
         m_timer.reset();
-        post("/v1/minion/leave", toJson(MinionHeartbeat { .minion = m_options.announcement.minion }),
-            [done](const Result<HttpAnswer>&) { done(); });
+        const HttpCall call { .path = "/v1/minion/leave",
+            .body = writeJson(toJson(MinionHeartbeat { .minion = m_options.announcement.minion })),
+            .timeout = leaveTimeout };
+        m_sidecar.call(call, [done](const Result<HttpAnswer>&) { done(); });
     }
 
 private:
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -60,11 +60,11 @@
     }
 
     // What a stand-in minion does for one task; see FakeMinion.cpp.
-    std::string payloadOf(const toml::table& step, const std::string& echo)
+    std::string payloadOf(const toml::table& step, const std::string& echo, std::int64_t index)
     {
         Json::Value payload(Json::objectValue);
         payload["echo"] = echo;
-        payload["sleepMs"] = static_cast<Json::Int64>(number(step, "sleep_ms", 0));
+        payload["sleepMs"] = static_cast<Json::Int64>(number(step, "sleep_ms", 0) + index * number(step, "sleep_step_ms", 0));
         for (const char* flag : { "fail", "refuse", "hang" }) {
             if (step[flag].value_or(false))
                 payload[flag] = true;
@@ -250,15 +250,15 @@
                 if (!step["anonymous"].value_or(false))
                     body["request"] = job;
                 body["idempotent"] = step["idempotent"].value_or(false);
-                body["payload"] = payloadOf(step, made.expected.front());
+                body["payload"] = payloadOf(step, made.expected.front(), 0);
                 if (step["idempotent"].value_or(false))
                     m_record.allowRepeats(job);
             } else {
                 made.path = fmt::format("/v1/jobs?waitMs={}", number(step, "wait_ms", defaultWait));
                 body["job"] = job;
-                for (const auto& echo : made.expected) {
+                for (std::size_t i = 0; i < made.expected.size(); ++i) {
                     Json::Value task(Json::objectValue);
-                    task["payload"] = payloadOf(step, echo);
+                    task["payload"] = payloadOf(step, made.expected[i], static_cast<std::int64_t>(i));
                     task["needs"] = needsOf(step);
                     body["tasks"].append(task);
                 }
--- a/test/support/ScenarioRecord.cpp
+++ b/test/support/ScenarioRecord.cpp
@@ -122,6 +122,8 @@
             fault = unmetAnswer(*wanted);
         else if (key == "exit")
             fault = unmetExit(*wanted);
+        else if (key == "relay")
+            fault = unmetRelay(*wanted);
         else if (key == "view")
             fault = unmetView(*wanted);
         else
@@ -259,6 +261,17 @@
         "exit of {}: expected {}, actual {}", process, expected, code ? std::to_string(*code) : "still running");
 }
 
+std::optional<std::string> ScenarioRecord::unmetRelay(const toml::table& wanted)
+{
+    const FaultRelay& relay = m_deployment.relay(wanted["name"].value_or(std::string()));
+    const std::int64_t swallowed = wanted["swallowed"].value_or(std::int64_t { 0 });
+    const std::int64_t repeated = wanted["repeated"].value_or(std::int64_t { 0 });
+    if (relay.swallowed() >= swallowed && relay.repeated() >= repeated)
+        return std::nullopt;
+    return fmt::format("relay: expected {} swallowed and {} repeated, actual {} and {}", swallowed, repeated,
+        relay.swallowed(), relay.repeated());
+}
+
 std::optional<std::string> ScenarioRecord::unmetView(const toml::table& wanted)
 {
     const std::string process = wanted["process"].value_or(std::string());
--- a/test/support/ScenarioRecord.h
+++ b/test/support/ScenarioRecord.h
@@ -42,7 +42,7 @@
     void collectEvents();
 
     // Nothing when the condition holds; otherwise what was expected and what is there. The table's keys name what is
-    // judged: starts, event, before, nothing_starts_after_out, answer, exit, view.
+    // judged: starts, event, before, nothing_starts_after_out, answer, exit, relay, view.
     std::optional<std::string> unmet(const toml::table& condition);
 
     // Checks that hold in every scenario: no task started twice, and no job answered in two ways or in part.
@@ -63,6 +63,7 @@
     std::optional<std::string> unmetAfterOut(const toml::table&) const;
     std::optional<std::string> unmetAnswer(const toml::table&) const;
     std::optional<std::string> unmetExit(const toml::table&);
+    std::optional<std::string> unmetRelay(const toml::table&);
     std::optional<std::string> unmetView(const toml::table&);
     std::vector<Json::Value> eventsLike(const toml::table&) const;
 
