--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -39,6 +39,9 @@
         settings.advertise = settings.listen;
         section.text("advertise", settings.advertise);
         section.text("data_centre", settings.dataCentre);
+        section.text("environment", settings.environment);
+        if (settings.environment != trialEnvironment && settings.environment != productionEnvironment)
+            section.fault("environment", "expected trial or production");
         section.text("log_level", level);
         if (const auto known = roleFromName(role))
             settings.role = *known;
@@ -56,6 +59,7 @@
         section.require("peers");
         section.texts("peers", settings.controlPeers);
         section.text("data_folder", settings.dataFolder);
+        section.flag("bootstrap", settings.bootstrap);
         section.time("lease_ms", settings.lease, timeRange);
         section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
         section.time("heartbeat_ms", settings.heartbeat, timeRange);
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -3,10 +3,13 @@
 #include "policy/ControlState.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace oleanderport {
 
+struct Process;
+
 // Carries commands to all control instances and applies each once it is committed.
 class Replicator {
 public:
@@ -14,6 +17,9 @@
 
     virtual ~Replicator() = default;
 
+    // Makes the replicator ready. The rest may be called only after it has succeeded.
+    virtual Result<void> start() { return boost::outcome_v2::success(); }
+
     // Commits and applies the change, then calls back. NotLeader (ran: no) names the leader as peer when it is known;
     // Unavailable (ran: unknown) means that the outcome is not known.
     virtual void propose(decltype(ControlCommand::change), Done) = 0;
@@ -27,4 +33,8 @@
     virtual const ControlState& state() const = 0;
 };
 
+// The group when a data folder is set. Otherwise a single instance that keeps its state in memory, for trials. The
+// process must outlive the replicator.
+std::unique_ptr<Replicator> makeReplicator(Process&, const ControlStateOptions&);
+
 } // namespace oleanderport
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "policy/JobTable.h"
+#include "policy/MinionHealth.h"
+#include "policy/Placement.h"
 #include "wire/Process.h"
 
 #include <cstdint>
@@ -17,8 +19,15 @@
 public:
     using Reply = std::function<void(Result<ExchangeResponse>)>;
 
-    // `jobs` must outlive this object. `changed` is called after results have changed the table.
-    ExchangeServer(Process&, JobTable& jobs, std::function<void()> changed);
+    struct Callbacks {
+        // Results have changed the table.
+        std::function<void()> changed;
+        // A sidecar session called that the view does not hold: the view is older than the sidecar.
+        std::function<void()> unknownSidecar;
+    };
+
+    // `jobs` must outlive this object.
+    ExchangeServer(Process&, JobTable& jobs, Callbacks);
 
     // The session under which this entry acts, and what it knows of the sidecars.
     void setSession(const std::optional<SessionId>&);
@@ -44,8 +53,6 @@
         std::uint64_t granted { 0 };
         std::uint64_t sent { 0 };
         bool leaving { false };
-        // When it last gave a task back; others go first for a while.
-        Milliseconds returnedAt {};
         bool knowsOfQueue { false };
         std::vector<CancelOrder> cancels;
         ChannelState poll;
@@ -57,9 +64,10 @@
         }
     };
 
+    MinionHealth& healthOf(const Sidecar&);
+    SidecarCandidate candidateFor(const SessionId&, const Sidecar&);
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
-    // Returns true when a task was given back.
-    bool takeResults(const ExchangeRequest&);
+    void takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
     void answerPoll(Sidecar&, std::vector<TaskAssignment>);
     void assign();
@@ -68,9 +76,11 @@
 
     Process& m_process;
     JobTable& m_jobs;
-    std::function<void()> m_changed;
+    Callbacks m_callbacks;
     std::optional<SessionId> m_self;
     std::map<SessionId, Sidecar> m_sidecars;
+    // By service.
+    std::map<std::string, MinionHealth> m_health;
 };
 
 } // namespace oleanderport
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -102,7 +102,7 @@
 
 void JobService::refuse(const std::shared_ptr<Attempt>& attempt, const Error& refusal)
 {
-    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", attempt->spec.key, claimTimeout,
+    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", findRequest(attempt->spec.key), claimTimeout,
         [this, attempt, refusal](const Result<FindJobResponse>& found) {
             if (!found.has_value()) {
                 Error doubtful = refusal;
@@ -240,7 +240,7 @@
 {
     if (m_jobs->answer(key))
         return this->wait(key, wait, reply);
-    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", key, claimTimeout,
+    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", findRequest(key), claimTimeout,
         [this, key, wait, reply](const Result<FindJobResponse>& found) {
             if (!found.has_value())
                 return reply(found.assume_error());
@@ -265,7 +265,7 @@
 {
     if (m_jobs->answer(key))
         return cancelHere(key, reply);
-    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", key, claimTimeout,
+    m_control.callTyped<FindJobResponse>(ControlClient::Lane::Work, "findJob", findRequest(key), claimTimeout,
         [this, key, reply](const Result<FindJobResponse>& found) {
             if (!found.has_value())
                 return reply(found.assume_error());
@@ -371,7 +371,9 @@
     m_exchange.reset();
     m_jobs = std::make_unique<JobTable>(
         JobTableOptions { .answerRetention = m_process.settings.answerRetention });
-    m_exchange = std::make_unique<ExchangeServer>(m_process, *m_jobs, [this] { tableChanged(); });
+    m_exchange = std::make_unique<ExchangeServer>(m_process, *m_jobs,
+        ExchangeServer::Callbacks {
+            .changed = [this] { tableChanged(); }, .unknownSidecar = [this] { m_session.refresh(); } });
     for (const auto& [key, waiting] : waiters) {
         for (const auto& waiter : waiting)
             waiter.reply(unavailable("this entry has lost its session; submit the same job again"));
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -9,8 +9,6 @@
 namespace {
 
     constexpr Milliseconds tickPeriod { 50 };
-    constexpr Milliseconds leastHoldOff { 50 };
-    constexpr Milliseconds mostHoldOff { 1'000 };
 
     Error badMinionCall(std::string message)
     {
@@ -217,7 +215,7 @@
 
 std::uint64_t SidecarServer::room() const
 {
-    if (!m_life || m_life->leaving || !m_session.hasLease() || Clock::now() < m_life->holdOffUntil)
+    if (!m_life || m_life->leaving || !m_session.hasLease())
         return 0;
     const auto capacity = m_life->announcement.slots + m_process.settings.prefetch;
     const auto used = m_life->ledger->running() + static_cast<std::int64_t>(m_life->ledger->queued());
@@ -242,7 +240,7 @@
 
 void SidecarServer::startTasks()
 {
-    if (!m_life || m_life->leaving || Clock::now() < m_life->holdOffUntil)
+    if (!m_life || m_life->leaving)
         return;
     while (m_life->client->canRun()) {
         const auto next = m_life->ledger->next(Clock::now(), m_session.leaseEnd(), Clock::unixNow());
@@ -269,21 +267,9 @@
         { .job = &result->key, .task = result->task, .detail = std::string(taskOutcomeName(result->outcome)) });
     m_process.metrics.observe("run_milliseconds", static_cast<double>(end.ranFor.count));
     report(*result);
-    if (end.outcome == TaskOutcome::NotStarted)
-        holdOff();
-    else
-        m_life->holdOff = {};
     startTasks();
 }
 
-void SidecarServer::holdOff()
-{
-    m_life->holdOff = std::clamp(m_life->holdOff * 2, leastHoldOff, mostHoldOff);
-    m_life->holdOffUntil = Clock::now() + m_life->holdOff;
-    // What came after this waits here instead of bouncing; what waits already has better chances elsewhere.
-    returnQueued();
-}
-
 void SidecarServer::loseRunning()
 {
     for (const auto& result : m_life->ledger->loseRunning())
--- a/src/sidecar/SidecarServer.h
+++ b/src/sidecar/SidecarServer.h
@@ -30,9 +30,6 @@
         std::unique_ptr<SidecarLedger> ledger;
         std::unique_ptr<MinionClient> client;
         std::map<SessionId, std::unique_ptr<EntryLink>> links;
-        // After a refusal the minion is left alone for a while, so that tasks do not bounce off it.
-        Milliseconds holdOff {};
-        Milliseconds holdOffUntil {};
         // Nothing further is taken; the life ends once everything is settled, at the latest then.
         bool leaving { false };
         Milliseconds leaveBy {};
@@ -45,7 +42,6 @@
     void beginLeaving(const char* why);
     void finishLeaving();
     bool isSettled() const;
-    void holdOff();
     void loseRunning();
     NodeInfo nodeInfo(const MinionAnnouncement&) const;
 
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -30,6 +30,10 @@
     // Closes the session at control, then calls back, also when control does not answer.
     void stop(std::function<void()> done);
 
+    // Asks control for the current view now rather than at the next heartbeat. Calls that follow each other within a
+    // tenth of a heartbeat, or while an answer is awaited, do nothing.
+    void refresh();
+
     // Set while a session is open.
     const std::optional<SessionId>& id() const { return m_id; }
     const ClusterView& view() const { return m_view; }
@@ -43,6 +47,9 @@
     void open();
     void renew();
     void take(const SessionResponse&, Milliseconds sentAt);
+    // Brings the view up to date. A view never goes back to an older version.
+    void takeView(const SessionResponse&);
+    HeartbeatRequest heartbeatRequest() const;
     void sessionEnded();
     // Answer of the "knownView" method: what this process has in force, for operators and tests.
     Json::Value knownView() const;
@@ -53,8 +60,11 @@
     NodeInfo m_node;
     std::optional<SessionId> m_id;
     ClusterView m_view;
+    // Set when a difference did not fit the view.
+    bool m_needsWholeView { false };
     Milliseconds m_leaseEnd {};
     bool m_waiting { false };
+    Milliseconds m_refreshedAt {};
     std::uint64_t m_round { 0 };
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::shared_ptr<bool> m_alive;
--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -1,5 +1,6 @@
 #include "wire/Rpc.h"
 
+#include <fmt/format.h>
 #include <jsonrpccpp/client/batchcall.h>
 
 namespace oleanderport {
@@ -17,10 +18,15 @@
             .message = std::move(message) };
     }
 
-    Json::Value envelope(const Json::Value& id, const Result<Json::Value>& result)
+    // Member of the envelope that carries the sender's logical time.
+    constexpr const char* logicalMember = "logical";
+
+    Json::Value envelope(const Json::Value& id, const Result<Json::Value>& result, const LogicalClock* clock)
     {
         Json::Value value(Json::objectValue);
         value["jsonrpc"] = "2.0";
+        if (clock)
+            value[logicalMember] = static_cast<Json::UInt64>(clock->stamp());
         value["id"] = id;
         if (result.has_value()) {
             value["result"] = result.assume_value();
@@ -47,19 +53,28 @@
         }
     };
 
-    Result<Json::Value> unwrap(const Result<HttpAnswer>& answer, const std::string& peer)
+    // The batch codec keeps its envelope to itself, so the stamp is put into its text, behind the first brace.
+    std::string stamped(std::string text, std::uint64_t logical)
+    {
+        const auto brace = text.find('{');
+        return text.insert(brace + 1, fmt::format("\"{}\":{},", logicalMember, logical));
+    }
+
+    Result<Json::Value> unwrap(const Result<HttpAnswer>& answer, const std::string& peer, LogicalClock& clock)
     {
         if (!answer.has_value())
             return answer.assume_error();
-        BOOST_OUTCOME_TRY(const auto value, parseJson(answer.assume_value().body));
+        const auto parsed = parseJson(answer.assume_value().body);
+        if (!parsed.has_value())
+            return unreadableAnswer(peer, "not JSON");
+        const Json::Value& value = parsed.assume_value();
         const Json::Value& first = value.isArray() && !value.empty() ? value[0] : value;
-        if (!first.isObject() || first["jsonrpc"] != "2.0") {
-            return Error { .code = ErrorCode::Unavailable,
-                .ran = Ran::Unknown,
-                .step = "rpc.answer",
-                .peer = peer,
-                .message = "not a JSON-RPC answer" };
-        }
+        const bool isAnswer = first.isObject() && first["jsonrpc"] == "2.0"
+            && (first.isMember("result") || first["error"].isObject());
+        if (!isAnswer)
+            return unreadableAnswer(peer, "not a JSON-RPC answer");
+        if (first[logicalMember].isUInt64())
+            clock.witness(first[logicalMember].asUInt64());
         if (first.isMember("error"))
             return errorFromJson(first["error"]["data"], peer);
         return first["result"];
@@ -67,13 +82,22 @@
 
 } // namespace
 
+Error unreadableAnswer(const std::string& peer, const std::string& why)
+{
+    return Error { .code = ErrorCode::Unavailable,
+        .ran = Ran::Unknown,
+        .step = "rpc.answer",
+        .peer = peer,
+        .message = why };
+}
+
 void RpcServer::add(const std::string& name, RpcMethod method) { m_methods[name] = std::move(method); }
 
 void RpcServer::serve(const HttpRequest& request, std::shared_ptr<HttpResponder> responder)
 {
     const auto parsed = parseJson(request.body);
     if (!parsed.has_value()) {
-        responder->reply({ .status = 400, .body = writeJson(envelope({}, parsed.assume_error())) });
+        responder->reply({ .status = 400, .body = writeJson(envelope({}, parsed.assume_error(), m_clock)) });
         return;
     }
     const Json::Value& body = parsed.assume_value();
@@ -82,7 +106,7 @@
     batch->isBatch = body.isArray();
     batch->missing = batch->isBatch ? body.size() : 1;
     if (batch->missing == 0) {
-        batch->responder->reply({ .status = 400, .body = writeJson(envelope({}, badCall("empty batch"))) });
+        batch->responder->reply({ .status = 400, .body = writeJson(envelope({}, badCall("empty batch"), m_clock)) });
         return;
     }
     const Json::ArrayIndex count = batch->missing;
@@ -90,7 +114,8 @@
         const Json::Value& call = batch->isBatch ? body[i] : body;
         const Json::Value id = call.isObject() ? call["id"] : Json::Value();
         dispatch(call,
-            [batch, i, id](const Result<Json::Value>& result) { batch->finish(i, envelope(id, result)); });
+            [this, batch, i, id](
+                const Result<Json::Value>& result) { batch->finish(i, envelope(id, result, m_clock)); });
     }
 }
 
@@ -98,14 +123,22 @@
 {
     if (!call.isObject() || call["jsonrpc"] != "2.0" || !call["method"].isString())
         return reply(badCall("not a JSON-RPC 2.0 call"));
+    witness(call);
     const auto method = m_methods.find(call["method"].asString());
     if (method == m_methods.end())
         return reply(badCall("unknown method " + call["method"].asString()));
     method->second(call["params"], std::move(reply));
 }
 
+void RpcServer::witness(const Json::Value& call) const
+{
+    if (m_clock && call[logicalMember].isUInt64())
+        m_clock->witness(call[logicalMember].asUInt64());
+}
+
 RpcClient::RpcClient(EventLoop& loop, const std::string& address)
-    : m_connection(loop, address)
+    : m_clock(loop.logicalClock())
+    , m_connection(loop, address)
 {
 }
 
@@ -113,10 +146,15 @@
 {
     jsonrpc::BatchCall batch;
     batch.addCall(method, params);
-    HttpCall message { .method = HttpMethod::Post, .path = rpcPath, .body = batch.toString(true), .timeout = timeout };
-    m_connection.call(message, [peer = address(), callback = std::move(callback)](const Result<HttpAnswer>& answer) {
-        callback(unwrap(answer, peer));
-    });
+    const HttpCall message { .method = HttpMethod::Post,
+        .path = rpcPath,
+        .body = stamped(batch.toString(true), m_clock.stamp()),
+        .timeout = timeout };
+    // The clock belongs to the loop, which outlives every call made on it.
+    m_connection.call(
+        message, [&clock = m_clock, peer = address(), callback = std::move(callback)](const Result<HttpAnswer>& answer) {
+            callback(unwrap(answer, peer, clock));
+        });
 }
 
 } // namespace oleanderport
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -319,7 +319,8 @@
         ScenarioRun run(scenario,
             { .build = std::filesystem::absolute(options.build),
                 .folder = folder.path(),
-                .basePort = options.basePort });
+                .basePort = options.basePort,
+                .patience = options.patience });
         try {
             run.run();
         } catch (const std::exception& failure) {
--- a/test/support/ScenarioMain.cpp
+++ b/test/support/ScenarioMain.cpp
@@ -33,6 +33,7 @@
     std::filesystem::path build;
     int basePort { 0 };
     std::size_t jobs { 1 };
+    Milliseconds patience {};
     std::set<std::string> knownRed;
 };
 
@@ -104,7 +105,8 @@
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const std::string fault = runScenario({ .file = file,
                 .build = m_options.build,
-                .basePort = static_cast<std::uint16_t>(m_options.basePort + slot * portsPerRun) });
+                .basePort = static_cast<std::uint16_t>(m_options.basePort + slot * portsPerRun),
+                .patience = m_options.patience });
             [[maybe_unused]] const auto written = write(descriptor, fault.data(), fault.size());
             _exit(fault.empty() ? 0 : 1);
         }
@@ -157,7 +159,8 @@
         "base-port", "First port; each run beside another takes a hundred",
         cxxopts::value<int>()->default_value("21000"))(
         "jobs", "Scenarios side by side", cxxopts::value<std::size_t>()->default_value("1"))(
-        "known-red", "List of known faults", cxxopts::value<std::string>()->default_value("KNOWN-RED.txt"))(
+        "patience", "Longest wait for one condition, in milliseconds",
+        cxxopts::value<std::int64_t>()->default_value("60000"))("known-red", "List of known faults", cxxopts::value<std::string>()->default_value("KNOWN-RED.txt"))(
         "files", "Scenarios", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({ "files" });
     const auto arguments = options.parse(argc, argv);
@@ -166,6 +169,7 @@
     Runner runner({ .build = arguments["build"].as<std::string>(),
         .basePort = arguments["base-port"].as<int>(),
         .jobs = arguments["jobs"].as<std::size_t>(),
+        .patience = { arguments["patience"].as<std::int64_t>() },
         .knownRed = readKnownRed(arguments["known-red"].as<std::string>()) });
     const Counts counts = runner.run({ files.begin(), files.end() });
     if (counts.knownRed > 0)
