--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -84,6 +84,7 @@
         return reply(*channel.answered);
     channel.sequence = request.sequence;
     channel.answered.reset();
+    channel.broughtResults = !request.results.empty();
     if (request.channel == Channel::Poll) {
         channel.parked = reply;
         channel.parkedAt = Clock::now();
@@ -123,10 +124,20 @@
         .cancels = std::exchange(sidecar.cancels, {}),
         .queued = m_jobs.demand(sidecar.member.node.service) };
     sidecar.knowsOfQueue = !response.queued.empty();
+    countExchange(channel, response);
     channel.answered = response;
     return response;
 }
 
+void ExchangeServer::countExchange(ChannelState& channel, const ExchangeResponse& response)
+{
+    const bool carries = channel.broughtResults || !response.tasks.empty() || !response.cancels.empty();
+    channel.broughtResults = false;
+    m_process.metrics.add("exchanges_total");
+    if (!carries)
+        m_process.metrics.add("exchanges_empty_total");
+}
+
 void ExchangeServer::answerPoll(Sidecar& sidecar, std::vector<TaskAssignment> tasks)
 {
     const Reply reply = std::exchange(sidecar.poll.parked, nullptr);
@@ -200,6 +211,9 @@
 
 void ExchangeServer::tick(Milliseconds now)
 {
+    const auto polling = std::count_if(
+        m_sidecars.begin(), m_sidecars.end(), [](const auto& item) { return item.second.poll.parked != nullptr; });
+    m_process.metrics.set("sidecars_polling", static_cast<double>(polling));
     for (auto& [id, sidecar] : m_sidecars) {
         const bool old = sidecar.poll.parked && now > sidecar.poll.parkedAt + longestPoll;
         const bool hasCancels = sidecar.poll.parked && !sidecar.cancels.empty();
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -45,6 +45,7 @@
         std::optional<ExchangeResponse> answered;
         Reply parked;
         Milliseconds parkedAt {};
+        bool broughtResults { false };
     };
     struct Sidecar {
         Member member;
@@ -61,6 +62,8 @@
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
     void takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
+    // An exchange that carries neither result nor task nor cancellation is counted as empty.
+    void countExchange(ChannelState&, const ExchangeResponse&);
     void answerPoll(Sidecar&, std::vector<TaskAssignment>);
     void assign();
     void collectCancellations();
