--- a/bench/Deployment.cpp
+++ b/bench/Deployment.cpp
@@ -94,6 +94,7 @@
                                        "data_centre = \"dc-{}\"\nlog_level = \"warning\"\n"
                                        "[control]\npeers = [\"{}\"]\ndata_folder = \"{}/{}\"\n",
         role, name, address(offset + number), 1 + number % m_options.dataCentres, address(0), m_options.folder, name)
+                        << (kind == Kind::Control ? "bootstrap = true\n" : "")
                         << (kind == Kind::Sidecar ? fmt::format("[sidecar]\nprefetch = {}\n", m_options.prefetch) : "");
     m_children.push_back({ .kind = kind,
         .pid = launch({ m_options.programs + "/oleanderportd", "--settings", file }),
--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -12,6 +12,10 @@
 // milliseconds. src/wire/MessageCodec.h turns each into JSON and back.
 namespace oleanderport {
 
+// The two environments. Each has a document of its own and processes of its own.
+inline constexpr const char* trialEnvironment = "trial";
+inline constexpr const char* productionEnvironment = "production";
+
 // Names one process over one of its lives. Control gives a higher incarnation each time an instance opens a session.
 struct SessionId {
     std::string instance;
@@ -170,6 +174,8 @@
 struct NodeInfo {
     Role role { Role::Entry };
     std::string instance;
+    // Environment that the process belongs to.
+    std::string environment { productionEnvironment };
     // "IP:port" of the process.
     std::string address;
     std::string dataCentre;
@@ -205,6 +211,8 @@
 // The checked content of one environment's document.
 struct EnvironmentConfig {
     std::string environment;
+    // What the document is for, in its author's words.
+    std::string deployment;
     std::uint64_t version { 0 };
     std::string digest;
     std::vector<TeamConfig> teams;
@@ -220,13 +228,27 @@
     std::vector<Member> members;
 };
 
+// What leads from one version of a view to a later one.
+struct ViewDelta {
+    std::uint64_t fromVersion { 0 };
+    std::uint64_t version { 0 };
+    // Set only when the configuration differs from the one that the receiver named.
+    std::optional<EnvironmentConfig> config;
+    std::optional<std::vector<std::string>> dataCentresOut;
+    std::vector<SessionId> left;
+    std::vector<Member> joined;
+};
+
 struct OpenSessionRequest {
     NodeInfo node;
 };
 
 struct HeartbeatRequest {
     SessionId session;
+    // The view that the sender has; zero asks for the whole.
     std::uint64_t viewVersion { 0 };
+    std::uint64_t configVersion { 0 };
+    std::string configDigest;
 };
 
 struct SessionResponse {
@@ -234,7 +256,9 @@
     // Length of the lease, counted by the receiver from the moment it sent the request. Zero: no lease is granted,
     // nothing may start.
     Milliseconds lease {};
-    // Set only when the receiver's view is not the current one.
+    // At most one of both is set, and only when the receiver's view is not the current one: the whole view when the
+    // steps from the receiver's to the current one are no longer kept.
+    std::optional<ViewDelta> delta;
     std::optional<ClusterView> view;
 };
 
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Milliseconds tickPeriod { 50 };
+    // Looking over every job that is kept takes time with their number.
+    constexpr Milliseconds forgetPeriod { 1'000 };
 
     Error badMinionCall(std::string message)
     {
@@ -261,7 +263,10 @@
     const Milliseconds now = Clock::now();
     if (now > m_life->heardAt + m_process.settings.minionTimeout)
         return minionLeft("no heartbeat");
-    m_life->ledger->forget(Clock::unixNow());
+    if (now > m_forgotAt + forgetPeriod) {
+        m_life->ledger->forget(Clock::unixNow());
+        m_forgotAt = now;
+    }
     if (!m_session.hasLease())
         returnQueued();
     startTasks();
--- a/src/sidecar/SidecarServer.h
+++ b/src/sidecar/SidecarServer.h
@@ -55,6 +55,7 @@
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::function<void()> m_shutDownDone;
     Milliseconds m_shutDownBy {};
+    Milliseconds m_forgotAt {};
 };
 
 } // namespace oleanderport
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -47,7 +47,12 @@
     void open();
     void renew();
     void take(const SessionResponse&, Milliseconds sentAt);
+    // Brings the view up to date. A view never goes back to an older version.
+    void takeView(const SessionResponse&);
+    HeartbeatRequest heartbeatRequest() const;
     void sessionEnded();
+    // Answer of the "knownView" method: what this process has in force, for operators and tests.
+    Json::Value knownView() const;
 
     Process& m_process;
     ControlClient& m_client;
@@ -55,6 +60,8 @@
     NodeInfo m_node;
     std::optional<SessionId> m_id;
     ClusterView m_view;
+    // Set when a difference did not fit the view.
+    bool m_needsWholeView { false };
     Milliseconds m_leaseEnd {};
     bool m_waiting { false };
     Milliseconds m_refreshedAt {};
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -1,11 +1,14 @@
 #include "wire/MessageCodec.h"
 
-#include "wire/ControlMessages.h"
+#include "base/EventRing.h"
+#include "wire/ControlRecords.h"
 #include "wire/EntryMessages.h"
+#include "wire/OperatorMessages.h"
 
 #include <fmt/format.h>
 
 #include <memory>
+#include <sstream>
 #include <type_traits>
 
 namespace oleanderport {
@@ -22,11 +25,18 @@
     std::string_view nameOf(TaskOutcome value) { return taskOutcomeName(value); }
     std::string_view nameOf(Channel value) { return channelName(value); }
     std::string_view nameOf(JobState value) { return jobStateName(value); }
+    std::string_view nameOf(EventKind value) { return eventKindName(value); }
+    std::string_view nameOf(ViewChangeKind value) { return viewChangeKindName(value); }
 
     std::optional<Role> valueOf(std::string_view name, Role) { return roleFromName(name); }
     std::optional<TaskOutcome> valueOf(std::string_view name, TaskOutcome) { return taskOutcomeFromName(name); }
     std::optional<Channel> valueOf(std::string_view name, Channel) { return channelFromName(name); }
     std::optional<JobState> valueOf(std::string_view name, JobState) { return jobStateFromName(name); }
+    std::optional<EventKind> valueOf(std::string_view name, EventKind) { return eventKindFromName(name); }
+    std::optional<ViewChangeKind> valueOf(std::string_view name, ViewChangeKind)
+    {
+        return viewChangeKindFromName(name);
+    }
 
     class Writer {
     public:
@@ -35,14 +45,14 @@
         template <typename T>
         void operator()(const char* name, T& field)
         {
-            m_value[name] = write(field);
+            m_value[Json::StaticString(name)] = write(field);
         }
 
         template <typename T>
         void operator()(const char* name, std::optional<T>& field)
         {
             if (field)
-                m_value[name] = write(*field);
+                m_value[Json::StaticString(name)] = write(*field);
         }
 
     private:
@@ -310,6 +320,7 @@
     {
         a("role", m.role);
         a("instance", m.instance);
+        a("environment", m.environment);
         a("address", m.address);
         a("dataCentre", m.dataCentre);
         a("rack", m.rack);
@@ -348,6 +359,7 @@
     void fields(Archive& a, EnvironmentConfig& m)
     {
         a("environment", m.environment);
+        a("deployment", m.deployment);
         a("version", m.version);
         a("digest", m.digest);
         a("teams", m.teams);
@@ -364,6 +376,17 @@
         a("members", m.members);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, ViewDelta& m)
+    {
+        a("fromVersion", m.fromVersion);
+        a("version", m.version);
+        a("config", m.config);
+        a("dataCentresOut", m.dataCentresOut);
+        a("left", m.left);
+        a("joined", m.joined);
+    }
+
     template <typename Archive>
     void fields(Archive& a, OpenSessionRequest& m)
     {
@@ -375,6 +398,8 @@
     {
         a("session", m.session);
         a("viewVersion", m.viewVersion);
+        a("configVersion", m.configVersion);
+        a("configDigest", m.configDigest);
     }
 
     template <typename Archive>
@@ -382,6 +407,7 @@
     {
         a("session", m.session);
         a("lease", m.lease);
+        a("delta", m.delta);
         a("view", m.view);
     }
 
@@ -436,18 +462,23 @@
     {
         a("dataCentre", m.dataCentre);
         a("out", m.out);
+        a("author", m.author);
+        a("reason", m.reason);
     }
 
     template <typename Archive>
     void fields(Archive& a, DataCentreChanged& m)
     {
+        a("changed", m.changed);
         a("viewVersion", m.viewVersion);
+        a("trialViewVersion", m.trialViewVersion);
         a("inForceWithin", m.inForceWithin);
     }
 
     template <typename Archive>
     void fields(Archive& a, ApplyDocument& m)
     {
+        a("environment", m.environment);
         a("text", m.text);
         a("baseVersion", m.baseVersion);
         a("changeId", m.changeId);
@@ -460,6 +491,189 @@
     {
         a("version", m.version);
         a("digest", m.digest);
+        a("viewVersion", m.viewVersion);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, PromoteDocument& m)
+    {
+        a("digest", m.digest);
+        a("baseVersion", m.baseVersion);
+        a("changeId", m.changeId);
+        a("author", m.author);
+        a("reason", m.reason);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, VersionSummary& m)
+    {
+        a("version", m.version);
+        a("digest", m.digest);
+        a("changeId", m.changeId);
+        a("author", m.author);
+        a("reason", m.reason);
+        a("whenUnix", m.whenUnix);
+        a("promotedFrom", m.promotedFrom);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, FindJobRequest& m)
+    {
+        a("environment", m.environment);
+        a("key", m.key);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, CloseSession& m)
+    {
+        a("session", m.session);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, AcceptDocument& m)
+    {
+        a("change", m.change);
+        a("config", m.config);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, VersionRecord& m)
+    {
+        a("summary", m.summary);
+        a("text", m.text);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ChangeRecord& m)
+    {
+        a("changeId", m.changeId);
+        a("digest", m.digest);
+        a("applied", m.applied);
+        a("refusal", m.refusal);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DataCentreRecord& m)
+    {
+        a("change", m.change);
+        a("whenUnix", m.whenUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ViewChange& m)
+    {
+        a("version", m.version);
+        a("kind", m.kind);
+        a("member", m.member);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EnvironmentRecord& m)
+    {
+        a("name", m.name);
+        a("view", m.view);
+        a("history", m.history);
+        a("changes", m.changes);
+        a("viewChanges", m.viewChanges);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, Event& m)
+    {
+        a("kind", m.kind);
+        a("instance", m.instance);
+        a("sequence", m.sequence);
+        a("logical", m.logical);
+        a("unixTime", m.unixTime);
+        a("job", m.job);
+        // Absent for an event that concerns no task.
+        std::optional<std::int64_t> task;
+        if (m.task >= 0)
+            task = m.task;
+        a("task", task);
+        m.task = task.value_or(-1);
+        a("detail", m.detail);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EnvironmentRequest& m)
+    {
+        a("environment", m.environment);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DocumentVersions& m)
+    {
+        a("environment", m.environment);
+        a("versions", m.versions);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, VersionRequest& m)
+    {
+        a("environment", m.environment);
+        a("version", m.version);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ValidateDocument& m)
+    {
+        a("environment", m.environment);
+        a("text", m.text);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, DocumentChecked& m)
+    {
+        a("deployment", m.deployment);
+        a("digest", m.digest);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MemberConfirmation& m)
+    {
+        a("member", m.member);
+        a("viewVersion", m.viewVersion);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ControlStatus& m)
+    {
+        a("leader", m.leader);
+        a("view", m.view);
+        a("confirmations", m.confirmations);
+        a("dataCentreChanges", m.dataCentreChanges);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ClaimRecord& m)
+    {
+        a("environment", m.environment);
+        a("key", m.key);
+        a("digest", m.digest);
+        a("service", m.service);
+        a("owner", m.owner);
+        a("epoch", m.epoch);
+        a("firstClaimedUnix", m.firstClaimedUnix);
+        a("deadlineUnix", m.deadlineUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, EndedSidecar& m)
+    {
+        a("member", m.member);
+        a("endedUnix", m.endedUnix);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, ControlContent& m)
+    {
+        a("nowUnix", m.nowUnix);
+        a("lastIncarnation", m.lastIncarnation);
+        a("environments", m.environments);
+        a("claims", m.claims);
+        a("endedSidecars", m.endedSidecars);
+        a("dataCentreChanges", m.dataCentreChanges);
     }
 
     template <typename Archive>
@@ -571,7 +785,22 @@
 OLEANDERPORT_MESSAGE(DataCentreChanged)
 OLEANDERPORT_MESSAGE(ApplyDocument)
 OLEANDERPORT_MESSAGE(DocumentApplied)
+OLEANDERPORT_MESSAGE(PromoteDocument)
+OLEANDERPORT_MESSAGE(VersionSummary)
+OLEANDERPORT_MESSAGE(FindJobRequest)
 OLEANDERPORT_MESSAGE(FindJobResponse)
+OLEANDERPORT_MESSAGE(CloseSession)
+OLEANDERPORT_MESSAGE(ViewDelta)
+OLEANDERPORT_MESSAGE(Event)
+OLEANDERPORT_MESSAGE(VersionRecord)
+OLEANDERPORT_MESSAGE(EnvironmentRequest)
+OLEANDERPORT_MESSAGE(DocumentVersions)
+OLEANDERPORT_MESSAGE(VersionRequest)
+OLEANDERPORT_MESSAGE(ValidateDocument)
+OLEANDERPORT_MESSAGE(DocumentChecked)
+OLEANDERPORT_MESSAGE(ControlStatus)
+OLEANDERPORT_MESSAGE(AcceptDocument)
+OLEANDERPORT_MESSAGE(ControlContent)
 OLEANDERPORT_MESSAGE(Nothing)
 OLEANDERPORT_MESSAGE(MinionAnnouncement)
 OLEANDERPORT_MESSAGE(MinionHeartbeat)
@@ -581,20 +810,38 @@
 
 #undef OLEANDERPORT_MESSAGE
 
+namespace {
+
+    std::unique_ptr<Json::StreamWriter> makeWriter()
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        builder["emitUTF8"] = true;
+        return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+    }
+
+    std::unique_ptr<Json::CharReader> makeReader()
+    {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["stackLimit"] = maxNesting;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    }
+
+} // namespace
+
 std::string writeJson(const Json::Value& value)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["emitUTF8"] = true;
-    return Json::writeString(builder, value);
+    // The builders read a dozen settings by name for each writer; one writer a thread serves every message.
+    thread_local const auto writer = makeWriter();
+    std::ostringstream out;
+    writer->write(value, &out);
+    return std::move(out).str();
 }
 
 Result<Json::Value> parseJson(const std::string& text)
 {
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder["stackLimit"] = maxNesting;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    thread_local const auto reader = makeReader();
     Json::Value value;
     std::string fault;
     try {
