--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Milliseconds tickPeriod { 50 };
+    // Looking over every job that is kept takes time with their number.
+    constexpr Milliseconds forgetPeriod { 1'000 };
 
     Error badMinionCall(std::string message)
     {
@@ -230,7 +232,7 @@
     }
     for (const auto& task : response.tasks) {
         m_process.events.record(EventKind::TaskQueued, { .job = &task.key, .task = task.task });
-        if (const auto refusal = m_life->ledger->accept(entry, task))
+        if (const auto refusal = m_life->ledger->accept(entry, task, weightOf(m_session.view(), task.team)))
             report(*refusal);
     }
     if (!m_session.hasLease() || m_life->leaving)
@@ -312,7 +314,10 @@
         loseRunning();
         return beginLeaving("no heartbeat");
     }
-    m_life->ledger->forget(Clock::unixNow());
+    if (now > m_forgotAt + forgetPeriod) {
+        m_life->ledger->forget(Clock::unixNow());
+        m_forgotAt = now;
+    }
     if (!m_session.hasLease())
         returnQueued();
     startTasks();
--- a/src/sidecar/SidecarServer.h
+++ b/src/sidecar/SidecarServer.h
@@ -61,6 +61,7 @@
     std::unique_ptr<MinionLife> m_life;
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::function<void()> m_shutDownDone;
+    Milliseconds m_forgotAt {};
 };
 
 } // namespace oleanderport
