--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -54,12 +54,27 @@
         section.finish();
     }
 
+    // Takes over lines of the form PEER=ADDRESS.
+    void addRoutes(const std::vector<std::string>& routes, TomlSection& section, Settings& settings)
+    {
+        for (const auto& route : routes) {
+            const auto separator = route.find('=');
+            if (separator == std::string::npos)
+                section.fault("routes", "expected PEER=ADDRESS");
+            else
+                settings.controlRoutes[route.substr(0, separator)] = route.substr(separator + 1);
+        }
+    }
+
     void readControl(TomlSection section, Settings& settings)
     {
         section.require("peers");
         section.texts("peers", settings.controlPeers);
         section.text("data_folder", settings.dataFolder);
         section.flag("bootstrap", settings.bootstrap);
+        std::vector<std::string> routes;
+        section.texts("routes", routes);
+        addRoutes(routes, section, settings);
         section.time("lease_ms", settings.lease, timeRange);
         section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
         section.time("heartbeat_ms", settings.heartbeat, timeRange);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -4,6 +4,7 @@
 #include "oleanderport/Error.h"
 #include "oleanderport/Messages.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     std::string dataFolder;
     // A control instance with an empty data folder may found a new group, once all peers are there and empty as well.
     bool bootstrap { false };
+    // Where a control instance reaches a peer whose address in `controlPeers` is not reachable from here.
+    std::map<std::string, std::string> controlRoutes;
     Milliseconds lease { 3'000 };
     Milliseconds sessionTimeout { 5'000 };
     Milliseconds heartbeat { 500 };
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -219,8 +219,11 @@
 void RaftReplicator::post(RaftMessage message)
 {
     PeerLink& link = m_links[message.to];
-    if (!link.client)
-        link.client = std::make_unique<RpcClient>(m_process.loop, message.to);
+    if (!link.client) {
+        const auto& routes = m_process.settings.controlRoutes;
+        const auto route = routes.find(message.to);
+        link.client = std::make_unique<RpcClient>(m_process.loop, route == routes.end() ? message.to : route->second);
+    }
     link.outbox.push_back(std::move(message));
     // The core sends again what matters.
     while (link.outbox.size() > maxOutbox)
--- a/test/base/SettingsTest.cpp
+++ b/test/base/SettingsTest.cpp
@@ -42,6 +42,13 @@
     expectFault(good + "bootstrap = 1\n", "control.bootstrap: expected true or false");
 }
 
+Test(Settings, readsRoutesToPeers)
+{
+    const std::string routes = "routes = [\"127.0.0.1:7100=127.0.0.1:7200\"]\n";
+    cr_assert(parseSettings(good + routes, "test.toml").assume_value().controlRoutes.at("127.0.0.1:7100") == "127.0.0.1:7200");
+    expectFault(good + "routes = [\"127.0.0.1:7100\"]\n", "control.routes: expected PEER=ADDRESS");
+}
+
 Test(Settings, namesAValueOutOfRange) { expectFault(good + "lease_ms = 0\n", "control.lease_ms: expected a whole number from 1"); }
 
 Test(Settings, namesAContradiction)
--- a/test/support/ScenarioDeployment.cpp
+++ b/test/support/ScenarioDeployment.cpp
@@ -192,16 +192,24 @@
 std::string ScenarioDeployment::settingsText(const std::string& name) const
 {
     toml::table settings = m_settings;
+    // Control instances know each other by their own addresses and reach each other by their relays.
+    const bool isControl = roleOf(name) == "control";
+    const std::vector<std::string> reached = controlPeers(name);
     toml::array peers;
-    for (const auto& peer : controlPeers(name))
-        peers.push_back(peer);
+    toml::array routes;
+    for (std::size_t i = 0; i < reached.size(); ++i) {
+        const std::string own = address(fmt::format("control-{}", i + 1));
+        peers.push_back(isControl ? own : reached[i]);
+        if (isControl && reached[i] != own)
+            routes.push_back(own + "=" + reached[i]);
+    }
     merge(settings,
         toml::table { { "process",
                           toml::table { { "role", roleOf(name) }, { "instance", name }, { "listen", address(name) },
                               { "advertise", advertised(name) }, { "data_centre", dataCentre(name) } } },
             { "control",
                 toml::table { { "peers", peers }, { "data_folder", dataFolder(name) },
-                    { "bootstrap", name == "control-1" } } } });
+                    { "bootstrap", name == "control-1" }, { "routes", routes } } } });
     std::ostringstream text;
     text << settings;
     return text.str();
