Retries stay within a share of the load

Cause: each refused task went round up to eight times, whatever the load, and an idempotent task with an unknown end after its deadline was queued again and waited for ever (red: anIdempotentTaskIsNotTriedAgainAfterItsDeadline). Change: policy/RetryBudget, one per entry and service; JobTable pays for each further attempt and ends the job at once, with retryAfter, when the budget, the attempts or the deadline are spent. minion_refused answers 503. Ruled out: an exemption for tasks that a leaving sidecar gives back; its prefetch fits the reserve. Broken to see red: the budget, the deadline, idempotence and the attempts.

--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -74,6 +74,7 @@
         return 504;
     case ErrorCode::Unavailable:
     case ErrorCode::NotLeader:
+    case ErrorCode::MinionRefused:
     case ErrorCode::ShuttingDown:
         return 503;
     default:
--- a/src/policy/JobTable.cpp
+++ b/src/policy/JobTable.cpp
@@ -141,7 +141,8 @@
             break;
         Job& job = m_jobs.at(next->key);
         Task& task = job.tasks[next->task];
-        ++task.attempt;
+        if (++task.attempt == 1)
+            m_retries.try_emplace(service, m_options.retries).first->second.earn();
         bindTo(job, next->task, sidecar);
         const TaskSpec& spec = job.spec.tasks[next->task];
         taken.push_back({ .key = next->key,
@@ -178,15 +179,8 @@
 {
     Task& task = job.tasks[index];
     m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
-    if (task.attempt >= m_options.maxAttempts) {
-        settle(job, index, TaskOutcome::NotStarted, "no sidecar would start it");
-        return;
-    }
-    const bool isPastDeadline = !m_deadlines.contains({ .at = job.spec.deadlineUnix, .key = job.spec.key });
-    if (isPastDeadline) {
-        settle(job, index, TaskOutcome::NotStarted, "deadline passed");
-        return;
-    }
+    if (const auto refusal = refuseRetry(job, task))
+        return giveUp(job, index, TaskOutcome::NotStarted, refusal->message, *refusal);
     task.state = TaskState::Queued;
     m_queues[job.spec.service].pushFront(job.spec.team, job.weight, { .key = job.spec.key, .task = index });
 }
@@ -196,23 +190,48 @@
     Task& task = job.tasks[index];
     if (task.state == TaskState::Bound)
         m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
-    if (outcome == TaskOutcome::Unknown && job.spec.idempotent && task.attempt < m_options.maxAttempts) {
+    if (outcome == TaskOutcome::Unknown && job.spec.idempotent && !refuseRetry(job, task)) {
         enqueue(job, index);
         return;
     }
+    if (outcome != TaskOutcome::Done)
+        return giveUp(job, index, outcome, body, jobError(codeOf(outcome), Ran::Unknown, body));
     task.state = TaskState::Ended;
     task.outcome = outcome;
     task.body = body;
-    --job.open;
-    if (outcome != TaskOutcome::Done) {
-        const Ran ran = outcome == TaskOutcome::NotStarted && job.tasks.size() == 1 ? Ran::No : Ran::Unknown;
-        fail(job, jobError(codeOf(outcome), ran, fmt::format("task {}: {}", index, body)));
-        return;
-    }
-    if (job.open == 0)
+    if (--job.open == 0)
         end(job, JobState::Complete);
 }
 
+std::optional<Error> JobTable::refuseRetry(const Job& job, const Task& task)
+{
+    const bool isPastDeadline = !m_deadlines.contains({ .at = job.spec.deadlineUnix, .key = job.spec.key });
+    if (isPastDeadline)
+        return jobError(ErrorCode::DeadlinePassed, Ran::Unknown, "deadline passed");
+    Error refusal = jobError(ErrorCode::MinionRefused, Ran::Unknown, "no sidecar would start it");
+    refusal.retryAfter = m_options.comeBack;
+    if (task.attempt >= m_options.maxAttempts)
+        return refusal;
+    if (m_retries.try_emplace(job.spec.service, m_options.retries).first->second.spend())
+        return std::nullopt;
+    refusal.code = ErrorCode::Overloaded;
+    refusal.message = "no sidecar would start it, and the retry budget is spent";
+    return refusal;
+}
+
+void JobTable::giveUp(
+    Job& job, std::uint32_t index, TaskOutcome outcome, const std::string& body, const Error& error)
+{
+    Task& task = job.tasks[index];
+    task.state = TaskState::Ended;
+    task.outcome = outcome;
+    task.body = body;
+    --job.open;
+    Error named = error;
+    named.message = fmt::format("task {}: {}", index, error.message);
+    fail(job, named);
+}
+
 void JobTable::sidecarLost(const SessionId& sidecar)
 {
     const auto bound = m_bound.find(sidecar);
--- a/src/policy/JobTable.h
+++ b/src/policy/JobTable.h
@@ -2,6 +2,7 @@
 
 #include "oleanderport/Messages.h"
 #include "policy/FairQueue.h"
+#include "policy/RetryBudget.h"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +18,10 @@
     std::uint32_t maxAttempts { 8 };
     // How long an ended job's answer is kept after its deadline.
     Milliseconds answerRetention { 120'000 };
+    // Bounds further attempts, for each service.
+    RetryBudgetOptions retries;
+    // When the caller of a job that ended for want of an attempt may come back.
+    Milliseconds comeBack { 1'000 };
 };
 
 // How a submission meets the jobs that the table already has.
@@ -123,6 +128,9 @@
     void unbind(Task&);
     void settle(Job&, std::uint32_t task, TaskOutcome, const std::string& body);
     void requeue(Job&, std::uint32_t task);
+    // Why a task may not be tried again; nothing when it may, and the attempt is then paid for.
+    std::optional<Error> refuseRetry(const Job&, const Task&);
+    void giveUp(Job&, std::uint32_t task, TaskOutcome, const std::string& body, const Error&);
     void finishCollecting(Job&);
     void fail(Job&, const Error&);
     void end(Job&, JobState);
@@ -133,6 +141,8 @@
     std::set<TimedJob> m_deadlines;
     std::set<TimedJob> m_forgetTimes;
     std::map<std::string, FairQueue> m_queues;
+    // By service.
+    std::map<std::string, RetryBudget> m_retries;
     struct BoundTask {
         JobKey key;
         std::uint32_t task { 0 };
--- /dev/null
+++ b/src/policy/RetryBudget.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <algorithm>
+
+namespace oleanderport {
+
+struct RetryBudgetOptions {
+    // Retries allowed for each first attempt.
+    double share { 0.2 };
+    // Retries that may be saved up, and that are there at the start. They cover a minion that leaves with what it had
+    // taken in advance.
+    double reserve { 100 };
+};
+
+// Bounds the retries of one entry and service to a share of its load, so that a service which refuses work is not
+// driven further down by the same work coming again. Over any time: retries <= reserve + share * first attempts.
+class RetryBudget {
+public:
+    explicit RetryBudget(const RetryBudgetOptions& options)
+        : m_options(options)
+        , m_left(options.reserve)
+    {
+    }
+
+    // Counts a first attempt.
+    void earn() { m_left = std::min(m_left + m_options.share, m_options.reserve); }
+
+    // True when a retry is within the budget; it is then spent.
+    bool spend()
+    {
+        if (m_left < 1)
+            return false;
+        m_left -= 1;
+        return true;
+    }
+
+private:
+    RetryBudgetOptions m_options;
+    double m_left;
+};
+
+} // namespace oleanderport
--- a/test/policy/JobTableTest.cpp
+++ b/test/policy/JobTableTest.cpp
@@ -184,3 +184,79 @@
     table.tick(end + Milliseconds { 1 });
     cr_assert(!table.answer(jobOf(1).key).has_value());
 }
+
+namespace {
+
+constexpr int tooManySends = 10'000;
+
+// Lets a sidecar refuse everything until the job has ended. Returns the number of sends.
+int refuseUntilEnd(JobTable& table)
+{
+    int sends = 0;
+    while (stateOf(table) == JobState::Running && sends < tooManySends) {
+        for (const auto& task : table.take("service", sidecarOne, 100)) {
+            ++sends;
+            table.result(sidecarOne, resultFor(task, TaskOutcome::NotStarted));
+        }
+    }
+    return sends;
+}
+
+} // namespace
+
+Test(JobTable, endsAtOnceAndTruthfullyWhenTheRetryBudgetIsSpent)
+{
+    JobTable table({ .maxAttempts = 100, .retries = { .share = 0, .reserve = 3 }, .comeBack = { 700 } });
+    table.add(jobOf(1), "digest", 1, 1);
+    const int sends = refuseUntilEnd(table);
+    cr_assert(sends == 4, "expected 1 attempt and 3 retries, got %d sends", sends);
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->error->code == ErrorCode::Overloaded);
+    cr_assert(answer->error->ran == Ran::No);
+    cr_assert(answer->error->retryAfter == Milliseconds { 700 });
+}
+
+Test(JobTable, triesATaskNoMoreThanItsAttempts)
+{
+    JobTable table({ .maxAttempts = 4 });
+    table.add(jobOf(1), "digest", 1, 1);
+    const int sends = refuseUntilEnd(table);
+    cr_assert(sends == 4, "expected 4 sends, got %d", sends);
+    cr_assert(table.answer(jobOf(1).key)->error->code == ErrorCode::MinionRefused);
+    cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::No);
+}
+
+Test(JobTable, retriesOfManyTasksStayWithinTheShare)
+{
+    JobTable table({ .maxAttempts = 100, .retries = { .share = 0.2, .reserve = 10 } });
+    table.add(jobOf(990), "digest", 1, 1);
+    const int sends = refuseUntilEnd(table);
+    cr_assert(sends <= 990 + 10 + 198, "expected at most 1198 sends, got %d", sends);
+}
+
+Test(JobTable, anUnknownEndIsTriedAgainOnlyWhenIdempotentAndWithinTheBudget)
+{
+    for (const bool idempotent : { false, true }) {
+        JobTable table({ .maxAttempts = 100, .retries = { .share = 0, .reserve = 2 } });
+        table.add(jobOf(1, idempotent), "digest", 1, 1);
+        int sends = 0;
+        while (stateOf(table) == JobState::Running && sends < tooManySends) {
+            ++sends;
+            const auto taken = table.take("service", sidecarOne, 1);
+            cr_assert(taken.size() == 1);
+            table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Unknown));
+        }
+        const int expected = idempotent ? 3 : 1;
+        cr_assert(sends == expected, "expected %d sends, got %d", expected, sends);
+        cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::Unknown);
+    }
+}
+
+Test(JobTable, anIdempotentTaskIsNotTriedAgainAfterItsDeadline)
+{
+    auto table = tableWith(jobOf(1, true));
+    const auto taken = table.take("service", sidecarOne, 1);
+    table.tick(deadline);
+    table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Unknown));
+    cr_assert(stateOf(table) == JobState::Failed, "a task that can no longer start must not wait for ever");
+}
