Refuse at once what cannot start before its deadline

Cause: admission looked at the lengths of queues alone, so a job with a short deadline waited in vain, and those refused were all told the same time to come back. Change: policy/RunTimes learns the run time of each service, policy/Admission estimates the start of the last task by the team's fair turn and refuses with a spread retryAfter. Weighed: dividing the slots by the number of entries; it would refuse what could be served while the others are idle, so the estimate is a lower bound.

--- a/src/entry/AdmissionFilter.cpp
+++ b/src/entry/AdmissionFilter.cpp
@@ -1,4 +1,7 @@
 #include "entry/Submission.h"
+#include "policy/Admission.h"
+
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -9,6 +12,33 @@
     constexpr Milliseconds comeBackWithRoom { 1'000 };
     constexpr Milliseconds comeBackElsewhere { 100 };
 
+    std::int64_t slotsOf(const Submission& submission)
+    {
+        const auto& out = submission.view.dataCentresOut;
+        std::int64_t slots = 0;
+        for (const auto& member : submission.view.members) {
+            const NodeInfo& node = member.node;
+            const bool serves = node.role == Role::Sidecar && node.service == submission.spec.service
+                && std::find(out.begin(), out.end(), node.dataCentre) == out.end();
+            if (serves)
+                slots += node.slots;
+        }
+        return slots;
+    }
+
+    AdmissionInput inputOf(const Submission& submission)
+    {
+        return { .ownTasks = submission.spec.tasks.size(),
+            .queuedOfTeam = submission.queuedOfTeam,
+            .queuedTasks = submission.queuedTasks,
+            .teamWeight = weightOf(submission.view, submission.spec.team),
+            .allWeights = submission.waitingWeights,
+            .slots = slotsOf(submission),
+            .meanRunTime = submission.meanRunTime,
+            .timeLeft = submission.spec.deadlineUnix - submission.unixNow,
+            .jitter = submission.jitter };
+    }
+
     Error refuse(ErrorCode code, std::string message, Milliseconds retryAfter)
     {
         return Error { .code = code,
@@ -25,14 +55,19 @@
 {
     if (submission.shuttingDown)
         return refuse(ErrorCode::ShuttingDown, "this entry is shutting down", comeBackElsewhere);
+    const Milliseconds withRoom = spread(comeBackWithRoom, submission.jitter);
     const std::size_t added = submission.spec.tasks.size();
     if (submission.queuedTasks + added > static_cast<std::size_t>(submission.settings.maxQueuedTasks))
-        return refuse(ErrorCode::Overloaded, "the queue of this entry is full", comeBackWithRoom);
+        return refuse(ErrorCode::Overloaded, "the queue of this entry is full", withRoom);
     const auto& teams = submission.view.config.teams;
     const auto team = std::find_if(teams.begin(), teams.end(),
         [&submission](const TeamConfig& each) { return each.name == submission.spec.team; });
     if (team != teams.end() && submission.queuedOfTeam + added > static_cast<std::size_t>(team->maxQueued))
-        return refuse(ErrorCode::Overloaded, "the queue of this team is full", comeBackWithRoom);
+        return refuse(ErrorCode::Overloaded, "the queue of this team is full", withRoom);
+    if (const auto late = refuseLate(inputOf(submission))) {
+        const auto message = fmt::format("its last task would start in about {} ms, after its deadline", late->wait.count);
+        return refuse(ErrorCode::Overloaded, message, late->retryAfter);
+    }
     return std::nullopt;
 }
 
--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -62,6 +62,12 @@
     return m_health.try_emplace(sidecar.member.node.service, MinionHealthOptions {}).first->second;
 }
 
+std::optional<double> ExchangeServer::meanRunTime(const std::string& service) const
+{
+    const auto found = m_runTimes.find(service);
+    return found == m_runTimes.end() ? std::nullopt : found->second.mean();
+}
+
 SidecarCandidate ExchangeServer::candidateFor(const SessionId& id, const Sidecar& sidecar)
 {
     return { .id = id,
@@ -117,10 +123,14 @@
 
 void ExchangeServer::takeResults(const ExchangeRequest& request)
 {
-    MinionHealth& health = healthOf(m_sidecars.at(request.sidecar));
+    const Sidecar& sidecar = m_sidecars.at(request.sidecar);
+    MinionHealth& health = healthOf(sidecar);
+    RunTimes& runTimes = m_runTimes[sidecar.member.node.service];
     for (const auto& result : request.results) {
         if (m_jobs.result(request.sidecar, result)) {
             health.record(request.sidecar, result.outcome, result.ranFor, Clock::now());
+            if (result.outcome == TaskOutcome::Done)
+                runTimes.record(result.ranFor);
             continue;
         }
         m_process.metrics.add("results_dropped_total");
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -3,6 +3,7 @@
 #include "policy/JobTable.h"
 #include "policy/MinionHealth.h"
 #include "policy/Placement.h"
+#include "policy/RunTimes.h"
 #include "wire/Process.h"
 
 #include <cstdint>
@@ -38,6 +39,9 @@
     // Hands out queued tasks and cancellations to the sidecars whose polls are held.
     void dispatch();
 
+    // Learned mean run time of a service in milliseconds; nothing while too few runs are known.
+    std::optional<double> meanRunTime(const std::string& service) const;
+
     // Answers polls that have been held for long, so that no connection times out.
     void tick(Milliseconds now);
 
@@ -77,6 +81,7 @@
     std::map<SessionId, Sidecar> m_sidecars;
     // By service.
     std::map<std::string, MinionHealth> m_health;
+    std::map<std::string, RunTimes> m_runTimes;
 };
 
 } // namespace oleanderport
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -47,6 +47,7 @@
     : m_process(process)
     , m_control(control)
     , m_session(session)
+    , m_random(std::random_device {}())
 {
     sessionEnded();
 }
@@ -56,12 +57,20 @@
     const auto demand = m_jobs->demand(spec.service);
     const auto team = std::find_if(
         demand.begin(), demand.end(), [&spec](const TeamDemand& each) { return each.team == spec.team; });
+    std::int64_t weights = 0;
+    for (const auto& each : demand)
+        weights += weightOf(m_session.view(), each.team);
+    if (team == demand.end())
+        weights += weightOf(m_session.view(), spec.team);
     return Submission { .spec = spec,
         .settings = m_process.settings,
         .view = m_session.view(),
         .unixNow = Clock::unixNow(),
         .queuedTasks = m_jobs->queued(spec.service),
         .queuedOfTeam = team == demand.end() ? 0 : team->queued,
+        .waitingWeights = weights,
+        .meanRunTime = m_exchange->meanRunTime(spec.service),
+        .jitter = std::uniform_real_distribution<double>(0, 1)(m_random),
         .shuttingDown = m_shuttingDown };
 }
 
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,7 @@
     std::map<std::string, std::unique_ptr<RpcClient>> m_peers;
     std::size_t m_pending { 0 };
     bool m_shuttingDown { false };
+    mutable std::mt19937_64 m_random;
 };
 
 } // namespace oleanderport
--- a/src/entry/Submission.h
+++ b/src/entry/Submission.h
@@ -17,6 +17,12 @@
     // Tasks that wait at this entry, over all jobs and of this submission's team.
     std::size_t queuedTasks { 0 };
     std::size_t queuedOfTeam { 0 };
+    // Weight of all teams that have tasks waiting, this submission's included.
+    std::int64_t waitingWeights { 1 };
+    // Learned mean run time of the service in milliseconds.
+    std::optional<double> meanRunTime;
+    // Random, from 0 up to 1; spreads the times at which refused callers come back.
+    double jitter { 0 };
     bool shuttingDown { false };
 };
 
@@ -35,7 +41,7 @@
 // Every task fits at least one minion of the service, were it empty.
 std::optional<Error> checkFit(const Submission&);
 
-// The entry is not shutting down and its queues have room.
+// The entry is not shutting down, its queues have room, and the last task would start before the deadline.
 std::optional<Error> checkAdmission(const Submission&);
 
 // Filters that look at the submission alone, and those whose answer changes over time. The latter run only for a
--- /dev/null
+++ b/src/policy/Admission.cpp
@@ -0,0 +1,44 @@
+#include "policy/Admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds soonest { 100 };
+    constexpr Milliseconds latest { 15'000 };
+
+} // namespace
+
+Milliseconds estimatedWait(const AdmissionInput& input)
+{
+    if (!input.meanRunTime || input.slots < 1)
+        return {};
+    const double turns = static_cast<double>(std::max(input.allWeights, input.teamWeight))
+        / static_cast<double>(std::max<std::int64_t>(input.teamWeight, 1));
+    const double ofTeam = static_cast<double>(input.queuedOfTeam) * turns;
+    const double ahead = std::min(ofTeam, static_cast<double>(input.queuedTasks));
+    // Its own tasks go in rounds over the slots; the first round starts at once.
+    const double own = static_cast<double>(input.ownTasks) - static_cast<double>(input.slots);
+    const double rounds = (ahead + std::max(own, 0.0)) / static_cast<double>(input.slots);
+    return { std::llround(rounds * *input.meanRunTime) };
+}
+
+std::optional<AdmissionRefusal> refuseLate(const AdmissionInput& input)
+{
+    const Milliseconds wait = estimatedWait(input);
+    if (wait < input.timeLeft || wait.count == 0)
+        return std::nullopt;
+    // By then the queue has drained so far that a job with as much time would be served.
+    const Milliseconds base = std::clamp(wait - input.timeLeft, soonest, latest);
+    return AdmissionRefusal { .wait = wait, .retryAfter = spread(base, input.jitter) };
+}
+
+Milliseconds spread(Milliseconds base, double jitter)
+{
+    return { base.count + static_cast<std::int64_t>(jitter * static_cast<double>(base.count)) };
+}
+
+} // namespace oleanderport
