A run past its time is stopped before its slot is free; declared needs bound what runs

Cause: a run that exceeded max_run_time, or whose connection broke, freed its slot while the minion still ran it, so more tasks than slots could run there. Running tasks could declare more memory and processor than the minion has. A cancellation scanned every run of the sidecar. Weighed: letting smaller tasks pass one that does not fit; it would starve. Broken to see red: the stop, the fit, the named run (tests of MinionClient and SidecarLedger failed, then passed).

--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -58,16 +58,41 @@
             decision.refused.push_back(record.result);
             continue;
         }
+        if (!fits(record.assignment.needs)) {
+            // It keeps its turn, so that small tasks that come later cannot starve it.
+            m_queue.pushFront(record.assignment.team, 1, *next);
+            break;
+        }
         record.state = State::Running;
         ++m_running;
-        const std::string run = fmt::format("{}run-{}", m_options.runPrefix, ++m_lastRun);
-        m_runs[run] = *next;
-        decision.start = TaskStart { .run = run, .assignment = record.assignment };
+        occupy(record.assignment.needs, 1);
+        record.run = fmt::format("{}run-{}", m_options.runPrefix, ++m_lastRun);
+        m_runs[record.run] = *next;
+        decision.start = TaskStart { .run = record.run, .assignment = record.assignment };
         break;
     }
     return decision;
 }
 
+bool SidecarLedger::fits(const TaskNeeds& needs) const
+{
+    const auto within = [](std::int64_t used, std::int64_t more, std::int64_t most) {
+        return most <= 0 || used + more <= most;
+    };
+    // What declares more than there is runs alone; admission refuses it where the minion's size is known.
+    return m_running == 0
+        || (within(m_used.cpuMillis, needs.cpuMillis, m_options.capacity.cpuMillis)
+            && within(m_used.memoryMb, needs.memoryMb, m_options.capacity.memoryMb)
+            && within(m_used.accelerators, needs.accelerators, m_options.capacity.accelerators));
+}
+
+void SidecarLedger::occupy(const TaskNeeds& needs, std::int64_t sign)
+{
+    m_used.cpuMillis += sign * needs.cpuMillis;
+    m_used.memoryMb += sign * needs.memoryMb;
+    m_used.accelerators += sign * needs.accelerators;
+}
+
 std::optional<TaskResult> SidecarLedger::ended(
     const std::string& run, TaskOutcome outcome, const std::string& body, Milliseconds ranFor)
 {
@@ -79,6 +104,8 @@
     --m_running;
     JobRecord& job = m_jobs.at(task.key);
     Record& record = job.tasks.at(task.task);
+    occupy(record.assignment.needs, -1);
+    record.run.clear();
     record.state = State::Ended;
     record.result = TaskResult { .key = task.key,
         .task = task.task,
@@ -132,6 +159,8 @@
     JobRecord& job = found->second;
     job.cancelled = true;
     for (auto& [index, record] : job.tasks) {
+        if (record.state == State::Running)
+            cancelled.stop.push_back(record.run);
         if (record.state != State::Queued)
             continue;
         record.state = State::Ended;
@@ -139,10 +168,6 @@
     }
     if (!job.tasks.empty())
         m_queue.removeJob(job.tasks.begin()->second.assignment.team, order.key);
-    for (const auto& [run, task] : m_runs) {
-        if (task.key == order.key)
-            cancelled.stop.push_back(run);
-    }
     return cancelled;
 }
 
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -15,6 +15,8 @@
 struct SidecarLedgerOptions {
     // Tasks that the minion runs side by side.
     std::int64_t slots { 1 };
+    // What its running tasks may declare in all; zero means no bound.
+    TaskNeeds capacity;
     // Start of every run's name, so that runs of another life of the sidecar have other names.
     std::string runPrefix;
     // How long results stay after a job's deadline, for an entry that takes the job over.
@@ -81,6 +83,8 @@
         State state { State::Queued };
         TaskAssignment assignment;
         TaskResult result;
+        // Name of the run; set while it runs.
+        std::string run;
     };
     struct JobRecord {
         std::uint64_t epoch { 0 };
@@ -97,6 +101,9 @@
     };
 
     void keepUntil(const JobKey&, JobRecord&, Milliseconds unixTime);
+    bool fits(const TaskNeeds&) const;
+    void occupy(const TaskNeeds&, std::int64_t sign);
+
     static TaskResult notStarted(const TaskAssignment&, const std::string& reason);
 
     SidecarLedgerOptions m_options;
@@ -106,6 +113,8 @@
     FairQueue m_queue;
     std::map<std::string, QueuedTask> m_runs;
     std::int64_t m_running { 0 };
+    // Sum of what running tasks declare.
+    TaskNeeds m_used;
     std::uint64_t m_lastRun { 0 };
 };
 
--- a/src/sidecar/MinionClient.cpp
+++ b/src/sidecar/MinionClient.cpp
@@ -82,22 +82,34 @@
     const Milliseconds began = Clock::now();
     line->connection->call(call,
         [this, index, began, run = start.run, callback = std::move(callback)](const Result<HttpAnswer>& answer) {
-            m_lines[index].busy = false;
             MinionRunEnd end = readEnd(run, answer);
             end.ranFor = Clock::now() - began;
-            callback(end);
+            const auto finish = [this, index, end, callback] {
+                m_lines[index].busy = false;
+                callback(end);
+            };
+            if (end.outcome != TaskOutcome::Unknown)
+                return finish();
+            // It may still be running. Its slot is free only once the minion has been told to stop it.
+            order("/stop", run, finish);
         });
 }
 
 void MinionClient::stop(const std::string& run)
+{
+    order("/stop", run, [] {});
+}
+
+void MinionClient::order(const std::string& path, const std::string& run, const std::function<void()>& done)
 {
     const HttpCall call { .method = HttpMethod::Post,
-        .path = "/stop",
+        .path = path,
         .body = writeJson(toJson(MinionStop { .run = run })),
         .timeout = orderTimeout };
-    m_orders.call(call, [](const Result<HttpAnswer>& answer) {
+    m_orders.call(call, [done](const Result<HttpAnswer>& answer) {
         if (!answer.has_value())
             logError(LogLevel::Warning, answer.assume_error());
+        done();
     });
 }
 
--- a/src/sidecar/MinionClient.h
+++ b/src/sidecar/MinionClient.h
@@ -28,7 +28,8 @@
 };
 
 // Calls one minion over HTTP: POST /run holds the connection until the task has ended; POST /stop asks for an early
-// end. Never repeats a run. A run that was not answered is Unknown, except where the connection was never made.
+// end. Never repeats a run. A run that was not answered is Unknown, except where the connection was never made; before
+// it is reported the minion is asked to stop it, so that its slot is not used twice.
 class MinionClient {
 public:
     MinionClient(EventLoop&, const MinionClientOptions&);
@@ -40,7 +41,7 @@
     void stop(const std::string& run);
 
 private:
-    HttpConnection* idleConnection();
+    void order(const std::string& path, const std::string& run, const std::function<void()>& done);
 
     struct Line {
         std::unique_ptr<HttpConnection> connection;
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -129,6 +129,9 @@
     m_life->heardAt = Clock::now();
     m_life->ledger = std::make_unique<SidecarLedger>(
         SidecarLedgerOptions { .slots = announcement.slots,
+            .capacity = { .cpuMillis = announcement.cpuMillis,
+                .memoryMb = announcement.memoryMb,
+                .accelerators = announcement.accelerators },
             .runPrefix = announcement.minion + "-",
             .retention = m_process.settings.answerRetention });
     m_life->client = std::make_unique<MinionClient>(m_process.loop,
--- a/test/policy/SidecarLedgerTest.cpp
+++ b/test/policy/SidecarLedgerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace oleanderport;
 
 namespace {
@@ -143,3 +145,62 @@
     ledger.forget(past + Milliseconds { 1'001 });
     cr_assert(!ledger.ownerOf(key).has_value());
 }
+
+Test(SidecarLedger, aCancellationNamesEveryRunOfItsJobAndNoOther)
+{
+    auto ledger = ledgerWith(4);
+    const JobKey otherKey { .caller = "caller", .job = "other" };
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        ledger.accept(entryOne, assignment(i));
+        TaskAssignment other = assignment(i);
+        other.key = otherKey;
+        ledger.accept(entryOne, other);
+    }
+    std::vector<TaskStart> running;
+    while (const auto next = ledger.next(now, leaseEnd, unixNow).start)
+        running.push_back(*next);
+    const auto ended = std::find_if(running.begin(), running.end(),
+        [](const TaskStart& start) { return start.assignment.key == key && start.assignment.task == 0; });
+    ledger.ended(ended->run, TaskOutcome::Done, "", {});
+    const auto cancelled = ledger.cancel({ .key = key, .epoch = 1 });
+    cr_assert(cancelled.stop.size() == 1, "expected 1 run to stop, got %zu", cancelled.stop.size());
+    const auto stopped = std::find_if(running.begin(), running.end(),
+        [&](const TaskStart& start) { return start.run == cancelled.stop[0]; });
+    cr_assert(stopped->assignment.key == key && stopped->assignment.task == 1);
+}
+
+Test(SidecarLedger, runningTasksNeverDeclareMoreThanTheMinionHas)
+{
+    SidecarLedger ledger({ .slots = 8, .capacity = { .memoryMb = 100 } });
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        TaskAssignment task = assignment(i);
+        task.needs.memoryMb = 40;
+        ledger.accept(entryOne, task);
+    }
+    const auto first = ledger.next(now, leaseEnd, unixNow);
+    cr_assert(first.start.has_value());
+    cr_assert(starts(ledger));
+    cr_assert(!starts(ledger), "a third task of 40 MB does not fit into 100 MB");
+    cr_assert(ledger.queued() == 2, "what does not fit yet waits");
+    ledger.ended(first.start->run, TaskOutcome::Done, "", {});
+    cr_assert(starts(ledger));
+}
+
+Test(SidecarLedger, aTaskThatDoesNotFitYetKeepsItsTurn)
+{
+    SidecarLedger ledger({ .slots = 8, .capacity = { .cpuMillis = 1'000 } });
+    TaskAssignment small = assignment(0);
+    small.needs.cpuMillis = 600;
+    TaskAssignment large = assignment(1);
+    large.needs.cpuMillis = 900;
+    TaskAssignment late = assignment(2);
+    late.needs.cpuMillis = 100;
+    ledger.accept(entryOne, small);
+    const auto first = ledger.next(now, leaseEnd, unixNow);
+    ledger.accept(entryOne, large);
+    ledger.accept(entryOne, late);
+    cr_assert(!starts(ledger), "the small task must not pass the large one");
+    ledger.ended(first.start->run, TaskOutcome::Done, "", {});
+    const auto next = ledger.next(now, leaseEnd, unixNow);
+    cr_assert(next.start && next.start->assignment.task == 1);
+}
--- /dev/null
+++ b/test/sidecar/MinionClientTest.cpp
@@ -0,0 +1,74 @@
+#include "sidecar/MinionClient.h"
+
+#include "support/RawPeer.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+TaskStart startOf(const std::string& run)
+{
+    return { .run = run, .assignment = { .key = { .caller = "caller", .job = "job" } } };
+}
+
+std::size_t countAtAll(const RawServer& server, const std::string& part)
+{
+    std::size_t count = 0;
+    for (const auto& connection : server.connections)
+        count += countOf(connection->received(), part);
+    return count;
+}
+
+} // namespace
+
+Test(MinionClient, aRunThatExceedsItsTimeIsStoppedBeforeItsSlotIsFree)
+{
+    EventLoop loop;
+    RawConnection* stopping = nullptr;
+    RawServer minion(loop, [&stopping](RawConnection& peer) {
+        if (countOf(peer.received(), "POST /stop") > 0)
+            stopping = &peer;
+    });
+    MinionClient client(loop, { .address = minion.address(), .connections = 2, .maxRunTime = { 100 } });
+    std::optional<MinionRunEnd> end;
+    client.run(startOf("run-1"), [&end](const MinionRunEnd& ended) { end = ended; });
+    cr_assert(runUntil(loop, [&stopping] { return stopping != nullptr; }), "expected a stop of the run");
+    cr_assert(!end.has_value(), "the slot must not be free before the minion has answered the stop");
+    cr_assert(!client.canRun());
+    stopping->send(rawAnswer(2) + "{}");
+    cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
+    cr_assert(end->outcome == TaskOutcome::Unknown);
+    cr_assert(client.canRun());
+    cr_assert(countAtAll(minion, "POST /run") == 1, "a run is never sent again");
+}
+
+Test(MinionClient, aMinionThatIsGoneWasNeverAskedToRun)
+{
+    EventLoop loop;
+    std::string address;
+    {
+        const RawServer gone(loop, {});
+        address = gone.address();
+    }
+    MinionClient client(loop, { .address = address, .connections = 2, .maxRunTime = { 5'000 } });
+    std::optional<MinionRunEnd> end;
+    client.run(startOf("run-1"), [&end](const MinionRunEnd& ended) { end = ended; });
+    cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
+    cr_assert(end->outcome == TaskOutcome::NotStarted);
+}
+
+Test(MinionClient, anAnswerForAnotherRunIsNoAnswer)
+{
+    EventLoop loop;
+    RawServer minion(loop, [](RawConnection& peer) {
+        const std::string body = R"({"run":"run-2","ok":true,"body":"foreign"})";
+        peer.send(rawAnswer(body.size()) + body);
+    });
+    MinionClient client(loop, { .address = minion.address(), .connections = 2, .maxRunTime = { 5'000 } });
+    std::optional<MinionRunEnd> end;
+    client.run(startOf("run-1"), [&end](const MinionRunEnd& ended) { end = ended; });
+    cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
+    cr_assert(end->outcome == TaskOutcome::Unknown);
+}
