--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -102,6 +102,7 @@
         return reply(*channel.answered);
     channel.sequence = request.sequence;
     channel.answered.reset();
+    channel.broughtResults = !request.results.empty();
     if (request.channel == Channel::Poll) {
         channel.parked = reply;
         channel.parkedAt = Clock::now();
@@ -145,10 +146,20 @@
         .queued = m_jobs.demand(sidecar.member.node.service),
         .sentTotal = sidecar.sent };
     sidecar.knowsOfQueue = !response.queued.empty();
+    countExchange(channel, response);
     channel.answered = response;
     return response;
 }
 
+void ExchangeServer::countExchange(ChannelState& channel, const ExchangeResponse& response)
+{
+    const bool carries = channel.broughtResults || !response.tasks.empty() || !response.cancels.empty();
+    channel.broughtResults = false;
+    m_process.metrics.add("exchanges_total");
+    if (!carries)
+        m_process.metrics.add("exchanges_empty_total");
+}
+
 void ExchangeServer::answerPoll(Sidecar& sidecar, std::vector<TaskAssignment> tasks)
 {
     const Reply reply = std::exchange(sidecar.poll.parked, nullptr);
@@ -166,7 +177,7 @@
 {
     std::map<std::string, std::vector<SidecarCandidate>> byService;
     for (const auto& [id, sidecar] : m_sidecars) {
-        if (!sidecar.poll.parked)
+        if (!sidecar.poll.parked || sidecar.credit() <= 0 || m_jobs.queued(sidecar.member.node.service) == 0)
             continue;
         byService[sidecar.member.node.service].push_back(candidateFor(id, sidecar));
     }
@@ -218,6 +229,9 @@
 
 void ExchangeServer::tick(Milliseconds now)
 {
+    const auto polling = std::count_if(
+        m_sidecars.begin(), m_sidecars.end(), [](const auto& item) { return item.second.poll.parked != nullptr; });
+    m_process.metrics.set("sidecars_polling", static_cast<double>(polling));
     for (const auto& [service, health] : m_health)
         m_process.metrics.set("minions_ejected", static_cast<double>(health.ejected(now)));
     for (auto& [id, sidecar] : m_sidecars) {
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <memory>
+#include <sstream>
 #include <type_traits>
 
 namespace oleanderport {
@@ -44,14 +45,14 @@
         template <typename T>
         void operator()(const char* name, T& field)
         {
-            m_value[name] = write(field);
+            m_value[Json::StaticString(name)] = write(field);
         }
 
         template <typename T>
         void operator()(const char* name, std::optional<T>& field)
         {
             if (field)
-                m_value[name] = write(*field);
+                m_value[Json::StaticString(name)] = write(*field);
         }
 
     private:
@@ -819,20 +820,38 @@
 
 #undef OLEANDERPORT_MESSAGE
 
+namespace {
+
+    std::unique_ptr<Json::StreamWriter> makeWriter()
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        builder["emitUTF8"] = true;
+        return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+    }
+
+    std::unique_ptr<Json::CharReader> makeReader()
+    {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["stackLimit"] = maxNesting;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    }
+
+} // namespace
+
 std::string writeJson(const Json::Value& value)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["emitUTF8"] = true;
-    return Json::writeString(builder, value);
+    // The builders read a dozen settings by name for each writer; one writer a thread serves every message.
+    thread_local const auto writer = makeWriter();
+    std::ostringstream out;
+    writer->write(value, &out);
+    return std::move(out).str();
 }
 
 Result<Json::Value> parseJson(const std::string& text)
 {
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder["stackLimit"] = maxNesting;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    thread_local const auto reader = makeReader();
     Json::Value value;
     std::string fault;
     try {
