--- a/test/wire/RpcTest.cpp
+++ b/test/wire/RpcTest.cpp
@@ -149,7 +149,8 @@
 
 Test(Rpc, anAnswerThatIsNoRpcLeavesTheCallUnknown)
 {
-    for (const char* body : { "{}", "[]", "5", "\"text\"", "not json", R"([{"jsonrpc":"2.0","id":1}])" }) {
+    for (const char* body : { "{}", "[]", "5", "\"text\"", "not json", R"([{"jsonrpc":"2.0","id":1}])",
+             R"({"jsonrpc":"2.0","id":1,"error":5})" }) {
         EventLoop loop;
         RawServer server(loop, [body](RawConnection& peer) {
             if (countOf(peer.received(), "method") > 0)
