--- a/src/policy/ControlState.h
+++ b/src/policy/ControlState.h
@@ -78,6 +78,7 @@
     // Answers a resent change as before, refuses with the given error, or puts the document in force.
     Result<ControlOutcome> changeDocument(
         EnvironmentRecord&, const DocumentChange&, const std::optional<Error>& refusal);
+    const Member* memberOfInstance(const std::string& instance) const;
     EnvironmentRecord* findEnvironment(const std::string& name);
     ClaimResponse respond(const ClaimRecord&, bool takenOver) const;
     void endSession(const SessionId&);
