--- a/src/cli/DocumentCommands.cpp
+++ b/src/cli/DocumentCommands.cpp
@@ -205,6 +205,8 @@
     const auto parsed = parseArguments(options, arguments);
     if (!parsed)
         return ExitCode::Success;
+    if (parsed->count("change-id") > 0 && parsed->count("digest") == 0)
+        throw std::runtime_error("--change-id needs --digest, so that a resend is the same change");
     const auto peers = controlPeers(*parsed);
     const auto names = namesOf(*parsed, peers, productionEnvironment);
     if (!names.has_value())
--- a/src/control/OperatorMethods.cpp
+++ b/src/control/OperatorMethods.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace oleanderport {
 
 namespace {
@@ -165,6 +167,14 @@
         });
 }
 
+bool OperatorMethods::isResend(const std::string& environment, const std::string& changeId) const
+{
+    const auto* found = m_replicator.state().environment(environment);
+    return found
+        && std::any_of(found->changes.begin(), found->changes.end(),
+            [&changeId](const ChangeRecord& record) { return record.changeId == changeId; });
+}
+
 void OperatorMethods::applyDocument(const ApplyDocument& change, const Reply<DocumentApplied>& reply)
 {
     const auto checked = checkChange(change.changeId, change.author, change.reason);
@@ -174,7 +184,7 @@
     if (!config.has_value())
         return reply(config.assume_error());
     m_replicator.propose(AcceptDocument { .change = change, .config = config.assume_value() },
-        [this, change, reply](const Result<ControlOutcome>& outcome) {
+        [this, change, reply, resend = isResend(change.environment, change.changeId)](const Result<ControlOutcome>& outcome) {
             if (!outcome.has_value()) {
                 Error error = outcome.assume_error();
                 if (const auto* environment = m_replicator.state().environment(change.environment))
@@ -182,6 +192,8 @@
                 return reply(error);
             }
             const auto applied = std::get<DocumentApplied>(outcome.assume_value());
+            if (resend)
+                return reply(applied);
             m_process.events.record(EventKind::ConfigurationApplied,
                 { .detail = fmt::format("{} version {} by {}", change.environment, applied.version, change.author) });
             reply(applied);
@@ -194,7 +206,9 @@
     if (!checked.has_value())
         return reply(checked.assume_error());
     m_replicator.propose(change,
-        forward<DocumentApplied, DocumentApplied>(reply, [this, author = change.author](const DocumentApplied& applied) {
+        forward<DocumentApplied, DocumentApplied>(reply, [this, author = change.author, resend = isResend(productionEnvironment, change.changeId)](const DocumentApplied& applied) {
+            if (resend)
+                return applied;
             m_process.events.record(EventKind::ConfigurationApplied,
                 { .detail = fmt::format("{} version {} promoted by {}", productionEnvironment, applied.version, author) });
             return applied;
--- a/src/control/OperatorMethods.h
+++ b/src/control/OperatorMethods.h
@@ -28,6 +28,8 @@
     Result<ControlStatus> status(const EnvironmentRequest&) const;
     Result<DocumentVersions> versions(const EnvironmentRequest&) const;
     Result<VersionRecord> version(const VersionRequest&) const;
+    // Whether the change has been answered before, so that it is recorded as an event once.
+    bool isResend(const std::string& environment, const std::string& changeId) const;
     void applyDocument(const ApplyDocument&, const Reply<DocumentApplied>&);
     void promoteDocument(const PromoteDocument&, const Reply<DocumentApplied>&);
     void changeDataCentre(const DataCentreChange&, const Reply<DataCentreChanged>&);
