--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -96,6 +96,7 @@
     Sidecar& sidecar = m_sidecars.at(request.sidecar);
     ChannelState& channel = request.channel == Channel::Poll ? sidecar.poll : sidecar.report;
     sidecar.granted = std::max(sidecar.granted, request.grantedTotal);
+    sidecar.leaving = sidecar.leaving || request.leaving;
     const bool repeated = request.sequence == channel.sequence;
     if (repeated && channel.answered)
         return reply(*channel.answered);
@@ -142,7 +143,8 @@
     ExchangeResponse response { .sequence = channel.sequence,
         .tasks = std::move(tasks),
         .cancels = std::exchange(sidecar.cancels, {}),
-        .queued = m_jobs.demand(sidecar.member.node.service) };
+        .queued = m_jobs.demand(sidecar.member.node.service),
+        .sentTotal = sidecar.sent };
     sidecar.knowsOfQueue = !response.queued.empty();
     countExchange(channel, response);
     channel.answered = response;
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -53,12 +53,16 @@
         Member member;
         std::uint64_t granted { 0 };
         std::uint64_t sent { 0 };
+        bool leaving { false };
         bool knowsOfQueue { false };
         std::vector<CancelOrder> cancels;
         ChannelState poll;
         ChannelState report;
 
-        std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
+        std::int64_t credit() const
+        {
+            return leaving ? 0 : static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent);
+        }
     };
 
     MinionHealth& healthOf(const Sidecar&);
--- a/test/support/Scenario.h
+++ b/test/support/Scenario.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "oleanderport/Clock.h"
+
 #include <cstdint>
 #include <filesystem>
 #include <string>
@@ -13,6 +15,8 @@
     std::filesystem::path build;
     // First of the hundred ports that the run may use.
     std::uint16_t basePort { 0 };
+    // Longest wait for one condition.
+    Milliseconds patience { 60'000 };
 };
 
 // Runs one scenario with real processes in a temporary folder. Returns an empty text when it holds, otherwise what
--- a/test/support/ScenarioDeployment.cpp
+++ b/test/support/ScenarioDeployment.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-    // Long enough for a machine under heavy load; no verdict depends on it otherwise.
-    constexpr Milliseconds patience { 60'000 };
     constexpr Milliseconds lookPeriod { 20 };
     constexpr Milliseconds callTimeout { 2'000 };
 
@@ -192,16 +190,26 @@
 std::string ScenarioDeployment::settingsText(const std::string& name) const
 {
     toml::table settings = m_settings;
+    // Control instances know each other by their own addresses and reach each other by their relays.
+    const bool isControl = roleOf(name) == "control";
+    // Only the first life of a control instance founds the group; a later one comes back to it.
+    const bool isBootstrap = isControl && m_processes.pid(name) == 0;
+    const std::vector<std::string> reached = controlPeers(name);
     toml::array peers;
-    for (const auto& peer : controlPeers(name))
-        peers.push_back(peer);
+    toml::array routes;
+    for (std::size_t i = 0; i < reached.size(); ++i) {
+        const std::string own = address(fmt::format("control-{}", i + 1));
+        peers.push_back(isControl ? own : reached[i]);
+        if (isControl && reached[i] != own)
+            routes.push_back(own + "=" + reached[i]);
+    }
     merge(settings,
         toml::table { { "process",
                           toml::table { { "role", roleOf(name) }, { "instance", name }, { "listen", address(name) },
                               { "advertise", advertised(name) }, { "data_centre", dataCentre(name) } } },
             { "control",
                 toml::table { { "peers", peers }, { "data_folder", dataFolder(name) },
-                    { "bootstrap", name == "control-1" } } } });
+                    { "bootstrap", isBootstrap }, { "routes", routes } } } });
     std::ostringstream text;
     text << settings;
     return text.str();
@@ -252,16 +260,30 @@
 {
     const std::string file = m_options.folder / "environment.toml";
     writeFile(file, m_document);
-    until([&] { return runTool({ "apply", "--file", file }) == 0; },
+    until(
+        [&] {
+            failIfStopped();
+            return runTool({ "apply", "--file", file }) == 0;
+        },
         [] { return std::string("the first document was not accepted"); });
 }
 
+void ScenarioDeployment::failIfStopped()
+{
+    m_processes.reap();
+    for (const auto& name : names()) {
+        if (const auto code = m_processes.exitCode(name))
+            throw ScenarioFailure(fmt::format("{} ended at its start with {}; is its port free?", name, *code));
+    }
+}
+
 void ScenarioDeployment::awaitMembers()
 {
     const auto wanted = static_cast<std::size_t>(m_entries + m_sidecars);
     std::uint64_t version = 0;
     until(
         [&] {
+            failIfStopped();
             const auto view = call(address("control-1"), "view", Json::Value(Json::objectValue));
             if (!view.has_value() || view.assume_value()["members"].size() != wanted)
                 return false;
@@ -308,10 +330,10 @@
 
 void ScenarioDeployment::until(const std::function<bool()>& holds, const std::function<std::string()>& what)
 {
-    const Milliseconds limit = Clock::now() + patience;
+    const Milliseconds limit = Clock::now() + m_options.patience;
     while (!holds()) {
         if (Clock::now() >= limit)
-            throw ScenarioFailure(fmt::format("after {} ms: {}", patience.count, what()));
+            throw ScenarioFailure(fmt::format("after {} ms: {}", m_options.patience.count, what()));
         const auto timer = m_loop.once(lookPeriod, [this] { m_loop.stop(); });
         m_loop.run();
     }
--- a/test/support/ScenarioDeployment.h
+++ b/test/support/ScenarioDeployment.h
@@ -30,6 +30,8 @@
     std::filesystem::path folder;
     // First of the hundred ports that this run may use.
     std::uint16_t basePort { 0 };
+    // Longest wait for one condition. Long enough for a machine under heavy load; no verdict depends on it otherwise.
+    Milliseconds patience { 60'000 };
 };
 
 // The processes, settings, relays and addresses of one scenario. Names: control-N, entry-N, sidecar-N, minion-N.
@@ -89,6 +91,8 @@
     void startRelays(const toml::table& scenario);
     void applyDocument();
     void awaitMembers();
+    // A daemon that cannot have its port ends at once; another process would answer in its place.
+    void failIfStopped();
 
     EventLoop& m_loop;
     DeploymentOptions m_options;
