Runs over their declared size are throttled, checkpointed or stopped

Cause: declared sizes are far off, and a greedy run could take its neighbours' memory. Change: minions report usage (POST /v1/minion/usage); policy/UsageGuard decides on two reports in a row, since they lag: over its processor a run is throttled; while memory is short the run furthest over its memory is throttled, checkpointed, stopped, one step a report, and no more runs than free what is missing. Runs within their size are never touched. The stand-in reports what its payload says (memoryMb, cpuMillis) and logs throttle and checkpoint. Not proved: the wiring on real processes (no scenario yet).

--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -171,6 +171,14 @@
     return cancelled;
 }
 
+std::optional<TaskNeeds> SidecarLedger::needsOf(const std::string& run) const
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return std::nullopt;
+    return m_jobs.at(found->second.key).tasks.at(found->second.task).assignment.needs;
+}
+
 std::vector<TaskResult> SidecarLedger::returnQueued()
 {
     std::vector<TaskResult> returned;
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -61,6 +61,9 @@
     // Drops queued tasks of a job and names its runs to be stopped.
     Cancelled cancel(const CancelOrder&);
 
+    // What the task of a run declared; nothing when the run is not under way.
+    std::optional<TaskNeeds> needsOf(const std::string& run) const;
+
     // Gives every queued task back as not started: lease lost, data centre out, or shutdown.
     std::vector<TaskResult> returnQueued();
 
--- a/src/sidecar/MinionClient.cpp
+++ b/src/sidecar/MinionClient.cpp
@@ -100,6 +100,16 @@
     order("/stop", run, [] {});
 }
 
+void MinionClient::throttle(const std::string& run)
+{
+    order("/throttle", run, [] {});
+}
+
+void MinionClient::checkpoint(const std::string& run)
+{
+    order("/checkpoint", run, [] {});
+}
+
 void MinionClient::order(const std::string& path, const std::string& run, const std::function<void()>& done)
 {
     const HttpCall call { .method = HttpMethod::Post,
--- a/src/sidecar/MinionClient.h
+++ b/src/sidecar/MinionClient.h
@@ -39,6 +39,8 @@
 
     void run(const TaskStart&, std::function<void(const MinionRunEnd&)>);
     void stop(const std::string& run);
+    void throttle(const std::string& run);
+    void checkpoint(const std::string& run);
 
 private:
     void order(const std::string& path, const std::string& run, const std::function<void()>& done);
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -76,6 +76,14 @@
         announce(announcement.assume_value());
         return responder->reply({ .body = "{}" });
     }
+    if (request.path == "/v1/minion/usage") {
+        const auto usage = fromJson<MinionUsage>(body.assume_value());
+        if (!usage.has_value())
+            return replyError(*responder, usage.assume_error());
+        if (m_life && m_life->announcement.minion == usage.assume_value().minion)
+            usageReported(usage.assume_value());
+        return responder->reply({ .body = "{}" });
+    }
     const auto heartbeat = fromJson<MinionHeartbeat>(body.assume_value());
     if (!heartbeat.has_value())
         return replyError(*responder, heartbeat.assume_error());
@@ -99,6 +107,27 @@
         { .code = ErrorCode::NotFound, .ran = Ran::No, .step = "sidecar.http", .peer = {}, .message = "no such path" });
 }
 
+void SidecarServer::usageReported(const MinionUsage& message)
+{
+    std::vector<RunUsage> report;
+    for (const auto& each : message.runs) {
+        // A lagging report may still name runs that have ended.
+        const auto declared = m_life->ledger->needsOf(each.run);
+        if (declared)
+            report.push_back(
+                { .run = each.run, .cpuMillis = each.cpuMillis, .memoryMb = each.memoryMb, .declared = *declared });
+    }
+    for (const auto& order : m_life->usage->decide(report)) {
+        m_process.metrics.add("usage_orders_total");
+        if (order.action == UsageAction::Throttle)
+            m_life->client->throttle(order.run);
+        else if (order.action == UsageAction::Checkpoint)
+            m_life->client->checkpoint(order.run);
+        else
+            m_life->client->stop(order.run);
+    }
+}
+
 NodeInfo SidecarServer::nodeInfo(const MinionAnnouncement& announcement) const
 {
     return { .role = Role::Sidecar,
@@ -138,6 +167,8 @@
         MinionClientOptions { .address = announcement.address,
             .connections = announcement.connections,
             .maxRunTime = m_process.settings.maxRunTime });
+    m_life->usage = std::make_unique<UsageGuard>(
+        UsageGuardOptions { .memoryMb = announcement.memoryMb, .slots = announcement.slots });
     const NodeInfo node = nodeInfo(announcement);
     m_session.stop([this, node] { m_session.start(node); });
 }
--- a/src/sidecar/SidecarServer.h
+++ b/src/sidecar/SidecarServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/SidecarLedger.h"
+#include "policy/UsageGuard.h"
 #include "sidecar/EntryLink.h"
 #include "sidecar/MinionClient.h"
 #include "wire/ControlSession.h"
@@ -29,10 +30,12 @@
         Milliseconds heardAt {};
         std::unique_ptr<SidecarLedger> ledger;
         std::unique_ptr<MinionClient> client;
+        std::unique_ptr<UsageGuard> usage;
         std::map<SessionId, std::unique_ptr<EntryLink>> links;
     };
 
     void serveHttp(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
+    void usageReported(const MinionUsage&);
     void announce(const MinionAnnouncement&);
     void minionLeft(const char* why);
     NodeInfo nodeInfo(const MinionAnnouncement&) const;
--- a/src/wire/ControlMessages.h
+++ b/src/wire/ControlMessages.h
@@ -114,6 +114,20 @@
     std::string body;
 };
 
+// What one run uses, as its minion reports it with a lag.
+struct MinionRunUsage {
+    std::string run;
+    std::int64_t cpuMillis { 0 };
+    std::int64_t memoryMb { 0 };
+};
+
+// Minion to sidecar: the usage of every run that is under way.
+struct MinionUsage {
+    std::string minion;
+    std::vector<MinionRunUsage> runs;
+};
+
+// Sidecar to minion: throttle, checkpoint or stop one run.
 struct MinionStop {
     std::string run;
 };
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -728,6 +728,21 @@
         a("body", m.body);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, MinionRunUsage& m)
+    {
+        a("run", m.run);
+        a("cpuMillis", m.cpuMillis);
+        a("memoryMb", m.memoryMb);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionUsage& m)
+    {
+        a("minion", m.minion);
+        a("runs", m.runs);
+    }
+
     template <typename Archive>
     void fields(Archive& a, MinionStop& m)
     {
@@ -806,6 +821,7 @@
 OLEANDERPORT_MESSAGE(MinionRun)
 OLEANDERPORT_MESSAGE(MinionRunAnswer)
 OLEANDERPORT_MESSAGE(MinionStop)
+OLEANDERPORT_MESSAGE(MinionUsage)
 
 #undef OLEANDERPORT_MESSAGE
 
--- a/test/support/FakeMinion.cpp
+++ b/test/support/FakeMinion.cpp
@@ -32,14 +32,16 @@
     std::string startsFile;
 };
 
-// What a payload asks for: {"sleepMs":N,"fail":true,"refuse":true,"hang":true,"echo":"text"}. Anything else is
-// echoed at once.
+// What a payload asks for: {"sleepMs":N,"fail":true,"refuse":true,"hang":true,"echo":"text",
+// "memoryMb":N,"cpuMillis":N}, the last two being what it is reported to use. Anything else is echoed at once.
 struct Script {
     Milliseconds sleep {};
     bool fail { false };
     bool refuse { false };
     bool hang { false };
     std::string echo;
+    std::int64_t memoryMb { 0 };
+    std::int64_t cpuMillis { 0 };
 };
 
 Script readScript(const std::string& payload)
@@ -53,6 +55,8 @@
     script.fail = value.get("fail", false).asBool();
     script.refuse = value.get("refuse", false).asBool();
     script.hang = value.get("hang", false).asBool();
+    script.memoryMb = value.get("memoryMb", 0).asInt64();
+    script.cpuMillis = value.get("cpuMillis", 0).asInt64();
     script.echo = value.get("echo", payload).asString();
     return script;
 }
@@ -105,6 +109,7 @@
 
     void heartbeat()
     {
+        reportUsage();
         post("/v1/minion/heartbeat", toJson(MinionHeartbeat { .minion = m_options.announcement.minion }),
             [this](const Result<HttpAnswer>& answer) {
                 if (!answer.has_value() || answer.assume_value().status != 200)
@@ -112,11 +117,29 @@
             });
     }
 
+    void reportUsage()
+    {
+        MinionUsage usage { .minion = m_options.announcement.minion };
+        for (const auto& [id, running] : m_running)
+            usage.runs.push_back(
+                { .run = id, .cpuMillis = running.script.cpuMillis, .memoryMb = running.script.memoryMb });
+        if (!usage.runs.empty())
+            post("/v1/minion/usage", toJson(usage), [](const Result<HttpAnswer>&) {});
+    }
+
     void serve(const HttpRequest& request, std::shared_ptr<HttpResponder> responder)
     {
         const auto body = parseJson(request.body);
         if (!body.has_value())
             return responder->reply({ .status = badPayload });
+        if (request.path == "/throttle" || request.path == "/checkpoint") {
+            // Recorded; a stand-in has nothing to slow down.
+            const auto order = fromJson<MinionStop>(body.assume_value());
+            if (order.has_value())
+                log(LogLevel::Info, { .step = "fake.order" },
+                    fmt::format("{} {}", request.path.substr(1), order.assume_value().run));
+            return responder->reply({ .body = "{}" });
+        }
         if (request.path == "/stop") {
             const auto stop = fromJson<MinionStop>(body.assume_value());
             if (stop.has_value())
