--- a/src/sidecar/SidecarServer.h
+++ b/src/sidecar/SidecarServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/SidecarLedger.h"
+#include "policy/UsageGuard.h"
 #include "sidecar/EntryLink.h"
 #include "sidecar/MinionClient.h"
 #include "wire/ControlSession.h"
@@ -29,6 +30,7 @@
         Milliseconds heardAt {};
         std::unique_ptr<SidecarLedger> ledger;
         std::unique_ptr<MinionClient> client;
+        std::unique_ptr<UsageGuard> usage;
         std::map<SessionId, std::unique_ptr<EntryLink>> links;
         // Nothing further is taken; the life ends once everything is settled, at the latest then.
         bool leaving { false };
@@ -38,6 +40,7 @@
     };
 
     void serveHttp(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
+    void usageReported(const MinionUsage&);
     void announce(const MinionAnnouncement&);
     void beginLeaving(const char* why);
     void finishLeaving();
