A job told as failed is never brought to another end; a lost answer is said to be lost

Ruled out: recording every end before its answer (a synced commit more on each job's response). A complete job needs none: a take-over either collects every result or finds that nobody knows the end.

Change: the owner records a failure at control (endJob) before anyone is told; a claim after the owner's loss is then refused as answer_gone. A take-over that cannot account for a task says answer_gone (410, ran: unknown), neither complete nor failed. Unclaimed requests have no claim and record nothing.

--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -275,6 +275,14 @@
     Milliseconds deadlineUnix {};
 };
 
+// An owner records that a job ended as failed before it says so, so that nobody takes the job over afterwards and
+// brings it to another end.
+struct EndJobRequest {
+    SessionId entry;
+    JobKey key;
+    std::uint64_t epoch { 0 };
+};
+
 struct ClaimResponse {
     // Who owns the job now: the asking entry, or the live one that claimed it before.
     SessionId owner;
--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -22,6 +22,8 @@
     template <>
     constexpr const char* kindOf<ClaimRequest> = "claim";
     template <>
+    constexpr const char* kindOf<EndJobRequest> = "endJob";
+    template <>
     constexpr const char* kindOf<DataCentreChange> = "dataCentre";
     template <>
     constexpr const char* kindOf<AcceptDocument> = "document";
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -108,6 +108,11 @@
                 forward<ClaimResponse, ClaimResponse>(
                     std::move(reply), [](const ClaimResponse& response) { return response; }));
         });
+    m_process.rpc.addTyped<EndJobRequest, Nothing>(
+        "endJob", [this](const EndJobRequest& request, Reply<Nothing> reply) {
+            m_replicator->propose(request,
+                forward<Nothing, Nothing>(std::move(reply), [](const Nothing& nothing) { return nothing; }));
+        });
     m_process.rpc.addTyped<FindJobRequest, FindJobResponse>(
         "findJob", [this](const FindJobRequest& request, const Reply<FindJobResponse>& reply) {
             if (const auto refusal = refusalUnlessLeader(*m_replicator))
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -60,6 +60,10 @@
     {
         if (!answer.has_value())
             return replyError(responder, answer.assume_error());
+        const auto& error = answer.assume_value().error;
+        // Nobody knows any more how the job ended, so it is told neither as complete nor as failed.
+        if (error && error->code == ErrorCode::AnswerGone)
+            return replyError(responder, *error);
         const bool running = answer.assume_value().state == JobState::Running;
         responder.reply({ .status = running ? httpAccepted : httpOk,
             .body = writeJson(answerForCaller(answer.assume_value())) });
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -107,7 +107,7 @@
         return reply(*refusal);
     if (const auto refusal = runDynamicFilters(submission(spec)))
         return reply(*refusal);
-    m_jobs->add(spec, contentDigest(spec), 1, weightOf(m_session.view(), spec.team));
+    m_jobs->add(spec, contentDigest(spec), unclaimedEpoch, weightOf(m_session.view(), spec.team));
     m_exchange->dispatch();
     this->wait(spec.key, wait, reply);
 }
@@ -340,7 +340,7 @@
         return reply(unavailable("the job is not here"));
     m_jobs->cancel(key);
     tableChanged();
-    reply(*m_jobs->answer(key));
+    wait(key, peerWait, reply);
 }
 
 void JobService::wait(const JobKey& key, Milliseconds wait, const JobReply& reply)
@@ -349,9 +349,10 @@
     if (!answer)
         return reply(unavailable("the job is not here"));
     const bool final = answer->state != JobState::Running;
-    if (final && m_session.hasLease())
+    const bool isRecording = m_recording.contains(key);
+    if (final && !isRecording && m_session.hasLease())
         return reply(*answer);
-    if (final)
+    if (final && !isRecording)
         m_endedWithoutLease.push_back(key);
     if (!final && wait.count == 0)
         return reply(*answer);
@@ -382,7 +383,10 @@
         const bool complete = answer && answer->state == JobState::Complete;
         m_process.events.record(complete ? EventKind::JobComplete : EventKind::JobFailed, { .job = &key });
         m_process.metrics.add(complete ? "jobs_complete_total" : "jobs_failed_total");
-        ended.push_back(std::move(key));
+        if (complete || m_jobs->epochOf(key) == unclaimedEpoch)
+            ended.push_back(std::move(key));
+        else
+            recordFailure(key);
     }
     // Without its lease this entry may have been replaced as owner; it answers once control has renewed it.
     if (!m_session.hasLease()) {
@@ -394,6 +398,31 @@
     m_exchange->dispatch();
 }
 
+void JobService::recordFailure(const JobKey& key)
+{
+    if (!m_session.id())
+        return;
+    m_recording.insert(key);
+    const EndJobRequest request { .entry = *m_session.id(), .key = key, .epoch = m_jobs->epochOf(key) };
+    m_control.callTyped<Nothing>(ControlClient::Lane::Work, "endJob", request, claimTimeout,
+        [this, request](const Result<Nothing>& recorded) {
+            const bool isSameLife = m_session.id() && *m_session.id() == request.entry;
+            if (!isSameLife || !m_recording.contains(request.key))
+                return;
+            const bool isStale = !recorded.has_value()
+                && (recorded.assume_error().code == ErrorCode::StaleEpoch
+                    || recorded.assume_error().code == ErrorCode::StaleIncarnation);
+            // A stale owner answers nothing; control's word on its session ends the wait.
+            if (isStale)
+                return;
+            if (!recorded.has_value())
+                return recordFailure(request.key);
+            m_recording.erase(request.key);
+            m_endedWithoutLease.push_back(request.key);
+            tableChanged();
+        });
+}
+
 void JobService::exchange(const ExchangeRequest& request, const ExchangeServer::Reply& reply)
 {
     m_exchange->handle(request, reply);
@@ -406,6 +435,7 @@
     // Another entry may own the jobs from now on. Those who wait are told to submit again, which joins them there.
     const auto waiters = std::exchange(m_waiters, {});
     m_endedWithoutLease.clear();
+    m_recording.clear();
     m_exchange.reset();
     m_jobs = std::make_unique<JobTable>(
         JobTableOptions { .answerRetention = m_process.settings.answerRetention });
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,8 @@
     void wait(const JobKey&, Milliseconds wait, const JobReply&);
     void answerWaiters(const JobKey&);
     void tableChanged();
+    // Records the failure at control; those who wait are answered after that.
+    void recordFailure(const JobKey&);
     Submission submission(const JobSpec&) const;
     RpcClient& peer(const std::string& address);
 
@@ -91,6 +94,8 @@
     std::unique_ptr<ExchangeServer> m_exchange;
     std::map<JobKey, std::vector<Waiter>> m_waiters;
     std::vector<JobKey> m_endedWithoutLease;
+    // Failed jobs whose end is on its way to control.
+    std::set<JobKey> m_recording;
     std::map<std::pair<JobKey, SessionId>, std::unique_ptr<EventLoop::Timer>> m_collectRetries;
     std::map<std::string, std::unique_ptr<RpcClient>> m_peers;
     // Connections that have had their answer, kept until they may be freed outside of their own callback.
--- a/src/policy/ControlState.cpp
+++ b/src/policy/ControlState.cpp
@@ -226,6 +226,12 @@
         if (claim.digest != request.digest)
             return refuse(ErrorCode::Conflict, "control.claim", "the job id is in use with other content");
         if (!member(claim.owner)) {
+            if (claim.endedAsFailed) {
+                Error gone = refuse(ErrorCode::AnswerGone, "control.claim",
+                    "the job ended as failed at an entry that is lost; the reasons are gone");
+                gone.ran = Ran::Unknown;
+                return gone;
+            }
             claim.owner = request.entry;
             ++claim.epoch;
         }
@@ -252,6 +258,20 @@
     return ControlOutcome(respond(claim, false));
 }
 
+Result<ControlOutcome> ControlState::applyChange(const EndJobRequest& request)
+{
+    const Member* entry = member(request.entry);
+    if (!entry)
+        return refuse(ErrorCode::StaleIncarnation, "control.endJob", "the entry's session has ended");
+    const auto found = m_claims.find({ entry->node.environment, request.key });
+    const bool isOwner
+        = found != m_claims.end() && found->second.owner == request.entry && found->second.epoch == request.epoch;
+    if (!isOwner)
+        return refuse(ErrorCode::StaleEpoch, "control.endJob", "the entry does not own the job");
+    found->second.endedAsFailed = true;
+    return ControlOutcome(Nothing {});
+}
+
 ClaimResponse ControlState::respond(const ClaimRecord& claim, bool takenOver) const
 {
     const Member* owner = member(claim.owner);
--- a/src/policy/ControlState.h
+++ b/src/policy/ControlState.h
@@ -18,7 +18,7 @@
 // One entry of control's log. The leader stamps it; a stamp never goes back.
 struct ControlCommand {
     Milliseconds stampUnix {};
-    std::variant<OpenSessionRequest, CloseSession, ClaimRequest, DataCentreChange, AcceptDocument, PromoteDocument>
+    std::variant<OpenSessionRequest, CloseSession, ClaimRequest, EndJobRequest, DataCentreChange, AcceptDocument, PromoteDocument>
         change;
 };
 
@@ -71,6 +71,7 @@
     Result<ControlOutcome> applyChange(const OpenSessionRequest&);
     Result<ControlOutcome> applyChange(const CloseSession&);
     Result<ControlOutcome> applyChange(const ClaimRequest&);
+    Result<ControlOutcome> applyChange(const EndJobRequest&);
     Result<ControlOutcome> applyChange(const DataCentreChange&);
     Result<ControlOutcome> applyChange(const AcceptDocument&);
     Result<ControlOutcome> applyChange(const PromoteDocument&);
--- a/src/policy/JobTable.cpp
+++ b/src/policy/JobTable.cpp
@@ -117,11 +117,14 @@
             return;
         if (job.tasks[i].state != TaskState::Undetermined)
             continue;
-        // An attempt above zero was answered by the sidecar that held it, so only a first attempt can be in doubt.
-        if (job.uncertain)
-            settle(job, i, TaskOutcome::Unknown, "a sidecar that may have started it is lost");
-        else
+        if (!job.uncertain) {
             enqueue(job, i);
+            continue;
+        }
+        // The lost sidecar may have run it to its end, and the former owner may have answered the job as complete. So
+        // this is no failure of the job: its answer is gone.
+        const std::string reason = "a sidecar that may have run it is lost with the former owner";
+        giveUp(job, i, TaskOutcome::Unknown, reason, jobError(ErrorCode::AnswerGone, Ran::Unknown, reason));
     }
 }
 
@@ -372,6 +375,12 @@
     return answer;
 }
 
+std::uint64_t JobTable::epochOf(const JobKey& key) const
+{
+    const auto job = m_jobs.find(key);
+    return job == m_jobs.end() ? unclaimedEpoch : job->second.epoch;
+}
+
 std::size_t JobTable::queued(const std::string& service) const
 {
     const auto queue = m_queues.find(service);
--- a/src/policy/JobTable.h
+++ b/src/policy/JobTable.h
@@ -25,6 +25,8 @@
     Milliseconds comeBack { 1'000 };
 };
 
+inline constexpr std::uint64_t unclaimedEpoch = 0;
+
 // How a submission meets the jobs that the table already has.
 enum class Match {
     None,
@@ -41,7 +43,8 @@
 
     Match match(const JobKey&, const std::string& digest) const;
 
-    // Takes a job on whose claim this entry holds. All of its tasks are queued.
+    // Takes a job on whose claim this entry holds. All of its tasks are queued. An epoch of unclaimedEpoch marks a job
+    // that nobody can submit again, so that no claim exists.
     void add(const JobSpec&, const std::string& digest, std::uint64_t epoch, std::int64_t teamWeight);
 
     // Takes a job over from a lost owner. No task is queued until every sidecar in `sidecars` has been heard or given
@@ -83,6 +86,9 @@
     // The answer as it stands; nothing for an unknown job.
     std::optional<JobAnswer> answer(const JobKey&) const;
 
+    // Epoch of the claim on the job; unclaimedEpoch for an unknown job.
+    std::uint64_t epochOf(const JobKey&) const;
+
     std::size_t queued(const std::string& service) const;
     std::vector<TeamDemand> demand(const std::string& service) const;
     // Tasks bound to a session and not yet ended.
--- a/src/wire/ControlRecords.h
+++ b/src/wire/ControlRecords.h
@@ -83,6 +83,8 @@
     std::uint64_t epoch { 0 };
     Milliseconds firstClaimedUnix {};
     Milliseconds deadlineUnix {};
+    // The owner was about to tell callers that the job failed.
+    bool endedAsFailed { false };
 };
 
 // A sidecar session that is no more but may still matter to a job that is taken over.
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -423,6 +423,14 @@
         a("deadlineUnix", m.deadlineUnix);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, EndJobRequest& m)
+    {
+        a("entry", m.entry);
+        a("key", m.key);
+        a("epoch", m.epoch);
+    }
+
     template <typename Archive>
     void fields(Archive& a, ClaimResponse& m)
     {
@@ -665,6 +673,7 @@
         a("epoch", m.epoch);
         a("firstClaimedUnix", m.firstClaimedUnix);
         a("deadlineUnix", m.deadlineUnix);
+        a("endedAsFailed", m.endedAsFailed);
     }
 
     template <typename Archive>
@@ -798,6 +807,7 @@
 OLEANDERPORT_MESSAGE(ClusterView)
 OLEANDERPORT_MESSAGE(EnvironmentConfig)
 OLEANDERPORT_MESSAGE(ClaimRequest)
+OLEANDERPORT_MESSAGE(EndJobRequest)
 OLEANDERPORT_MESSAGE(ClaimResponse)
 OLEANDERPORT_MESSAGE(JobKey)
 OLEANDERPORT_MESSAGE(JobAnswer)
--- a/test/policy/ControlStateTest.cpp
+++ b/test/policy/ControlStateTest.cpp
@@ -138,3 +138,31 @@
     cr_assert(again.version == 1);
     cr_assert(control.state.view().config.version == 1);
 }
+
+Test(ControlState, neverHandsOverAJobThatWasToldAsFailed)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    const auto two = control.open(Role::Entry, "entry-2");
+    const auto epoch = response(control.claim(one)).epoch;
+    const EndJobRequest end { .entry = one, .key = { .caller = "caller", .job = "job" }, .epoch = epoch };
+    cr_assert(control.apply(end).has_value());
+    cr_assert(response(control.claim(two)).owner == one, "while the owner lives, others join there");
+    control.apply(CloseSession { .session = one });
+    const auto refused = control.claim(two);
+    cr_assert(!refused.has_value(), "expected a refusal, got a take-over");
+    cr_assert(refused.assume_error().code == ErrorCode::AnswerGone);
+    cr_assert(refused.assume_error().ran == Ran::Unknown);
+}
+
+Test(ControlState, takesTheEndOfAJobOnlyFromItsOwner)
+{
+    Control control;
+    const auto one = control.open(Role::Entry, "entry-1");
+    const auto two = control.open(Role::Entry, "entry-2");
+    control.claim(one);
+    const EndJobRequest end { .entry = two, .key = { .caller = "caller", .job = "job" }, .epoch = 1 };
+    const auto refused = control.apply(end);
+    cr_assert(!refused.has_value());
+    cr_assert(refused.assume_error().code == ErrorCode::StaleEpoch);
+}
