--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -310,7 +310,7 @@
             const std::string name = required(step, "answer");
             const std::string same = text(step, "same_as");
             HttpCall call { .method = HttpMethod::Post, .path = {}, .body = {}, .timeout = callerTimeout };
-            const auto answer = m_record.addAnswer(name);
+            auto answer = m_record.addAnswer(name);
             if (action == "cancel" || action == "find") {
                 answer->key = text(step, "caller", "caller-1") + "/" + required(step, "job");
                 call.method = action == "cancel" ? HttpMethod::Delete : HttpMethod::Get;
