--- /dev/null
+++ b/test/support/ControlGroup.cpp
@@ -0,0 +1,128 @@
+#include "support/ControlGroup.h"
+
+#include <fmt/format.h>
+
+#include <filesystem>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace oleanderport::test {
+
+namespace {
+
+    constexpr Milliseconds patience { 60'000 };
+    constexpr Milliseconds checkPeriod { 1 };
+
+    std::string freeAddress()
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0)
+            throw std::runtime_error("no free port");
+        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        ::close(descriptor);
+        return fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
+    }
+
+    void require(const Result<void>& result)
+    {
+        if (!result.has_value())
+            throw std::runtime_error(describe(result.assume_error()));
+    }
+
+} // namespace
+
+ControlGroup::ControlGroup(std::size_t size)
+    : m_instances(size)
+{
+    std::string name = (std::filesystem::temp_directory_path() / "control-group-XXXXXX").string();
+    m_folder = mkdtemp(name.data());
+    for (std::size_t i = 0; i < size; ++i)
+        m_peers.push_back(freeAddress());
+    for (std::size_t i = 0; i < size; ++i)
+        start(i);
+}
+
+ControlGroup::~ControlGroup()
+{
+    m_instances.clear();
+    std::filesystem::remove_all(m_folder);
+}
+
+std::string ControlGroup::folderOf(std::size_t index) const { return fmt::format("{}/{}", m_folder, index); }
+
+void ControlGroup::start(std::size_t index)
+{
+    const Settings settings { .role = Role::Control,
+        .instance = fmt::format("control-{}", index),
+        .listen = m_peers[index],
+        .advertise = m_peers[index],
+        .controlPeers = m_peers,
+        .dataFolder = folderOf(index),
+        .bootstrap = true };
+    Instance& instance = m_instances[index];
+    instance.process = std::make_unique<Process>(m_loop, settings);
+    instance.replicator = std::make_unique<RaftReplicator>(*instance.process, ControlStateOptions {});
+    require(instance.process->listen({}));
+    require(instance.replicator->start());
+}
+
+void ControlGroup::stop(std::size_t index)
+{
+    m_instances[index].replicator.reset();
+    m_instances[index].process.reset();
+}
+
+void ControlGroup::until(const std::string& what, const std::function<bool()>& condition)
+{
+    const Milliseconds giveUpAt = Clock::now() + patience;
+    const auto check = m_loop.every(checkPeriod, [&] {
+        if (condition() || Clock::now() >= giveUpAt)
+            m_loop.stop();
+    });
+    if (!condition())
+        m_loop.run();
+    if (!condition())
+        throw std::runtime_error("expected " + what);
+}
+
+std::optional<std::size_t> ControlGroup::leader() const
+{
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        if (m_instances[i].replicator && m_instances[i].replicator->isLeader())
+            return i;
+    }
+    return std::nullopt;
+}
+
+void ControlGroup::propose(const std::string& instance, const Replicator::Done& done)
+{
+    OpenSessionRequest request;
+    request.node.instance = instance;
+    until("a leader", [&] { return leader().has_value(); });
+    replicator(*leader()).propose(request, done);
+}
+
+void ControlGroup::open(const std::string& instance)
+{
+    bool done = false;
+    while (!done) {
+        std::optional<Result<ControlOutcome>> outcome;
+        propose(instance, [&](const Result<ControlOutcome>& result) { outcome = result; });
+        until("an outcome", [&] { return outcome.has_value(); });
+        done = outcome->has_value();
+    }
+}
+
+std::size_t ControlGroup::members(std::size_t index) const
+{
+    return m_instances[index].replicator->state().view().members.size();
+}
+
+} // namespace oleanderport::test
