--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -3,6 +3,7 @@
 #include "policy/JobTable.h"
 #include "policy/MinionHealth.h"
 #include "policy/Placement.h"
+#include "policy/RunTimes.h"
 #include "wire/Process.h"
 
 #include <cstdint>
@@ -38,6 +39,9 @@
     // Hands out queued tasks and cancellations to the sidecars whose polls are held.
     void dispatch();
 
+    // Learned mean run time of a service in milliseconds; nothing while too few runs are known.
+    std::optional<double> meanRunTime(const std::string& service) const;
+
     // Answers polls that have been held for long, so that no connection times out.
     void tick(Milliseconds now);
 
@@ -47,17 +51,22 @@
         std::optional<ExchangeResponse> answered;
         Reply parked;
         Milliseconds parkedAt {};
+        bool broughtResults { false };
     };
     struct Sidecar {
         Member member;
         std::uint64_t granted { 0 };
         std::uint64_t sent { 0 };
+        bool leaving { false };
         bool knowsOfQueue { false };
         std::vector<CancelOrder> cancels;
         ChannelState poll;
         ChannelState report;
 
-        std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
+        std::int64_t credit() const
+        {
+            return leaving ? 0 : static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent);
+        }
     };
 
     MinionHealth& healthOf(const Sidecar&);
@@ -65,6 +74,8 @@
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
     void takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
+    // An exchange that carries neither result nor task nor cancellation is counted as empty.
+    void countExchange(ChannelState&, const ExchangeResponse&);
     void answerPoll(Sidecar&, std::vector<TaskAssignment>);
     void assign();
     void collectCancellations();
@@ -77,6 +88,7 @@
     std::map<SessionId, Sidecar> m_sidecars;
     // By service.
     std::map<std::string, MinionHealth> m_health;
+    std::map<std::string, RunTimes> m_runTimes;
 };
 
 } // namespace oleanderport
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -30,6 +30,15 @@
             .retryAfter = comeBackAfterLoss };
     }
 
+    Error notHere()
+    {
+        return Error { .code = ErrorCode::NotFound,
+            .ran = Ran::Unknown,
+            .step = "entry.join",
+            .peer = {},
+            .message = "the job is not here" };
+    }
+
     std::string contentDigest(const JobSpec& spec) { return digestOf(writeJson(toJson(spec))); }
 
 } // namespace
@@ -47,6 +56,7 @@
     : m_process(process)
     , m_control(control)
     , m_session(session)
+    , m_random(std::random_device {}())
 {
     sessionEnded();
 }
@@ -56,12 +66,20 @@
     const auto demand = m_jobs->demand(spec.service);
     const auto team = std::find_if(
         demand.begin(), demand.end(), [&spec](const TeamDemand& each) { return each.team == spec.team; });
+    std::int64_t weights = 0;
+    for (const auto& each : demand)
+        weights += weightOf(m_session.view(), each.team);
+    if (team == demand.end())
+        weights += weightOf(m_session.view(), spec.team);
     return Submission { .spec = spec,
         .settings = m_process.settings,
         .view = m_session.view(),
         .unixNow = Clock::unixNow(),
         .queuedTasks = m_jobs->queued(spec.service),
         .queuedOfTeam = team == demand.end() ? 0 : team->queued,
+        .waitingWeights = weights,
+        .meanRunTime = m_exchange->meanRunTime(spec.service),
+        .jitter = std::uniform_real_distribution<double>(0, 1)(m_random),
         .shuttingDown = m_shuttingDown };
 }
 
@@ -196,29 +214,60 @@
                     return;
                 }
                 // The sidecar may only be slow; control's word on its session ends the wait.
-                if (m_session.id() && *m_session.id() == request.owner)
-                    collectFrom(member, request);
+                collectLater(member, request);
             });
 }
 
+void JobService::collectLater(const Member& member, const CollectRequest& request)
+{
+    auto& timer = m_collectRetries[{ request.key, member.id }];
+    timer = m_process.loop.once(retryPause, [this, member, request] {
+        m_collectRetries.erase({ request.key, member.id });
+        if (m_session.id() && *m_session.id() == request.owner)
+            collectFrom(member, request);
+    });
+}
+
 void JobService::joinElsewhere(const std::shared_ptr<Attempt>& attempt, const std::string& address)
 {
     const Milliseconds left = attempt->until - Clock::now();
     const Milliseconds wait { std::clamp<std::int64_t>(left.count, 0, peerWait.count) };
     const FindJobHere request { .key = attempt->spec.key, .digest = attempt->digest, .wait = wait };
-    peer(address).callTyped<JobAnswer>(
-        "findJobHere", request, wait + peerTimeout, [this, attempt](const Result<JobAnswer>& answer) {
-            const bool inTime = Clock::now() < attempt->until;
-            if (!answer.has_value()) {
-                if (answer.assume_error().code == ErrorCode::Conflict)
-                    return finish(attempt, answer);
-                if (inTime)
-                    return retryLater(attempt);
-                return finish(attempt, unavailable("the entry that owns the job does not answer"));
-            }
-            if (answer.assume_value().state == JobState::Running && inTime)
-                return retryLater(attempt);
-            finish(attempt, answer);
+    ask(address, "findJobHere", request, [this, attempt, address, wait](const Result<JobAnswer>& answer) {
+        const bool isMissing = !answer.has_value() && answer.assume_error().code == ErrorCode::NotFound;
+        if (!isMissing)
+            return joined(attempt, answer);
+        // The owner has a claim whose answer it never got. With the submission in hand it asks for it again.
+        ask(address, "submitHere", SubmitHere { .spec = attempt->spec, .wait = wait },
+            [this, attempt](const Result<JobAnswer>& again) { joined(attempt, again); });
+    });
+}
+
+void JobService::joined(const std::shared_ptr<Attempt>& attempt, const Result<JobAnswer>& answer)
+{
+    const bool inTime = Clock::now() < attempt->until;
+    if (!answer.has_value()) {
+        if (answer.assume_error().code == ErrorCode::Conflict)
+            return finish(attempt, answer);
+        if (inTime)
+            return retryLater(attempt);
+        return finish(attempt, unavailable("the entry that owns the job does not answer"));
+    }
+    if (answer.assume_value().state == JobState::Running && inTime)
+        return retryLater(attempt);
+    finish(attempt, answer);
+}
+
+template <typename Request>
+void JobService::ask(
+    const std::string& address, const std::string& method, const Request& request, const JobReply& reply)
+{
+    // The owner holds the call until the job ends. On a shared connection it would hold up everyone else's.
+    const auto client = std::make_shared<RpcClient>(m_process.loop, address);
+    client->callTyped<JobAnswer>(method, request, request.wait + peerTimeout,
+        [this, client, reply](const Result<JobAnswer>& answer) {
+            m_askedPeers.push_back(client);
+            reply(answer);
         });
 }
 
@@ -246,9 +295,7 @@
             if (place.ownerAddress.empty())
                 return reply(unavailable("the entry that owned the job is lost; submit the same job again"));
             const Milliseconds bounded = std::min(wait, peerWait);
-            peer(place.ownerAddress)
-                .callTyped<JobAnswer>("findJobHere", FindJobHere { .key = key, .digest = {}, .wait = bounded },
-                    bounded + peerTimeout, reply);
+            ask(place.ownerAddress, "findJobHere", FindJobHere { .key = key, .digest = {}, .wait = bounded }, reply);
         });
 }
 
@@ -283,7 +330,7 @@
             .message = "the job id is in use with other content" });
     }
     if (match == Match::None)
-        return reply(unavailable("the job is not here"));
+        return reply(notHere());
     this->wait(key, wait, reply);
 }
 
@@ -304,6 +351,8 @@
     const bool final = answer->state != JobState::Running;
     if (final && m_session.hasLease())
         return reply(*answer);
+    if (final)
+        m_endedWithoutLease.push_back(key);
     if (!final && wait.count == 0)
         return reply(*answer);
     m_waiters[key].push_back({ .reply = reply, .until = Clock::now() + wait });
@@ -386,6 +435,7 @@
 void JobService::tick()
 {
     const Milliseconds now = Clock::now();
+    m_askedPeers.clear();
     m_jobs->tick(Clock::unixNow());
     m_exchange->tick(now);
     tableChanged();
--- a/src/policy/ControlState.cpp
+++ b/src/policy/ControlState.cpp
@@ -139,9 +139,22 @@
 const Member* ControlState::member(const SessionId& id) const
 {
     for (const auto& environment : m_environments) {
+        // Members stand in the order in which they joined, so their incarnations ascend.
         const auto& members = environment.view.members;
-        const auto found = std::find_if(
-            members.begin(), members.end(), [&id](const Member& member) { return member.id == id; });
+        const auto found = std::lower_bound(members.begin(), members.end(), id.incarnation,
+            [](const Member& member, std::uint64_t incarnation) { return member.id.incarnation < incarnation; });
+        if (found != members.end() && found->id == id)
+            return &*found;
+    }
+    return nullptr;
+}
+
+const Member* ControlState::memberOfInstance(const std::string& instance) const
+{
+    for (const auto& environment : m_environments) {
+        const auto& members = environment.view.members;
+        const auto found = std::find_if(members.begin(), members.end(),
+            [&instance](const Member& member) { return member.id.instance == instance; });
         if (found != members.end())
             return &*found;
     }
@@ -170,10 +183,8 @@
     if (!environment)
         return refuse(ErrorCode::BadRequest, "control.session", "no environment " + request.node.environment);
     // A new life of an instance ends its former one.
-    for (const auto& former : members()) {
-        if (former.id.instance == request.node.instance)
-            endSession(former.id);
-    }
+    if (const Member* former = memberOfInstance(request.node.instance))
+        endSession(SessionId(former->id));
     const SessionId id { .instance = request.node.instance, .incarnation = ++m_lastIncarnation };
     environment->view.members.push_back({ .id = id, .node = request.node });
     recordViewChange(*environment, ViewChangeKind::MemberJoined, id, m_options.keptViewChanges);
--- a/src/policy/JobTable.cpp
+++ b/src/policy/JobTable.cpp
@@ -16,7 +16,14 @@
 
     ErrorCode codeOf(TaskOutcome outcome)
     {
-        return outcome == TaskOutcome::Unknown ? ErrorCode::SidecarLost : ErrorCode::MinionFailed;
+        switch (outcome) {
+        case TaskOutcome::Unknown:
+            return ErrorCode::SidecarLost;
+        case TaskOutcome::NotStarted:
+            return ErrorCode::MinionRefused;
+        default:
+            return ErrorCode::MinionFailed;
+        }
     }
 
 } // namespace
@@ -72,7 +79,9 @@
     Job* job = running(key);
     if (!job || !job->uncollected.contains(sidecar))
         return;
-    for (const auto& result : results) {
+    for (const auto& answered : results) {
+        const auto early = job->early.find({ sidecar, answered.task });
+        const TaskResult& result = early == job->early.end() ? answered : early->second;
         if (result.task >= job->tasks.size() || job->tasks[result.task].state != TaskState::Undetermined)
             continue;
         Task& task = job->tasks[result.task];
@@ -141,7 +150,8 @@
             break;
         Job& job = m_jobs.at(next->key);
         Task& task = job.tasks[next->task];
-        ++task.attempt;
+        if (++task.attempt == 1)
+            m_retries.try_emplace(service, m_options.retries).first->second.earn();
         bindTo(job, next->task, sidecar);
         const TaskSpec& spec = job.spec.tasks[next->task];
         taken.push_back({ .key = next->key,
@@ -157,12 +167,21 @@
     return taken;
 }
 
+bool JobTable::keepEarly(Job& job, const SessionId& sidecar, const TaskResult& result)
+{
+    if (!job.uncollected.contains(sidecar) || result.outcome == TaskOutcome::Running)
+        return false;
+    return job.early.try_emplace({ sidecar, result.task }, result).second;
+}
+
 bool JobTable::result(const SessionId& sidecar, const TaskResult& result)
 {
     Job* job = running(result.key);
     if (!job || result.epoch != job->epoch || result.task >= job->tasks.size())
         return false;
     Task& task = job->tasks[result.task];
+    if (task.state == TaskState::Undetermined)
+        return keepEarly(*job, sidecar, result);
     if (task.state != TaskState::Bound || task.sidecar != sidecar || task.attempt != result.attempt)
         return false;
     if (result.outcome == TaskOutcome::Running)
@@ -178,15 +197,8 @@
 {
     Task& task = job.tasks[index];
     m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
-    if (task.attempt >= m_options.maxAttempts) {
-        settle(job, index, TaskOutcome::NotStarted, "no sidecar would start it");
-        return;
-    }
-    const bool isPastDeadline = !m_deadlines.contains({ .at = job.spec.deadlineUnix, .key = job.spec.key });
-    if (isPastDeadline) {
-        settle(job, index, TaskOutcome::NotStarted, "deadline passed");
-        return;
-    }
+    if (const auto refusal = refuseRetry(job, task))
+        return giveUp(job, index, TaskOutcome::NotStarted, refusal->message, *refusal);
     task.state = TaskState::Queued;
     m_queues[job.spec.service].pushFront(job.spec.team, job.weight, { .key = job.spec.key, .task = index });
 }
@@ -196,23 +208,51 @@
     Task& task = job.tasks[index];
     if (task.state == TaskState::Bound)
         m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
-    if (outcome == TaskOutcome::Unknown && job.spec.idempotent && task.attempt < m_options.maxAttempts) {
+    if (outcome == TaskOutcome::Unknown && job.spec.idempotent && !refuseRetry(job, task)) {
+        task.mayHaveStarted = true;
         enqueue(job, index);
         return;
     }
+    if (outcome != TaskOutcome::Done)
+        return giveUp(job, index, outcome, body, jobError(codeOf(outcome), Ran::Unknown, body));
     task.state = TaskState::Ended;
     task.outcome = outcome;
     task.body = body;
-    --job.open;
-    if (outcome != TaskOutcome::Done) {
-        const Ran ran = outcome == TaskOutcome::NotStarted && job.tasks.size() == 1 ? Ran::No : Ran::Unknown;
-        fail(job, jobError(codeOf(outcome), ran, fmt::format("task {}: {}", index, body)));
-        return;
-    }
-    if (job.open == 0)
+    if (--job.open == 0)
         end(job, JobState::Complete);
 }
 
+std::optional<Error> JobTable::refuseRetry(const Job& job, const Task& task)
+{
+    const bool isPastDeadline = !m_deadlines.contains({ .at = job.spec.deadlineUnix, .key = job.spec.key });
+    if (isPastDeadline)
+        return jobError(ErrorCode::DeadlinePassed, Ran::Unknown, "deadline passed");
+    Error refusal = jobError(ErrorCode::MinionRefused, Ran::Unknown, "no sidecar would start it");
+    refusal.retryAfter = m_options.comeBack;
+    if (task.attempt >= m_options.maxAttempts)
+        return refusal;
+    if (m_retries.try_emplace(job.spec.service, m_options.retries).first->second.spend())
+        return std::nullopt;
+    refusal.code = ErrorCode::Overloaded;
+    refusal.message = "no sidecar would start it, and the retry budget is spent";
+    return refusal;
+}
+
+void JobTable::giveUp(
+    Job& job, std::uint32_t index, TaskOutcome outcome, const std::string& body, const Error& error)
+{
+    Task& task = job.tasks[index];
+    if (outcome == TaskOutcome::NotStarted && task.mayHaveStarted)
+        outcome = TaskOutcome::Unknown;
+    task.state = TaskState::Ended;
+    task.outcome = outcome;
+    task.body = body;
+    --job.open;
+    Error named = error;
+    named.message = fmt::format("task {}: {}", index, error.message);
+    fail(job, named);
+}
+
 void JobTable::sidecarLost(const SessionId& sidecar)
 {
     const auto bound = m_bound.find(sidecar);
@@ -260,7 +300,7 @@
             task.state = TaskState::Ended;
         } else if (task.state != TaskState::Ended) {
             // While sidecars are still being asked, a former owner may have started it.
-            const bool known = job.uncollected.empty();
+            const bool known = job.uncollected.empty() && !task.mayHaveStarted;
             task.outcome = known ? TaskOutcome::NotStarted : TaskOutcome::Unknown;
             task.body = known ? "not started when the job ended" : "not known yet when the job ended";
             task.state = TaskState::Ended;
@@ -277,6 +317,7 @@
 {
     job.state = state;
     job.uncollected.clear();
+    job.early.clear();
     m_deadlines.erase({ .at = job.spec.deadlineUnix, .key = job.spec.key });
     m_forgetTimes.insert({ .at = job.spec.deadlineUnix + m_options.answerRetention, .key = job.spec.key });
     // Only the answer is needed from here on.
--- a/src/policy/JobTable.h
+++ b/src/policy/JobTable.h
@@ -2,21 +2,27 @@
 
 #include "oleanderport/Messages.h"
 #include "policy/FairQueue.h"
+#include "policy/RetryBudget.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace oleanderport {
 
 struct JobTableOptions {
     // Attempts per task that end with NotStarted before the task is given up.
-    std::uint32_t maxAttempts { 8 };
+    std::uint32_t maxAttempts { 64 };
     // How long an ended job's answer is kept after its deadline.
     Milliseconds answerRetention { 120'000 };
+    // Bounds further attempts, for each service.
+    RetryBudgetOptions retries;
+    // When the caller of a job that ended for want of an attempt may come back.
+    Milliseconds comeBack { 1'000 };
 };
 
 // How a submission meets the jobs that the table already has.
@@ -94,6 +100,8 @@
         TaskState state { TaskState::Queued };
         std::uint32_t attempt { 0 };
         SessionId sidecar;
+        // A former attempt of an idempotent task may have started.
+        bool mayHaveStarted { false };
         TaskOutcome outcome { TaskOutcome::NotStarted };
         std::string body;
     };
@@ -106,6 +114,9 @@
         std::vector<Task> tasks;
         std::size_t open { 0 };
         std::set<SessionId> uncollected;
+        // Ends of runs that were reported before the sidecar's answer to the collect call, which may still say that
+        // they are running.
+        std::map<std::pair<SessionId, std::uint32_t>, TaskResult> early;
         bool uncertain { false };
         std::optional<Error> error;
     };
@@ -123,7 +134,11 @@
     void unbind(Task&);
     void settle(Job&, std::uint32_t task, TaskOutcome, const std::string& body);
     void requeue(Job&, std::uint32_t task);
+    // Why a task may not be tried again; nothing when it may, and the attempt is then paid for.
+    std::optional<Error> refuseRetry(const Job&, const Task&);
+    void giveUp(Job&, std::uint32_t task, TaskOutcome, const std::string& body, const Error&);
     void finishCollecting(Job&);
+    bool keepEarly(Job&, const SessionId&, const TaskResult&);
     void fail(Job&, const Error&);
     void end(Job&, JobState);
 
@@ -133,6 +148,8 @@
     std::set<TimedJob> m_deadlines;
     std::set<TimedJob> m_forgetTimes;
     std::map<std::string, FairQueue> m_queues;
+    // By service.
+    std::map<std::string, RetryBudget> m_retries;
     struct BoundTask {
         JobKey key;
         std::uint32_t task { 0 };
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <memory>
+#include <sstream>
 #include <type_traits>
 
 namespace oleanderport {
@@ -44,14 +45,14 @@
         template <typename T>
         void operator()(const char* name, T& field)
         {
-            m_value[name] = write(field);
+            m_value[Json::StaticString(name)] = write(field);
         }
 
         template <typename T>
         void operator()(const char* name, std::optional<T>& field)
         {
             if (field)
-                m_value[name] = write(*field);
+                m_value[Json::StaticString(name)] = write(*field);
         }
 
     private:
@@ -273,6 +274,7 @@
         a("sequence", m.sequence);
         a("grantedTotal", m.grantedTotal);
         a("results", m.results);
+        a("leaving", m.leaving);
     }
 
     template <typename Archive>
@@ -296,6 +298,7 @@
         a("tasks", m.tasks);
         a("cancels", m.cancels);
         a("queued", m.queued);
+        a("sentTotal", m.sentTotal);
     }
 
     template <typename Archive>
@@ -448,6 +451,13 @@
         a("error", m.error);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, SubmitHere& m)
+    {
+        a("spec", m.spec);
+        a("wait", m.wait);
+    }
+
     template <typename Archive>
     void fields(Archive& a, FindJobHere& m)
     {
@@ -728,6 +738,21 @@
         a("body", m.body);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, MinionRunUsage& m)
+    {
+        a("run", m.run);
+        a("cpuMillis", m.cpuMillis);
+        a("memoryMb", m.memoryMb);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionUsage& m)
+    {
+        a("minion", m.minion);
+        a("runs", m.runs);
+    }
+
     template <typename Archive>
     void fields(Archive& a, MinionStop& m)
     {
@@ -777,6 +802,7 @@
 OLEANDERPORT_MESSAGE(JobKey)
 OLEANDERPORT_MESSAGE(JobAnswer)
 OLEANDERPORT_MESSAGE(FindJobHere)
+OLEANDERPORT_MESSAGE(SubmitHere)
 OLEANDERPORT_MESSAGE(NodeInfo)
 OLEANDERPORT_MESSAGE(SessionId)
 OLEANDERPORT_MESSAGE(Member)
@@ -806,23 +832,42 @@
 OLEANDERPORT_MESSAGE(MinionRun)
 OLEANDERPORT_MESSAGE(MinionRunAnswer)
 OLEANDERPORT_MESSAGE(MinionStop)
+OLEANDERPORT_MESSAGE(MinionUsage)
 
 #undef OLEANDERPORT_MESSAGE
 
+namespace {
+
+    std::unique_ptr<Json::StreamWriter> makeWriter()
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        builder["emitUTF8"] = true;
+        return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+    }
+
+    std::unique_ptr<Json::CharReader> makeReader()
+    {
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["stackLimit"] = maxNesting;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    }
+
+} // namespace
+
 std::string writeJson(const Json::Value& value)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["emitUTF8"] = true;
-    return Json::writeString(builder, value);
+    // The builders read a dozen settings by name for each writer; one writer a thread serves every message.
+    thread_local const auto writer = makeWriter();
+    std::ostringstream out;
+    writer->write(value, &out);
+    return std::move(out).str();
 }
 
 Result<Json::Value> parseJson(const std::string& text)
 {
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder["stackLimit"] = maxNesting;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    thread_local const auto reader = makeReader();
     Json::Value value;
     std::string fault;
     try {
--- a/test/base/SettingsPageTest.cpp
+++ b/test/base/SettingsPageTest.cpp
@@ -106,7 +106,11 @@
 Test(SettingsPage, givesTheDefaultsOfTheProgram)
 {
     const Settings settings;
-    const std::vector<std::pair<std::string, std::int64_t>> defaults {
+    struct Default {
+        std::string key;
+        std::int64_t value { 0 };
+    };
+    const std::vector<Default> defaults {
         { "control.lease_ms", settings.lease.count },
         { "control.session_timeout_ms", settings.sessionTimeout.count },
         { "control.heartbeat_ms", settings.heartbeat.count },
@@ -122,11 +126,12 @@
         { "shutdown.grace_ms", settings.shutdownGrace.count },
     };
     const auto rows = rowsOfPage();
-    for (const auto& [key, value] : defaults) {
-        const auto row = std::find_if(rows.begin(), rows.end(), [&key](const Row& each) { return each.key == key; });
-        cr_assert(row != rows.end(), "no row for %s", key.c_str());
-        const std::string expected = fmt::format("`{}`", value);
-        cr_assert(row->byDefault == expected, "%s: expected %s, got %s", key.c_str(), expected.c_str(),
+    for (const auto& each : defaults) {
+        const auto row
+            = std::find_if(rows.begin(), rows.end(), [&each](const Row& candidate) { return candidate.key == each.key; });
+        cr_assert(row != rows.end(), "no row for %s", each.key.c_str());
+        const std::string expected = fmt::format("`{}`", each.value);
+        cr_assert(row->byDefault == expected, "%s: expected %s, got %s", each.key.c_str(), expected.c_str(),
             row->byDefault.c_str());
     }
 }
--- a/test/policy/JobTableTest.cpp
+++ b/test/policy/JobTableTest.cpp
@@ -184,3 +184,121 @@
     table.tick(end + Milliseconds { 1 });
     cr_assert(!table.answer(jobOf(1).key).has_value());
 }
+
+Test(JobTable, keepsAResultThatOvertakesTheAnswerToTheCollectCall)
+{
+    JobTable table({});
+    table.adopt(jobOf(2), "digest", 2, 1, { sidecarOne });
+    TaskResult ended { .key = jobOf(1).key, .task = 0, .attempt = 1, .epoch = 2, .outcome = TaskOutcome::Done };
+    ended.body = "first";
+    cr_assert(table.result(sidecarOne, ended));
+    cr_assert(!table.result(sidecarOne, ended), "a doubled early result changes nothing");
+    cr_assert(!table.result(sidecarTwo, ended), "a sidecar that is not asked holds nothing");
+    TaskResult running = ended;
+    running.outcome = TaskOutcome::Running;
+    table.collected(jobOf(1).key, sidecarOne, { running });
+    const auto taken = table.take("service", sidecarOne, 2);
+    cr_assert(taken.size() == 1, "expected the task that never started, actual %zu tasks", taken.size());
+    cr_assert(table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Done, "second")));
+    cr_assert(stateOf(table) == JobState::Complete);
+    cr_assert(table.answer(jobOf(1).key)->results[0] == "first");
+}
+
+Test(JobTable, doesNotSayThatARequestDidNotRunAfterAnUnknownAttempt)
+{
+    JobTable table({ .maxAttempts = 2 });
+    table.add(jobOf(1, true), "digest", 1, 1);
+    const auto first = table.take("service", sidecarOne, 1);
+    cr_assert(table.result(sidecarOne, resultFor(first[0], TaskOutcome::Unknown)));
+    const auto second = table.take("service", sidecarTwo, 1);
+    cr_assert(table.result(sidecarTwo, resultFor(second[0], TaskOutcome::NotStarted)));
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->state == JobState::Failed);
+    cr_assert(answer->error->ran == Ran::Unknown, "expected ran unknown, actual no");
+    cr_assert(answer->failures[0].outcome == TaskOutcome::Unknown);
+}
+
+Test(JobTable, doesNotSayThatACancelledRequestDidNotRunAfterAnUnknownAttempt)
+{
+    auto table = tableWith(jobOf(1, true));
+    const auto first = table.take("service", sidecarOne, 1);
+    cr_assert(table.result(sidecarOne, resultFor(first[0], TaskOutcome::Unknown)));
+    cr_assert(table.cancel(jobOf(1).key));
+    cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::Unknown, "expected ran unknown, actual no");
+}
+
+namespace {
+
+constexpr int tooManySends = 10'000;
+
+// Lets a sidecar refuse everything until the job has ended. Returns the number of sends.
+int refuseUntilEnd(JobTable& table)
+{
+    int sends = 0;
+    while (stateOf(table) == JobState::Running && sends < tooManySends) {
+        for (const auto& task : table.take("service", sidecarOne, 100)) {
+            ++sends;
+            table.result(sidecarOne, resultFor(task, TaskOutcome::NotStarted));
+        }
+    }
+    return sends;
+}
+
+} // namespace
+
+Test(JobTable, endsAtOnceAndTruthfullyWhenTheRetryBudgetIsSpent)
+{
+    JobTable table({ .maxAttempts = 100, .retries = { .share = 0, .reserve = 3 }, .comeBack = { 700 } });
+    table.add(jobOf(1), "digest", 1, 1);
+    const int sends = refuseUntilEnd(table);
+    cr_assert(sends == 4, "expected 1 attempt and 3 retries, got %d sends", sends);
+    const auto answer = table.answer(jobOf(1).key);
+    cr_assert(answer->error->code == ErrorCode::Overloaded);
+    cr_assert(answer->error->ran == Ran::No);
+    cr_assert(answer->error->retryAfter == Milliseconds { 700 });
+}
+
+Test(JobTable, triesATaskNoMoreThanItsAttempts)
+{
+    JobTable table({ .maxAttempts = 4 });
+    table.add(jobOf(1), "digest", 1, 1);
+    const int sends = refuseUntilEnd(table);
+    cr_assert(sends == 4, "expected 4 sends, got %d", sends);
+    cr_assert(table.answer(jobOf(1).key)->error->code == ErrorCode::MinionRefused);
+    cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::No);
+}
+
+Test(JobTable, retriesOfManyTasksStayWithinTheShare)
+{
+    JobTable table({ .maxAttempts = 100, .retries = { .share = 0.2, .reserve = 10 } });
+    table.add(jobOf(990), "digest", 1, 1);
+    const int sends = refuseUntilEnd(table);
+    cr_assert(sends <= 990 + 10 + 198, "expected at most 1198 sends, got %d", sends);
+}
+
+Test(JobTable, anUnknownEndIsTriedAgainOnlyWhenIdempotentAndWithinTheBudget)
+{
+    for (const bool idempotent : { false, true }) {
+        JobTable table({ .maxAttempts = 100, .retries = { .share = 0, .reserve = 2 } });
+        table.add(jobOf(1, idempotent), "digest", 1, 1);
+        int sends = 0;
+        while (stateOf(table) == JobState::Running && sends < tooManySends) {
+            ++sends;
+            const auto taken = table.take("service", sidecarOne, 1);
+            cr_assert(taken.size() == 1);
+            table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Unknown));
+        }
+        const int expected = idempotent ? 3 : 1;
+        cr_assert(sends == expected, "expected %d sends, got %d", expected, sends);
+        cr_assert(table.answer(jobOf(1).key)->error->ran == Ran::Unknown);
+    }
+}
+
+Test(JobTable, anIdempotentTaskIsNotTriedAgainAfterItsDeadline)
+{
+    auto table = tableWith(jobOf(1, true));
+    const auto taken = table.take("service", sidecarOne, 1);
+    table.tick(deadline);
+    table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Unknown));
+    cr_assert(stateOf(table) == JobState::Failed, "a task that can no longer start must not wait for ever");
+}
