Logical time runs at least with the wall clock

Cause: Lamport counts of idle or restarted processes are low, so their events stood far before others that had happened earlier.

--- a/src/base/EventRing.cpp
+++ b/src/base/EventRing.cpp
@@ -47,13 +47,13 @@
 {
 }
 
-void EventRing::record(EventKind kind, const EventFields& fields)
+void EventRing::record(EventKind kind, const EventFields& fields, Milliseconds unixTime)
 {
     m_events.push_back({ .kind = kind,
         .instance = m_instance,
         .sequence = ++m_sequence,
-        .logical = m_clock.next(),
-        .unixTime = Clock::unixNow(),
+        .logical = m_clock.next(unixTime),
+        .unixTime = unixTime,
         .job = fields.job ? *fields.job : JobKey {},
         .task = fields.task,
         .detail = fields.detail });
--- a/src/base/EventRing.h
+++ b/src/base/EventRing.h
@@ -66,7 +66,7 @@
     // Events take their logical time from the clock, which must outlive this object.
     EventRing(std::string instance, std::size_t capacity, LogicalClock&);
 
-    void record(EventKind, const EventFields& = {});
+    void record(EventKind, const EventFields& = {}, Milliseconds unixTime = Clock::unixNow());
 
     // Events with a sequence number above `after`, in order.
     std::vector<Event> since(std::uint64_t after) const;
--- a/src/cli/TimelineCommand.cpp
+++ b/src/cli/TimelineCommand.cpp
@@ -89,7 +89,7 @@
 
     void printEvent(const Event& event)
     {
-        fmt::print("{:>8} {} {:<16} {:<21}", event.logical, utcText(event.unixTime), event.instance,
+        fmt::print("{} {} {:<16} {:<21}", event.logical, utcText(event.unixTime), event.instance,
             eventKindName(event.kind));
         if (!event.job.job.empty())
             fmt::print(" job={}/{}", event.job.caller, event.job.job);
--- a/test/base/EventRingTest.cpp
+++ b/test/base/EventRingTest.cpp
@@ -25,6 +25,8 @@
 
     LogicalClock clock;
     EventRing ring;
+    // Wall clock, which may jump.
+    Milliseconds wall {};
     std::set<std::string> known;
 };
 
@@ -62,16 +64,13 @@
         }
     }
 
-    // Every event, under wall clocks that have nothing to do with one another.
+    // Every event, under wall clocks that jump and have nothing to do with one another.
     std::vector<Event> events()
     {
         std::vector<Event> all;
         for (const auto& node : m_nodes) {
-            const std::int64_t offset = static_cast<std::int64_t>(below(1'000'000));
-            for (auto event : node->ring.since(0)) {
-                event.unixTime = { offset + static_cast<std::int64_t>(below(1'000)) };
-                all.push_back(event);
-            }
+            const auto events = node->ring.since(0);
+            all.insert(all.end(), events.begin(), events.end());
         }
         std::shuffle(all.begin(), all.end(), m_random);
         return all;
@@ -85,7 +84,8 @@
 
     void record(Node& node)
     {
-        node.ring.record(EventKind::TaskQueued);
+        node.wall = { static_cast<std::int64_t>(below(1'000'000)) };
+        node.ring.record(EventKind::TaskQueued, {}, node.wall);
         const auto name = nameOf(node.ring.since(0).back());
         m_causes[name] = node.known;
         node.known.insert(name);
@@ -132,6 +132,23 @@
     cr_assert(merged[0].instance == "b", "expected b first, got %s", merged[0].instance.c_str());
 }
 
+Test(EventRing, independentEventsStandAsTheyHappenedWhenTheClocksAgree)
+{
+    LogicalClock busyClock;
+    LogicalClock idleClock;
+    EventRing busy("busy", 10'000, busyClock);
+    EventRing idle("idle", 10'000, idleClock);
+    for (int i = 0; i < 500; ++i)
+        busy.record(EventKind::TaskQueued, {}, { 1'000 });
+    idle.record(EventKind::ProcessStarted, {}, { 1'001 });
+    busy.record(EventKind::TaskQueued, {}, { 1'002 });
+    auto all = busy.since(0);
+    all.push_back(idle.since(0).front());
+    const auto merged = mergeEvents(all);
+    cr_assert(merged[500].instance == "idle", "expected the idle process at 500, got %s",
+        merged[500].instance.c_str());
+}
+
 Test(EventRing, countsWhatItForgets)
 {
     LogicalClock clock;
