--- a/src/entry/AdmissionFilter.cpp
+++ b/src/entry/AdmissionFilter.cpp
@@ -1,5 +1,6 @@
 #include "entry/Submission.h"
 #include "policy/Admission.h"
+#include "policy/FairQueue.h"
 
 #include <fmt/format.h>
 
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -51,17 +51,22 @@
         std::optional<ExchangeResponse> answered;
         Reply parked;
         Milliseconds parkedAt {};
+        bool broughtResults { false };
     };
     struct Sidecar {
         Member member;
         std::uint64_t granted { 0 };
         std::uint64_t sent { 0 };
+        bool leaving { false };
         bool knowsOfQueue { false };
         std::vector<CancelOrder> cancels;
         ChannelState poll;
         ChannelState report;
 
-        std::int64_t credit() const { return static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent); }
+        std::int64_t credit() const
+        {
+            return leaving ? 0 : static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent);
+        }
     };
 
     MinionHealth& healthOf(const Sidecar&);
@@ -69,6 +74,8 @@
     std::optional<Error> refusalFor(const ExchangeRequest&) const;
     void takeResults(const ExchangeRequest&);
     ExchangeResponse respondTo(Sidecar&, ChannelState&, std::vector<TaskAssignment>);
+    // An exchange that carries neither result nor task nor cancellation is counted as empty.
+    void countExchange(ChannelState&, const ExchangeResponse&);
     void answerPoll(Sidecar&, std::vector<TaskAssignment>);
     void assign();
     void collectCancellations();
--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -21,7 +21,8 @@
         .body = reason };
 }
 
-std::optional<TaskResult> SidecarLedger::accept(const SessionId& entry, const TaskAssignment& assignment)
+std::optional<TaskResult> SidecarLedger::accept(
+    const SessionId& entry, const TaskAssignment& assignment, std::int64_t teamWeight)
 {
     JobRecord& job = m_jobs[assignment.key];
     if (assignment.epoch < job.epoch)
@@ -39,8 +40,8 @@
         if (!mayStartAgain || assignment.attempt <= record.assignment.attempt)
             return std::nullopt;
     }
-    record = Record { .state = State::Queued, .assignment = assignment, .result = {} };
-    m_queue.push(assignment.team, 1, { .key = assignment.key, .task = assignment.task });
+    record = Record { .state = State::Queued, .assignment = assignment, .result = {}, .teamWeight = teamWeight };
+    m_queue.push(assignment.team, teamWeight, { .key = assignment.key, .task = assignment.task });
     return std::nullopt;
 }
 
@@ -60,7 +61,7 @@
         }
         if (!fits(record.assignment.needs)) {
             // It keeps its turn, so that small tasks that come later cannot starve it.
-            m_queue.pushFront(record.assignment.team, 1, *next);
+            m_queue.pushFront(record.assignment.team, record.teamWeight, *next);
             break;
         }
         record.state = State::Running;
@@ -191,6 +192,19 @@
     return returned;
 }
 
+std::vector<TaskResult> SidecarLedger::loseRunning()
+{
+    std::vector<std::string> runs;
+    for (const auto& [run, task] : m_runs)
+        runs.push_back(run);
+    std::vector<TaskResult> lost;
+    for (const auto& run : runs) {
+        if (const auto result = ended(run, TaskOutcome::Unknown, "the minion is lost", {}))
+            lost.push_back(*result);
+    }
+    return lost;
+}
+
 std::optional<SessionId> SidecarLedger::ownerOf(const JobKey& key) const
 {
     const auto job = m_jobs.find(key);
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -35,9 +35,10 @@
 public:
     explicit SidecarLedger(const SidecarLedgerOptions&);
 
-    // Queues an assignment. Returns the answer to send at once when it is refused; a refusal is always NotStarted.
+    // Queues an assignment; teams take turns by weight whichever entry sent their tasks. Returns the answer to send at once when it is refused; a refusal is always NotStarted.
     // Nothing is returned for an assignment that is queued or already known.
-    std::optional<TaskResult> accept(const SessionId& entry, const TaskAssignment&);
+    std::optional<TaskResult> accept(
+        const SessionId& entry, const TaskAssignment&, std::int64_t teamWeight = 1);
 
     struct NextStart {
         std::optional<TaskStart> start;
@@ -67,6 +68,9 @@
     // Gives every queued task back as not started: lease lost, data centre out, or shutdown.
     std::vector<TaskResult> returnQueued();
 
+    // Ends every run as unknown: the minion is gone without a word.
+    std::vector<TaskResult> loseRunning();
+
     // Who is to hear of a job's results now.
     std::optional<SessionId> ownerOf(const JobKey&) const;
 
@@ -86,6 +90,7 @@
         State state { State::Queued };
         TaskAssignment assignment;
         TaskResult result;
+        std::int64_t teamWeight { 1 };
         // Name of the run; set while it runs.
         std::string run;
     };
--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -21,7 +21,7 @@
     // Member of the envelope that carries the sender's logical time.
     constexpr const char* logicalMember = "logical";
 
-    Json::Value envelope(const Json::Value& id, const Result<Json::Value>& result, const LogicalClock* clock)
+    Json::Value envelope(const Json::Value& id, Result<Json::Value>&& result, const LogicalClock* clock)
     {
         Json::Value value(Json::objectValue);
         value["jsonrpc"] = "2.0";
@@ -29,7 +29,7 @@
             value[logicalMember] = static_cast<Json::UInt64>(clock->stamp());
         value["id"] = id;
         if (result.has_value()) {
-            value["result"] = result.assume_value();
+            value["result"] = std::move(result).assume_value();
             return value;
         }
         value["error"]["code"] = applicationErrorCode;
@@ -64,11 +64,11 @@
     {
         if (!answer.has_value())
             return answer.assume_error();
-        const auto parsed = parseJson(answer.assume_value().body);
+        auto parsed = parseJson(answer.assume_value().body);
         if (!parsed.has_value())
             return unreadableAnswer(peer, "not JSON");
-        const Json::Value& value = parsed.assume_value();
-        const Json::Value& first = value.isArray() && !value.empty() ? value[0] : value;
+        Json::Value& value = parsed.assume_value();
+        Json::Value& first = value.isArray() && !value.empty() ? value[0] : value;
         const bool isAnswer = first.isObject() && first["jsonrpc"] == "2.0"
             && (first.isMember("result") || first["error"].isObject());
         if (!isAnswer)
@@ -77,7 +77,8 @@
             clock.witness(first[logicalMember].asUInt64());
         if (first.isMember("error"))
             return errorFromJson(first["error"]["data"], peer);
-        return first["result"];
+        // Moved, since a copy of a large answer costs as much as reading it.
+        return std::move(first["result"]);
     }
 
 } // namespace
@@ -97,7 +98,7 @@
 {
     const auto parsed = parseJson(request.body);
     if (!parsed.has_value()) {
-        responder->reply({ .status = 400, .body = writeJson(envelope({}, parsed.assume_error(), m_clock)) });
+        responder->reply({ .status = 400, .body = writeJson(envelope({}, Error(parsed.assume_error()), m_clock)) });
         return;
     }
     const Json::Value& body = parsed.assume_value();
@@ -115,7 +116,7 @@
         const Json::Value id = call.isObject() ? call["id"] : Json::Value();
         dispatch(call,
             [this, batch, i, id](
-                const Result<Json::Value>& result) { batch->finish(i, envelope(id, result, m_clock)); });
+                Result<Json::Value> result) { batch->finish(i, envelope(id, std::move(result), m_clock)); });
     }
 }
 
