--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -40,7 +40,7 @@
         if (!mayStartAgain || assignment.attempt <= record.assignment.attempt)
             return std::nullopt;
     }
-    record = Record { .state = State::Queued, .assignment = assignment, .result = {} };
+    record = Record { .state = State::Queued, .assignment = assignment, .result = {}, .teamWeight = teamWeight };
     m_queue.push(assignment.team, teamWeight, { .key = assignment.key, .task = assignment.task });
     return std::nullopt;
 }
@@ -61,7 +61,7 @@
         }
         if (!fits(record.assignment.needs)) {
             // It keeps its turn, so that small tasks that come later cannot starve it.
-            m_queue.pushFront(record.assignment.team, 1, *next);
+            m_queue.pushFront(record.assignment.team, record.teamWeight, *next);
             break;
         }
         record.state = State::Running;
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -90,6 +90,7 @@
         State state { State::Queued };
         TaskAssignment assignment;
         TaskResult result;
+        std::int64_t teamWeight { 1 };
         // Name of the run; set while it runs.
         std::string run;
     };
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -99,8 +99,6 @@
 
         void run()
         {
-            if (m_scenario["answers_may_be_lost"].value_or(false))
-                m_record.allowLostAnswers();
             m_deployment.startAll();
             if (const auto* steps = m_scenario["step"].as_array()) {
                 for (const auto& item : *steps)
