Placement by own tasks again: ranking by granted room does not pay

A try: rank sidecars by the room that they granted, which counts all entries' tasks, and treat room up to a quarter of the slots as busy. A granted room is never taken back, so it is often older than it looks; the next try should send the present room beside the grant.

Also: lint of the bench.

--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <numeric>
 #include <unistd.h>
@@ -46,7 +47,7 @@
     if (values.empty())
         return 0;
     std::sort(values.begin(), values.end());
-    const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1) + 0.5);
+    const auto index = static_cast<std::size_t>(std::lround(part * static_cast<double>(values.size() - 1)));
     return values[index];
 }
 
@@ -108,6 +109,7 @@
             .entries = m_size.entries }));
         // The time of a job without run time on idle processes: the hops that no policy can avoid.
         std::vector<WorkJob> probes;
+        probes.reserve(hopProbes);
         for (int i = 0; i < hopProbes; ++i)
             probes.push_back({ .at = hopProbeGap * i, .entry = i % m_size.entries, .team = "quiet", .caller = "quiet-1", .runMs = { 0 } });
         m_hopsMs = percentile(run(probes).times, 0.5);
--- a/src/policy/Placement.cpp
+++ b/src/policy/Placement.cpp
@@ -7,16 +7,13 @@
 
 namespace {
 
-    // A sidecar with less room than this part of its slots has little more than its prefetch left.
-    constexpr std::int64_t slotsPerLeastRoom = 4;
-
-    // Lower is better. The credit says more than the tasks of this entry: the sidecar gave it after all entries' tasks.
+    // Lower is better.
     auto rank(const SidecarCandidate& candidate)
     {
-        const std::int64_t slots = std::max<std::int64_t>(candidate.slots, 1);
-        const bool busy = candidate.outstanding >= candidate.slots || candidate.credit * slotsPerLeastRoom <= slots;
-        const double room = static_cast<double>(candidate.credit) / static_cast<double>(slots);
-        return std::make_tuple(busy, !candidate.sameDataCentre, -room);
+        const bool busy = candidate.outstanding >= candidate.slots;
+        const double load = static_cast<double>(candidate.outstanding)
+            / static_cast<double>(candidate.slots > 0 ? candidate.slots : 1);
+        return std::make_tuple(busy, !candidate.sameDataCentre, load);
     }
 
 } // namespace
--- a/src/policy/Placement.h
+++ b/src/policy/Placement.h
@@ -27,7 +27,7 @@
 std::int64_t sendable(const SidecarCandidate&);
 
 // Picks the sidecar for the next task: one with a slot that is free as far as this entry knows, then the nearest, then
-// the one with most room relative to its slots. Nothing when no candidate has credit.
+// the least loaded relative to its slots. Nothing when no candidate has credit.
 std::optional<std::size_t> pickSidecar(const std::vector<SidecarCandidate>&);
 
 } // namespace oleanderport
