--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -15,6 +15,8 @@
 struct SidecarLedgerOptions {
     // Tasks that the minion runs side by side.
     std::int64_t slots { 1 };
+    // What its running tasks may declare in all; zero means no bound.
+    TaskNeeds capacity;
     // Start of every run's name, so that runs of another life of the sidecar have other names.
     std::string runPrefix;
     // How long results stay after a job's deadline, for an entry that takes the job over.
@@ -60,6 +62,9 @@
     // Drops queued tasks of a job and names its runs to be stopped.
     Cancelled cancel(const CancelOrder&);
 
+    // What the task of a run declared; nothing when the run is not under way.
+    std::optional<TaskNeeds> needsOf(const std::string& run) const;
+
     // Gives every queued task back as not started: lease lost, data centre out, or shutdown.
     std::vector<TaskResult> returnQueued();
 
@@ -85,6 +90,8 @@
         State state { State::Queued };
         TaskAssignment assignment;
         TaskResult result;
+        // Name of the run; set while it runs.
+        std::string run;
     };
     struct JobRecord {
         std::uint64_t epoch { 0 };
@@ -101,6 +108,9 @@
     };
 
     void keepUntil(const JobKey&, JobRecord&, Milliseconds unixTime);
+    bool fits(const TaskNeeds&) const;
+    void occupy(const TaskNeeds&, std::int64_t sign);
+
     static TaskResult notStarted(const TaskAssignment&, const std::string& reason);
 
     SidecarLedgerOptions m_options;
@@ -110,6 +120,8 @@
     FairQueue m_queue;
     std::map<std::string, QueuedTask> m_runs;
     std::int64_t m_running { 0 };
+    // Sum of what running tasks declare.
+    TaskNeeds m_used;
     std::uint64_t m_lastRun { 0 };
 };
 
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -451,6 +451,13 @@
         a("error", m.error);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, SubmitHere& m)
+    {
+        a("spec", m.spec);
+        a("wait", m.wait);
+    }
+
     template <typename Archive>
     void fields(Archive& a, FindJobHere& m)
     {
@@ -731,6 +738,21 @@
         a("body", m.body);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, MinionRunUsage& m)
+    {
+        a("run", m.run);
+        a("cpuMillis", m.cpuMillis);
+        a("memoryMb", m.memoryMb);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, MinionUsage& m)
+    {
+        a("minion", m.minion);
+        a("runs", m.runs);
+    }
+
     template <typename Archive>
     void fields(Archive& a, MinionStop& m)
     {
@@ -780,6 +802,7 @@
 OLEANDERPORT_MESSAGE(JobKey)
 OLEANDERPORT_MESSAGE(JobAnswer)
 OLEANDERPORT_MESSAGE(FindJobHere)
+OLEANDERPORT_MESSAGE(SubmitHere)
 OLEANDERPORT_MESSAGE(NodeInfo)
 OLEANDERPORT_MESSAGE(SessionId)
 OLEANDERPORT_MESSAGE(Member)
@@ -809,6 +832,7 @@
 OLEANDERPORT_MESSAGE(MinionRun)
 OLEANDERPORT_MESSAGE(MinionRunAnswer)
 OLEANDERPORT_MESSAGE(MinionStop)
+OLEANDERPORT_MESSAGE(MinionUsage)
 
 #undef OLEANDERPORT_MESSAGE
 
