--- a/test/policy/UsageGuardTest.cpp
+++ b/test/policy/UsageGuardTest.cpp
@@ -62,6 +62,7 @@
 {
     auto usage = guard();
     std::vector<RunUsage> report;
+    report.reserve(10);
     for (int i = 0; i < 10; ++i)
         report.push_back(usageOf(std::to_string(i), declaredMb));
     for (int i = 0; i < 10; ++i)
