A claim that control does not decide says ran: unknown; control group under failure

Change: an undecided claim is asked again while the caller waits, then refused as unavailable, ran: unknown.

Planned returns (data centre out, a sidecar or minion leaving) no longer spend the retry budget; seen red without it (spendsNoRetryOnWhatIsGivenBackByPlan).

Event voter_admitted.

--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -110,6 +110,9 @@
     std::string body;
     // Time that the minion took.
     Milliseconds ranFor {};
+    // Given back because the sidecar, its minion or its data centre goes out of service. Placing it elsewhere is no
+    // retry of refused work.
+    bool byPlan { false };
 };
 
 // The two kinds of exchange that a sidecar keeps with each entry. An entry may hold a Poll until it has work;
--- a/src/base/EventRing.cpp
+++ b/src/base/EventRing.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr NameTable<EventKind, 22> eventKindNames { {
+    constexpr NameTable<EventKind, 23> eventKindNames { {
         { EventKind::ProcessStarted, "process_started" },
         { EventKind::ProcessStopping, "process_stopping" },
         { EventKind::SessionOpened, "session_opened" },
@@ -20,6 +20,7 @@
         { EventKind::DataCentreOut, "datacentre_out" },
         { EventKind::DataCentreIn, "datacentre_in" },
         { EventKind::LeaderElected, "leader_elected" },
+        { EventKind::VoterAdmitted, "voter_admitted" },
         { EventKind::MinionAnnounced, "minion_announced" },
         { EventKind::MinionLeft, "minion_left" },
         { EventKind::JobClaimed, "job_claimed" },
--- a/src/base/EventRing.h
+++ b/src/base/EventRing.h
@@ -24,6 +24,8 @@
     DataCentreOut,
     DataCentreIn,
     LeaderElected,
+    // This instance counts for a majority from here on.
+    VoterAdmitted,
     MinionAnnounced,
     MinionLeft,
     JobClaimed,
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -270,8 +270,12 @@
     m_applied = entry.index;
     if (entry.kind == RaftEntryKind::Configuration) {
         std::string members;
-        for (const auto& voter : entry.voters)
+        const RaftMember& self = m_store->stored().self;
+        for (const auto& voter : entry.voters) {
             members += fmt::format(" {}/{}", voter.address, voter.incarnation.substr(0, 8));
+            if (voter.address == self.address && voter.incarnation == self.incarnation)
+                m_process.events.record(EventKind::VoterAdmitted, { .detail = voter.incarnation });
+        }
         log(LogLevel::Info, { .step = "control.membership" }, "voters:" + members);
     }
     if (entry.kind != RaftEntryKind::Command)
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -144,12 +144,27 @@
         .deadlineUnix = attempt->spec.deadlineUnix };
     m_control.callTyped<ClaimResponse>(ControlClient::Lane::Work, "claim", request, claimTimeout,
         [this, attempt](const Result<ClaimResponse>& response) {
-            if (!response.has_value())
-                return finish(attempt, response.assume_error());
-            claimed(attempt, response.assume_value());
+            if (response.has_value())
+                return claimed(attempt, response.assume_value());
+            claimFailed(attempt, response.assume_error());
         });
 }
 
+void JobService::claimFailed(const std::shared_ptr<Attempt>& attempt, const Error& error)
+{
+    const bool isUndecided = error.code == ErrorCode::Unavailable || error.code == ErrorCode::NotLeader
+        || error.code == ErrorCode::Timeout;
+    if (!isUndecided)
+        return finish(attempt, error);
+    // A new leader is there within seconds, and asking again for a claim is harmless.
+    if (Clock::now() + retryPause < attempt->until)
+        return retryLater(attempt);
+    // Nothing of this submission has run, but an earlier one of the same job may have.
+    Error doubtful = unavailable("control does not answer");
+    doubtful.peer = error.peer;
+    finish(attempt, doubtful);
+}
+
 void JobService::claimed(const std::shared_ptr<Attempt>& attempt, const ClaimResponse& response)
 {
     if (!m_session.id() || response.owner != *m_session.id())
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -66,6 +66,7 @@
     }
     void claim(const std::shared_ptr<Attempt>&);
     void claimed(const std::shared_ptr<Attempt>&, const ClaimResponse&);
+    void claimFailed(const std::shared_ptr<Attempt>&, const Error&);
     void takeOver(const std::shared_ptr<Attempt>&, const ClaimResponse&);
     void collectFrom(const Member&, const CollectRequest&);
     void collectLater(const Member&, const CollectRequest&);
--- a/src/policy/JobTable.cpp
+++ b/src/policy/JobTable.cpp
@@ -190,17 +190,17 @@
     if (result.outcome == TaskOutcome::Running)
         return false;
     if (result.outcome == TaskOutcome::NotStarted)
-        requeue(*job, result.task);
+        requeue(*job, result.task, result.byPlan);
     else
         settle(*job, result.task, result.outcome, result.body);
     return true;
 }
 
-void JobTable::requeue(Job& job, std::uint32_t index)
+void JobTable::requeue(Job& job, std::uint32_t index, bool byPlan)
 {
     Task& task = job.tasks[index];
     m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
-    if (const auto refusal = refuseRetry(job, task))
+    if (const auto refusal = refuseRetry(job, task, byPlan))
         return giveUp(job, index, TaskOutcome::NotStarted, refusal->message, *refusal);
     task.state = TaskState::Queued;
     m_queues[job.spec.service].pushFront(job.spec.team, job.weight, { .key = job.spec.key, .task = index });
@@ -211,7 +211,7 @@
     Task& task = job.tasks[index];
     if (task.state == TaskState::Bound)
         m_bound[task.sidecar].erase({ .key = job.spec.key, .task = index });
-    if (outcome == TaskOutcome::Unknown && job.spec.idempotent && !refuseRetry(job, task)) {
+    if (outcome == TaskOutcome::Unknown && job.spec.idempotent && !refuseRetry(job, task, false)) {
         task.mayHaveStarted = true;
         enqueue(job, index);
         return;
@@ -225,7 +225,7 @@
         end(job, JobState::Complete);
 }
 
-std::optional<Error> JobTable::refuseRetry(const Job& job, const Task& task)
+std::optional<Error> JobTable::refuseRetry(const Job& job, const Task& task, bool byPlan)
 {
     const bool isPastDeadline = !m_deadlines.contains({ .at = job.spec.deadlineUnix, .key = job.spec.key });
     if (isPastDeadline)
@@ -234,7 +234,7 @@
     refusal.retryAfter = m_options.comeBack;
     if (task.attempt >= m_options.maxAttempts)
         return refusal;
-    if (m_retries.try_emplace(job.spec.service, m_options.retries).first->second.spend())
+    if (byPlan || m_retries.try_emplace(job.spec.service, m_options.retries).first->second.spend())
         return std::nullopt;
     refusal.code = ErrorCode::Overloaded;
     refusal.message = "no sidecar would start it, and the retry budget is spent";
--- a/src/policy/JobTable.h
+++ b/src/policy/JobTable.h
@@ -139,9 +139,9 @@
     void bindTo(Job&, std::uint32_t task, const SessionId&);
     void unbind(Task&);
     void settle(Job&, std::uint32_t task, TaskOutcome, const std::string& body);
-    void requeue(Job&, std::uint32_t task);
+    void requeue(Job&, std::uint32_t task, bool byPlan);
     // Why a task may not be tried again; nothing when it may, and the attempt is then paid for.
-    std::optional<Error> refuseRetry(const Job&, const Task&);
+    std::optional<Error> refuseRetry(const Job&, const Task&, bool byPlan);
     void giveUp(Job&, std::uint32_t task, TaskOutcome, const std::string& body, const Error&);
     void finishCollecting(Job&);
     bool keepEarly(Job&, const SessionId&, const TaskResult&);
--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -187,6 +187,7 @@
         Record& record = m_jobs.at(next->key).tasks.at(next->task);
         record.state = State::Ended;
         record.result = notStarted(record.assignment, "given back by the sidecar");
+        record.result.byPlan = true;
         returned.push_back(record.result);
     }
     return returned;
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -263,6 +263,7 @@
         a("outcome", m.outcome);
         a("body", m.body);
         a("ranFor", m.ranFor);
+        a("byPlan", m.byPlan);
     }
 
     template <typename Archive>
--- a/test/policy/JobTableTest.cpp
+++ b/test/policy/JobTableTest.cpp
@@ -302,3 +302,14 @@
     table.result(sidecarOne, resultFor(taken[0], TaskOutcome::Unknown));
     cr_assert(stateOf(table) == JobState::Failed, "a task that can no longer start must not wait for ever");
 }
+
+Test(JobTable, spendsNoRetryOnWhatIsGivenBackByPlan)
+{
+    JobTable table({ .retries = { .share = 0, .reserve = 0 } });
+    table.add(jobOf(1), "digest", 1, 1);
+    auto returned = resultFor(table.take("service", sidecarOne, 1)[0], TaskOutcome::NotStarted);
+    returned.byPlan = true;
+    cr_assert(table.result(sidecarOne, returned));
+    cr_assert(stateOf(table) == JobState::Running, "a planned return must not fail the job");
+    cr_assert(table.take("service", sidecarTwo, 1).size() == 1);
+}
