--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -135,6 +135,9 @@
     // Tasks that the entry may have sent to this sidecar in all since both sessions met. Cumulative, so that crossing
     // messages cannot make an entry send too much.
     std::uint64_t grantedTotal { 0 };
+    // Tasks that the sidecar has from this entry in all, and those of all entries that wait or run there now.
+    std::uint64_t receivedTotal { 0 };
+    std::uint64_t load { 0 };
     std::vector<TaskResult> results;
     // The sidecar is leaving: the entry sends nothing further, whatever was granted.
     bool leaving { false };
--- a/src/entry/ExchangeServer.cpp
+++ b/src/entry/ExchangeServer.cpp
@@ -74,6 +74,7 @@
         .sameDataCentre = sidecar.member.node.dataCentre == m_process.settings.dataCentre,
         .slots = sidecar.member.node.slots,
         .outstanding = static_cast<std::int64_t>(m_jobs.outstanding(id)),
+        .load = sidecar.estimatedLoad(),
         .credit = sidecar.credit(),
         .allowance = healthOf(sidecar).allowance(id, Clock::now()) };
 }
@@ -102,6 +103,8 @@
     Sidecar& sidecar = m_sidecars.at(request.sidecar);
     ChannelState& channel = request.channel == Channel::Poll ? sidecar.poll : sidecar.report;
     sidecar.granted = std::max(sidecar.granted, request.grantedTotal);
+    sidecar.received = request.receivedTotal;
+    sidecar.load = request.load;
     sidecar.leaving = sidecar.leaving || request.leaving;
     const bool repeated = request.sequence == channel.sequence;
     if (repeated && channel.answered)
@@ -204,6 +207,7 @@
             batches[chosen.id].push_back(std::move(taken.front()));
             --chosen.credit;
             ++chosen.outstanding;
+            ++chosen.load;
         }
     }
     for (auto& [id, tasks] : batches)
--- a/src/entry/ExchangeServer.h
+++ b/src/entry/ExchangeServer.h
@@ -6,6 +6,7 @@
 #include "policy/RunTimes.h"
 #include "wire/Process.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,6 +58,9 @@
         Member member;
         std::uint64_t granted { 0 };
         std::uint64_t sent { 0 };
+        // What the sidecar said last: tasks that it had from this entry, and its tasks of all entries.
+        std::uint64_t received { 0 };
+        std::uint64_t load { 0 };
         bool leaving { false };
         bool knowsOfQueue { false };
         std::vector<CancelOrder> cancels;
@@ -67,6 +71,9 @@
         {
             return leaving ? 0 : static_cast<std::int64_t>(granted) - static_cast<std::int64_t>(sent);
         }
+
+        // What was sent since then is on its way or has arrived.
+        std::int64_t estimatedLoad() const { return static_cast<std::int64_t>(load + sent - std::min(received, sent)); }
     };
 
     MinionHealth& healthOf(const Sidecar&);
--- a/src/policy/Placement.cpp
+++ b/src/policy/Placement.cpp
@@ -10,8 +10,8 @@
     // Lower is better.
     auto rank(const SidecarCandidate& candidate)
     {
-        const bool busy = candidate.outstanding >= candidate.slots;
-        const double load = static_cast<double>(candidate.outstanding)
+        const bool busy = candidate.load >= candidate.slots;
+        const double load = static_cast<double>(candidate.load)
             / static_cast<double>(candidate.slots > 0 ? candidate.slots : 1);
         return std::make_tuple(busy, !candidate.sameDataCentre, load);
     }
--- a/src/policy/Placement.h
+++ b/src/policy/Placement.h
@@ -17,6 +17,8 @@
     std::int64_t slots { 0 };
     // Tasks that this entry has sent there and that have not ended.
     std::int64_t outstanding { 0 };
+    // Tasks of all entries there, as far as known.
+    std::int64_t load { 0 };
     // Further tasks that the sidecar allows this entry to send.
     std::int64_t credit { 0 };
     // Most tasks that this entry may have there, by the minion's record; nothing for no bound.
--- a/src/sidecar/EntryLink.cpp
+++ b/src/sidecar/EntryLink.cpp
@@ -79,6 +79,8 @@
         .channel = state.channel,
         .sequence = state.sequence,
         .grantedTotal = m_granted,
+        .receivedTotal = m_received,
+        .load = m_callbacks.load(),
         .results = state.pending,
         .leaving = state.leaving };
     const std::weak_ptr<bool> alive = m_alive;
--- a/src/sidecar/EntryLink.h
+++ b/src/sidecar/EntryLink.h
@@ -20,6 +20,8 @@
         std::function<void(const ExchangeResponse&)> received;
         // Tasks that this sidecar could take right now.
         std::function<std::uint64_t()> room;
+        // Tasks that wait or run at this sidecar, of all entries.
+        std::function<std::uint64_t()> load;
     };
 
     EntryLink(EventLoop&, const SessionId& sidecar, const SessionId& entry, const std::string& address, Callbacks);
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -245,7 +245,8 @@
         m_life->links[entry] = std::make_unique<EntryLink>(m_process.loop, *m_session.id(), entry, member.node.address,
             EntryLink::Callbacks {
                 .received = [this, entry](const ExchangeResponse& response) { received(entry, response); },
-                .room = [this] { return room(); } });
+                .room = [this] { return room(); },
+                .load = [this] { return static_cast<std::uint64_t>(m_life->ledger->running()) + m_life->ledger->queued(); } });
     }
 }
 
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -274,6 +274,8 @@
         a("channel", m.channel);
         a("sequence", m.sequence);
         a("grantedTotal", m.grantedTotal);
+        a("receivedTotal", m.receivedTotal);
+        a("load", m.load);
         a("results", m.results);
         a("leaving", m.leaving);
     }
