--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -13,6 +13,8 @@
 namespace {
 
     constexpr Milliseconds claimTimeout { 2'000 };
+    // Long enough for control to elect a leader.
+    constexpr Milliseconds claimPatience { 6'000 };
     constexpr Milliseconds collectTimeout { 2'000 };
     constexpr Milliseconds peerTimeout { 2'000 };
     // One question to another entry lasts at most this long; the asker then checks the claim again.
@@ -48,6 +50,8 @@
     JobSpec spec;
     std::string digest;
     Milliseconds until {};
+    // Given up then when control has not decided the claim.
+    Milliseconds claimBy {};
     JobReply reply;
     std::unique_ptr<EventLoop::Timer> pause;
 };
@@ -91,6 +95,7 @@
     attempt->spec = spec;
     attempt->digest = contentDigest(spec);
     attempt->until = Clock::now() + wait;
+    attempt->claimBy = Clock::now() + claimPatience;
     attempt->reply = reply;
     const Match match = m_jobs->match(spec.key, attempt->digest);
     if (match != Match::None)
@@ -157,7 +162,8 @@
     if (!isUndecided)
         return finish(attempt, error);
     // A new leader is there within seconds, and asking again for a claim is harmless.
-    if (Clock::now() + retryPause < attempt->until)
+    const Milliseconds now = Clock::now();
+    if (now + retryPause < std::min(attempt->until, attempt->claimBy))
         return retryLater(attempt);
     // Nothing of this submission has run, but an earlier one of the same job may have.
     Error doubtful = unavailable("control does not answer");
