--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -196,6 +196,8 @@
     std::int64_t cpuMillis { 0 };
     std::int64_t memoryMb { 0 };
     std::int64_t accelerators { 0 };
+    // "IP:port" at which a sidecar accepts streams from entries for best-effort jobs; absent where it serves none.
+    std::optional<std::string> streamAddress;
 };
 
 // A live session as control sees it.
@@ -230,12 +232,40 @@
     std::vector<std::string> dataCentres;
 };
 
+// A queue takes best-effort jobs at one place of the HTTP name space and has their tasks run by one service.
+struct QueueConfig {
+    std::string name;
+    // Host header and path prefix by which callers name the queue. The longest prefix that fits wins.
+    std::string host;
+    std::string pathPrefix;
+    std::string service;
+    // 0 comes first.
+    std::int64_t priority { 0 };
+    // Failed runs of one task after which its job has failed.
+    std::int64_t maxAttempts { 1 };
+    // Latency objective of a job: `stretchPercent` hundredths of its longest chain of work, and `latencyAllowance` more.
+    std::int64_t stretchPercent { 100 };
+    Milliseconds latencyAllowance {};
+    // Longest time that a caller is kept waiting when it names no deadline of its own.
+    Milliseconds timeLimit {};
+    // Why jobs of this queue cannot be taken; absent when they can.
+    std::optional<std::string> unsupported;
+};
+
+// The queues of a deployment. Its author numbers the versions; the highest one is in force.
+struct QueueCatalogue {
+    std::uint64_t version { 0 };
+    std::vector<QueueConfig> queues;
+};
+
 // What entries and sidecars know of the system. Versions only go up.
 struct ClusterView {
     std::uint64_t version { 0 };
     EnvironmentConfig config;
     std::vector<std::string> dataCentresOut;
     std::vector<Member> members;
+    // Absent until a first one was published.
+    std::optional<QueueCatalogue> catalogue;
 };
 
 // What leads from one version of a view to a later one.
@@ -247,6 +277,7 @@
     std::optional<std::vector<std::string>> dataCentresOut;
     std::vector<SessionId> left;
     std::vector<Member> joined;
+    std::optional<QueueCatalogue> catalogue;
 };
 
 struct OpenSessionRequest {
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -78,6 +78,8 @@
         section.time("lease_ms", settings.lease, timeRange);
         section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
         section.time("heartbeat_ms", settings.heartbeat, timeRange);
+        section.time("timeout_ms", settings.controlTimeout, timeRange);
+        section.texts("data_centres", settings.declaredDataCentres);
         if (settings.heartbeat * 2 > settings.lease)
             section.fault("heartbeat_ms", "expected at most half of lease_ms");
         if (settings.sessionTimeout < settings.lease)
@@ -101,6 +103,7 @@
         section.number("prefetch", settings.prefetch, { 0, 1'000 });
         section.time("max_run_time_ms", settings.maxRunTime, timeRange);
         section.time("minion_timeout_ms", settings.minionTimeout, timeRange);
+        section.text("stream_listen", settings.streamListen);
         section.finish();
     }
 
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -34,6 +34,10 @@
     Milliseconds lease { 3'000 };
     Milliseconds sessionTimeout { 5'000 };
     Milliseconds heartbeat { 500 };
+    // Longest that a process waits for control to answer one of its session's calls.
+    Milliseconds controlTimeout { 3'000 };
+    // Data centres that operators may take out although no document names them.
+    std::vector<std::string> declaredDataCentres;
 
     // [limits]
     std::int64_t maxBodyBytes { 8 * 1024 * 1024 };
@@ -47,6 +51,8 @@
     std::int64_t prefetch { 2 };
     Milliseconds maxRunTime { 60'000 };
     Milliseconds minionTimeout { 3'000 };
+    // Where a sidecar of best-effort jobs accepts the streams of entries.
+    std::string streamListen;
 
     // [shutdown]
     Milliseconds shutdownGrace { 30'000 };
--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -26,6 +26,8 @@
     template <>
     constexpr const char* kindOf<DataCentreChange> = "dataCentre";
     template <>
+    constexpr const char* kindOf<PublishCatalogue> = "catalogue";
+    template <>
     constexpr const char* kindOf<AcceptDocument> = "document";
     template <>
     constexpr const char* kindOf<PromoteDocument> = "promote";
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -27,7 +27,7 @@
 Result<void> ControlServer::start()
 {
     BOOST_OUTCOME_TRYV(m_replicator->start());
-    BOOST_OUTCOME_TRYV(m_process.listen({}));
+    BOOST_OUTCOME_TRYV(m_process.listen(m_httpHandler));
     m_timer = m_process.loop.every(tickPeriod, [this] { tick(); });
     return boost::outcome_v2::success();
 }
--- a/src/control/ControlServer.h
+++ b/src/control/ControlServer.h
@@ -19,6 +19,11 @@
     Result<void> start() override;
     void shutDown(std::function<void()> done) override;
 
+    // Serves what is not one of this process's own paths. Has to be set before start().
+    void setHttpHandler(HttpHandler handler) { m_httpHandler = std::move(handler); }
+    OperatorMethods& operators() { return m_operatorMethods; }
+    Process& process() { return m_process; }
+
 private:
     template <typename Response>
     using Reply = std::function<void(Result<Response>)>;
@@ -33,6 +38,7 @@
     std::unique_ptr<Replicator> m_replicator;
     SessionTimers m_timers;
     OperatorMethods m_operatorMethods;
+    HttpHandler m_httpHandler;
     std::unique_ptr<EventLoop::Timer> m_timer;
     Milliseconds m_lastTick {};
 };
--- a/src/control/OperatorMethods.cpp
+++ b/src/control/OperatorMethods.cpp
@@ -78,6 +78,10 @@
     addQueries();
     addDocumentChanges();
     addDataCentreChange();
+    m_process.rpc.addTyped<PublishCatalogue, CataloguePublished>(
+        "publishQueues", [this](const PublishCatalogue& request, const Reply<CataloguePublished>& reply) {
+            publishCatalogue(request, reply);
+        });
 }
 
 Result<const EnvironmentRecord*> OperatorMethods::environment(const std::string& name) const
@@ -223,8 +227,32 @@
         });
 }
 
-void OperatorMethods::changeDataCentre(const DataCentreChange& change, const Reply<DataCentreChanged>& reply)
+void OperatorMethods::publishCatalogue(const PublishCatalogue& request, const Reply<CataloguePublished>& reply)
+{
+    m_replicator.propose(request,
+        forward<CataloguePublished, CataloguePublished>(reply, [this](const CataloguePublished& published) {
+            if (published.changed)
+                m_process.events.record(
+                    EventKind::ConfigurationApplied, { .detail = fmt::format("queues version {}", published.version) });
+            return published;
+        }));
+}
+
+Result<std::string> OperatorMethods::catalogueSource() const
+{
+    if (const auto refusal = refusalUnlessLeader(m_replicator))
+        return *refusal;
+    const auto& source = m_replicator.state().catalogueSource();
+    if (!source)
+        return refuse(ErrorCode::NotFound, "control.catalogue", "no catalogue of queues was published yet");
+    return *source;
+}
+
+void OperatorMethods::changeDataCentre(DataCentreChange change, const Reply<DataCentreChanged>& reply)
 {
+    const auto& declared = m_process.settings.declaredDataCentres;
+    if (std::find(declared.begin(), declared.end(), change.dataCentre) != declared.end())
+        change.declared = true;
     const auto checked = checkAuthor(change.author, change.reason);
     if (!checked.has_value())
         return reply(checked.assume_error());
--- a/src/control/OperatorMethods.h
+++ b/src/control/OperatorMethods.h
@@ -13,12 +13,20 @@
 public:
     OperatorMethods(Process&, Replicator&, const SessionTimers&);
 
+    template <typename Response>
+    using Reply = std::function<void(Result<Response>)>;
+
     // Adds the methods to the process's table.
     void add();
 
+    // Puts a catalogue of queues in force. One whose version is not above the one in force changes nothing.
+    void publishCatalogue(const PublishCatalogue&, const Reply<CataloguePublished>&);
+    // The catalogue in force as its author sent it; NotFound before a first one, NotLeader where this instance may not
+    // answer.
+    Result<std::string> catalogueSource() const;
+    void changeDataCentre(DataCentreChange, const Reply<DataCentreChanged>&);
+
 private:
-    template <typename Response>
-    using Reply = std::function<void(Result<Response>)>;
 
     void addQueries();
     void addDocumentChanges();
@@ -32,7 +40,6 @@
     bool isResend(const std::string& environment, const std::string& changeId) const;
     void applyDocument(const ApplyDocument&, const Reply<DocumentApplied>&);
     void promoteDocument(const PromoteDocument&, const Reply<DocumentApplied>&);
-    void changeDataCentre(const DataCentreChange&, const Reply<DataCentreChanged>&);
 
     Process& m_process;
     Replicator& m_replicator;
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <random>
 
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -134,11 +133,10 @@
     m_snapshotIndex = 0;
     if (stored.snapshot)
         install(*stored.snapshot);
-    std::random_device device;
     const RaftOptions options { .peers = m_process.settings.controlPeers,
         .bootstrap = m_process.settings.bootstrap,
         .maxBytesPerMessage = messageLimit(m_process.settings),
-        .seed = (static_cast<std::uint64_t>(device()) << 32U) | device() };
+        .seed = makeRandomSeed() };
     m_raft = std::make_unique<Raft>(options, stored, Clock::now());
     const std::uint64_t last = m_raft->lastIndex();
     log(LogLevel::Info, { .step = "control.start", .peer = stored.self.incarnation },
--- /dev/null
+++ b/src/entry/DispatchService.cpp
@@ -0,0 +1,182 @@
+#include "entry/DispatchService.h"
+
+#include "wire/DispatchCodec.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderport {
+
+namespace {
+
+    // Pause before a sidecar is connected to again.
+    constexpr Milliseconds reconnectPause { 100 };
+    // Times that are due within this span are handled together.
+    constexpr Milliseconds timerSlack { 2 };
+
+} // namespace
+
+DispatchService::DispatchService(Process& process)
+    : m_process(process)
+    , m_dispatcher({ .life = makeLifeName(process.settings.instance),
+          .dataCentre = process.settings.dataCentre,
+          .seed = makeRandomSeed() })
+{
+}
+
+void DispatchService::viewChanged(const ClusterView& view)
+{
+    m_wanted.clear();
+    std::size_t entries = 0;
+    for (const auto& member : view.members) {
+        if (member.node.role == Role::Entry)
+            ++entries;
+        if (member.node.role == Role::Sidecar && member.node.streamAddress)
+            m_wanted.insert(*member.node.streamAddress);
+    }
+    m_dispatcher.setEntries(entries);
+    m_dispatcher.setDataCentresOut(view.dataCentresOut);
+    for (const auto& address : m_wanted) {
+        if (!m_links.contains(address))
+            connect(address);
+    }
+    run();
+}
+
+std::size_t DispatchService::sidecars() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_links.begin(), m_links.end(), [](const auto& item) { return item.second.stream && item.second.heard; }));
+}
+
+void DispatchService::connect(const std::string& address)
+{
+    Link& link = m_links[address];
+    link.retry.reset();
+    link.heard = false;
+    link.stream = MessageStream::connect(m_process.loop, address,
+        { .received = [this, address](std::string_view message) { received(address, message); },
+            .closed = [this, address](const char* why) { disconnect(address, why); } });
+    if (!link.stream)
+        return;
+    m_dispatcher.connected(address, Clock::now());
+}
+
+void DispatchService::disconnect(const std::string& address, const char* why)
+{
+    Link& link = m_links.at(address);
+    if (link.heard) {
+        log(LogLevel::Warning, { .step = "dispatch.link", .peer = address },
+            fmt::format("{}; {} runs are there", why, m_dispatcher.runsAt(address)));
+    }
+    link.stream.reset();
+    link.heard = false;
+    m_dispatcher.disconnected(address);
+    link.retry = m_process.loop.once(reconnectPause, [this, address] {
+        // A sidecar that has left the view is dropped once nothing of it is awaited.
+        if (!m_wanted.contains(address) && m_dispatcher.runsAt(address) == 0) {
+            m_links.erase(address);
+            return;
+        }
+        connect(address);
+        run();
+    });
+    run();
+}
+
+void DispatchService::received(const std::string& address, std::string_view message)
+{
+    const auto frame = decodeSidecarFrame(message);
+    if (!frame.has_value()) {
+        logError(LogLevel::Error, frame.assume_error());
+        return;
+    }
+    Link& link = m_links.at(address);
+    if (!link.heard && !frame.assume_value().sidecar.empty()) {
+        link.heard = true;
+        log(LogLevel::Info, { .step = "dispatch.link", .peer = address }, "connected to " + frame.assume_value().sidecar);
+    }
+    m_dispatcher.received(address, frame.assume_value(), Clock::now());
+    run();
+}
+
+std::uint64_t DispatchService::submit(const DispatchJob& job, Reply reply)
+{
+    const std::uint64_t submission = m_dispatcher.submit(job, Clock::now());
+    m_replies[submission] = std::move(reply);
+    // The caller gets the number before the reply.
+    m_timer = m_process.loop.once({}, [this] { run(); });
+    m_timerAt = Milliseconds {};
+    return submission;
+}
+
+void DispatchService::abandon(std::uint64_t submission)
+{
+    if (m_replies.erase(submission) == 0)
+        return;
+    m_dispatcher.abandon(submission);
+    run();
+}
+
+bool DispatchService::cancel(const std::string& queue, const std::string& job)
+{
+    const bool found = m_dispatcher.cancel(queue, job);
+    if (found)
+        run();
+    return found;
+}
+
+void DispatchService::run()
+{
+    // A reply or a lost link may ask for more within the round.
+    m_runAgain = true;
+    if (m_running)
+        return;
+    m_running = true;
+    while (std::exchange(m_runAgain, false))
+        perform(m_dispatcher.act(Clock::now()));
+    m_running = false;
+    armTimer();
+}
+
+void DispatchService::perform(const DispatchActions& actions)
+{
+    for (const auto& item : actions.frames) {
+        const auto link = m_links.find(item.sidecar);
+        if (link != m_links.end() && link->second.stream)
+            link->second.stream->send(encodeFrame(item.frame));
+    }
+    for (const auto& end : actions.ends) {
+        const auto found = m_replies.find(end.submission);
+        if (found == m_replies.end())
+            continue;
+        const Reply reply = std::move(found->second);
+        m_replies.erase(found);
+        reply(end);
+    }
+    for (const auto& address : actions.reconnect)
+        disconnect(address, "no heartbeat");
+}
+
+void DispatchService::armTimer()
+{
+    const auto due = m_dispatcher.nextDue();
+    if (!due) {
+        m_timer.reset();
+        m_timerAt.reset();
+        return;
+    }
+    // An earlier timer stays; it finds nothing to do and waits again.
+    if (m_timer && m_timerAt && *m_timerAt <= *due && *m_timerAt > Clock::now())
+        return;
+    const Milliseconds delay { std::max<std::int64_t>((*due - Clock::now()).count, 0) + timerSlack.count };
+    m_timerAt = Clock::now() + delay;
+    m_timer = m_process.loop.once(delay, [this] {
+        m_timerAt.reset();
+        run();
+    });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/entry/DispatchService.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "policy/JobDispatcher.h"
+#include "wire/MessageStream.h"
+#include "wire/Process.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace oleanderport {
+
+// The best-effort jobs of one entry: keeps a stream to every sidecar of the view and carries out what the dispatcher
+// decides.
+class DispatchService {
+public:
+    using Reply = std::function<void(const DispatchEnd&)>;
+
+    explicit DispatchService(Process&);
+
+    void viewChanged(const ClusterView&);
+
+    // Replies once, never within this call. The number returned names the submission.
+    std::uint64_t submit(const DispatchJob&, Reply);
+    // The caller has gone; no reply follows.
+    void abandon(std::uint64_t submission);
+    // False when the job is not here.
+    bool cancel(const std::string& queue, const std::string& job);
+
+    // Jobs of the queue for which nothing has started.
+    std::size_t pending(const std::string& queue) const { return m_dispatcher.pending(queue); }
+    // Jobs whose callers wait.
+    std::size_t jobs() const { return m_dispatcher.jobs(); }
+    // Sidecars with an open stream on which something was heard.
+    std::size_t sidecars() const;
+
+private:
+    struct Link {
+        std::unique_ptr<MessageStream> stream;
+        std::unique_ptr<EventLoop::Timer> retry;
+        bool heard { false };
+    };
+
+    void connect(const std::string& address);
+    void disconnect(const std::string& address, const char* why);
+    void received(const std::string& address, std::string_view message);
+    // Carries out what is due, then waits for the next time.
+    void run();
+    void perform(const DispatchActions&);
+    void armTimer();
+
+    Process& m_process;
+    JobDispatcher m_dispatcher;
+    std::map<std::string, Link> m_links;
+    std::set<std::string> m_wanted;
+    std::map<std::uint64_t, Reply> m_replies;
+    std::unique_ptr<EventLoop::Timer> m_timer;
+    std::optional<Milliseconds> m_timerAt;
+    bool m_running { false };
+    bool m_runAgain { false };
+};
+
+} // namespace oleanderport
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -75,11 +75,16 @@
     : m_process(loop, settings)
     , m_control(loop, settings.controlPeers)
     , m_session(m_process, m_control,
-          { .viewChanged = [this](const ClusterView& view) { m_jobs.viewChanged(view); },
+          { .viewChanged =
+                  [this](const ClusterView& view) {
+                      m_jobs.viewChanged(view);
+                      m_dispatch.viewChanged(view);
+                  },
               .opened = [this](const SessionId& id) { m_jobs.sessionOpened(id); },
               .ended = [this] { m_jobs.sessionEnded(); },
               .leaseRenewed = {} })
     , m_jobs(m_process, m_control, m_session)
+    , m_dispatch(m_process)
     , m_random(std::random_device {}())
 {
     addRpcMethods();
@@ -195,7 +200,7 @@
 {
     if (!m_shutDownDone)
         return;
-    const bool settled = m_jobs.isIdle() && m_process.server->unsentReplies() == 0;
+    const bool settled = m_jobs.isIdle() && m_dispatch.jobs() == 0 && m_process.server->unsentReplies() == 0;
     if (!settled && Clock::now() < m_shutDownBy)
         return;
     m_process.server->stopAccepting();
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/DispatchService.h"
 #include "entry/JobService.h"
 #include "wire/ControlSession.h"
 #include "wire/Process.h"
@@ -18,6 +19,10 @@
     Result<void> start() override;
     void shutDown(std::function<void()> done) override;
 
+    Process& process() { return m_process; }
+    DispatchService& dispatch() { return m_dispatch; }
+    const ClusterView& view() const { return m_session.view(); }
+
 private:
     void addRpcMethods();
     void serveHttp(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
@@ -31,6 +36,7 @@
     ControlClient m_control;
     ControlSession m_session;
     JobService m_jobs;
+    DispatchService m_dispatch;
     std::mt19937_64 m_random;
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::function<void()> m_shutDownDone;
--- a/src/policy/ControlState.cpp
+++ b/src/policy/ControlState.cpp
@@ -80,6 +80,7 @@
     , m_environments(content.environments)
     , m_endedSidecars(content.endedSidecars)
     , m_dataCentreChanges(content.dataCentreChanges)
+    , m_catalogueSource(content.catalogueSource)
 {
     for (const auto& claim : content.claims) {
         const ClaimKey key { claim.environment, claim.key };
@@ -95,7 +96,8 @@
         .environments = m_environments,
         .claims = {},
         .endedSidecars = m_endedSidecars,
-        .dataCentreChanges = m_dataCentreChanges };
+        .dataCentreChanges = m_dataCentreChanges,
+        .catalogueSource = m_catalogueSource };
     content.claims.reserve(m_claims.size());
     for (const auto& [key, claim] : m_claims)
         content.claims.push_back(claim);
@@ -302,7 +304,7 @@
         return std::find(names.begin(), names.end(), request.dataCentre) != names.end();
     });
     // One that is out can come in again, also when no document names it any more.
-    if (!known && !isOut(request.dataCentre))
+    if (!known && !request.declared.value_or(false) && !isOut(request.dataCentre))
         return refuse(ErrorCode::NotFound, "control.datacentre", "no data centre " + request.dataCentre);
     DataCentreChanged changed;
     changed.changed = isOut(request.dataCentre) != request.out;
@@ -345,6 +347,20 @@
         *findEnvironment(productionEnvironment), documentChange(request, trial, m_nowUnix), refusal);
 }
 
+Result<ControlOutcome> ControlState::applyChange(const PublishCatalogue& request)
+{
+    EnvironmentRecord& production = *findEnvironment(productionEnvironment);
+    auto& inForce = production.view.catalogue;
+    const bool changes = !inForce || request.catalogue.version > inForce->version;
+    if (changes) {
+        inForce = request.catalogue;
+        m_catalogueSource = request.source;
+        recordViewChange(production, ViewChangeKind::Catalogue, {}, m_options.keptViewChanges);
+    }
+    return ControlOutcome(CataloguePublished {
+        .version = inForce->version, .changed = changes, .viewVersion = production.view.version });
+}
+
 Result<ControlOutcome> ControlState::changeDocument(
     EnvironmentRecord& environment, const DocumentChange& change, const std::optional<Error>& refusal)
 {
--- a/src/policy/ControlState.h
+++ b/src/policy/ControlState.h
@@ -18,12 +18,13 @@
 // One entry of control's log. The leader stamps it; a stamp never goes back.
 struct ControlCommand {
     Milliseconds stampUnix {};
-    std::variant<OpenSessionRequest, CloseSession, ClaimRequest, EndJobRequest, DataCentreChange, AcceptDocument, PromoteDocument>
+    std::variant<OpenSessionRequest, CloseSession, ClaimRequest, EndJobRequest, DataCentreChange, AcceptDocument, PromoteDocument,
+        PublishCatalogue>
         change;
 };
 
 // Result of applying a command, of the kind that belongs to it.
-using ControlOutcome = std::variant<Nothing, SessionId, ClaimResponse, DataCentreChanged, DocumentApplied>;
+using ControlOutcome = std::variant<Nothing, SessionId, ClaimResponse, DataCentreChanged, DocumentApplied, CataloguePublished>;
 
 struct ControlStateOptions {
     // How long a claim and an ended sidecar session are kept after the deadline of the jobs they matter to.
@@ -60,6 +61,8 @@
     bool isOut(const std::string& dataCentre) const;
     // Oldest first.
     const std::vector<DataCentreRecord>& dataCentreChanges() const { return m_dataCentreChanges; }
+    // Text of the catalogue of queues in force; nothing before a first one was published.
+    const std::optional<std::string>& catalogueSource() const { return m_catalogueSource; }
     FindJobResponse findJob(const FindJobRequest&) const;
     std::size_t claims() const { return m_claims.size(); }
     // Everything that is replicated.
@@ -75,6 +78,7 @@
     Result<ControlOutcome> applyChange(const DataCentreChange&);
     Result<ControlOutcome> applyChange(const AcceptDocument&);
     Result<ControlOutcome> applyChange(const PromoteDocument&);
+    Result<ControlOutcome> applyChange(const PublishCatalogue&);
 
     // Answers a resent change as before, refuses with the given error, or puts the document in force.
     Result<ControlOutcome> changeDocument(
@@ -93,6 +97,7 @@
     std::set<std::pair<Milliseconds, ClaimKey>> m_claimsByDeadline;
     std::vector<EndedSidecar> m_endedSidecars;
     std::vector<DataCentreRecord> m_dataCentreChanges;
+    std::optional<std::string> m_catalogueSource;
 };
 
 } // namespace oleanderport
--- /dev/null
+++ b/src/policy/JobDispatcher.cpp
@@ -0,0 +1,544 @@
+#include "policy/JobDispatcher.h"
+
+#include "oleanderport/NameTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr std::int64_t percent = 100;
+    constexpr std::int64_t thousandths = 1'000;
+    // A service is taken as absent once none of its sidecars was heard for this long; several heartbeats.
+    constexpr Milliseconds absentAfter { 2'000 };
+    // A new task counts one part of so many in the mean need.
+    constexpr std::int64_t meanCpuShare = 50;
+
+    constexpr NameTable<DispatchEndKind, 4> dispatchEndKindNames { {
+        { DispatchEndKind::Completed, "completed" },
+        { DispatchEndKind::Failed, "failed" },
+        { DispatchEndKind::Refused, "refused" },
+        { DispatchEndKind::Unfinished, "unfinished" },
+    } };
+
+} // namespace
+
+std::string_view dispatchEndKindName(DispatchEndKind kind) { return nameIn(dispatchEndKindNames, kind); }
+
+JobDispatcher::JobDispatcher(JobDispatcherOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+Milliseconds JobDispatcher::expectedRun(const QueueConfig& queue, const TaskNeeds& needs) const
+{
+    const auto learned = m_estimateError.find(queue.name);
+    const auto error = learned == m_estimateError.end() ? std::nullopt : learned->second.mean();
+    return { static_cast<std::int64_t>(static_cast<double>(needs.runTime.count) * error.value_or(thousandths) / thousandths) };
+}
+
+Milliseconds JobDispatcher::longestChain(const DispatchJob& job) const
+{
+    std::vector<Milliseconds> ends;
+    Milliseconds longest {};
+    for (const auto& step : job.steps) {
+        Milliseconds begin {};
+        for (const auto earlier : step.after)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + expectedRun(job.queue, step.needs));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::uint64_t JobDispatcher::submit(const DispatchJob& spec, Milliseconds now)
+{
+    const std::uint64_t submission = ++m_lastId;
+    const auto known = m_byName.find({ spec.queue.name, spec.name });
+    if (known != m_byName.end()) {
+        m_jobs.at(known->second).submissions.push_back(submission);
+        m_submissions[submission] = known->second;
+        return submission;
+    }
+    Job job { .spec = spec, .submissions = { submission }, .tasks = {}, .arrived = now };
+    for (const auto& step : spec.steps) {
+        job.tasks.emplace_back(step.count);
+        job.waiting += step.count;
+    }
+    job.left = job.waiting;
+    job.longestRun = longestChain(spec);
+    const Milliseconds objective = Milliseconds { job.longestRun.count * spec.queue.stretchPercent / percent } + spec.queue.latencyAllowance;
+    job.usefulUntil = std::min(spec.deadline, now + objective * m_options.usefulFactor);
+    job.urgentAt = now + objective + m_options.priorityStep * spec.queue.priority;
+    m_submissions[submission] = submission;
+    m_byName[{ spec.queue.name, spec.name }] = submission;
+    const auto reason = refusal(job, now);
+    const Job& added = m_jobs.emplace(submission, std::move(job)).first->second;
+    if (reason)
+        endJob(submission, DispatchEndKind::Refused, *reason, retryAfter(added));
+    else
+        m_queue.emplace(added.urgentAt, submission);
+    return submission;
+}
+
+std::optional<std::string> JobDispatcher::refusal(const Job& job, Milliseconds now) const
+{
+    bool present = false;
+    std::vector<bool> fitting(job.spec.steps.size(), false);
+    for (const auto& [name, link] : m_links) {
+        if (!link.known || link.state.service != job.spec.queue.service)
+            continue;
+        present = present || now <= link.heardAt + absentAfter;
+        for (std::size_t i = 0; i < fitting.size(); ++i)
+            fitting[i] = fitting[i] || fitsInto(link.state.capacity, job.spec.steps[i].needs);
+    }
+    if (!present)
+        return "no minion of the service is there";
+    if (std::find(fitting.begin(), fitting.end(), false) != fitting.end())
+        return "a task needs more than any minion has";
+    if (now + expectedWait(job) + job.longestRun > job.usefulUntil)
+        return "it would not be done in time by the work ahead of it";
+    return std::nullopt;
+}
+
+std::int64_t JobDispatcher::coresOf(const std::string& service) const
+{
+    std::int64_t cores = 0;
+    for (const auto& [name, link] : m_links) {
+        if (link.connected && link.greeted && link.state.accepting && link.state.service == service
+            && !m_dataCentresOut.contains(link.state.dataCentre))
+            cores += link.state.capacity.cpuMillis;
+    }
+    return cores;
+}
+
+Milliseconds JobDispatcher::expectedWait(const Job& job) const
+{
+    // Work in thousandths of a core times milliseconds.
+    std::int64_t ahead = 0;
+    for (const auto& [urgentAt, id] : m_queue) {
+        if (urgentAt > job.urgentAt)
+            break;
+        const Job& other = m_jobs.at(id);
+        if (other.spec.queue.service != job.spec.queue.service)
+            continue;
+        for (std::size_t i = 0; i < other.tasks.size(); ++i) {
+            const TaskNeeds& needs = other.spec.steps[i].needs;
+            const auto waiting = std::count_if(other.tasks[i].begin(), other.tasks[i].end(),
+                [](const Task& task) { return task.state == TaskState::Waiting; });
+            ahead += waiting * needs.cpuMillis * expectedRun(other.spec.queue, needs).count;
+        }
+    }
+    const std::int64_t share = coresOf(job.spec.queue.service) / static_cast<std::int64_t>(m_options.entries);
+    return { share > 0 ? ahead / share : 0 };
+}
+
+Milliseconds JobDispatcher::retryAfter(const Job& job)
+{
+    // Spread over as long again, so that those who were refused together do not return together.
+    const std::int64_t base = std::max(expectedWait(job), m_options.leastRetryAfter).count;
+    const std::int64_t spread = base + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(base + 1));
+    return { std::min(spread, m_options.mostRetryAfter.count) };
+}
+
+void JobDispatcher::abandon(std::uint64_t submission)
+{
+    const auto found = m_submissions.find(submission);
+    if (found == m_submissions.end())
+        return;
+    const std::uint64_t id = found->second;
+    Job& job = m_jobs.at(id);
+    std::erase(job.submissions, submission);
+    m_submissions.erase(found);
+    if (job.submissions.empty())
+        endJob(id, DispatchEndKind::Unfinished, "the caller has gone", {});
+}
+
+bool JobDispatcher::cancel(const std::string& queue, const std::string& name)
+{
+    const auto found = m_byName.find({ queue, name });
+    if (found == m_byName.end())
+        return false;
+    endJob(found->second, DispatchEndKind::Unfinished, "cancelled", {});
+    return true;
+}
+
+void JobDispatcher::connected(const std::string& sidecar, Milliseconds now)
+{
+    Link& link = m_links[sidecar];
+    link.connected = true;
+    link.greeted = false;
+    link.aliveAt = now;
+    link.framesSent = 0;
+    link.sent.clear();
+    link.next = EntryFrame { .entry = m_options.life };
+    for (const auto& [name, place] : link.outstanding) {
+        link.next.outstanding.push_back(name);
+        if (place.job == 0)
+            link.next.stops.push_back(name);
+    }
+    link.hasNext = true;
+}
+
+void JobDispatcher::disconnected(const std::string& sidecar)
+{
+    const auto found = m_links.find(sidecar);
+    if (found == m_links.end())
+        return;
+    found->second.connected = false;
+    found->second.greeted = false;
+    found->second.next = {};
+    found->second.hasNext = false;
+}
+
+void JobDispatcher::received(const std::string& sidecar, const SidecarFrame& frame, Milliseconds now)
+{
+    Link& link = m_links[sidecar];
+    if (!frame.sidecar.empty()) {
+        if (frame.sidecar != link.life) {
+            link.life = frame.sidecar;
+            link.clock = {};
+            link.endsSeen = 0;
+            link.endsAcknowledged = 0;
+        }
+        link.greeted = true;
+    }
+    link.heardAt = now;
+    link.aliveAt = now;
+    link.clock = std::max(link.clock, frame.clock);
+    std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
+    if (frame.state) {
+        link.state = *frame.state;
+        if (!link.known && link.state.capacity.cpuMillis > 0) {
+            link.known = true;
+            healthOf(link.state.service).add(healthId(sidecar), expectedSlots(link.state.capacity));
+        }
+    }
+    for (const auto& end : frame.ends)
+        takeEnd(link, sidecar, end, now);
+}
+
+std::int64_t JobDispatcher::expectedSlots(const TaskNeeds& capacity) const
+{
+    return std::max<std::int64_t>(capacity.cpuMillis / std::max<std::int64_t>(m_meanCpu, 1), 1);
+}
+
+void JobDispatcher::takeEnd(Link& link, const std::string& sidecar, const RunEnd& end, Milliseconds now)
+{
+    if (end.number <= link.endsSeen)
+        return;
+    link.endsSeen = end.number;
+    const auto found = link.outstanding.find(end.run);
+    if (found == link.outstanding.end())
+        return;
+    const TaskPlace place = found->second;
+    link.outstanding.erase(found);
+    runEnded(sidecar, place, end.run, end.kind, end.ranFor, now);
+}
+
+void JobDispatcher::runEnded(const std::string& sidecar, const TaskPlace& place, const RunName& name, RunEndKind kind,
+    Milliseconds ranFor, Milliseconds now)
+{
+    if (place.job == 0) {
+        const auto former = m_formerRuns.find(name.job);
+        if (former != m_formerRuns.end() && --former->second == 0)
+            m_formerRuns.erase(former);
+        return;
+    }
+    Job& job = m_jobs.at(place.job);
+    Task& task = job.tasks[place.step][place.index];
+    const DispatchStep& step = job.spec.steps[place.step];
+    MinionHealth& health = healthOf(job.spec.queue.service);
+    if (kind != RunEndKind::NotStarted)
+        job.ran = true;
+    --job.atSidecars;
+    if (kind == RunEndKind::Done) {
+        task.state = TaskState::Done;
+        health.record(healthId(sidecar), TaskOutcome::Done, ranFor, now);
+        if (step.needs.runTime.count > 0)
+            m_estimateError[job.spec.queue.name].record({ ranFor.count * thousandths / step.needs.runTime.count });
+        if (--job.left == 0)
+            endJob(place.job, DispatchEndKind::Completed, {}, {});
+        return;
+    }
+    if (kind == RunEndKind::Failed || kind == RunEndKind::Stuck)
+        health.record(healthId(sidecar), TaskOutcome::Failed, ranFor, now);
+    else if (kind == RunEndKind::NotStarted)
+        health.record(healthId(sidecar), TaskOutcome::NotStarted, ranFor, now);
+    if (kind == RunEndKind::Failed && ++task.failures >= std::max<std::int64_t>(job.spec.queue.maxAttempts, 1)) {
+        endJob(place.job, DispatchEndKind::Failed, "a task failed as often as its queue allows", {});
+        return;
+    }
+    task.state = TaskState::Waiting;
+    ++job.waiting;
+    m_queue.emplace(job.urgentAt, place.job);
+}
+
+void JobDispatcher::loseRuns(const std::string& sidecar, Link& link, Milliseconds now)
+{
+    const auto lost = std::exchange(link.outstanding, {});
+    for (const auto& [name, place] : lost) {
+        if (place.job == 0 || m_jobs.contains(place.job))
+            runEnded(sidecar, place, name, RunEndKind::Stopped, {}, now);
+    }
+}
+
+void JobDispatcher::endJob(std::uint64_t id, DispatchEndKind kind, std::string reason, Milliseconds retryAfter)
+{
+    const auto found = m_jobs.find(id);
+    Job& job = found->second;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            const Task& task = job.tasks[step][index];
+            if (task.state != TaskState::AtSidecar)
+                continue;
+            const RunName name { .job = job.spec.name, .step = step, .index = index, .run = task.run };
+            Link& link = m_links.at(task.sidecar);
+            const auto place = link.outstanding.find(name);
+            if (place == link.outstanding.end())
+                continue;
+            place->second.job = 0;
+            ++m_formerRuns[name.job];
+            link.next.stops.push_back(name);
+            link.hasNext = true;
+        }
+    }
+    for (const auto submission : job.submissions) {
+        m_submissions.erase(submission);
+        m_actions.ends.push_back(
+            { .submission = submission, .kind = kind, .reason = reason, .retryAfter = retryAfter });
+    }
+    m_queue.erase({ job.urgentAt, id });
+    m_byName.erase({ job.spec.queue.name, job.spec.name });
+    m_jobs.erase(found);
+}
+
+bool JobDispatcher::isStepOpen(const Job& job, const DispatchStep& step) const
+{
+    return std::all_of(step.after.begin(), step.after.end(), [&job](std::uint32_t earlier) {
+        const auto& tasks = job.tasks[earlier];
+        return std::all_of(
+            tasks.begin(), tasks.end(), [](const Task& task) { return task.state == TaskState::Done; });
+    });
+}
+
+bool JobDispatcher::isWaitingForFormer(const Job& job) const { return m_formerRuns.contains(job.spec.name); }
+
+std::vector<PlacementCandidate> JobDispatcher::candidates(const std::string& service, Milliseconds now)
+{
+    std::vector<PlacementCandidate> all;
+    const MinionHealth& health = healthOf(service);
+    for (const auto& [name, link] : m_links) {
+        const bool usable = link.connected && link.greeted && link.known && link.state.accepting
+            && link.state.service == service && !m_dataCentresOut.contains(link.state.dataCentre);
+        if (!usable)
+            continue;
+        PlacementCandidate candidate { .sidecar = name,
+            .dataCentre = link.state.dataCentre,
+            .rack = link.state.rack,
+            .labels = link.state.labels,
+            .capacity = link.state.capacity,
+            .free = link.state.capacity,
+            .allowance = health.allowance(healthId(name), now) };
+        addNeeds(candidate.free, link.state.used, -1);
+        for (const auto& each : link.sent)
+            addNeeds(candidate.free, each.needs, -1);
+        if (candidate.allowance)
+            *candidate.allowance -= static_cast<std::int64_t>(link.outstanding.size());
+        all.push_back(std::move(candidate));
+    }
+    return all;
+}
+
+void JobDispatcher::place(Milliseconds now)
+{
+    std::map<std::string, std::vector<PlacementCandidate>> byService;
+    std::set<std::string> full;
+    std::vector<std::pair<Milliseconds, std::uint64_t>> placed;
+    for (const auto& [urgentAt, id] : m_queue) {
+        Job& job = m_jobs.at(id);
+        const std::string& service = job.spec.queue.service;
+        if (full.contains(service) || isWaitingForFormer(job))
+            continue;
+        if (!byService.contains(service))
+            byService[service] = candidates(service, now);
+        if (!placeJob(id, job, byService[service], now))
+            full.insert(service);
+        if (job.waiting == 0)
+            placed.emplace_back(urgentAt, id);
+    }
+    for (const auto& entry : placed)
+        m_queue.erase(entry);
+}
+
+bool JobDispatcher::placeJob(
+    std::uint64_t id, Job& job, std::vector<PlacementCandidate>& candidates, Milliseconds now)
+{
+    for (auto& candidate : candidates)
+        candidate.chosenNow = 0;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        const DispatchStep& spec = job.spec.steps[step];
+        if (!isStepOpen(job, spec))
+            continue;
+        PlacementRequest request { .needs = spec.needs,
+            .dataCentre = m_options.dataCentre,
+            .preferredRack = spec.preferredRack,
+            .requiredLabel = spec.requiredLabel,
+            .mostPerMinion = spec.mostPerMinion };
+        for (auto& candidate : candidates) {
+            candidate.ofStep = std::count_if(job.tasks[step].begin(), job.tasks[step].end(),
+                [&candidate](const Task& task) {
+                    return task.state == TaskState::AtSidecar && task.sidecar == candidate.sidecar;
+                });
+        }
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            Task& task = job.tasks[step][index];
+            if (task.state != TaskState::Waiting)
+                continue;
+            request.avoid = task.sidecar;
+            const auto chosen = chooseMinion(candidates, request);
+            if (!chosen) {
+                // A step that is choosy says nothing of the room that others find.
+                if (spec.requiredLabel.empty() && spec.mostPerMinion == 0)
+                    return false;
+                break;
+            }
+            PlacementCandidate& candidate = candidates[*chosen];
+            addNeeds(candidate.free, spec.needs, -1);
+            ++candidate.chosenNow;
+            ++candidate.ofStep;
+            if (candidate.allowance)
+                --*candidate.allowance;
+            send(id, job, step, index, candidate.sidecar, now);
+        }
+    }
+    return true;
+}
+
+void JobDispatcher::send(std::uint64_t id, Job& job, std::uint32_t step, std::uint32_t index,
+    const std::string& sidecar, Milliseconds now)
+{
+    Task& task = job.tasks[step][index];
+    const DispatchStep& spec = job.spec.steps[step];
+    Link& link = m_links.at(sidecar);
+    task.state = TaskState::AtSidecar;
+    task.sidecar = sidecar;
+    ++task.run;
+    --job.waiting;
+    ++job.atSidecars;
+    m_meanCpu += (spec.needs.cpuMillis - m_meanCpu) / meanCpuShare;
+    auto& orders = link.next.orders;
+    const auto same = std::find_if(orders.begin(), orders.end(),
+        [&job, step](const RunOrder& order) { return order.job == job.spec.name && order.step == step; });
+    if (same != orders.end()) {
+        same->tasks.push_back({ .index = index, .run = task.run });
+    } else {
+        TaskNeeds needs = spec.needs;
+        needs.runTime = expectedRun(job.spec.queue, spec.needs);
+        orders.push_back({ .job = job.spec.name,
+            .step = step,
+            .tasks = { { .index = index, .run = task.run } },
+            .payload = job.spec.payload,
+            .needs = needs,
+            .rank = job.urgentAt - now,
+            // The sidecar's clock stood at `clock` when the frame that told it arrived, or a little later.
+            .endBy = link.clock + (job.spec.deadline - link.heardAt) });
+    }
+    link.hasNext = true;
+    link.sent.push_back({ .frame = link.framesSent + 1, .needs = spec.needs });
+    link.outstanding[{ job.spec.name, step, index, task.run }] = { .job = id, .step = step, .index = index };
+}
+
+void JobDispatcher::checkJobs(Milliseconds now)
+{
+    std::vector<std::uint64_t> over;
+    for (const auto& [id, job] : m_jobs) {
+        const bool begun = job.ran || job.atSidecars > 0;
+        if (job.spec.deadline <= now || (!begun && now + job.longestRun > job.usefulUntil))
+            over.push_back(id);
+    }
+    for (const auto id : over) {
+        const Job& job = m_jobs.at(id);
+        const bool begun = job.ran || job.atSidecars > 0;
+        endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused,
+            begun ? "the time of the job is over" : "it can no longer be done in time", retryAfter(job));
+    }
+}
+
+void JobDispatcher::checkLinks(Milliseconds now)
+{
+    for (auto& [name, link] : m_links) {
+        if (!link.outstanding.empty() && now > link.heardAt + m_options.lostAfter)
+            loseRuns(name, link, now);
+        const Milliseconds silence = link.outstanding.empty() ? m_options.idleSilence : m_options.silence;
+        if (link.connected && now > link.aliveAt + silence)
+            m_actions.reconnect.push_back(name);
+    }
+}
+
+void JobDispatcher::flush(Milliseconds now)
+{
+    for (auto& [name, link] : m_links) {
+        if (!link.connected)
+            continue;
+        const bool wantsEcho = link.greeted && now >= link.sentAt + m_options.echoGap
+            && ((!link.outstanding.empty() && link.clock > link.echoed) || link.endsAcknowledged < link.endsSeen);
+        if (!link.hasNext && !wantsEcho)
+            continue;
+        link.next.echo = link.clock;
+        link.next.endsSeen = link.endsSeen;
+        m_actions.frames.push_back({ .sidecar = name, .frame = std::exchange(link.next, {}) });
+        link.hasNext = false;
+        link.echoed = link.clock;
+        link.endsAcknowledged = link.endsSeen;
+        link.sentAt = now;
+        ++link.framesSent;
+    }
+}
+
+DispatchActions JobDispatcher::act(Milliseconds now)
+{
+    checkLinks(now);
+    checkJobs(now);
+    place(now);
+    flush(now);
+    return std::exchange(m_actions, {});
+}
+
+std::optional<Milliseconds> JobDispatcher::nextDue() const
+{
+    std::optional<Milliseconds> due;
+    const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
+    for (const auto& [id, job] : m_jobs) {
+        at(job.spec.deadline);
+        if (!job.ran && job.atSidecars == 0)
+            at(job.usefulUntil - job.longestRun + Milliseconds { 1 });
+    }
+    for (const auto& [name, link] : m_links) {
+        if (!link.outstanding.empty())
+            at(link.heardAt + m_options.lostAfter + Milliseconds { 1 });
+        if (link.connected)
+            at(link.aliveAt + (link.outstanding.empty() ? m_options.idleSilence : m_options.silence) + Milliseconds { 1 });
+        if (link.connected && link.greeted && link.endsAcknowledged < link.endsSeen)
+            at(link.sentAt + m_options.echoGap);
+    }
+    return due;
+}
+
+std::size_t JobDispatcher::pending(const std::string& queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&queue](const auto& item) {
+        return item.second.spec.queue.name == queue && !item.second.ran && item.second.atSidecars == 0;
+    }));
+}
+
+std::size_t JobDispatcher::runsAt(const std::string& sidecar) const
+{
+    const auto found = m_links.find(sidecar);
+    return found == m_links.end() ? 0 : found->second.outstanding.size();
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/JobDispatcher.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include "policy/MinionHealth.h"
+#include "policy/RunPlacement.h"
+#include "policy/RunTimes.h"
+#include "wire/DispatchMessages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+// One step of a best-effort job: `count` like tasks.
+struct DispatchStep {
+    std::uint32_t count { 1 };
+    // Of each task; the run time is the caller's estimate.
+    TaskNeeds needs;
+    // Steps that must have ended well before this one begins.
+    std::vector<std::uint32_t> after;
+    // Label that the minion must have; empty when any will do.
+    std::string requiredLabel;
+    std::string preferredRack;
+    // Most tasks of the step on one minion; 0 means no bound.
+    std::int64_t mostPerMinion { 0 };
+};
+
+// A best-effort job as its queue and its caller describe it.
+struct DispatchJob {
+    // Unique among all jobs of the deployment; a job that is submitted again has the same name.
+    std::string name;
+    std::string payload;
+    QueueConfig queue;
+    // The caller waits until then.
+    Milliseconds deadline {};
+    std::vector<DispatchStep> steps;
+};
+
+enum class DispatchEndKind {
+    // Every task has ended well.
+    Completed,
+    // A task has failed as often as its queue allows.
+    Failed,
+    // Nothing of it has started, and nothing will.
+    Refused,
+    // It was begun and could not be finished in time. Nothing of it runs any more, or it ends within the leases.
+    Unfinished,
+};
+
+std::string_view dispatchEndKindName(DispatchEndKind);
+
+struct DispatchEnd {
+    std::uint64_t submission { 0 };
+    DispatchEndKind kind { DispatchEndKind::Refused };
+    std::string reason;
+    // When the caller may come back; zero when that is unknown.
+    Milliseconds retryAfter {};
+};
+
+struct FrameToSidecar {
+    std::string sidecar;
+    EntryFrame frame;
+};
+
+struct DispatchActions {
+    std::vector<FrameToSidecar> frames;
+    std::vector<DispatchEnd> ends;
+    // Sidecars whose stream has gone silent: close it and connect anew.
+    std::vector<std::string> reconnect;
+};
+
+struct JobDispatcherOptions {
+    // Life of this entry, unlike any other.
+    std::string life;
+    std::string dataCentre;
+    // A stream on which nothing came for this long is given up: while runs are at the sidecar, and otherwise. Both are
+    // several heartbeats of the sidecar.
+    Milliseconds silence { 450 };
+    Milliseconds idleSilence { 1'100 };
+    // Runs at a sidecar that was not heard for this long have ended: its lease for this entry, the minion's lease with
+    // the drift of clocks, and the time that a stop takes.
+    Milliseconds lostAfter { 1'650 };
+    // A frame with nothing but the echo follows at most this often.
+    Milliseconds echoGap { 100 };
+    // Entries of the deployment. Each counts on its share of the minions when it estimates a wait.
+    std::size_t entries { 1 };
+    // Jobs of a lower priority wait this much longer, for each step of priority.
+    Milliseconds priorityStep { 300 };
+    // A job is of use until this many times its latency objective.
+    std::int64_t usefulFactor { 3 };
+    // Least and largest time after which a refused caller is asked to come back.
+    Milliseconds leastRetryAfter { 1'000 };
+    Milliseconds mostRetryAfter { 8'000 };
+    std::uint64_t seed { 0 };
+};
+
+// Queues the best-effort jobs of one entry, places their tasks on minions, tries failed ones again and ends each job.
+// Jobs wait in order of their latency objective, with less urgency for a lower priority. One that cannot be of use any
+// more, or that by the work ahead of it will not, is refused at once, as long as nothing of it has started.
+class JobDispatcher {
+public:
+    explicit JobDispatcher(JobDispatcherOptions);
+
+    // Takes in a job. Its end follows from act(), also when it is refused. A job of the same name and queue that is
+    // under way is joined: both submissions end alike.
+    std::uint64_t submit(const DispatchJob&, Milliseconds now);
+    // The caller of this submission has gone. The job is stopped when nobody else waits for it.
+    void abandon(std::uint64_t submission);
+    // Stops the job and ends all its submissions as unfinished. False when it is not here.
+    bool cancel(const std::string& queue, const std::string& name);
+
+    // The stream to a sidecar is open; the next frame to it is its first.
+    void connected(const std::string& sidecar, Milliseconds now);
+    void disconnected(const std::string& sidecar);
+    void received(const std::string& sidecar, const SidecarFrame&, Milliseconds now);
+
+    void setDataCentresOut(const std::vector<std::string>& names) { m_dataCentresOut = { names.begin(), names.end() }; }
+    void setEntries(std::size_t count) { m_options.entries = std::max<std::size_t>(count, 1); }
+
+    DispatchActions act(Milliseconds now);
+    std::optional<Milliseconds> nextDue() const;
+
+    // Jobs of a queue for which no task has started.
+    std::size_t pending(const std::string& queue) const;
+    std::size_t jobs() const { return m_jobs.size(); }
+    std::size_t runsAt(const std::string& sidecar) const;
+
+private:
+    enum class TaskState {
+        Waiting,
+        AtSidecar,
+        Done,
+    };
+    struct Task {
+        TaskState state { TaskState::Waiting };
+        std::uint64_t run { 0 };
+        std::int64_t failures { 0 };
+        std::string sidecar;
+    };
+    struct Job {
+        DispatchJob spec;
+        std::vector<std::uint64_t> submissions;
+        std::vector<std::vector<Task>> tasks;
+        std::size_t waiting { 0 };
+        std::size_t left { 0 };
+        std::size_t atSidecars { 0 };
+        // A run of it may have started.
+        bool ran { false };
+        Milliseconds arrived {};
+        Milliseconds longestRun {};
+        Milliseconds usefulUntil {};
+        // Orders jobs; see JobDispatcher.
+        Milliseconds urgentAt {};
+    };
+    struct TaskPlace {
+        std::uint64_t job { 0 };
+        std::uint32_t step { 0 };
+        std::uint32_t index { 0 };
+    };
+    struct SentNeeds {
+        std::uint64_t frame { 0 };
+        TaskNeeds needs;
+    };
+    struct Link {
+        bool connected { false };
+        // The first frame of the stream has been sent, and answered.
+        bool greeted { false };
+        bool known { false };
+        std::string life;
+        Milliseconds clock {};
+        // Value of `clock` that the sidecar was told last.
+        Milliseconds echoed {};
+        Milliseconds heardAt {};
+        // The present stream was opened or heard then.
+        Milliseconds aliveAt {};
+        Milliseconds sentAt {};
+        std::uint64_t framesSent { 0 };
+        std::uint64_t endsSeen { 0 };
+        std::uint64_t endsAcknowledged { 0 };
+        MinionState state;
+        std::vector<SentNeeds> sent;
+        // A place without job (0) belongs to a job that has ended here.
+        std::map<RunName, TaskPlace> outstanding;
+        EntryFrame next;
+        bool hasNext { false };
+    };
+
+    SessionId healthId(const std::string& sidecar) const { return { .instance = sidecar, .incarnation = 0 }; }
+    MinionHealth& healthOf(const std::string& service) { return m_health.try_emplace(service, MinionHealthOptions {}).first->second; }
+    Milliseconds expectedRun(const QueueConfig&, const TaskNeeds&) const;
+    Milliseconds longestChain(const DispatchJob&) const;
+    std::optional<std::string> refusal(const Job&, Milliseconds now) const;
+    Milliseconds expectedWait(const Job&) const;
+    Milliseconds retryAfter(const Job&);
+    bool isStepOpen(const Job&, const DispatchStep&) const;
+    bool isWaitingForFormer(const Job&) const;
+    std::int64_t expectedSlots(const TaskNeeds& capacity) const;
+    std::int64_t coresOf(const std::string& service) const;
+    void place(Milliseconds now);
+    std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
+    bool placeJob(std::uint64_t id, Job&, std::vector<PlacementCandidate>&, Milliseconds now);
+    void send(std::uint64_t id, Job&, std::uint32_t step, std::uint32_t index, const std::string& sidecar, Milliseconds now);
+    void takeEnd(Link&, const std::string& sidecar, const RunEnd&, Milliseconds now);
+    void runEnded(const std::string& sidecar, const TaskPlace&, const RunName&, RunEndKind, Milliseconds ranFor, Milliseconds now);
+    void loseRuns(const std::string& sidecar, Link&, Milliseconds now);
+    void endJob(std::uint64_t id, DispatchEndKind, std::string reason, Milliseconds retryAfter);
+    void checkJobs(Milliseconds now);
+    void checkLinks(Milliseconds now);
+    void flush(Milliseconds now);
+
+    JobDispatcherOptions m_options;
+    mutable std::mt19937_64 m_random;
+    std::uint64_t m_lastId { 0 };
+    std::map<std::uint64_t, Job> m_jobs;
+    // Waiting jobs in their order.
+    std::set<std::pair<Milliseconds, std::uint64_t>> m_queue;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_byName;
+    std::map<std::uint64_t, std::uint64_t> m_submissions;
+    // Runs of ended jobs that may still be under way, by name of the job.
+    std::map<std::string, std::size_t> m_formerRuns;
+    std::map<std::string, Link> m_links;
+    std::map<std::string, MinionHealth> m_health;
+    // Run time over estimate, in thousandths, by queue.
+    std::map<std::string, RunTimes> m_estimateError;
+    std::set<std::string> m_dataCentresOut;
+    // Mean processor need of the tasks that were placed, in thousandths of a core.
+    std::int64_t m_meanCpu { 1'000 };
+    DispatchActions m_actions;
+};
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RunPlacement.cpp
@@ -0,0 +1,78 @@
+#include "policy/RunPlacement.h"
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    // Weights relative to the free share of a minion, which lies between 0 and 1.
+    constexpr double preferredRackWeight = 1.0;
+    constexpr double sameJobWeight = 0.15;
+    constexpr double sameDataCentreWeight = 0.05;
+    // Larger than all others together: a minion that failed the task is taken only when no other has room.
+    constexpr double avoidWeight = 3.0;
+
+    double freeShare(const PlacementCandidate& candidate)
+    {
+        return static_cast<double>(candidate.free.cpuMillis)
+            / static_cast<double>(std::max<std::int64_t>(candidate.capacity.cpuMillis, 1));
+    }
+
+    bool isPossible(const PlacementCandidate& candidate, const PlacementRequest& request)
+    {
+        const bool allowed = !candidate.allowance || *candidate.allowance > 0;
+        const bool withinStep = request.mostPerMinion == 0 || candidate.ofStep < request.mostPerMinion;
+        const auto& labels = candidate.labels;
+        const bool labelled = request.requiredLabel.empty()
+            || std::find(labels.begin(), labels.end(), request.requiredLabel) != labels.end();
+        return allowed && withinStep && labelled && fitsInto(candidate.free, request.needs);
+    }
+
+    double scoreOf(const PlacementCandidate& candidate, const PlacementRequest& request)
+    {
+        double score = freeShare(candidate);
+        if (!request.preferredRack.empty() && candidate.rack == request.preferredRack)
+            score += preferredRackWeight;
+        if (candidate.chosenNow > 0)
+            score += sameJobWeight;
+        if (candidate.dataCentre == request.dataCentre)
+            score += sameDataCentreWeight;
+        if (candidate.sidecar == request.avoid)
+            score -= avoidWeight;
+        return score;
+    }
+
+} // namespace
+
+bool fitsInto(const TaskNeeds& room, const TaskNeeds& needs)
+{
+    return room.cpuMillis >= needs.cpuMillis && room.memoryMb >= needs.memoryMb
+        && room.accelerators >= needs.accelerators;
+}
+
+void addNeeds(TaskNeeds& sum, const TaskNeeds& needs, std::int64_t sign)
+{
+    sum.cpuMillis += sign * needs.cpuMillis;
+    sum.memoryMb += sign * needs.memoryMb;
+    sum.accelerators += sign * needs.accelerators;
+}
+
+std::optional<std::size_t> chooseMinion(
+    const std::vector<PlacementCandidate>& candidates, const PlacementRequest& request)
+{
+    std::optional<std::size_t> best;
+    double bestScore = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (!isPossible(candidates[i], request))
+            continue;
+        const double score = scoreOf(candidates[i], request);
+        if (best && score <= bestScore)
+            continue;
+        best = i;
+        bestScore = score;
+    }
+    return best;
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RunTable.cpp
@@ -0,0 +1,612 @@
+#include "policy/RunTable.h"
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    // A minion's clock may be this much slower than ours.
+    constexpr std::int64_t clockDriftPercent = 2;
+    // Rounding of times in whole milliseconds on both sides.
+    constexpr Milliseconds leaseSlack { 20 };
+    // Numbers of former runs are kept this long. Orders that were delayed on their way arrive within 12 s.
+    constexpr Milliseconds keepLastRuns { 30'000 };
+    constexpr std::size_t pruneLastRunsAbove = 4'096;
+    // Added to the number of a run that the minion takes for an old one.
+    constexpr std::uint64_t supersedeStep = 1'000;
+    constexpr int wholePercent = 100;
+
+    // Longest real time that a lease on a minion's clock may last.
+    Milliseconds leaseWithDrift(Milliseconds lease)
+    {
+        return lease + Milliseconds { lease.count * clockDriftPercent / wholePercent } + leaseSlack;
+    }
+
+} // namespace
+
+RunTable::RunTable(RunTableOptions options, Milliseconds now)
+    : m_options(std::move(options))
+    , m_startedAt(now)
+{
+}
+
+void RunTable::opened(const EntryFrame& frame, Milliseconds now)
+{
+    Entry& entry = m_entries[frame.entry];
+    entry.connected = true;
+    entry.greeted = false;
+    entry.framesSeen = 1;
+    entry.sentEnd = 0;
+    entry.stateChanged = true;
+    // A silent former stream may have ended long ago; what follows on this one proves that the entry is there.
+    const std::vector<RunName>& known = frame.outstanding;
+    for (auto& [key, run] : m_runs) {
+        const bool isTheirs = key.first == frame.entry;
+        if (isTheirs && std::find(known.begin(), known.end(), key.second) == known.end())
+            stop(key, run, RunEndKind::Stopped);
+    }
+    for (const auto& name : known) {
+        const bool ended = std::any_of(entry.unseenEnds.begin(), entry.unseenEnds.end(),
+            [&name](const RunEnd& each) { return each.run == name; });
+        if (!ended && !m_runs.contains({ frame.entry, name }))
+            entry.unknownRuns.push_back(name);
+    }
+    applyStops(frame.entry, frame, now);
+}
+
+// The order was lost with a former stream, or a former life of this sidecar had it. What that life had started has
+// ended once the minion has been found empty, or its lease has run out.
+void RunTable::answerForUnknownRuns(Milliseconds now)
+{
+    if (m_phase != Phase::Ready && now <= m_startedAt + leaseWithDrift(m_options.minionLease))
+        return;
+    for (auto& [name, entry] : m_entries) {
+        for (const auto& run : entry.unknownRuns)
+            entry.unseenEnds.push_back({ .number = ++entry.lastEnd, .run = run, .kind = RunEndKind::Stopped });
+        entry.unknownRuns.clear();
+    }
+}
+
+void RunTable::received(const std::string& name, const EntryFrame& frame, Milliseconds now)
+{
+    Entry& entry = m_entries[name];
+    ++entry.framesSeen;
+    if (frame.echo <= now)
+        entry.echo = std::max(entry.echo, frame.echo);
+    while (!entry.unseenEnds.empty() && entry.unseenEnds.front().number <= frame.endsSeen)
+        entry.unseenEnds.pop_front();
+    applyStops(name, frame, now);
+    const bool fresh = now <= frame.echo + m_options.entryLease;
+    for (const auto& order : frame.orders) {
+        for (const auto& task : order.tasks) {
+            take(name, order, task, now);
+            if (!fresh)
+                end({ name, { order.job, order.step, task.index, task.run } }, RunEndKind::NotStarted, now);
+        }
+    }
+}
+
+void RunTable::applyStops(const std::string& name, const EntryFrame& frame, Milliseconds now)
+{
+    for (const auto& run : frame.stops) {
+        const auto found = m_runs.find({ name, run });
+        if (found == m_runs.end())
+            continue;
+        if (found->second.state == State::Queued)
+            end(RunKey(found->first), RunEndKind::NotStarted, now);
+        else
+            stop(found->first, found->second, RunEndKind::Stopped);
+    }
+}
+
+void RunTable::take(const std::string& entry, const RunOrder& order, const OrderedTask& task, Milliseconds now)
+{
+    const RunKey key { entry, { order.job, order.step, task.index, task.run } };
+    if (m_runs.contains(key))
+        return;
+    Run run;
+    run.order = order;
+    run.order.tasks.clear();
+    run.queuedAt = now;
+    m_runs.emplace(key, std::move(run));
+    ++m_entries[entry].runs;
+    if (!mayStart(now) || order.endBy <= now)
+        end(key, RunEndKind::NotStarted, now);
+    else
+        stopOthers(key);
+    markStateChanged();
+}
+
+// A job that was submitted again has been given up where it ran before.
+void RunTable::stopOthers(const RunKey& key)
+{
+    const TaskKey task = taskOf(key.second);
+    for (auto& [other, run] : m_runs) {
+        if (other != key && taskOf(other.second) == task && run.state != State::Queued)
+            stop(other, run, RunEndKind::Stopped);
+    }
+}
+
+void RunTable::closed(const std::string& entry)
+{
+    const auto found = m_entries.find(entry);
+    if (found != m_entries.end())
+        found->second.connected = false;
+}
+
+bool RunTable::reported(const MinionReport& report, Milliseconds now)
+{
+    const bool sameLife = m_phase != Phase::Absent && report.born == m_report.born;
+    const bool isLate = m_phase != Phase::Absent
+        && (report.born < m_report.born || (sameLife && report.sequence <= m_report.sequence));
+    if (isLate)
+        return false;
+    if (!sameLife) {
+        // Whatever a former life ran has ended with it.
+        endAllLive(now);
+        m_phase = Phase::Clearing;
+        m_endsSeen = 0;
+        m_endsForgotten = 0;
+        m_listing = false;
+        m_strays.clear();
+    }
+    const bool changed = !sameLife || report.leaving != m_report.leaving || !m_reachable;
+    m_report = report;
+    m_reachable = true;
+    if (report.leaving)
+        endQueued(now);
+    if (changed)
+        markStateChanged();
+    return true;
+}
+
+void RunTable::minionGone(Milliseconds now)
+{
+    endAllLive(now);
+    endQueued(now);
+    m_phase = Phase::Absent;
+    m_reachable = false;
+    markStateChanged();
+}
+
+bool RunTable::mayStart(Milliseconds now) const
+{
+    return m_phase == Phase::Ready && m_reachable && !m_report.leaving && !m_leaving && m_inService
+        && now < m_permittedUntil;
+}
+
+bool RunTable::isStale(const Entry& entry, Milliseconds now) const { return now > entry.echo + m_options.entryLease; }
+
+void RunTable::startAnswered(const RunName& name, StartAnswer answer, Milliseconds now)
+{
+    const auto found = m_byMinionName.find(name);
+    if (found == m_byMinionName.end())
+        return;
+    const RunKey key = found->second;
+    Run& run = m_runs.at(key);
+    if (run.state != State::Starting && run.state != State::Stopping)
+        return;
+    const bool wanted = run.state == State::Starting;
+    switch (answer) {
+    case StartAnswer::Started:
+        if (wanted)
+            run.state = State::Running;
+        return;
+    case StartAnswer::Unknown:
+        // Only a stop that is answered makes the order harmless.
+        if (wanted)
+            stop(key, run, RunEndKind::NotStarted);
+        return;
+    default:
+        break;
+    }
+    occupy(run.order.needs, -1);
+    m_byMinionName.erase(found);
+    if (!wanted || answer == StartAnswer::Refused)
+        return end(key, RunEndKind::NotStarted, now);
+    if (answer == StartAnswer::Unhealthy)
+        return end(key, RunEndKind::NotStarted, now);
+    if (answer == StartAnswer::Superseded)
+        m_lastRuns[taskOf(name)] = { .run = name.run + supersedeStep, .at = now };
+    run.state = State::Queued;
+    run.notBefore = now + (answer == StartAnswer::Superseded ? Milliseconds {} : m_options.startRetry);
+}
+
+void RunTable::stopAnswered(const RunName& name, bool answered, Milliseconds now)
+{
+    if (const auto stray = m_strays.find(name); stray != m_strays.end()) {
+        if (!answered)
+            stray->second = {};
+        return;
+    }
+    const auto found = m_byMinionName.find(name);
+    if (found == m_byMinionName.end())
+        return;
+    Run& run = m_runs.at(found->second);
+    if (run.state == State::Stopping && answered)
+        run.stopAnsweredAt = now;
+}
+
+void RunTable::listed(const RunList& list, Milliseconds askedAt, Milliseconds now)
+{
+    m_listing = false;
+    if (list.born != m_report.born)
+        return;
+    m_listedAt = now;
+    m_reachable = true;
+    m_endsForgotten = std::max(m_endsForgotten, m_listEndsSeen);
+    for (const auto& ended : list.ended) {
+        m_endsSeen = std::max(m_endsSeen, ended.number);
+        const auto found = m_byMinionName.find(ended.run);
+        if (found == m_byMinionName.end())
+            continue;
+        const RunKey key = found->second;
+        const Run& run = m_runs.at(key);
+        const RunEndKind early = run.state == State::Stopping ? run.endAs : RunEndKind::Stopped;
+        end(key,
+            ended.kind == ListedEndKind::Done         ? RunEndKind::Done
+                : ended.kind == ListedEndKind::Failed ? RunEndKind::Failed
+                                                      : early,
+            now);
+    }
+    std::map<RunName, Milliseconds> strays;
+    for (const auto& item : list.running) {
+        const auto found = m_byMinionName.find(item.run);
+        if (found == m_byMinionName.end()) {
+            const auto known = m_strays.find(item.run);
+            strays[item.run] = known == m_strays.end() ? Milliseconds {} : known->second;
+            continue;
+        }
+        Run& run = m_runs.at(found->second);
+        run.listedAt = now;
+        run.percent = item.percent;
+        if (run.state == State::Starting)
+            run.state = State::Running;
+    }
+    m_strays = std::move(strays);
+    // What was there before the question and is neither running nor ended is gone.
+    std::vector<RunKey> gone;
+    for (const auto& [name, key] : m_byMinionName) {
+        const Run& run = m_runs.at(key);
+        const bool settledBefore = (run.state == State::Running && run.startedAt < askedAt)
+            || (run.state == State::Stopping && run.stopAnsweredAt && *run.stopAnsweredAt < askedAt);
+        if (settledBefore && run.listedAt != now)
+            gone.push_back(key);
+    }
+    for (const auto& key : gone)
+        end(key, m_runs.at(key).state == State::Stopping ? m_runs.at(key).endAs : RunEndKind::Stopped, now);
+    if (m_phase == Phase::Clearing && list.running.empty()) {
+        m_phase = Phase::Ready;
+        markStateChanged();
+    }
+}
+
+void RunTable::listFailed(Milliseconds now)
+{
+    m_listing = false;
+    m_listedAt = now;
+    if (now <= m_leaseMayEndAt)
+        return;
+    // The minion has let everything lapse by now, or is no more.
+    endAllLive(now);
+    if (m_reachable)
+        markStateChanged();
+    m_reachable = false;
+}
+
+void RunTable::end(const RunKey& key, RunEndKind kind, Milliseconds now)
+{
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end())
+        return;
+    Run& run = found->second;
+    const bool atMinion = m_byMinionName.erase(run.minionName) > 0;
+    if (atMinion)
+        occupy(run.order.needs, -1);
+    const Milliseconds ranFor = atMinion ? now - run.startedAt : Milliseconds {};
+    Entry& entry = m_entries[key.first];
+    entry.unseenEnds.push_back({ .number = ++entry.lastEnd, .run = key.second, .kind = kind, .ranFor = ranFor });
+    --entry.runs;
+    m_runs.erase(found);
+    markStateChanged();
+}
+
+void RunTable::stop(const RunKey&, Run& run, RunEndKind endAs)
+{
+    if (run.state == State::Stopping)
+        return;
+    if (run.state == State::Queued) {
+        // Ended by the next check.
+        run.order.endBy = {};
+        return;
+    }
+    run.state = State::Stopping;
+    run.endAs = endAs;
+    run.stopSentAt = {};
+    run.stopAnsweredAt.reset();
+}
+
+void RunTable::endAllLive(Milliseconds now)
+{
+    std::vector<RunKey> keys;
+    for (const auto& [name, key] : m_byMinionName)
+        keys.push_back(key);
+    for (const auto& key : keys)
+        end(key, RunEndKind::Stopped, now);
+}
+
+void RunTable::endQueued(Milliseconds now)
+{
+    std::vector<RunKey> keys;
+    for (const auto& [key, run] : m_runs) {
+        if (run.state == State::Queued)
+            keys.push_back(key);
+    }
+    for (const auto& key : keys)
+        end(key, RunEndKind::NotStarted, now);
+}
+
+bool RunTable::fits(const TaskNeeds& needs) const
+{
+    const TaskNeeds& capacity = m_report.capacity;
+    return m_used.cpuMillis + needs.cpuMillis <= capacity.cpuMillis
+        && m_used.memoryMb + needs.memoryMb <= capacity.memoryMb
+        && m_used.accelerators + needs.accelerators <= capacity.accelerators;
+}
+
+void RunTable::occupy(const TaskNeeds& needs, std::int64_t sign)
+{
+    m_used.cpuMillis += sign * needs.cpuMillis;
+    m_used.memoryMb += sign * needs.memoryMb;
+    m_used.accelerators += sign * needs.accelerators;
+}
+
+bool RunTable::isStuck(const Run& run, Milliseconds now) const
+{
+    const Milliseconds elapsed = now - run.startedAt;
+    const Milliseconds limit = std::max(run.order.needs.runTime * m_options.stuckFactor, m_options.stuckLeast);
+    if (run.state != State::Running || run.order.needs.runTime.count <= 0 || elapsed < run.order.needs.runTime)
+        return false;
+    // An order that has just arrived may not be listed yet.
+    if (run.listedAt <= run.startedAt)
+        return elapsed > limit;
+    const std::int64_t expected = elapsed.count * wholePercent / std::max(run.percent, 1);
+    return run.percent < wholePercent && Milliseconds { expected } > limit && elapsed > m_options.stuckLeast;
+}
+
+void RunTable::checkRun(const RunKey& key, Run& run, Milliseconds now)
+{
+    if (run.state == State::Stopping)
+        return;
+    const bool over = run.order.endBy <= now || isStale(m_entries.at(key.first), now);
+    if (run.state != State::Queued) {
+        if (over)
+            stop(key, run, RunEndKind::Stopped);
+        else if (isStuck(run, now))
+            stop(key, run, RunEndKind::Stuck);
+    }
+}
+
+RunActions RunTable::act(Milliseconds now)
+{
+    RunActions actions;
+    answerForUnknownRuns(now);
+    std::vector<RunKey> ended;
+    for (auto& [key, run] : m_runs) {
+        checkRun(key, run, now);
+        const bool over = run.order.endBy <= now || isStale(m_entries.at(key.first), now) || !mayStart(now);
+        if (run.state == State::Queued && over)
+            ended.push_back(key);
+    }
+    for (const auto& key : ended)
+        end(key, RunEndKind::NotStarted, now);
+    startQueued(actions, now);
+    sendStops(actions, now);
+    listRuns(actions, now);
+    sendFrames(actions, now);
+    std::erase_if(m_entries, [this, now](const auto& item) {
+        const Entry& entry = item.second;
+        return !entry.connected && entry.runs == 0 && now > entry.echo + m_options.entryLease * 2;
+    });
+    if (m_lastRuns.size() > pruneLastRunsAbove)
+        std::erase_if(m_lastRuns, [now](const auto& item) { return now > item.second.at + keepLastRuns; });
+    return actions;
+}
+
+void RunTable::startQueued(RunActions& actions, Milliseconds now)
+{
+    if (!mayStart(now) || queuedRuns() == 0)
+        return;
+    std::vector<std::pair<const RunKey*, Run*>> queue;
+    for (auto& [key, run] : m_runs) {
+        if (run.state == State::Queued && run.notBefore <= now)
+            queue.emplace_back(&key, &run);
+    }
+    std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) {
+        return a.second->queuedAt + a.second->order.rank < b.second->queuedAt + b.second->order.rank;
+    });
+    for (const auto& [key, run] : queue) {
+        if (!fits(run->order.needs))
+            return;
+        start(*key, *run, actions, now);
+    }
+}
+
+void RunTable::start(const RunKey& key, Run& run, RunActions& actions, Milliseconds now)
+{
+    // Another run of the task, of a former submission, has to end first.
+    const TaskKey task = taskOf(key.second);
+    LastRun& last = m_lastRuns[task];
+    for (const auto& [name, other] : m_byMinionName) {
+        if (taskOf(name) == task)
+            return;
+    }
+    run.minionName = key.second;
+    run.minionName.run = std::max(key.second.run, last.run + 1);
+    last = { .run = run.minionName.run, .at = now };
+    run.state = State::Starting;
+    run.startedAt = now;
+    run.listedAt = {};
+    run.percent = 0;
+    occupy(run.order.needs, 1);
+    m_byMinionName.emplace(run.minionName, key);
+    m_leaseMayEndAt = std::max(
+        m_leaseMayEndAt, now + leaseWithDrift(m_options.minionLease));
+    actions.starts.push_back(
+        { .run = run.minionName, .payload = run.order.payload, .lease = m_options.minionLease });
+    markStateChanged();
+}
+
+void RunTable::sendStops(RunActions& actions, Milliseconds now)
+{
+    if (m_phase == Phase::Absent)
+        return;
+    const auto due = [this, now](Milliseconds sentAt) {
+        return sentAt.count == 0 || now >= sentAt + m_options.stopRetry;
+    };
+    for (const auto& [name, key] : m_byMinionName) {
+        Run& run = m_runs.at(key);
+        if (run.state != State::Stopping || run.stopAnsweredAt || !due(run.stopSentAt))
+            continue;
+        run.stopSentAt = now;
+        actions.stops.push_back({ .run = name });
+    }
+    for (auto& [name, sentAt] : m_strays) {
+        if (!due(sentAt))
+            continue;
+        sentAt = now;
+        actions.stops.push_back({ .run = name });
+    }
+}
+
+bool RunTable::needsList() const
+{
+    return m_phase != Phase::Absent
+        && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_strays.empty() || m_endsForgotten < m_endsSeen);
+}
+
+void RunTable::listRuns(RunActions& actions, Milliseconds now)
+{
+    if (m_listing || !needsList() || now < m_listedAt + m_options.listGap)
+        return;
+    m_listing = true;
+    m_listEndsSeen = m_endsSeen;
+    const bool hasRunning = std::any_of(m_byMinionName.begin(), m_byMinionName.end(),
+        [this](const auto& item) { return m_runs.at(item.second).state != State::Stopping; });
+    const bool isStopping = std::any_of(m_byMinionName.begin(), m_byMinionName.end(),
+        [this](const auto& item) { return m_runs.at(item.second).state == State::Stopping; });
+    ListRuns list { .lease = std::nullopt, .endsSeen = m_endsSeen, .wait = {} };
+    if (hasRunning) {
+        list.lease = m_options.minionLease;
+        list.wait = isStopping ? m_options.listGap : m_options.listWait;
+        m_leaseMayEndAt = std::max(m_leaseMayEndAt,
+            now + leaseWithDrift(m_options.minionLease));
+    }
+    actions.list = list;
+}
+
+TaskNeeds RunTable::queuedNeeds() const
+{
+    TaskNeeds sum;
+    for (const auto& [key, run] : m_runs) {
+        if (run.state != State::Queued)
+            continue;
+        sum.cpuMillis += run.order.needs.cpuMillis;
+        sum.memoryMb += run.order.needs.memoryMb;
+        sum.accelerators += run.order.needs.accelerators;
+    }
+    return sum;
+}
+
+MinionState RunTable::state(Milliseconds now) const
+{
+    TaskNeeds used = queuedNeeds();
+    used.cpuMillis += m_used.cpuMillis;
+    used.memoryMb += m_used.memoryMb;
+    used.accelerators += m_used.accelerators;
+    return { .service = m_report.service,
+        .dataCentre = m_options.dataCentre,
+        .rack = m_report.rack,
+        .labels = m_report.labels,
+        .capacity = m_report.capacity,
+        .used = used,
+        .accepting = mayStart(now) };
+}
+
+void RunTable::markStateChanged()
+{
+    for (auto& [name, entry] : m_entries)
+        entry.stateChanged = true;
+}
+
+bool RunTable::frameDue(const Entry& entry, Milliseconds now) const
+{
+    if (!entry.connected)
+        return false;
+    const bool hasEnds = !entry.unseenEnds.empty() && entry.unseenEnds.back().number > entry.sentEnd;
+    const bool wantsState = entry.stateChanged && now >= entry.sentAt + m_options.stateGap;
+    const bool wantsHeartbeat = now >= entry.sentAt + (entry.runs > 0 ? m_options.heartbeat : m_options.idleHeartbeat);
+    return !entry.greeted || hasEnds || wantsState || wantsHeartbeat;
+}
+
+void RunTable::sendFrames(RunActions& actions, Milliseconds now)
+{
+    for (auto& [name, entry] : m_entries) {
+        if (!frameDue(entry, now))
+            continue;
+        SidecarFrame frame { .sidecar = {}, .clock = now, .framesSeen = entry.framesSeen, .state = state(now), .ends = {} };
+        if (!entry.greeted)
+            frame.sidecar = m_options.life;
+        for (const auto& each : entry.unseenEnds) {
+            if (each.number > entry.sentEnd)
+                frame.ends.push_back(each);
+        }
+        entry.greeted = true;
+        entry.sentEnd = entry.lastEnd;
+        entry.sentAt = now;
+        entry.stateChanged = false;
+        actions.frames.push_back({ .entry = name, .frame = std::move(frame) });
+    }
+}
+
+std::optional<Milliseconds> RunTable::nextDue(Milliseconds now) const
+{
+    std::optional<Milliseconds> due;
+    const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
+    if (!m_listing && needsList())
+        at(m_listedAt + m_options.listGap);
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.connected && entry.stateChanged)
+            at(entry.sentAt + m_options.stateGap);
+        if (entry.connected)
+            at(entry.sentAt + (entry.runs > 0 ? m_options.heartbeat : m_options.idleHeartbeat));
+        if (entry.runs > 0)
+            at(std::max(entry.echo + m_options.entryLease + Milliseconds { 1 }, now + m_options.listGap));
+    }
+    for (const auto& [key, run] : m_runs) {
+        if (run.state == State::Queued && run.notBefore > now)
+            at(run.notBefore);
+        if (run.state == State::Stopping && !run.stopAnsweredAt)
+            at(run.stopSentAt + m_options.stopRetry);
+        else if (run.state != State::Stopping)
+            at(std::max(run.order.endBy, now + m_options.listGap));
+    }
+    if (!m_strays.empty())
+        at(now + m_options.stopRetry);
+    const bool hasUnknown = std::any_of(
+        m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.unknownRuns.empty(); });
+    if (hasUnknown)
+        at(std::max(m_startedAt + leaseWithDrift(m_options.minionLease), now) + Milliseconds { 1 });
+    return due;
+}
+
+bool RunTable::isSettled() const
+{
+    return m_runs.empty()
+        && std::all_of(m_entries.begin(), m_entries.end(), [](const auto& item) {
+               return !item.second.connected || item.second.unseenEnds.empty();
+           });
+}
+
+} // namespace oleanderport
--- /dev/null
+++ b/src/policy/RunTable.h
@@ -0,0 +1,272 @@
+#pragma once
+
+#include "wire/DispatchMessages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace oleanderport {
+
+// What a minion says of itself. `born` is the unix time of its start and tells its lives apart.
+struct MinionReport {
+    Milliseconds born {};
+    // Rises with each report of one life.
+    std::uint64_t sequence { 0 };
+    std::string service;
+    std::string rack;
+    std::vector<std::string> labels;
+    TaskNeeds capacity;
+    // It takes nothing further and ends when what it runs has ended.
+    bool leaving { false };
+};
+
+// How a minion took an order to start a run.
+enum class StartAnswer {
+    Started,
+    // Nothing was done; the same run may be tried again.
+    NoRoom,
+    Unhealthy,
+    // Nothing was done, since the minion has seen a run of this task with this or a higher number.
+    Superseded,
+    // Nothing was done, for another reason.
+    Refused,
+    // No answer came: the order may be carried out later.
+    Unknown,
+};
+
+enum class ListedEndKind {
+    Done,
+    Failed,
+    // Stopped by order, by a lapsed lease, or by another cause outside the task.
+    Stopped,
+};
+
+struct ListedRun {
+    RunName run;
+    int percent { 0 };
+};
+
+struct ListedEnd {
+    // Counts the ends of one life of the minion.
+    std::uint64_t number { 0 };
+    RunName run;
+    ListedEndKind kind { ListedEndKind::Stopped };
+};
+
+// What a minion runs and what has ended there.
+struct RunList {
+    Milliseconds born {};
+    std::vector<ListedRun> running;
+    std::vector<ListedEnd> ended;
+};
+
+// Orders to the minion. `lease` is how long from now on the minion may go on running without hearing again.
+struct StartRun {
+    RunName run;
+    std::string payload;
+    Milliseconds lease {};
+};
+
+struct StopRun {
+    RunName run;
+};
+
+struct ListRuns {
+    // Renews the lease of everything that runs there when set.
+    std::optional<Milliseconds> lease;
+    // Ends up to this number are forgotten by the minion.
+    std::uint64_t endsSeen { 0 };
+    // The answer may wait so long for an end.
+    Milliseconds wait {};
+};
+
+struct OutgoingFrame {
+    std::string entry;
+    SidecarFrame frame;
+};
+
+struct RunActions {
+    std::vector<StartRun> starts;
+    std::vector<StopRun> stops;
+    std::optional<ListRuns> list;
+    std::vector<OutgoingFrame> frames;
+};
+
+struct RunTableOptions {
+    // Life of this sidecar, unlike any other.
+    std::string life;
+    std::string dataCentre;
+    // An entry that has not been heard for this long is taken as gone: its runs are stopped. With the minion's lease it
+    // bounds how long a run outlives its entry, which must be less than a caller waits before it submits again.
+    Milliseconds entryLease { 700 };
+    // Lease that each order gives to the minion. At most what the minion allows.
+    Milliseconds minionLease { 800 };
+    // Longest that a list of runs waits for an end. Several fit in one lease, so that a lost answer costs no run.
+    Milliseconds listWait { 150 };
+    // Least time between two lists, so that ends are gathered.
+    Milliseconds listGap { 6 };
+    // A stop that was not answered is sent again after this time.
+    Milliseconds stopRetry { 150 };
+    // An entry with runs here hears at least this often.
+    Milliseconds heartbeat { 200 };
+    // The same for an entry without runs. Shorter than `entryLease`, so that an order after a pause is never stale.
+    Milliseconds idleHeartbeat { 450 };
+    // Changes of the minion's room are told at most this often to an entry that has no ends to hear.
+    Milliseconds stateGap { 50 };
+    // Wait before a run is tried again at a minion that had no room or was unhealthy.
+    Milliseconds startRetry { 40 };
+    // A run is stuck once it is expected to take this many times its estimate, and `stuckLeast` at least.
+    std::int64_t stuckFactor { 4 };
+    Milliseconds stuckLeast { 300 };
+};
+
+// Decides what runs on one minion for the best-effort jobs of all entries. A run starts only for an entry that was
+// heard within its lease, and ends when the entry is gone, the job's time is over or the entry says so. The end of a run
+// is told only once the minion can no longer be running it. Time is an argument and never goes back.
+class RunTable {
+public:
+    RunTable(RunTableOptions, Milliseconds now);
+
+    // The first frame of a new stream of this entry, and each later one.
+    void opened(const EntryFrame&, Milliseconds now);
+    void received(const std::string& entry, const EntryFrame&, Milliseconds now);
+    void closed(const std::string& entry);
+
+    // False when the report is older than one that was taken in.
+    bool reported(const MinionReport&, Milliseconds now);
+    // The minion has ended, by its own word.
+    void minionGone(Milliseconds now);
+
+    void startAnswered(const RunName&, StartAnswer, Milliseconds now);
+    void stopAnswered(const RunName&, bool answered, Milliseconds now);
+    void listed(const RunList&, Milliseconds askedAt, Milliseconds now);
+    void listFailed(Milliseconds now);
+
+    // Until when this sidecar may start anything, and whether its data centre is in service.
+    void permit(Milliseconds until, bool inService) { m_permittedUntil = until, m_inService = inService; }
+    // Nothing further is taken.
+    void beginLeaving() { m_leaving = true; }
+
+    // What to do now. Call after any of the above.
+    RunActions act(Milliseconds now);
+    // When act() has to be called again at the latest; nothing while nothing is due.
+    std::optional<Milliseconds> nextDue(Milliseconds now) const;
+
+    std::size_t liveRuns() const { return m_byMinionName.size(); }
+    std::size_t queuedRuns() const { return m_runs.size() - m_byMinionName.size(); }
+    bool isReady() const { return m_phase == Phase::Ready; }
+    // Every end has been taken in by its entry.
+    bool isSettled() const;
+
+private:
+    enum class Phase {
+        // No minion is known.
+        Absent,
+        // Runs of a former life of this sidecar may still be there.
+        Clearing,
+        Ready,
+    };
+    enum class State {
+        Queued,
+        Starting,
+        Running,
+        Stopping,
+    };
+    // A run as its entry names it.
+    using RunKey = std::pair<std::string, RunName>;
+    struct TaskKey {
+        std::string job;
+        std::uint32_t step { 0 };
+        std::uint32_t index { 0 };
+        auto operator<=>(const TaskKey&) const = default;
+    };
+    struct Run {
+        State state { State::Queued };
+        RunOrder order;
+        // The name under which the minion runs it; its number may be higher than the entry's.
+        RunName minionName;
+        Milliseconds queuedAt {};
+        Milliseconds notBefore {};
+        Milliseconds startedAt {};
+        Milliseconds listedAt {};
+        int percent { 0 };
+        RunEndKind endAs { RunEndKind::Stopped };
+        Milliseconds stopSentAt {};
+        std::optional<Milliseconds> stopAnsweredAt;
+    };
+    struct LastRun {
+        std::uint64_t run { 0 };
+        Milliseconds at {};
+    };
+    struct Entry {
+        bool connected { false };
+        Milliseconds echo {};
+        std::uint64_t framesSeen { 0 };
+        std::uint64_t lastEnd { 0 };
+        std::deque<RunEnd> unseenEnds;
+        // Runs that the entry believes to be here and that this life does not know.
+        std::vector<RunName> unknownRuns;
+        // Number of the last end that was sent on the present stream.
+        std::uint64_t sentEnd { 0 };
+        Milliseconds sentAt {};
+        std::size_t runs { 0 };
+        bool greeted { false };
+        bool stateChanged { true };
+    };
+
+    void applyStops(const std::string& entry, const EntryFrame&, Milliseconds now);
+    void answerForUnknownRuns(Milliseconds now);
+    static TaskKey taskOf(const RunName& run) { return { run.job, run.step, run.index }; }
+    bool mayStart(Milliseconds now) const;
+    bool isStale(const Entry&, Milliseconds now) const;
+    void take(const std::string& entry, const RunOrder&, const OrderedTask&, Milliseconds now);
+    void end(const RunKey&, RunEndKind, Milliseconds now);
+    void stop(const RunKey&, Run&, RunEndKind);
+    void stopOthers(const RunKey&);
+    void endAllLive(Milliseconds now);
+    void endQueued(Milliseconds now);
+    void checkRun(const RunKey&, Run&, Milliseconds now);
+    bool isStuck(const Run&, Milliseconds now) const;
+    void startQueued(RunActions&, Milliseconds now);
+    void start(const RunKey&, Run&, RunActions&, Milliseconds now);
+    bool fits(const TaskNeeds&) const;
+    void occupy(const TaskNeeds&, std::int64_t sign);
+    void sendStops(RunActions&, Milliseconds now);
+    void listRuns(RunActions&, Milliseconds now);
+    void sendFrames(RunActions&, Milliseconds now);
+    bool needsList() const;
+    bool frameDue(const Entry&, Milliseconds now) const;
+    MinionState state(Milliseconds now) const;
+    TaskNeeds queuedNeeds() const;
+    void markStateChanged();
+
+    RunTableOptions m_options;
+    Milliseconds m_startedAt;
+    Phase m_phase { Phase::Absent };
+    bool m_leaving { false };
+    bool m_inService { true };
+    Milliseconds m_permittedUntil {};
+    MinionReport m_report;
+    bool m_reachable { false };
+    // Latest time at which the minion may still be running something without having heard again.
+    Milliseconds m_leaseMayEndAt {};
+    std::uint64_t m_endsSeen { 0 };
+    std::uint64_t m_endsForgotten { 0 };
+    bool m_listing { false };
+    Milliseconds m_listedAt {};
+    std::uint64_t m_listEndsSeen { 0 };
+    std::map<std::string, Entry> m_entries;
+    std::map<RunKey, Run> m_runs;
+    std::map<RunName, RunKey> m_byMinionName;
+    // Runs at the minion that belong to no entry, with the time at which a stop was sent last.
+    std::map<RunName, Milliseconds> m_strays;
+    std::map<TaskKey, LastRun> m_lastRuns;
+    TaskNeeds m_used;
+};
+
+} // namespace oleanderport
--- a/src/policy/ViewDelta.cpp
+++ b/src/policy/ViewDelta.cpp
@@ -12,6 +12,7 @@
         std::set<SessionId> joined;
         std::set<SessionId> left;
         bool dataCentres { false };
+        bool catalogue { false };
     };
 
     void take(Steps& steps, const ViewChange& change)
@@ -28,6 +29,9 @@
         case ViewChangeKind::DataCentres:
             steps.dataCentres = true;
             break;
+        case ViewChangeKind::Catalogue:
+            steps.catalogue = true;
+            break;
         case ViewChangeKind::Config:
             break;
         }
@@ -56,6 +60,8 @@
         delta.config = view.config;
     if (steps.dataCentres)
         delta.dataCentresOut = view.dataCentresOut;
+    if (steps.catalogue)
+        delta.catalogue = view.catalogue;
     delta.left.assign(steps.left.begin(), steps.left.end());
     for (const auto& member : view.members) {
         if (steps.joined.contains(member.id))
@@ -73,6 +79,8 @@
         view.config = *delta.config;
     if (delta.dataCentresOut)
         view.dataCentresOut = *delta.dataCentresOut;
+    if (delta.catalogue)
+        view.catalogue = delta.catalogue;
     const std::set<SessionId> left(delta.left.begin(), delta.left.end());
     std::erase_if(view.members, [&left](const Member& member) { return left.contains(member.id); });
     view.members.insert(view.members.end(), delta.joined.begin(), delta.joined.end());
--- /dev/null
+++ b/src/sidecar/RunServer.cpp
@@ -0,0 +1,219 @@
+#include "sidecar/RunServer.h"
+
+#include "wire/DispatchCodec.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderport {
+
+namespace {
+
+    // Times that are due within this span are handled together.
+    constexpr Milliseconds timerSlack { 2 };
+    // A stream whose peer takes nothing is closed rather than filled.
+    constexpr std::size_t mostUnsentBytes = 4 * 1024 * 1024;
+
+} // namespace
+
+RunServer::RunServer(EventLoop& loop, const Settings& settings)
+    : m_process(loop, settings)
+    , m_control(loop, settings.controlPeers)
+    , m_session(m_process, m_control,
+          { .viewChanged = [this](const ClusterView&) { permit(); },
+              .opened =
+                  [this](const SessionId& id) {
+                      if (!m_fencingToken)
+                          m_fencingToken = id.incarnation;
+                      if (const auto report = std::exchange(m_waitingReport, std::nullopt))
+                          reported(*report);
+                  },
+              .ended = [this] { permit(); },
+              .leaseRenewed = [this] { permit(); } })
+    , m_runs({ .life = makeLifeName(settings.instance), .dataCentre = settings.dataCentre }, Clock::now())
+{
+}
+
+Result<void> RunServer::start()
+{
+    BOOST_OUTCOME_TRYV(m_process.listen({}));
+    BOOST_OUTCOME_TRY(m_listener,
+        StreamListener::listen(
+            m_process.loop, m_process.settings.streamListen, [this](int descriptor) { accepted(descriptor); }));
+    return boost::outcome_v2::success();
+}
+
+bool RunServer::reported(const MinionReport& report)
+{
+    if (!m_fencingToken) {
+        m_waitingReport = report;
+        openSession(report);
+        return true;
+    }
+    openSession(report);
+    const bool isNews = m_runs.reported(report, Clock::now());
+    if (isNews)
+        run();
+    return isNews;
+}
+
+void RunServer::openSession(const MinionReport& report)
+{
+    if (m_service == report.service)
+        return;
+    m_service = report.service;
+    const NodeInfo node { .role = Role::Sidecar,
+        .instance = m_process.settings.instance,
+        .address = m_process.settings.advertise,
+        .dataCentre = m_process.settings.dataCentre,
+        .rack = report.rack,
+        .service = report.service,
+        .cpuMillis = report.capacity.cpuMillis,
+        .memoryMb = report.capacity.memoryMb,
+        .accelerators = report.capacity.accelerators,
+        .streamAddress = m_process.settings.streamListen };
+    m_session.stop([this, node] { m_session.start(node); });
+}
+
+void RunServer::minionGone()
+{
+    log(LogLevel::Info, { .step = "sidecar.minion" }, "the minion has left");
+    m_runs.minionGone(Clock::now());
+    run();
+}
+
+void RunServer::permit()
+{
+    const auto& out = m_session.view().dataCentresOut;
+    const bool inService = std::find(out.begin(), out.end(), m_process.settings.dataCentre) == out.end();
+    m_runs.permit(m_session.leaseEnd(), inService);
+    run();
+}
+
+void RunServer::accepted(int descriptor)
+{
+    const std::uint64_t id = ++m_lastStream;
+    m_streams[id].stream = std::make_unique<MessageStream>(m_process.loop, descriptor,
+        MessageStream::Callbacks { .received = [this, id](std::string_view message) { received(id, message); },
+            .closed = [this, id](const char*) { closed(id); } });
+}
+
+void RunServer::closed(std::uint64_t id)
+{
+    const auto found = m_streams.find(id);
+    if (found == m_streams.end())
+        return;
+    const std::string entry = found->second.entry;
+    m_streams.erase(found);
+    const bool replaced = std::any_of(
+        m_streams.begin(), m_streams.end(), [&entry](const auto& item) { return item.second.entry == entry; });
+    if (entry.empty() || replaced)
+        return;
+    log(LogLevel::Info, { .step = "sidecar.entry", .peer = entry }, "the stream has closed");
+    m_runs.closed(entry);
+    run();
+}
+
+void RunServer::received(std::uint64_t id, std::string_view message)
+{
+    const auto frame = decodeEntryFrame(message);
+    if (!frame.has_value())
+        return logError(LogLevel::Error, frame.assume_error());
+    Stream& stream = m_streams.at(id);
+    if (stream.entry.empty()) {
+        stream.entry = frame.assume_value().entry;
+        // What is still on its way on a former stream of this entry must not arrive any more.
+        std::erase_if(m_streams,
+            [&stream, id](const auto& item) { return item.first != id && item.second.entry == stream.entry; });
+        log(LogLevel::Info, { .step = "sidecar.entry", .peer = stream.entry }, "a stream has opened");
+        m_runs.opened(frame.assume_value(), Clock::now());
+    } else {
+        m_runs.received(stream.entry, frame.assume_value(), Clock::now());
+    }
+    run();
+}
+
+void RunServer::run()
+{
+    m_runAgain = true;
+    if (m_running)
+        return;
+    m_running = true;
+    while (std::exchange(m_runAgain, false))
+        perform(m_runs.act(Clock::now()));
+    m_running = false;
+    finishShutDown();
+    armTimer();
+}
+
+void RunServer::perform(RunActions actions)
+{
+    for (const auto& item : actions.starts) {
+        m_process.metrics.add("starts_total");
+        m_minion.start(item, [this, run = item.run](StartAnswer answer) {
+            m_runs.startAnswered(run, answer, Clock::now());
+            this->run();
+        });
+    }
+    for (const auto& item : actions.stops) {
+        m_minion.stop(item, [this, run = item.run](bool answered) {
+            m_runs.stopAnswered(run, answered, Clock::now());
+            this->run();
+        });
+    }
+    if (actions.list) {
+        m_minion.list(*actions.list, [this, askedAt = Clock::now()](const Result<RunList>& list) {
+            if (list.has_value())
+                m_runs.listed(list.assume_value(), askedAt, Clock::now());
+            else
+                m_runs.listFailed(Clock::now());
+            run();
+        });
+    }
+    for (const auto& item : actions.frames) {
+        const auto stream = std::find_if(m_streams.begin(), m_streams.end(),
+            [&item](const auto& each) { return each.second.entry == item.entry; });
+        if (stream == m_streams.end())
+            continue;
+        stream->second.stream->send(encodeFrame(item.frame));
+        if (stream->second.stream->unsentBytes() > mostUnsentBytes)
+            closed(stream->first);
+    }
+}
+
+void RunServer::armTimer()
+{
+    const Milliseconds now = Clock::now();
+    const auto due = m_runs.nextDue(now);
+    m_timer.reset();
+    if (!due)
+        return;
+    const Milliseconds delay { std::max<std::int64_t>((*due - now).count, 0) + timerSlack.count };
+    m_timer = m_process.loop.once(delay, [this] { run(); });
+}
+
+void RunServer::shutDown(std::function<void()> done)
+{
+    m_process.events.record(EventKind::ProcessStopping);
+    m_shutDownDone = std::move(done);
+    m_shutDownBy = Clock::now() + m_process.settings.shutdownGrace;
+    m_runs.beginLeaving();
+    m_closing = m_process.loop.once(m_process.settings.shutdownGrace, [this] { run(); });
+    run();
+}
+
+void RunServer::finishShutDown()
+{
+    if (!m_shutDownDone)
+        return;
+    if (!m_runs.isSettled() && Clock::now() < m_shutDownBy)
+        return;
+    m_listener.reset();
+    m_process.server->stopAccepting();
+    m_closing.reset();
+    m_session.stop(std::exchange(m_shutDownDone, nullptr));
+}
+
+} // namespace oleanderport
--- a/src/wire/ControlMessages.h
+++ b/src/wire/ControlMessages.h
@@ -2,6 +2,8 @@
 
 #include "oleanderport/Messages.h"
 
+#include <optional>
+
 // Messages of operators towards control, and between a minion and the sidecar beside it.
 namespace oleanderport {
 
@@ -10,6 +12,9 @@
     bool out { false };
     std::string author;
     std::string reason;
+    // Set when the instance that took the change knows the data centre from its settings, so that no document has to
+    // name it.
+    std::optional<bool> declared;
 };
 
 struct DataCentreChanged {
@@ -22,6 +27,21 @@
     Milliseconds inForceWithin {};
 };
 
+// Puts a checked catalogue of queues in force unless one of the same or a higher version is.
+struct PublishCatalogue {
+    QueueCatalogue catalogue;
+    // The text as its author sent it; given back unchanged.
+    std::string source;
+};
+
+struct CataloguePublished {
+    // Version in force.
+    std::uint64_t version { 0 };
+    bool changed { false };
+    // View version of production from which on the catalogue is known.
+    std::uint64_t viewVersion { 0 };
+};
+
 // A change of an environment's document. Its text is checked in full before it is accepted.
 struct ApplyDocument {
     std::string environment { productionEnvironment };
--- a/src/wire/ControlRecords.cpp
+++ b/src/wire/ControlRecords.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-    constexpr NameTable<ViewChangeKind, 4> viewChangeKindNames { {
+    constexpr NameTable<ViewChangeKind, 5> viewChangeKindNames { {
         { ViewChangeKind::MemberJoined, "member_joined" },
         { ViewChangeKind::MemberLeft, "member_left" },
         { ViewChangeKind::Config, "config" },
         { ViewChangeKind::DataCentres, "data_centres" },
+        { ViewChangeKind::Catalogue, "catalogue" },
     } };
 
 } // namespace
--- a/src/wire/ControlRecords.h
+++ b/src/wire/ControlRecords.h
@@ -49,6 +49,7 @@
     MemberLeft,
     Config,
     DataCentres,
+    Catalogue,
 };
 
 std::string_view viewChangeKindName(ViewChangeKind);
@@ -101,6 +102,8 @@
     std::vector<ClaimRecord> claims;
     std::vector<EndedSidecar> endedSidecars;
     std::vector<DataCentreRecord> dataCentreChanges;
+    // Text of the catalogue of queues in force, as its author sent it.
+    std::optional<std::string> catalogueSource;
 };
 
 } // namespace oleanderport
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -64,7 +64,7 @@
     const Milliseconds sentAt = Clock::now();
     const std::weak_ptr<bool> alive = m_alive;
     m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "openSession",
-        OpenSessionRequest { .node = m_node }, m_process.settings.lease,
+        OpenSessionRequest { .node = m_node }, m_process.settings.controlTimeout,
         [this, alive, sentAt, round = m_round](const Result<SessionResponse>& response) {
             if (alive.expired() || round != m_round)
                 return;
@@ -85,7 +85,7 @@
     m_waiting = true;
     const Milliseconds sentAt = Clock::now();
     const std::weak_ptr<bool> alive = m_alive;
-    m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "heartbeat", heartbeatRequest(), m_process.settings.lease,
+    m_client.callTyped<SessionResponse>(ControlClient::Lane::Session, "heartbeat", heartbeatRequest(), m_process.settings.controlTimeout,
         [this, alive, sentAt, round = m_round](const Result<SessionResponse>& response) {
             if (alive.expired() || round != m_round)
                 return;
@@ -160,7 +160,7 @@
         return done();
     const HeartbeatRequest request = heartbeatRequest();
     m_id.reset();
-    m_client.callTyped<Nothing>(ControlClient::Lane::Session, "closeSession", request, m_process.settings.lease,
+    m_client.callTyped<Nothing>(ControlClient::Lane::Session, "closeSession", request, m_process.settings.controlTimeout,
         [done = std::move(done)](const Result<Nothing>&) { done(); });
 }
 
--- /dev/null
+++ b/src/wire/DispatchMessages.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "oleanderport/Messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+// What entries and sidecars tell each other about best-effort jobs, over one stream for each pair. Unlike a job with a
+// claim, a best-effort job is stored nowhere: its tasks may run again after an end that is known, never twice at the
+// same time. wire/DispatchCodec.h turns the frames into bytes.
+namespace oleanderport {
+
+// Names one run of one task. Runs of the same task have rising numbers.
+struct RunName {
+    std::string job;
+    std::uint32_t step { 0 };
+    std::uint32_t index { 0 };
+    std::uint64_t run { 0 };
+
+    auto operator<=>(const RunName&) const = default;
+};
+
+// One task of a RunOrder.
+struct OrderedTask {
+    std::uint32_t index { 0 };
+    std::uint64_t run { 0 };
+};
+
+// Tasks of one step of one job that a sidecar is to run.
+struct RunOrder {
+    std::string job;
+    std::uint32_t step { 0 };
+    std::vector<OrderedTask> tasks;
+    std::string payload;
+    // What each task needs; its run time is the entry's estimate.
+    TaskNeeds needs;
+    // How long the run may wait behind others: the one whose arrival and rank add up to the least starts first.
+    Milliseconds rank {};
+    // Nothing of the order runs after this time on the sidecar's clock.
+    Milliseconds endBy {};
+};
+
+// Entry to sidecar.
+struct EntryFrame {
+    // Life of the entry and the runs that it believes to be at this sidecar. Set in the first frame of a stream.
+    std::string entry;
+    std::vector<RunName> outstanding;
+    // Latest `clock` that the entry has seen from this life of the sidecar. It proves how old the frame is at most.
+    Milliseconds echo {};
+    // Ends up to this number have arrived.
+    std::uint64_t endsSeen { 0 };
+    std::vector<RunOrder> orders;
+    std::vector<RunName> stops;
+};
+
+// How a run ended at a sidecar.
+enum class RunEndKind {
+    Done,
+    // The minion ran it and it failed.
+    Failed,
+    // It never began, and no longer can.
+    NotStarted,
+    // It was ended early, or its minion is gone. It no longer runs.
+    Stopped,
+    // It was ended early because it ran far longer than expected.
+    Stuck,
+};
+
+std::string_view runEndKindName(RunEndKind);
+
+struct RunEnd {
+    // Counts the ends of one life of an entry at one life of a sidecar, from 1.
+    std::uint64_t number { 0 };
+    RunName run;
+    RunEndKind kind { RunEndKind::Stopped };
+    Milliseconds ranFor {};
+};
+
+// A minion as its sidecar knows it.
+struct MinionState {
+    std::string service;
+    std::string dataCentre;
+    std::string rack;
+    std::vector<std::string> labels;
+    TaskNeeds capacity;
+    // What runs or waits there, for all entries.
+    TaskNeeds used;
+    // False while nothing further is taken.
+    bool accepting { false };
+};
+
+// Sidecar to entry.
+struct SidecarFrame {
+    // Life of the sidecar; set in the first frame of a stream.
+    std::string sidecar;
+    Milliseconds clock {};
+    // Frames of this stream that have been taken in, so that the entry knows which orders `state` counts.
+    std::uint64_t framesSeen { 0 };
+    std::optional<MinionState> state;
+    std::vector<RunEnd> ends;
+};
+
+} // namespace oleanderport
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -91,6 +91,8 @@
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", m_address.c_str());
     evhttp_add_header(headers, "Content-Type", "application/json");
+    for (const auto& header : message.headers)
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(request), message.body.data(), message.body.size());
     const timeval timeout { static_cast<time_t>(message.timeout.count / millisecondsPerSecond),
         static_cast<suseconds_t>(message.timeout.count % millisecondsPerSecond * microsecondsPerMillisecond) };
--- a/src/wire/HttpClient.h
+++ b/src/wire/HttpClient.h
@@ -8,18 +8,25 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct evhttp_connection;
 struct evhttp_request;
 
 namespace oleanderport {
 
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
 struct HttpCall {
     HttpMethod method { HttpMethod::Post };
     std::string path;
     std::string body;
     // From the call to the last byte of its answer, the wait for earlier calls included.
     Milliseconds timeout {};
+    std::vector<HttpHeader> headers;
 };
 
 struct HttpAnswer {
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -11,9 +11,11 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 #include <map>
 #include <string_view>
+#include <utility>
 
 namespace oleanderport {
 
@@ -64,6 +66,16 @@
         return body;
     }
 
+    // Host header without the port.
+    std::string hostOf(evhttp_request* request)
+    {
+        std::string host = textOrEmpty(evhttp_find_header(evhttp_request_get_input_headers(request), "Host"));
+        const auto colon = host.rfind(':');
+        if (colon != std::string::npos && host.find(']', colon) == std::string::npos)
+            host.resize(colon);
+        return host;
+    }
+
     std::string reasonOf(int status) { return status < 300 ? "OK" : "Refused"; }
 
     // Counts one reply from its begin until it has left the process or its connection has closed.
@@ -189,13 +201,41 @@
 void HttpResponder::connectionClosed(evhttp_connection*, void* self)
 {
     // The connection frees the request as its owner once it closes.
-    static_cast<HttpResponder*>(self)->m_request = nullptr;
+    auto* responder = static_cast<HttpResponder*>(self);
+    responder->m_request = nullptr;
+    responder->m_watch.reset();
+    if (const auto peerGone = std::exchange(responder->m_peerGone, nullptr))
+        peerGone();
+}
+
+void HttpResponder::onPeerGone(EventLoop& loop, std::function<void()> callback)
+{
+    if (!m_request)
+        return callback();
+    m_peerGone = std::move(callback);
+    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
+    m_watch = loop.onReadable(bufferevent_getfd(connection), [this] { peerReadable(); });
+}
+
+void HttpResponder::peerReadable()
+{
+    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
+    char byte = 0;
+    const auto size = ::recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    m_watch.reset();
+    const auto peerGone = std::exchange(m_peerGone, nullptr);
+    if (size <= 0)
+        peerGone();
 }
 
 void HttpResponder::reply(const HttpReply& answer)
 {
     if (!m_request)
         return;
+    m_watch.reset();
+    m_peerGone = nullptr;
     evhttp_request* request = m_request;
     m_request = nullptr;
     UnsentReply::begin(request, m_unsent);
@@ -205,6 +245,10 @@
         const auto seconds = (answer.retryAfter.count + millisecondsPerSecond - 1) / millisecondsPerSecond;
         evhttp_add_header(headers, "Retry-After", fmt::format("{}", seconds).c_str());
     }
+    if (answer.close)
+        evhttp_add_header(headers, "Connection", "close");
+    if (!answer.location.empty())
+        evhttp_add_header(headers, "Location", answer.location.c_str());
     evbuffer* body = evbuffer_new();
     evbuffer_add(body, answer.body.data(), answer.body.size());
     evhttp_send_reply(request, answer.status, reasonOf(answer.status).c_str(), body);
@@ -213,6 +257,7 @@
 
 HttpServer::HttpServer(EventLoop& loop, const HttpServerOptions& options, HttpHandler handler)
     : m_handler(std::move(handler))
+    , m_headers(options.headers)
     , m_http(evhttp_new(loop.base()))
     , m_openRequests(std::make_shared<std::size_t>(0))
     , m_unsentReplies(std::make_shared<std::size_t>(0))
@@ -292,7 +337,11 @@
         .path = textOrEmpty(uri ? evhttp_uri_get_path(uri) : nullptr),
         .query = textOrEmpty(uri ? evhttp_uri_get_query(uri) : nullptr),
         .peer = peerOf(request),
-        .body = bodyOf(request) };
+        .body = bodyOf(request),
+        .host = hostOf(request) };
+    for (const auto& name : server->m_headers)
+        message.headers.push_back(
+            textOrEmpty(evhttp_find_header(evhttp_request_get_input_headers(request), name.c_str())));
     auto counter = server->m_openRequests;
     ++*counter;
     bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct bufferevent;
 struct event_base;
@@ -29,6 +30,10 @@
     std::string query;
     std::string peer;
     std::string body;
+    // Host as the peer named it, without a port.
+    std::string host;
+    // The headers that HttpServerOptions asks for, as far as they were sent, in its order; absent ones are empty.
+    std::vector<std::string> headers;
 };
 
 struct HttpReply {
@@ -36,6 +41,10 @@
     std::string contentType { "application/json" };
     std::string body;
     Milliseconds retryAfter {};
+    // Set on a redirect.
+    std::string location;
+    // Ask the peer to come back on another connection.
+    bool close { false };
 };
 
 // The right to answer one request, once, at any later time in the loop. Safe to use after the peer has gone.
@@ -50,11 +59,18 @@
     void reply(const HttpReply&);
     bool isOpen() const { return m_request; }
 
+    // Calls back once when the peer closes or resets the connection before it was answered. A peer that sends a
+    // further request ahead of the answer is no longer watched.
+    void onPeerGone(EventLoop&, std::function<void()>);
+
 private:
     static void connectionClosed(evhttp_connection*, void* self);
+    void peerReadable();
 
     evhttp_request* m_request;
     std::shared_ptr<std::size_t> m_unsent;
+    std::function<void()> m_peerGone;
+    std::unique_ptr<EventLoop::Timer> m_watch;
 };
 
 using HttpHandler = std::function<void(HttpRequest&&, std::shared_ptr<HttpResponder>)>;
@@ -70,6 +86,8 @@
     Milliseconds requestTimeout { 30'000 };
     // Connections that may be open; further ones wait in the listening socket's queue.
     std::size_t maxConnections { 10'000 };
+    // Names of the headers that handlers read.
+    std::vector<std::string> headers;
 };
 
 // An evhttp server. Every request goes to one handler, which may answer later. What is no HTTP, or has more than
@@ -105,6 +123,7 @@
     static void received(evhttp_request*, void* self);
 
     HttpHandler m_handler;
+    std::vector<std::string> m_headers;
     evhttp* m_http;
     evhttp_bound_socket* m_socket { nullptr };
     std::shared_ptr<std::size_t> m_openRequests;
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -335,6 +335,7 @@
         a("cpuMillis", m.cpuMillis);
         a("memoryMb", m.memoryMb);
         a("accelerators", m.accelerators);
+        a("streamAddress", m.streamAddress);
     }
 
     template <typename Archive>
@@ -372,6 +373,43 @@
         a("dataCentres", m.dataCentres);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, QueueConfig& m)
+    {
+        a("name", m.name);
+        a("host", m.host);
+        a("pathPrefix", m.pathPrefix);
+        a("service", m.service);
+        a("priority", m.priority);
+        a("maxAttempts", m.maxAttempts);
+        a("stretchPercent", m.stretchPercent);
+        a("latencyAllowance", m.latencyAllowance);
+        a("timeLimit", m.timeLimit);
+        a("unsupported", m.unsupported);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, QueueCatalogue& m)
+    {
+        a("version", m.version);
+        a("queues", m.queues);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, PublishCatalogue& m)
+    {
+        a("catalogue", m.catalogue);
+        a("source", m.source);
+    }
+
+    template <typename Archive>
+    void fields(Archive& a, CataloguePublished& m)
+    {
+        a("version", m.version);
+        a("changed", m.changed);
+        a("viewVersion", m.viewVersion);
+    }
+
     template <typename Archive>
     void fields(Archive& a, ClusterView& m)
     {
@@ -379,6 +417,7 @@
         a("config", m.config);
         a("dataCentresOut", m.dataCentresOut);
         a("members", m.members);
+        a("catalogue", m.catalogue);
     }
 
     template <typename Archive>
@@ -390,6 +429,7 @@
         a("dataCentresOut", m.dataCentresOut);
         a("left", m.left);
         a("joined", m.joined);
+        a("catalogue", m.catalogue);
     }
 
     template <typename Archive>
@@ -484,6 +524,7 @@
         a("out", m.out);
         a("author", m.author);
         a("reason", m.reason);
+        a("declared", m.declared);
     }
 
     template <typename Archive>
@@ -695,6 +736,7 @@
         a("claims", m.claims);
         a("endedSidecars", m.endedSidecars);
         a("dataCentreChanges", m.dataCentreChanges);
+        a("catalogueSource", m.catalogueSource);
     }
 
     template <typename Archive>
@@ -821,6 +863,8 @@
 OLEANDERPORT_MESSAGE(Member)
 OLEANDERPORT_MESSAGE(DataCentreChange)
 OLEANDERPORT_MESSAGE(DataCentreChanged)
+OLEANDERPORT_MESSAGE(PublishCatalogue)
+OLEANDERPORT_MESSAGE(CataloguePublished)
 OLEANDERPORT_MESSAGE(ApplyDocument)
 OLEANDERPORT_MESSAGE(DocumentApplied)
 OLEANDERPORT_MESSAGE(PromoteDocument)
--- /dev/null
+++ b/src/wire/MessageStream.cpp
@@ -0,0 +1,149 @@
+#include "wire/MessageStream.h"
+
+#include "wire/HttpServer.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <cstring>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr std::size_t headerBytes = 4;
+    // Far above the largest frame; a longer one comes from something that is no peer.
+    constexpr std::size_t maxMessageBytes = 16 * 1024 * 1024;
+    constexpr int listenBacklog = 256;
+
+    sockaddr_in socketAddress(const Endpoint& endpoint)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
+        return address;
+    }
+
+    // Frames are small and each waits for the other's; Nagle's algorithm would hold them back.
+    void disableNagle(int descriptor)
+    {
+        const int on = 1;
+        setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+
+} // namespace
+
+MessageStream::MessageStream(EventLoop& loop, int descriptor, Callbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+    , m_connection(bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE))
+    , m_alive(std::make_shared<bool>(true))
+{
+    bufferevent_setcb(m_connection, &MessageStream::readable, nullptr, &MessageStream::event, this);
+    bufferevent_enable(m_connection, EV_READ | EV_WRITE);
+    if (descriptor >= 0)
+        disableNagle(descriptor);
+}
+
+MessageStream::~MessageStream() { bufferevent_free(m_connection); }
+
+std::unique_ptr<MessageStream> MessageStream::connect(
+    EventLoop& loop, const std::string& address, Callbacks callbacks)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint.has_value())
+        return nullptr;
+    auto stream = std::make_unique<MessageStream>(loop, -1, std::move(callbacks));
+    const sockaddr_in target = socketAddress(endpoint.assume_value());
+    // A failure is told by the event callback, also when it is known at once.
+    bufferevent_socket_connect(stream->m_connection, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+    return stream;
+}
+
+void MessageStream::send(std::string_view message)
+{
+    const std::uint32_t size = htonl(static_cast<std::uint32_t>(message.size()));
+    evbuffer* output = bufferevent_get_output(m_connection);
+    evbuffer_add(output, &size, sizeof size);
+    evbuffer_add(output, message.data(), message.size());
+}
+
+std::size_t MessageStream::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_connection)); }
+
+void MessageStream::readable(bufferevent*, void* self) { static_cast<MessageStream*>(self)->readAll(); }
+
+void MessageStream::readAll()
+{
+    evbuffer* input = bufferevent_get_input(m_connection);
+    const std::weak_ptr<bool> alive = m_alive;
+    while (!alive.expired()) {
+        std::uint32_t header = 0;
+        if (evbuffer_copyout(input, &header, headerBytes) < static_cast<ev_ssize_t>(headerBytes))
+            return;
+        const std::size_t size = ntohl(header);
+        if (size > maxMessageBytes) {
+            m_callbacks.closed("the peer sent an oversized message");
+            return;
+        }
+        if (evbuffer_get_length(input) < headerBytes + size)
+            return;
+        evbuffer_drain(input, headerBytes);
+        std::string message(size, '\0');
+        evbuffer_remove(input, message.data(), size);
+        m_callbacks.received(message);
+    }
+}
+
+void MessageStream::event(bufferevent* connection, short what, void* self)
+{
+    auto* stream = static_cast<MessageStream*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        disableNagle(bufferevent_getfd(connection));
+        return;
+    }
+    const auto closed = stream->m_callbacks.closed;
+    closed((what & BEV_EVENT_EOF) != 0 ? "the peer closed the connection" : "the connection failed");
+}
+
+StreamListener::StreamListener(std::function<void(int)> accepted)
+    : m_accepted(std::move(accepted))
+{
+}
+
+StreamListener::~StreamListener()
+{
+    if (m_listener)
+        evconnlistener_free(m_listener);
+}
+
+Result<std::unique_ptr<StreamListener>> StreamListener::listen(
+    EventLoop& loop, const std::string& address, std::function<void(int)> accepted)
+{
+    BOOST_OUTCOME_TRY(const auto endpoint, parseEndpoint(address));
+    std::unique_ptr<StreamListener> listener(new StreamListener(std::move(accepted)));
+    const sockaddr_in own = socketAddress(endpoint);
+    listener->m_listener = evconnlistener_new_bind(
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self) {
+            static_cast<StreamListener*>(self)->m_accepted(descriptor);
+        },
+        listener.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listenBacklog,
+        reinterpret_cast<const sockaddr*>(&own), sizeof own);
+    if (!listener->m_listener) {
+        return Error { .code = ErrorCode::Unavailable,
+            .ran = Ran::No,
+            .step = "stream.listen",
+            .peer = address,
+            .message = "cannot bind this address" };
+    }
+    return listener;
+}
+
+} // namespace oleanderport
--- a/src/wire/Process.cpp
+++ b/src/wire/Process.cpp
@@ -1,5 +1,9 @@
 #include "wire/Process.h"
 
+#include <fmt/format.h>
+
+#include <random>
+
 namespace oleanderport {
 
 namespace {
@@ -52,6 +56,14 @@
     return boost::outcome_v2::success();
 }
 
+std::uint64_t makeRandomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string makeLifeName(const std::string& instance) { return fmt::format("{}/{:016x}", instance, makeRandomSeed()); }
+
 void replyError(HttpResponder& responder, const Error& error)
 {
     Json::Value body(Json::objectValue);
--- a/src/wire/Process.h
+++ b/src/wire/Process.h
@@ -39,6 +39,12 @@
     virtual void shutDown(std::function<void()> done) = 0;
 };
 
+// A random number that differs from start to start.
+std::uint64_t makeRandomSeed();
+
+// A name for one life of a process that no other life has.
+std::string makeLifeName(const std::string& instance);
+
 // Answers a caller or operator with an error as JSON.
 void replyError(HttpResponder&, const Error&);
 
