--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -190,8 +190,10 @@
     const bool wanted = run.state == State::Starting;
     switch (answer) {
     case StartAnswer::Started:
-        if (wanted)
-            run.state = State::Running;
+        if (!wanted)
+            return;
+        run.state = State::Running;
+        run.confirmedAt = now;
         return;
     case StartAnswer::Unknown:
         // Only a stop that is answered makes the order harmless.
@@ -261,15 +263,17 @@
         Run& run = m_runs.at(found->second);
         run.listedAt = now;
         run.percent = item.percent;
-        if (run.state == State::Starting)
-            run.state = State::Running;
+        if (run.state != State::Starting)
+            continue;
+        run.state = State::Running;
+        run.confirmedAt = now;
     }
     m_strays = std::move(strays);
     // What was there before the question and is neither running nor ended is gone.
     std::vector<RunKey> gone;
     for (const auto& [name, key] : m_byMinionName) {
         const Run& run = m_runs.at(key);
-        const bool settledBefore = (run.state == State::Running && run.startedAt < askedAt)
+        const bool settledBefore = (run.state == State::Running && run.confirmedAt < askedAt)
             || (run.state == State::Stopping && run.stopAnsweredAt && *run.stopAnsweredAt < askedAt);
         if (settledBefore && run.listedAt != now)
             gone.push_back(key);
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -193,6 +193,8 @@
         Milliseconds queuedAt {};
         Milliseconds notBefore {};
         Milliseconds startedAt {};
+        // The minion has said then that it runs.
+        Milliseconds confirmedAt {};
         Milliseconds listedAt {};
         int percent { 0 };
         RunEndKind endAs { RunEndKind::Stopped };
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -46,6 +46,8 @@
     // evhttp's timeout ends a silent call and a connect, and knows whether the call was sent. The total comes just
     // after it and ends the rest: an answer that trickles in, or the wait behind a slow call.
     constexpr Milliseconds totalSlack { 50 };
+    // An idle connection stays open until the peer closes it.
+    constexpr timeval idleTimeout { 86'400, 0 };
     constexpr std::int64_t millisecondsPerSecond = 1000;
     constexpr std::int64_t microsecondsPerMillisecond = 1000;
 
@@ -129,6 +131,9 @@
     auto* ended = static_cast<PendingCall*>(data);
     const std::string peer = ended->connection->address();
     const auto pending = ended->connection->takePending(ended);
+    // evhttp's timeout would also close a connection that is merely idle.
+    if (ended->connection->m_pending.empty())
+        evhttp_connection_set_timeout_tv(ended->connection->m_connection, &idleTimeout);
     const int status = request ? evhttp_request_get_response_code(request) : 0;
     if (request && status != 0 && !pending->error) {
         pending->callback(readAnswer(request));
