--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -72,6 +72,7 @@
         section.texts("peers", settings.controlPeers);
         section.text("data_folder", settings.dataFolder);
         section.flag("bootstrap", settings.bootstrap);
+        section.flag("check_file_identity", settings.checkFileIdentity);
         std::vector<std::string> routes;
         section.texts("routes", routes);
         addRoutes(routes, section, settings);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -27,6 +27,8 @@
     std::vector<std::string> controlPeers;
     // Where a control instance keeps its state; empty for a single instance that keeps it in memory.
     std::string dataFolder;
+    // Whether a data folder whose files have another identity than they were written with counts as a copy.
+    bool checkFileIdentity { true };
     // A control instance with an empty data folder may found a new group, once all peers are there and empty as well.
     bool bootstrap { false };
     // Where a control instance reaches a peer whose address in `controlPeers` is not reachable from here.
--- a/src/control/LogStore.cpp
+++ b/src/control/LogStore.cpp
@@ -258,7 +258,7 @@
     m_stored.self.incarnation = head.incarnation;
     m_stored.boot = head.boot;
     BOOST_OUTCOME_TRY(const auto identity, identityAt(path));
-    const bool isCopy = identity != head.identity;
+    const bool isCopy = m_options.checkIdentity && identity != head.identity;
     if (isCopy) {
         log(LogLevel::Warning, { .step = "control.log", .peer = path },
             "the folder was put back from a copy: joining again as a new member");
--- a/src/control/LogStore.h
+++ b/src/control/LogStore.h
@@ -18,6 +18,9 @@
     std::string address;
     // Take a new incarnation although the folder looks like the own one.
     bool renewIncarnation { false };
+    // Take a folder whose log has another inode or time of birth for a copy. Off where the file system gives files new
+    // ones at each start of the machine.
+    bool checkIdentity { true };
 };
 
 // Keeps the log and the latest snapshot of one control instance in its data folder.
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -125,7 +125,8 @@
     BOOST_OUTCOME_TRY(m_store,
         LogStore::open({ .folder = m_process.settings.dataFolder,
                            .address = m_process.settings.advertise,
-                           .renewIncarnation = renewIncarnation },
+                           .renewIncarnation = renewIncarnation,
+                           .checkIdentity = m_process.settings.checkFileIdentity },
             [completions = m_completions](const Result<std::uint64_t>& result) { completions->add(result); }));
     const RaftStored& stored = m_store->stored();
     m_state = ControlState(m_stateOptions);
