--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -34,6 +34,8 @@
 void RunTable::opened(const EntryFrame& frame, Milliseconds now)
 {
     Entry& entry = m_entries[frame.entry];
+    // An entry that was forgotten here still knows the numbers of former ends, and would drop a lower one as old.
+    entry.lastEnd = std::max(entry.lastEnd, frame.endsSeen);
     entry.connected = true;
     entry.greeted = false;
     entry.framesSeen = 1;
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -11,7 +11,6 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <cerrno>
 #include <charconv>
 #include <map>
 #include <string_view>
@@ -28,6 +27,8 @@
     constexpr std::int64_t millisecondsPerSecond = 1000;
 
     constexpr Milliseconds sweepPeriod { 250 };
+    // What a peer may send ahead of an answer while its connection is watched.
+    constexpr std::size_t mostReadAhead = 64 * 1024;
     constexpr ev_uint16_t everyMethod = 0xffff;
     constexpr std::string_view tooSlowAnswer
         = "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nConnection: close\r\n"
@@ -200,42 +201,41 @@
 
 void HttpResponder::connectionClosed(evhttp_connection*, void* self)
 {
-    // The connection frees the request as its owner once it closes.
     auto* responder = static_cast<HttpResponder*>(self);
-    responder->m_request = nullptr;
-    responder->m_watch.reset();
+    // The connection frees the request as its owner once it closes, unless its end was met while the request was open.
+    evhttp_request* request = std::exchange(responder->m_request, nullptr);
+    if (!evhttp_request_get_connection(request))
+        evhttp_request_free(request);
     if (const auto peerGone = std::exchange(responder->m_peerGone, nullptr))
         peerGone();
 }
 
-void HttpResponder::onPeerGone(EventLoop& loop, std::function<void()> callback)
+void HttpResponder::onPeerGone(std::function<void()> callback)
 {
     if (!m_request)
         return callback();
     m_peerGone = std::move(callback);
+    // evhttp does not read while a request is handled, and stops the process when it is called with data then. With
+    // these watermarks the connection is read, so that its end is noticed, and evhttp is not called.
     bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
-    m_watch = loop.onReadable(bufferevent_getfd(connection), [this] { peerReadable(); });
+    bufferevent_setwatermark(connection, EV_READ, mostReadAhead + 1, mostReadAhead);
+    bufferevent_enable(connection, EV_READ);
 }
 
-void HttpResponder::peerReadable()
+void HttpResponder::stopWatching()
 {
-    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
-    char byte = 0;
-    const auto size = ::recv(bufferevent_getfd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (size < 0 && (errno == EAGAIN || errno == EINTR))
+    if (!std::exchange(m_peerGone, nullptr))
         return;
-    m_watch.reset();
-    const auto peerGone = std::exchange(m_peerGone, nullptr);
-    if (size <= 0)
-        peerGone();
+    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(m_request));
+    bufferevent_disable(connection, EV_READ);
+    bufferevent_setwatermark(connection, EV_READ, 0, 0);
 }
 
 void HttpResponder::reply(const HttpReply& answer)
 {
     if (!m_request)
         return;
-    m_watch.reset();
-    m_peerGone = nullptr;
+    stopWatching();
     evhttp_request* request = m_request;
     m_request = nullptr;
     UnsentReply::begin(request, m_unsent);
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -59,18 +59,16 @@
     void reply(const HttpReply&);
     bool isOpen() const { return m_request; }
 
-    // Calls back once when the peer closes or resets the connection before it was answered. A peer that sends a
-    // further request ahead of the answer is no longer watched.
-    void onPeerGone(EventLoop&, std::function<void()>);
+    // Calls back once when the peer closes or resets the connection before it was answered.
+    void onPeerGone(std::function<void()>);
 
 private:
     static void connectionClosed(evhttp_connection*, void* self);
-    void peerReadable();
+    void stopWatching();
 
     evhttp_request* m_request;
     std::shared_ptr<std::size_t> m_unsent;
     std::function<void()> m_peerGone;
-    std::unique_ptr<EventLoop::Timer> m_watch;
 };
 
 using HttpHandler = std::function<void(HttpRequest&&, std::shared_ptr<HttpResponder>)>;
