--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -344,6 +344,8 @@
             .free = link.state.capacity,
             .allowance = health.allowance(healthId(name), now) };
         addNeeds(candidate.free, link.state.used, -1);
+        candidate.free.cpuMillis += link.state.capacity.cpuMillis * m_options.prefetchPercent / percent
+            / static_cast<std::int64_t>(m_options.entries);
         for (const auto& each : link.sent)
             addNeeds(candidate.free, each.needs, -1);
         if (candidate.allowance)
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -86,6 +86,9 @@
     Milliseconds lostAfter { 1'650 };
     // A frame with nothing but the echo follows at most this often.
     Milliseconds echoGap { 100 };
+    // Part of a minion's room, in hundredths, that all entries together may send beyond what is free, so that the next
+    // run starts without a round trip when one ends.
+    std::int64_t prefetchPercent { 20 };
     // Entries of the deployment. Each counts on its share of the minions when it estimates a wait.
     std::size_t entries { 1 };
     // Jobs of a lower priority wait this much longer, for each step of priority.
