Jobs that can meet their objective come first; two staggered lists; faster elections; requests wait for the first queues

Jobs that can no longer meet their objective now wait behind those that can. (3) after a final fault an election took 1 to 2 s, and requests were refused meanwhile: times of the group are a setting, and requests wait up to 1 s for the first catalogue. Ruled out: room that is lost between two runs (prefetch, commit before).

--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -80,6 +80,8 @@
         section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
         section.time("heartbeat_ms", settings.heartbeat, timeRange);
         section.time("timeout_ms", settings.controlTimeout, timeRange);
+        section.time("election_ms", settings.election, timeRange);
+        section.time("verify_wait_ms", settings.verifyWait, timeRange);
         section.texts("data_centres", settings.declaredDataCentres);
         if (settings.heartbeat * 2 > settings.lease)
             section.fault("heartbeat_ms", "expected at most half of lease_ms");
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -38,6 +38,10 @@
     Milliseconds heartbeat { 500 };
     // Longest that a process waits for control to answer one of its session's calls.
     Milliseconds controlTimeout { 3'000 };
+    // Least time without a leader after which a control instance stands for election. The group's other times follow.
+    Milliseconds election { 1'000 };
+    // How long a restarted control instance waits to hear from every other before it votes.
+    Milliseconds verifyWait { 6'000 };
     // Data centres that operators may take out although no document names them.
     std::vector<std::string> declaredDataCentres;
 
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -18,6 +18,10 @@
     constexpr Milliseconds tickPeriod { 20 };
     constexpr Milliseconds callTimeout { 1'000 };
     constexpr std::size_t maxOutbox = 64;
+    // Parts of the least election time; see RaftOptions.
+    constexpr std::int64_t heartbeatPercent = 15;
+    constexpr std::int64_t confirmPercent = 80;
+    constexpr std::int64_t wholePercent = 100;
     constexpr std::uint64_t snapshotEvery = 1'000;
     // A message may grow in JSON, and a call carries more than entries.
     constexpr std::int64_t bodyShare = 8;
@@ -134,8 +138,14 @@
     m_snapshotIndex = 0;
     if (stored.snapshot)
         install(*stored.snapshot);
+    const Milliseconds election = m_process.settings.election;
     const RaftOptions options { .peers = m_process.settings.controlPeers,
         .bootstrap = m_process.settings.bootstrap,
+        .heartbeat = { election.count * heartbeatPercent / wholePercent },
+        .electionLeast = election,
+        .electionMost = election * 2,
+        .confirmWindow = { election.count * confirmPercent / wholePercent },
+        .verifyWait = m_process.settings.verifyWait,
         .maxBytesPerMessage = messageLimit(m_process.settings),
         .seed = makeRandomSeed() };
     m_raft = std::make_unique<Raft>(options, stored, Clock::now());
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -22,6 +22,7 @@
     : m_process(process)
     , m_dispatcher({ .life = makeLifeName(process.settings.instance),
           .dataCentre = process.settings.dataCentre,
+          .startedAt = Clock::now(),
           .seed = makeRandomSeed() })
 {
 }
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -72,13 +72,14 @@
     job.longestRun = longestChain(spec);
     const Milliseconds objective = Milliseconds { job.longestRun.count * spec.queue.stretchPercent / percent } + spec.queue.latencyAllowance;
     job.usefulUntil = std::min(spec.deadline, now + objective * m_options.usefulFactor);
+    job.objectiveAt = now + objective;
     job.urgentAt = now + objective + m_options.priorityStep * spec.queue.priority;
     m_submissions[submission] = submission;
     m_byName[{ spec.queue.name, spec.name }] = submission;
     const auto reason = refusal(job, now);
     const Job& added = m_jobs.emplace(submission, std::move(job)).first->second;
     if (reason)
-        endJob(submission, DispatchEndKind::Refused, *reason, retryAfter(added));
+        endJob(submission, DispatchEndKind::Refused, *reason, retryAfter(added, now));
     else
         m_queue.emplace(added.urgentAt, submission);
     return submission;
@@ -95,11 +96,13 @@
         for (std::size_t i = 0; i < fitting.size(); ++i)
             fitting[i] = fitting[i] || fitsInto(link.state.capacity, job.spec.steps[i].needs);
     }
+    if (now <= m_options.startedAt + absentAfter)
+        return std::nullopt;
     if (!present)
         return "no minion of the service is there";
     if (std::find(fitting.begin(), fitting.end(), false) != fitting.end())
         return "a task needs more than any minion has";
-    if (now + expectedWait(job) + job.longestRun > job.usefulUntil)
+    if (now + expectedWait(job, now) + job.longestRun > job.usefulUntil)
         return "it would not be done in time by the work ahead of it";
     return std::nullopt;
 }
@@ -115,7 +118,7 @@
     return cores;
 }
 
-Milliseconds JobDispatcher::expectedWait(const Job& job) const
+Milliseconds JobDispatcher::expectedWait(const Job& job, Milliseconds now) const
 {
     // Work in thousandths of a core times milliseconds.
     std::int64_t ahead = 0;
@@ -123,7 +126,7 @@
         if (urgentAt > job.urgentAt)
             break;
         const Job& other = m_jobs.at(id);
-        if (other.spec.queue.service != job.spec.queue.service)
+        if (other.spec.queue.service != job.spec.queue.service || !isPrompt(other, now))
             continue;
         for (std::size_t i = 0; i < other.tasks.size(); ++i) {
             const TaskNeeds& needs = other.spec.steps[i].needs;
@@ -136,10 +139,10 @@
     return { share > 0 ? ahead / share : 0 };
 }
 
-Milliseconds JobDispatcher::retryAfter(const Job& job)
+Milliseconds JobDispatcher::retryAfter(const Job& job, Milliseconds now)
 {
     // Spread over as long again, so that those who were refused together do not return together.
-    const std::int64_t base = std::max(expectedWait(job), m_options.leastRetryAfter).count;
+    const std::int64_t base = std::max(expectedWait(job, now), m_options.leastRetryAfter).count;
     const std::int64_t spread = base + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(base + 1));
     return { std::min(spread, m_options.mostRetryAfter.count) };
 }
@@ -355,22 +358,29 @@
     return all;
 }
 
+bool JobDispatcher::isPrompt(const Job& job, Milliseconds now) const
+{
+    return job.ran || job.atSidecars > 0 || now + job.longestRun <= job.objectiveAt;
+}
+
 void JobDispatcher::place(Milliseconds now)
 {
     std::map<std::string, std::vector<PlacementCandidate>> byService;
     std::set<std::string> full;
     std::vector<std::pair<Milliseconds, std::uint64_t>> placed;
-    for (const auto& [urgentAt, id] : m_queue) {
-        Job& job = m_jobs.at(id);
-        const std::string& service = job.spec.queue.service;
-        if (full.contains(service) || isWaitingForFormer(job))
-            continue;
-        if (!byService.contains(service))
-            byService[service] = candidates(service, now);
-        if (!placeJob(id, job, byService[service], now))
-            full.insert(service);
-        if (job.waiting == 0)
-            placed.emplace_back(urgentAt, id);
+    for (const bool prompt : { true, false }) {
+        for (const auto& [urgentAt, id] : m_queue) {
+            Job& job = m_jobs.at(id);
+            const std::string& service = job.spec.queue.service;
+            if (job.waiting == 0 || isPrompt(job, now) != prompt || full.contains(service) || isWaitingForFormer(job))
+                continue;
+            if (!byService.contains(service))
+                byService[service] = candidates(service, now);
+            if (!placeJob(id, job, byService[service], now))
+                full.insert(service);
+            if (job.waiting == 0)
+                placed.emplace_back(urgentAt, id);
+        }
     }
     for (const auto& entry : placed)
         m_queue.erase(entry);
@@ -445,7 +455,7 @@
             .tasks = { { .index = index, .run = task.run } },
             .payload = job.spec.payload,
             .needs = needs,
-            .rank = job.urgentAt - now,
+            .rank = isPrompt(job, now) ? job.urgentAt - now : job.usefulUntil - now,
             // The sidecar's clock stood at `clock` when the frame that told it arrived, or a little later.
             .endBy = link.clock + (job.spec.deadline - link.heardAt) });
     }
@@ -466,7 +476,7 @@
         const Job& job = m_jobs.at(id);
         const bool begun = job.ran || job.atSidecars > 0;
         endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused,
-            begun ? "the time of the job is over" : "it can no longer be done in time", retryAfter(job));
+            begun ? "the time of the job is over" : "it can no longer be done in time", retryAfter(job, now));
     }
 }
 
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -98,12 +98,16 @@
     // Least and largest time after which a refused caller is asked to come back.
     Milliseconds leastRetryAfter { 1'000 };
     Milliseconds mostRetryAfter { 8'000 };
+    // When the entry started. Until its sidecars have had time to connect, none is taken as absent.
+    Milliseconds startedAt {};
     std::uint64_t seed { 0 };
 };
 
 // Queues the best-effort jobs of one entry, places their tasks on minions, tries failed ones again and ends each job.
-// Jobs wait in order of their latency objective, with less urgency for a lower priority. One that cannot be of use any
-// more, or that by the work ahead of it will not, is refused at once, as long as nothing of it has started.
+// Jobs wait in order of their latency objective, with less urgency for a lower priority; those that can no longer meet
+// it wait behind those that can, so that a backlog after a burst or an outage does not make every later job late as
+// well. One that cannot be of use any more, or that by the work ahead of it will not, is refused at once, as long as
+// nothing of it has started.
 class JobDispatcher {
 public:
     explicit JobDispatcher(JobDispatcherOptions);
@@ -155,6 +159,7 @@
         bool ran { false };
         Milliseconds arrived {};
         Milliseconds longestRun {};
+        Milliseconds objectiveAt {};
         Milliseconds usefulUntil {};
         // Orders jobs; see JobDispatcher.
         Milliseconds urgentAt {};
@@ -197,8 +202,10 @@
     Milliseconds expectedRun(const QueueConfig&, const TaskNeeds&) const;
     Milliseconds longestChain(const DispatchJob&) const;
     std::optional<std::string> refusal(const Job&, Milliseconds now) const;
-    Milliseconds expectedWait(const Job&) const;
-    Milliseconds retryAfter(const Job&);
+    Milliseconds expectedWait(const Job&, Milliseconds now) const;
+    Milliseconds retryAfter(const Job&, Milliseconds now);
+    // Whether the job can still end within its latency objective, or has been begun.
+    bool isPrompt(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
     bool isWaitingForFormer(const Job&) const;
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -150,7 +150,7 @@
         m_phase = Phase::Clearing;
         m_endsSeen = 0;
         m_endsForgotten = 0;
-        m_listing = false;
+        m_openLists = 0;
         m_strays.clear();
     }
     const bool changed = !sameLife || report.leaving != m_report.leaving || !m_reachable;
@@ -232,14 +232,14 @@
         run.stopAnsweredAt = now;
 }
 
-void RunTable::listed(const RunList& list, Milliseconds askedAt, Milliseconds now)
+void RunTable::listed(const RunList& list, const ListRuns& asked, Milliseconds askedAt, Milliseconds now)
 {
-    m_listing = false;
     if (list.born != m_report.born)
         return;
+    m_openLists = std::max(m_openLists - 1, 0);
     m_listedAt = now;
     m_reachable = true;
-    m_endsForgotten = std::max(m_endsForgotten, m_listEndsSeen);
+    m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
     for (const auto& ended : list.ended) {
         m_endsSeen = std::max(m_endsSeen, ended.number);
         const auto found = m_byMinionName.find(ended.run);
@@ -254,6 +254,18 @@
                                                       : early,
             now);
     }
+    if (askedAt < m_newestListAskedAt)
+        return;
+    m_newestListAskedAt = askedAt;
+    takeListedRuns(list, askedAt, now);
+    if (m_phase == Phase::Clearing && list.running.empty()) {
+        m_phase = Phase::Ready;
+        markStateChanged();
+    }
+}
+
+void RunTable::takeListedRuns(const RunList& list, Milliseconds askedAt, Milliseconds now)
+{
     std::map<RunName, Milliseconds> strays;
     for (const auto& item : list.running) {
         const auto found = m_byMinionName.find(item.run);
@@ -282,15 +294,11 @@
     }
     for (const auto& key : gone)
         end(key, m_runs.at(key).state == State::Stopping ? m_runs.at(key).endAs : RunEndKind::Stopped, now);
-    if (m_phase == Phase::Clearing && list.running.empty()) {
-        m_phase = Phase::Ready;
-        markStateChanged();
-    }
 }
 
 void RunTable::listFailed(Milliseconds now)
 {
-    m_listing = false;
+    m_openLists = std::max(m_openLists - 1, 0);
     m_listedAt = now;
     if (now <= m_leaseMayEndAt)
         return;
@@ -492,12 +500,20 @@
         && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_strays.empty() || m_endsForgotten < m_endsSeen);
 }
 
+std::optional<Milliseconds> RunTable::nextListAt() const
+{
+    if (!needsList() || m_openLists > 1)
+        return std::nullopt;
+    return m_openLists == 0 ? m_listedAt + m_options.listGap : m_listAskedAt + m_options.secondListAfter;
+}
+
 void RunTable::listRuns(RunActions& actions, Milliseconds now)
 {
-    if (m_listing || !needsList() || now < m_listedAt + m_options.listGap)
+    const auto due = nextListAt();
+    if (!due || now < *due)
         return;
-    m_listing = true;
-    m_listEndsSeen = m_endsSeen;
+    ++m_openLists;
+    m_listAskedAt = now;
     const bool hasRunning = std::any_of(m_byMinionName.begin(), m_byMinionName.end(),
         [this](const auto& item) { return m_runs.at(item.second).state != State::Stopping; });
     const bool isStopping = std::any_of(m_byMinionName.begin(), m_byMinionName.end(),
@@ -580,8 +596,8 @@
 {
     std::optional<Milliseconds> due;
     const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
-    if (!m_listing && needsList())
-        at(m_listedAt + m_options.listGap);
+    if (const auto list = nextListAt())
+        at(*list);
     for (const auto& [name, entry] : m_entries) {
         if (entry.connected && entry.stateChanged)
             at(entry.sentAt + m_options.stateGap);
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -108,6 +108,9 @@
     Milliseconds minionLease { 800 };
     // Longest that a list of runs waits for an end. Several fit in one lease, so that a lost answer costs no run.
     Milliseconds listWait { 150 };
+    // A second list is asked for once the first has not been answered for this long: when its answer is lost, ends are
+    // learned from the second.
+    Milliseconds secondListAfter { 30 };
     // Least time between two lists, so that ends are gathered.
     Milliseconds listGap { 6 };
     // A stop that was not answered is sent again after this time.
@@ -144,7 +147,8 @@
 
     void startAnswered(const RunName&, StartAnswer, Milliseconds now);
     void stopAnswered(const RunName&, bool answered, Milliseconds now);
-    void listed(const RunList&, Milliseconds askedAt, Milliseconds now);
+    // `asked` is the request that was answered, `askedAt` when it was made.
+    void listed(const RunList&, const ListRuns& asked, Milliseconds askedAt, Milliseconds now);
     void listFailed(Milliseconds now);
 
     // Until when this sidecar may start anything, and whether its data centre is in service.
@@ -242,6 +246,9 @@
     void listRuns(RunActions&, Milliseconds now);
     void sendFrames(RunActions&, Milliseconds now);
     bool needsList() const;
+    // When the next list may be asked for; nothing while none is needed.
+    std::optional<Milliseconds> nextListAt() const;
+    void takeListedRuns(const RunList&, Milliseconds askedAt, Milliseconds now);
     bool frameDue(const Entry&, Milliseconds now) const;
     MinionState state(Milliseconds now) const;
     TaskNeeds queuedNeeds() const;
@@ -259,9 +266,12 @@
     Milliseconds m_leaseMayEndAt {};
     std::uint64_t m_endsSeen { 0 };
     std::uint64_t m_endsForgotten { 0 };
-    bool m_listing { false };
+    // Lists that are not answered yet, and when the last one was asked for.
+    int m_openLists { 0 };
+    Milliseconds m_listAskedAt {};
+    // When the newest list that was taken in had been asked for. An older one may overtake it.
+    Milliseconds m_newestListAskedAt {};
     Milliseconds m_listedAt {};
-    std::uint64_t m_listEndsSeen { 0 };
     std::map<std::string, Entry> m_entries;
     std::map<RunKey, Run> m_runs;
     std::map<RunName, RunKey> m_byMinionName;
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -164,9 +164,9 @@
         });
     }
     if (actions.list) {
-        m_minion.list(*actions.list, [this, askedAt = Clock::now()](const Result<RunList>& list) {
+        m_minion.list(*actions.list, [this, asked = *actions.list, askedAt = Clock::now()](const Result<RunList>& list) {
             if (list.has_value())
-                m_runs.listed(list.assume_value(), askedAt, Clock::now());
+                m_runs.listed(list.assume_value(), asked, askedAt, Clock::now());
             else
                 m_runs.listFailed(Clock::now());
             run();
