--- /dev/null
+++ b/bench/DispatchBench.cpp
@@ -0,0 +1,154 @@
+// Plays loads of best-effort jobs against the real decisions under a virtual clock, over a grid of settings and seeds,
+// and prints what callers got, one line a setting.
+
+#include "support/DispatchLoad.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <sstream>
+
+using namespace oleanderport;
+
+namespace {
+
+struct Setting {
+    std::string name;
+    JobDispatcherOptions dispatcher;
+    RunTableOptions runs;
+    Milliseconds orderTimeout { 35 };
+};
+
+struct Scene {
+    std::string name;
+    int sidecars { 11 };
+    double jobsPerSecond { 140 };
+    Milliseconds duration { 20'000 };
+    // A second load on top.
+    double burstPerSecond { 0 };
+    Milliseconds burstAt { 5'000 };
+    Milliseconds burstFor { 4'000 };
+    double delayedOrders { 0 };
+    int slowMinions { 0 };
+    int failingMinions { 0 };
+};
+
+std::vector<Scene> scenes()
+{
+    return {
+        { .name = "ordinary" },
+        { .name = "short of minions", .sidecars = 9 },
+        { .name = "burst", .burstPerSecond = 110 },
+        { .name = "orders lost", .delayedOrders = 0.05 },
+        { .name = "slow minions", .slowMinions = 2 },
+        { .name = "failing minions", .failingMinions = 2 },
+    };
+}
+
+std::vector<Setting> settings()
+{
+    std::vector<Setting> all;
+    all.push_back({ .name = "as built" });
+    for (const std::int64_t timeout : { 80, 200 }) {
+        Setting setting { .name = fmt::format("order {} ms", timeout) };
+        setting.orderTimeout = { timeout };
+        all.push_back(setting);
+    }
+    for (const std::int64_t wait : { 30, 150 }) {
+        Setting setting { .name = fmt::format("list {} ms", wait) };
+        setting.runs.listWait = { wait };
+        all.push_back(setting);
+    }
+    for (const std::int64_t frames : { 200, 500, 2'000 }) {
+        Setting setting { .name = fmt::format("{} states/s", frames) };
+        setting.dispatcher.statesPerSecond = frames;
+        all.push_back(setting);
+    }
+    Setting prefetch { .name = "prefetch 20%" };
+    prefetch.dispatcher.prefetchPercent = 20;
+    all.push_back(prefetch);
+    for (const double weight : { 0.0, 0.3 }) {
+        Setting setting { .name = fmt::format("chance {:.1f}", weight) };
+        setting.dispatcher.drawWeight = weight;
+        all.push_back(setting);
+    }
+    for (const std::int64_t step : { 0, 100, 600 }) {
+        Setting setting { .name = fmt::format("priority {} ms", step) };
+        setting.dispatcher.priorityStep = { step };
+        all.push_back(setting);
+    }
+    // Baselines: in order of arrival without refusals for being late, and placing at random.
+    Setting arrival { .name = "baseline: by arrival" };
+    arrival.dispatcher.priorityStep = { 0 };
+    arrival.dispatcher.usefulFactor = 1'000;
+    all.push_back(arrival);
+    Setting random { .name = "baseline: at random" };
+    random.dispatcher.drawWeight = 1'000;
+    all.push_back(random);
+    return all;
+}
+
+struct Sum {
+    ServedShares shares;
+    double wastedShare { 0 };
+    std::size_t twice { 0 };
+};
+
+Sum play(const Scene& scene, const Setting& setting, std::uint64_t seed)
+{
+    DispatchModel model({ .sidecars = scene.sidecars, .orderTimeout = setting.orderTimeout, .seed = seed, .dispatcher = setting.dispatcher, .runs = setting.runs });
+    model.runFor({ 3'000 });
+    DispatchLoad load(model, 3, seed);
+    const Milliseconds from = model.now();
+    load.offer(scene.jobsPerSecond, from, scene.duration);
+    if (scene.burstPerSecond > 0)
+        load.offer(scene.burstPerSecond, from + scene.burstAt, scene.burstFor);
+    model.delayOrders(scene.delayedOrders);
+    for (int i = 0; i < scene.slowMinions; ++i)
+        model.slowMinion(i, 6);
+    for (int i = 0; i < scene.failingMinions; ++i)
+        model.failMinion(i, 1);
+    model.runFor(scene.duration + Milliseconds { 8'000 });
+    const double room = 64.0 * scene.sidecars * static_cast<double>(scene.duration.count);
+    return { .shares = servedShares(model, from, from + scene.duration),
+        .wastedShare = model.wastedCoreMs() / room,
+        .twice = model.violations().size() };
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("dispatch-bench", "What callers get, by setting and scene");
+    options.add_options()("seeds", "Seeds of each", cxxopts::value<std::uint64_t>()->default_value("3"))(
+        "scene", "Only this scene", cxxopts::value<std::string>()->default_value(""))(
+        "setting", "Only settings whose name begins so", cxxopts::value<std::string>()->default_value(""));
+    const auto arguments = options.parse(argc, argv);
+    const auto seeds = arguments["seeds"].as<std::uint64_t>();
+    const auto only = arguments["scene"].as<std::string>();
+    const auto prefix = arguments["setting"].as<std::string>();
+    fmt::print("{:<18} {:<22} {:>9} {:>7} {:>8} {:>10} {:>7} {:>6}\n", "scene", "setting", "in aim", "late", "refused",
+        "unfinished", "wasted", "twice");
+    for (const auto& scene : scenes()) {
+        if (!only.empty() && scene.name != only)
+            continue;
+        for (const auto& setting : settings()) {
+            if (setting.name.rfind(prefix, 0) != 0)
+                continue;
+            Sum sum;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                const Sum one = play(scene, setting, seed);
+                sum.shares.inObjective += one.shares.inObjective / static_cast<double>(seeds);
+                sum.shares.late += one.shares.late / static_cast<double>(seeds);
+                sum.shares.refused += one.shares.refused / static_cast<double>(seeds);
+                sum.shares.unfinished += one.shares.unfinished / static_cast<double>(seeds);
+                sum.wastedShare += one.wastedShare / static_cast<double>(seeds);
+                sum.twice += one.twice;
+            }
+            fmt::print("{:<18} {:<22} {:>9.3f} {:>7.3f} {:>8.3f} {:>10.3f} {:>7.3f} {:>6}\n", scene.name, setting.name,
+                sum.shares.inObjective, sum.shares.late, sum.shares.refused, sum.shares.unfinished, sum.wastedShare,
+                sum.twice);
+            std::fflush(stdout);
+        }
+    }
+}
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -37,7 +37,7 @@
         if (member.node.role == Role::Sidecar && member.node.streamAddress)
             m_wanted.insert(*member.node.streamAddress);
     }
-    m_dispatcher.setEntries(entries);
+    m_dispatcher.setSizes(entries, m_wanted.size());
     m_dispatcher.setDataCentresOut(view.dataCentresOut);
     for (const auto& address : m_wanted) {
         if (!m_links.contains(address))
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -56,6 +56,7 @@
 
 std::uint64_t JobDispatcher::submit(const DispatchJob& spec, Milliseconds now)
 {
+    noticeFreeze(now);
     const std::uint64_t submission = ++m_lastId;
     const auto known = m_byName.find({ spec.queue.name, spec.name });
     if (known != m_byName.end()) {
@@ -169,6 +170,12 @@
     return true;
 }
 
+void JobDispatcher::setSizes(std::size_t entries, std::size_t sidecars)
+{
+    m_options.entries = std::max<std::size_t>(entries, 1);
+    m_options.sidecars = std::max<std::size_t>(sidecars, 1);
+}
+
 void JobDispatcher::connected(const std::string& sidecar, Milliseconds now)
 {
     Link& link = m_links[sidecar];
@@ -177,7 +184,9 @@
     link.aliveAt = now;
     link.framesSent = 0;
     link.sent.clear();
-    link.next = EntryFrame { .entry = m_options.life };
+    link.next = EntryFrame { .entry = m_options.life,
+        .outstanding = {},
+        .stateGap = { static_cast<std::int64_t>(m_options.sidecars) * thousandths / m_options.statesPerSecond } };
     for (const auto& [name, place] : link.outstanding) {
         link.next.outstanding.push_back(name);
         if (place.job == 0)
@@ -199,6 +208,7 @@
 
 void JobDispatcher::received(const std::string& sidecar, const SidecarFrame& frame, Milliseconds now)
 {
+    noticeFreeze(now);
     Link& link = m_links[sidecar];
     if (!frame.sidecar.empty()) {
         if (frame.sidecar != link.life) {
@@ -275,6 +285,8 @@
         endJob(place.job, DispatchEndKind::Failed, "a task failed as often as its queue allows", {});
         return;
     }
+    if (kind != RunEndKind::NotStarted)
+        task.failedAt.push_back(sidecar);
     task.state = TaskState::Waiting;
     ++job.waiting;
     m_queue.emplace(job.urgentAt, place.job);
@@ -351,6 +363,7 @@
             / static_cast<std::int64_t>(m_options.entries);
         for (const auto& each : link.sent)
             addNeeds(candidate.free, each.needs, -1);
+        candidate.draw = std::uniform_real_distribution<double>(0, 1)(m_random);
         if (candidate.allowance)
             *candidate.allowance -= static_cast<std::int64_t>(link.outstanding.size());
         all.push_back(std::move(candidate));
@@ -399,7 +412,9 @@
             .dataCentre = m_options.dataCentre,
             .preferredRack = spec.preferredRack,
             .requiredLabel = spec.requiredLabel,
-            .mostPerMinion = spec.mostPerMinion };
+            .mostPerMinion = spec.mostPerMinion,
+            .avoid = {},
+            .drawWeight = m_options.drawWeight };
         for (auto& candidate : candidates) {
             candidate.ofStep = std::count_if(job.tasks[step].begin(), job.tasks[step].end(),
                 [&candidate](const Task& task) {
@@ -410,7 +425,7 @@
             Task& task = job.tasks[step][index];
             if (task.state != TaskState::Waiting)
                 continue;
-            request.avoid = task.sidecar;
+            request.avoid = task.failedAt;
             const auto chosen = chooseMinion(candidates, request);
             if (!chosen) {
                 // A step that is choosy says nothing of the room that others find.
@@ -464,13 +479,46 @@
     link.outstanding[{ job.spec.name, step, index, task.run }] = { .job = id, .step = step, .index = index };
 }
 
+void JobDispatcher::noticeFreeze(Milliseconds now)
+{
+    const bool stoodStill = m_awakeAt.count > 0 && now > m_awakeAt + m_options.frozenAfter;
+    m_awakeAt = now;
+    if (!stoodStill)
+        return;
+    std::vector<std::uint64_t> held;
+    for (const auto& [id, job] : m_jobs)
+        held.push_back(id);
+    for (const auto id : held) {
+        const Job& job = m_jobs.at(id);
+        const bool begun = job.ran || job.atSidecars > 0;
+        endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, "this entry stood still", retryAfter(job, now));
+    }
+}
+
+void JobDispatcher::recall(Job& job)
+{
+    job.recalled = true;
+    for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+            const Task& task = job.tasks[step][index];
+            if (task.state != TaskState::AtSidecar)
+                continue;
+            Link& link = m_links.at(task.sidecar);
+            link.next.recalls.push_back({ .job = job.spec.name, .step = step, .index = index, .run = task.run });
+            link.hasNext = true;
+        }
+    }
+}
+
 void JobDispatcher::checkJobs(Milliseconds now)
 {
     std::vector<std::uint64_t> over;
-    for (const auto& [id, job] : m_jobs) {
-        const bool begun = job.ran || job.atSidecars > 0;
-        if (job.spec.deadline <= now || (!begun && now + job.longestRun > job.usefulUntil))
+    for (auto& [id, job] : m_jobs) {
+        const bool tooLate = !job.ran && now + job.longestRun > job.usefulUntil;
+        if (job.spec.deadline <= now || (tooLate && job.atSidecars == 0))
             over.push_back(id);
+        else if (tooLate && !job.recalled)
+            recall(job);
     }
     for (const auto id : over) {
         const Job& job = m_jobs.at(id);
@@ -513,6 +561,7 @@
 
 DispatchActions JobDispatcher::act(Milliseconds now)
 {
+    noticeFreeze(now);
     checkLinks(now);
     checkJobs(now);
     place(now);
@@ -524,9 +573,11 @@
 {
     std::optional<Milliseconds> due;
     const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
+    if (!m_jobs.empty())
+        at(m_awakeAt + m_options.watchPeriod);
     for (const auto& [id, job] : m_jobs) {
         at(job.spec.deadline);
-        if (!job.ran && job.atSidecars == 0)
+        if (!job.ran && !job.recalled)
             at(job.usefulUntil - job.longestRun + Milliseconds { 1 });
     }
     for (const auto& [name, link] : m_links) {
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -84,11 +84,23 @@
     // Runs at a sidecar that was not heard for this long have ended: its lease for this entry, the minion's lease with
     // the drift of clocks, and the time that a stop takes.
     Milliseconds lostAfter { 1'650 };
+    // An entry that stood still for this long gives up the jobs that it held: their runs have been stopped, and their
+    // callers may have submitted them elsewhere. Less than the time after which a caller submits a job again.
+    Milliseconds frozenAfter { 1'100 };
+    // With jobs, an entry looks at the time at least this often, so that it notices that it stood still.
+    Milliseconds watchPeriod { 300 };
     // A frame with nothing but the echo follows at most this often.
     Milliseconds echoGap { 100 };
     // Part of a minion's room, in hundredths, that all entries together may send beyond what is free, so that the next
     // run starts without a round trip when one ends.
-    std::int64_t prefetchPercent { 20 };
+    std::int64_t prefetchPercent { 0 };
+    // Weight of chance in the choice of a minion, relative to its free share.
+    double drawWeight { 0.1 };
+    // Frames that only tell of a minion's room arrive at most this often, from all sidecars together. More often is
+    // better placed, and costs an entry its processor.
+    std::int64_t statesPerSecond { 1'000 };
+    // Sidecars of the deployment.
+    std::size_t sidecars { 1 };
     // Entries of the deployment. Each counts on its share of the minions when it estimates a wait.
     std::size_t entries { 1 };
     // Jobs of a lower priority wait this much longer, for each step of priority.
@@ -126,7 +138,7 @@
     void received(const std::string& sidecar, const SidecarFrame&, Milliseconds now);
 
     void setDataCentresOut(const std::vector<std::string>& names) { m_dataCentresOut = { names.begin(), names.end() }; }
-    void setEntries(std::size_t count) { m_options.entries = std::max<std::size_t>(count, 1); }
+    void setSizes(std::size_t entries, std::size_t sidecars);
 
     DispatchActions act(Milliseconds now);
     std::optional<Milliseconds> nextDue() const;
@@ -147,6 +159,8 @@
         std::uint64_t run { 0 };
         std::int64_t failures { 0 };
         std::string sidecar;
+        // Sidecars at which a run ended badly.
+        std::vector<std::string> failedAt;
     };
     struct Job {
         DispatchJob spec;
@@ -157,6 +171,8 @@
         std::size_t atSidecars { 0 };
         // A run of it may have started.
         bool ran { false };
+        // Its runs were asked back.
+        bool recalled { false };
         Milliseconds arrived {};
         Milliseconds longestRun {};
         Milliseconds objectiveAt {};
@@ -218,7 +234,11 @@
     void runEnded(const std::string& sidecar, const TaskPlace&, const RunName&, RunEndKind, Milliseconds ranFor, Milliseconds now);
     void loseRuns(const std::string& sidecar, Link&, Milliseconds now);
     void endJob(std::uint64_t id, DispatchEndKind, std::string reason, Milliseconds retryAfter);
+    // Gives up what was held before the process stood still.
+    void noticeFreeze(Milliseconds now);
     void checkJobs(Milliseconds now);
+    // Takes back runs of a job that no sidecar has started yet.
+    void recall(Job&);
     void checkLinks(Milliseconds now);
     void flush(Milliseconds now);
 
@@ -239,6 +259,7 @@
     std::set<std::string> m_dataCentresOut;
     // Mean processor need of the tasks that were placed, in thousandths of a core.
     std::int64_t m_meanCpu { 1'000 };
+    Milliseconds m_awakeAt {};
     DispatchActions m_actions;
 };
 
--- a/src/policy/RunPlacement.cpp
+++ b/src/policy/RunPlacement.cpp
@@ -31,14 +31,14 @@
 
     double scoreOf(const PlacementCandidate& candidate, const PlacementRequest& request)
     {
-        double score = freeShare(candidate);
+        double score = freeShare(candidate) + request.drawWeight * candidate.draw;
         if (!request.preferredRack.empty() && candidate.rack == request.preferredRack)
             score += preferredRackWeight;
         if (candidate.chosenNow > 0)
             score += sameJobWeight;
         if (candidate.dataCentre == request.dataCentre)
             score += sameDataCentreWeight;
-        if (candidate.sidecar == request.avoid)
+        if (std::find(request.avoid.begin(), request.avoid.end(), candidate.sidecar) != request.avoid.end())
             score -= avoidWeight;
         return score;
     }
--- a/src/policy/RunPlacement.h
+++ b/src/policy/RunPlacement.h
@@ -27,6 +27,8 @@
     std::int64_t chosenNow { 0 };
     // Runs of the same step that are there.
     std::int64_t ofStep { 0 };
+    // Drawn at random between 0 and 1, so that entries with the same news do not all choose the same minion.
+    double draw { 0 };
 };
 
 struct PlacementRequest {
@@ -38,8 +40,10 @@
     std::string requiredLabel;
     // Most runs of the step on one minion; 0 means no bound.
     std::int64_t mostPerMinion { 0 };
-    // Minion at which an earlier run of the task ended badly.
-    std::string avoid;
+    // Sidecars at which an earlier run of the task ended badly.
+    std::vector<std::string> avoid;
+    // Weight of a candidate's draw relative to the free share of a minion.
+    double drawWeight { 0.1 };
 };
 
 // Index of the best candidate; nothing when none has room.
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -38,6 +38,7 @@
     entry.lastEnd = std::max(entry.lastEnd, frame.endsSeen);
     entry.connected = true;
     entry.greeted = false;
+    entry.stateGap = frame.stateGap;
     entry.framesSeen = 1;
     entry.sentEnd = 0;
     entry.stateChanged = true;
@@ -79,6 +80,11 @@
     while (!entry.unseenEnds.empty() && entry.unseenEnds.front().number <= frame.endsSeen)
         entry.unseenEnds.pop_front();
     applyStops(name, frame, now);
+    for (const auto& run : frame.recalls) {
+        const auto found = m_runs.find({ name, run });
+        if (found != m_runs.end() && found->second.state == State::Queued)
+            end(RunKey(found->first), RunEndKind::NotStarted, now);
+    }
     const bool fresh = now <= frame.echo + m_options.entryLease;
     for (const auto& order : frame.orders) {
         for (const auto& task : order.tasks) {
@@ -567,7 +573,7 @@
     if (!entry.connected)
         return false;
     const bool hasEnds = !entry.unseenEnds.empty() && entry.unseenEnds.back().number > entry.sentEnd;
-    const bool wantsState = entry.stateChanged && now >= entry.sentAt + m_options.stateGap;
+    const bool wantsState = entry.stateChanged && now >= entry.sentAt + entry.stateGap;
     const bool wantsHeartbeat = now >= entry.sentAt + (entry.runs > 0 ? m_options.heartbeat : m_options.idleHeartbeat);
     return !entry.greeted || hasEnds || wantsState || wantsHeartbeat;
 }
@@ -600,7 +606,7 @@
         at(*list);
     for (const auto& [name, entry] : m_entries) {
         if (entry.connected && entry.stateChanged)
-            at(entry.sentAt + m_options.stateGap);
+            at(entry.sentAt + entry.stateGap);
         if (entry.connected)
             at(entry.sentAt + (entry.runs > 0 ? m_options.heartbeat : m_options.idleHeartbeat));
         if (entry.runs > 0)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -107,7 +107,7 @@
     // Lease that each order gives to the minion. At most what the minion allows.
     Milliseconds minionLease { 800 };
     // Longest that a list of runs waits for an end. Several fit in one lease, so that a lost answer costs no run.
-    Milliseconds listWait { 150 };
+    Milliseconds listWait { 60 };
     // A second list is asked for once the first has not been answered for this long: when its answer is lost, ends are
     // learned from the second.
     Milliseconds secondListAfter { 30 };
@@ -119,8 +119,6 @@
     Milliseconds heartbeat { 200 };
     // The same for an entry without runs. Shorter than `entryLease`, so that an order after a pause is never stale.
     Milliseconds idleHeartbeat { 450 };
-    // Changes of the minion's room are told at most this often to an entry that has no ends to hear.
-    Milliseconds stateGap { 50 };
     // Wait before a run is tried again at a minion that had no room or was unhealthy.
     Milliseconds startRetry { 40 };
     // A run is stuck once it is expected to take this many times its estimate, and `stuckLeast` at least.
@@ -223,6 +221,7 @@
         std::size_t runs { 0 };
         bool greeted { false };
         bool stateChanged { true };
+        Milliseconds stateGap {};
     };
 
     void applyStops(const std::string& entry, const EntryFrame&, Milliseconds now);
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -46,7 +46,7 @@
 template <typename Archive>
 void serialize(Archive& a, EntryFrame& m)
 {
-    a(m.entry, m.outstanding, m.echo, m.endsSeen, m.orders, m.stops);
+    a(m.entry, m.outstanding, m.stateGap, m.echo, m.endsSeen, m.orders, m.stops, m.recalls);
 }
 
 template <typename Archive>
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -47,12 +47,16 @@
     // Life of the entry and the runs that it believes to be at this sidecar. Set in the first frame of a stream.
     std::string entry;
     std::vector<RunName> outstanding;
+    // Least time between two frames that only tell of the minion's room. Set in the first frame of a stream.
+    Milliseconds stateGap {};
     // Latest `clock` that the entry has seen from this life of the sidecar. It proves how old the frame is at most.
     Milliseconds echo {};
     // Ends up to this number have arrived.
     std::uint64_t endsSeen { 0 };
     std::vector<RunOrder> orders;
     std::vector<RunName> stops;
+    // Runs to be ended only if they have not started yet.
+    std::vector<RunName> recalls;
 };
 
 // How a run ended at a sidecar.
--- /dev/null
+++ b/test/policy/JobDispatcherTest.cpp
@@ -0,0 +1,372 @@
+#include "policy/JobDispatcher.h"
+
+#include "support/DispatchLoad.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr Milliseconds patience { 3'000 };
+// Every sidecar has connected and knows its minion.
+constexpr Milliseconds settle { 100 };
+
+ModelQueue slowQueue()
+{
+    ModelQueue queue = calloutQueue();
+    queue.tasks = 1;
+    return queue;
+}
+
+const char* kindOf(const ModelOutcome& outcome)
+{
+    return outcome.kind ? dispatchEndKindName(*outcome.kind).data() : "none";
+}
+
+void assertNothingRanTwice(const DispatchModel& model)
+{
+    cr_assert(model.violations().empty(), "expected no task to run twice at once, got %zu cases; the first: %s",
+        model.violations().size(), model.violations().empty() ? "" : model.violations().front().c_str());
+}
+
+void assertCompleted(const DispatchModel& model, std::size_t index)
+{
+    const ModelOutcome& outcome = model.outcome(index);
+    cr_assert(outcome.kind == DispatchEndKind::Completed, "expected %s to be completed, got %s (%s)",
+        outcome.job.c_str(), kindOf(outcome), outcome.reason.c_str());
+}
+
+} // namespace
+
+Test(JobDispatcher, completesAJobOfManyTasksInItsObjective)
+{
+    DispatchModel model({});
+    model.runFor(settle);
+    const auto job = model.submit(0, lookupQueue(), "a", patience);
+    model.runFor({ 400 });
+    assertCompleted(model, job);
+    const ModelOutcome& outcome = model.outcome(job);
+    cr_assert((outcome.endedAt - outcome.arrived) <= outcome.objective, "took %ld ms, objective %ld ms",
+        static_cast<long>((outcome.endedAt - outcome.arrived).count), static_cast<long>(outcome.objective.count));
+    cr_assert(model.starts() == 8, "expected 8 starts, got %zu", model.starts());
+}
+
+Test(JobDispatcher, refusesWhatFitsNoMinionAtOnce)
+{
+    DispatchModel model({});
+    model.runFor({ 3'000 });
+    ModelQueue queue = bookingQueue();
+    queue.needs.cpuMillis = 100'000;
+    const auto job = model.submit(0, queue, "a", patience);
+    model.runFor({ 1 });
+    cr_assert(model.outcome(job).kind == DispatchEndKind::Refused, "got %s", kindOf(model.outcome(job)));
+    cr_assert(model.outcome(job).retryAfter.count > 0);
+    cr_assert(model.starts() == 0);
+}
+
+Test(JobDispatcher, failsAJobWhoseTaskFailsAsOftenAsItsQueueAllows)
+{
+    DispatchModel model({});
+    model.runFor(settle);
+    ModelQueue queue = bookingQueue();
+    queue.tasks = 1;
+    queue.failing = true;
+    const auto job = model.submit(0, queue, "a", patience);
+    model.runFor({ 2'000 });
+    cr_assert(model.outcome(job).kind == DispatchEndKind::Failed, "got %s", kindOf(model.outcome(job)));
+    cr_assert(model.starts() == 2, "expected 2 attempts, got %zu", model.starts());
+}
+
+Test(JobDispatcher, triesAFailedTaskOnAnotherMinion)
+{
+    DispatchModel model({ .sidecars = 3 });
+    model.runFor(settle);
+    for (int i = 0; i < 2; ++i)
+        model.failMinion(i, 1);
+    ModelQueue queue = bookingQueue();
+    queue.config.maxAttempts = 3;
+    const auto job = model.submit(0, queue, "a", patience);
+    model.runFor({ 2'000 });
+    assertCompleted(model, job);
+}
+
+Test(JobDispatcher, joinsASecondSubmissionOfTheSameJob)
+{
+    DispatchModel model({});
+    model.runFor(settle);
+    const auto first = model.submit(0, bookingQueue(), "a", patience);
+    model.runFor({ 50 });
+    const auto second = model.submit(0, bookingQueue(), "a", patience);
+    model.runFor({ 1'000 });
+    assertCompleted(model, first);
+    assertCompleted(model, second);
+    cr_assert(model.starts() == 2, "expected the two tasks to start once, got %zu starts", model.starts());
+}
+
+Test(JobDispatcher, stopsAJobWhoseCallerHasGone)
+{
+    DispatchModel model({});
+    model.runFor(settle);
+    const auto job = model.submit(0, calloutQueue(), "a", patience);
+    model.runFor({ 100 });
+    model.abandon(job);
+    model.runFor({ 100 });
+    for (int i = 0; i < 4; ++i)
+        cr_assert(model.running(i) == 0, "expected nothing to run on minion %d", i);
+    cr_assert(model.jobsAt(0) == 0);
+}
+
+Test(JobDispatcher, takesARefusalForRefusedOnlyWhileNothingHasStarted)
+{
+    DispatchModel model({ .sidecars = 1 });
+    model.runFor({ 3'000 });
+    // Fills the minion for a while; the second job cannot be begun in time.
+    ModelQueue filling = calloutQueue();
+    filling.tasks = 10;
+    filling.needs.runTime = { 2'500 };
+    model.submit(0, filling, "filling", { 6'000 });
+    model.runFor({ 50 });
+    const auto job = model.submit(0, bookingQueue(), "a", { 1'000 });
+    model.runFor({ 5'000 });
+    cr_assert(model.outcome(job).kind == DispatchEndKind::Refused, "got %s", kindOf(model.outcome(job)));
+    const Milliseconds held = model.outcome(job).endedAt - model.outcome(job).arrived;
+    cr_assert(held < Milliseconds { 1'000 }, "refused only after %ld ms", static_cast<long>(held.count));
+    // One that was begun and is over its time is never said to be refused.
+    ModelQueue endless = slowQueue();
+    endless.realRunThousandths = 10'000;
+    const auto begun = model.submit(0, endless, "b", { 1'500 });
+    model.runFor({ 2'000 });
+    cr_assert(model.outcome(begun).kind == DispatchEndKind::Unfinished, "got %s", kindOf(model.outcome(begun)));
+}
+
+// An entry that stands still while its tasks run: the caller submits the job again elsewhere after 1,300 ms.
+Test(JobDispatcher, runsNoTaskTwiceWhenAnEntryFreezesOrDies)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        DispatchModel model({ .seed = seed });
+        model.runFor(settle);
+        ModelQueue queue = calloutQueue();
+        queue.needs.runTime = { 2'500 };
+        model.submit(0, queue, "a", { 5'000 });
+        model.runFor({ 100 + static_cast<std::int64_t>(seed) * 7 });
+        if (seed % 2 == 0)
+            model.restartEntry(0);
+        else
+            model.freezeEntry(0, { 4'000 });
+        model.runFor({ 1'300 });
+        const auto again = model.submit(1, queue, "a", { 5'000 });
+        model.runFor({ 5'000 });
+        assertNothingRanTwice(model);
+        assertCompleted(model, again);
+    }
+}
+
+Test(JobDispatcher, runsNoTaskTwiceWhenASidecarFreezesOrDies)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        DispatchModel model({ .seed = seed });
+        model.runFor(settle);
+        ModelQueue queue = calloutQueue();
+        queue.needs.runTime = { 1'800 };
+        const auto job = model.submit(0, queue, "a", { 8'000 });
+        model.runFor({ 100 + static_cast<std::int64_t>(seed) * 11 });
+        for (int i = 0; i < 2; ++i) {
+            if (seed % 2 == 0)
+                model.restartSidecar(i);
+            else
+                model.freezeSidecar(i, { 4'000 });
+        }
+        model.runFor({ 9'000 });
+        assertNothingRanTwice(model);
+        assertCompleted(model, job);
+    }
+}
+
+Test(JobDispatcher, runsNoTaskTwiceWhenMessagesAreLost)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        DispatchModel model({ .seed = seed });
+        model.runFor(settle);
+        ModelQueue queue = calloutQueue();
+        queue.needs.runTime = { 1'800 };
+        const auto job = model.submit(0, queue, "a", { 9'000 });
+        model.runFor({ 50 + static_cast<std::int64_t>(seed) * 13 });
+        for (int i = 0; i < 2; ++i)
+            model.cut(0, i, { 300 + static_cast<std::int64_t>(seed) * 150 });
+        model.runFor({ 10'000 });
+        assertNothingRanTwice(model);
+        assertCompleted(model, job);
+    }
+}
+
+Test(JobDispatcher, goesOnOverAResetStreamWithoutStartingAnew)
+{
+    DispatchModel model({});
+    model.runFor(settle);
+    const auto job = model.submit(0, calloutQueue(), "a", patience);
+    model.runFor({ 200 });
+    for (int i = 0; i < 4; ++i)
+        model.reset(0, i);
+    model.runFor({ 2'000 });
+    assertCompleted(model, job);
+    cr_assert(model.starts() == 4, "expected 4 starts, got %zu", model.starts());
+}
+
+// An entry without runs at a sidecar is forgotten there once its stream has closed.
+Test(JobDispatcher, hearsOfEndsAtASidecarThatHadForgottenIt)
+{
+    DispatchModel model({ .entries = 1, .sidecars = 1 });
+    model.runFor(settle);
+    const auto before = model.submit(0, bookingQueue(), "a", patience);
+    model.runFor({ 5'000 });
+    assertCompleted(model, before);
+    model.reset(0, 0);
+    model.runFor({ 5'000 });
+    const auto after = model.submit(0, bookingQueue(), "b", patience);
+    model.runFor({ 1'000 });
+    assertCompleted(model, after);
+}
+
+Test(JobDispatcher, servesOnWhileAnswersOfMinionsAreLost)
+{
+    DispatchModel model({ .seed = 4 });
+    model.runFor({ 3'000 });
+    model.delayOrders(0.05);
+    DispatchLoad load(model, 3, 11);
+    const Milliseconds from = model.now();
+    load.offer(30, from, { 10'000 });
+    model.runFor({ 25'000 });
+    assertNothingRanTwice(model);
+    const ServedShares shares = servedShares(model, from, from + Milliseconds { 10'000 });
+    cr_assert(shares.open == 0, "%zu jobs got no end", shares.open);
+    cr_assert(shares.inObjective + shares.late >= 0.98, "expected 98%% served, got %.3f in objective, %.3f late",
+        shares.inObjective, shares.late);
+}
+
+Test(JobDispatcher, runsNoTaskTwiceThroughRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        DispatchModel model({ .sidecars = 5, .seed = seed });
+        model.runFor({ 3'000 });
+        model.delayOrders(0.03);
+        DispatchLoad load(model, 3, seed);
+        const Milliseconds from = model.now();
+        load.offer(40, from, { 20'000 });
+        std::mt19937_64 random(seed);
+        for (int i = 0; i < 40; ++i) {
+            const Milliseconds when = from + Milliseconds { static_cast<std::int64_t>(random() % 20'000) };
+            const int entry = static_cast<int>(random() % 3);
+            const int sidecar = static_cast<int>(random() % 5);
+            const Milliseconds span { 200 + static_cast<std::int64_t>(random() % 4'000) };
+            switch (random() % 7) {
+            case 0:
+                model.at(when, [&model, entry, span] { model.freezeEntry(entry, span); });
+                break;
+            case 1:
+                model.at(when, [&model, sidecar, span] { model.freezeSidecar(sidecar, span); });
+                break;
+            case 2:
+                model.at(when, [&model, sidecar] { model.restartSidecar(sidecar); });
+                break;
+            case 3:
+                model.at(when, [&model, entry, sidecar, span] { model.cut(entry, sidecar, span); });
+                break;
+            case 4:
+                model.at(when, [&model, entry, sidecar] { model.reset(entry, sidecar); });
+                break;
+            case 5:
+                model.at(when, [&model, sidecar, span] { model.crashMinion(sidecar, span); });
+                break;
+            default:
+                model.at(when, [&model, sidecar] { model.hangMinion(sidecar, true); });
+                model.at(when + span, [&model, sidecar] { model.hangMinion(sidecar, false); });
+                break;
+            }
+        }
+        model.runFor({ 60'000 });
+        assertNothingRanTwice(model);
+        const ServedShares shares = servedShares(model, from, from + Milliseconds { 20'000 });
+        cr_assert(shares.open == 0, "seed %lu: %zu of %zu jobs got no end", static_cast<unsigned long>(seed), shares.open,
+            shares.jobs);
+        for (int i = 0; i < 3; ++i)
+            cr_assert(model.jobsAt(i) == 0, "seed %lu: entry %d still holds %zu jobs", static_cast<unsigned long>(seed), i,
+                model.jobsAt(i));
+        for (int i = 0; i < 5; ++i)
+            cr_assert(model.liveRunsAt(i) == 0, "seed %lu: sidecar %d still has runs", static_cast<unsigned long>(seed), i);
+    }
+}
+
+// Plays a burst of several times what the minions can do, then the ordinary load again.
+Test(JobDispatcher, servesTheOrdinaryLoadSoonAfterABurst)
+{
+    DispatchModel model({ .sidecars = 4 });
+    model.runFor({ 3'000 });
+    DispatchLoad load(model, 3, 5);
+    const Milliseconds from = model.now();
+    // About half of the room, 60 jobs a second being all of it.
+    load.offer(30, from, { 20'000 });
+    load.offer(150, from + Milliseconds { 4'000 }, { 3'000 });
+    model.runFor({ 30'000 });
+    const ServedShares before = servedShares(model, from, from + Milliseconds { 4'000 });
+    const ServedShares after = servedShares(model, from + Milliseconds { 9'000 }, from + Milliseconds { 20'000 });
+    cr_assert(before.inObjective >= 0.95, "before the burst %.3f in objective", before.inObjective);
+    cr_assert(after.inObjective >= 0.95, "from 2 s after the burst on %.3f in objective, %.3f late, %.3f refused",
+        after.inObjective, after.late, after.refused);
+}
+
+Test(JobDispatcher, refusesTruthfullyAndWithATimeToComeBackUnderOverload)
+{
+    DispatchModel model({ .sidecars = 2 });
+    model.runFor({ 3'000 });
+    DispatchLoad load(model, 3, 6);
+    const Milliseconds from = model.now();
+    load.offer(120, from, { 5'000 });
+    model.runFor({ 15'000 });
+    std::set<std::int64_t> times;
+    for (const auto& outcome : model.outcomes()) {
+        cr_assert(outcome.kind.has_value(), "%s got no end", outcome.job.c_str());
+        if (outcome.kind != DispatchEndKind::Refused)
+            continue;
+        cr_assert(outcome.retryAfter.count >= 1'000, "%s refused without a time", outcome.job.c_str());
+        times.insert(outcome.retryAfter.count);
+    }
+    cr_assert(times.size() > 20, "expected callers to be spread, got %zu different times", times.size());
+}
+
+// Two of six minions do nothing but fail, or stand still, with their reports good.
+Test(JobDispatcher, worksAroundMinionsThatFailOrHang)
+{
+    for (const bool hangs : { false, true }) {
+        DispatchModel model({ .sidecars = 6 });
+        model.runFor({ 3'000 });
+        DispatchLoad load(model, 3, 7);
+        const Milliseconds from = model.now();
+        load.offer(30, from, { 15'000 });
+        model.at(from + Milliseconds { 2'000 }, [&model, hangs] {
+            for (int i = 0; i < 2; ++i) {
+                model.hangMinion(i, hangs);
+                model.failMinion(i, hangs ? 0 : 1);
+            }
+        });
+        model.runFor({ 25'000 });
+        assertNothingRanTwice(model);
+        const ServedShares late = servedShares(model, from + Milliseconds { 6'000 }, from + Milliseconds { 15'000 });
+        cr_assert(late.inObjective >= 0.8, "%s: %.3f in objective, %.3f late, %.3f unfinished", hangs ? "hang" : "fail",
+            late.inObjective, late.late, late.unfinished);
+    }
+}
+
+Test(JobDispatcher, startsNothingAtASidecarOutOfService)
+{
+    DispatchModel model({ .sidecars = 2 });
+    model.runFor({ 3'000 });
+    model.takeOut(0, true);
+    model.runFor({ 100 });
+    for (int i = 0; i < 4; ++i)
+        model.submit(0, bookingQueue(), fmt::format("job-{}", i), patience);
+    model.runFor({ 100 });
+    cr_assert(model.running(0) == 0, "expected nothing on the minion that is out, got %zu", model.running(0));
+    cr_assert(model.running(1) == 8, "expected 8 runs on the other, got %zu", model.running(1));
+}
--- /dev/null
+++ b/test/support/DispatchModel.cpp
@@ -0,0 +1,673 @@
+#include "support/DispatchModel.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr Milliseconds reconnectPause { 100 };
+    constexpr Milliseconds reportPeriod { 1'500 };
+    constexpr Milliseconds stopGrace { 30 };
+    constexpr Milliseconds leastDelayOfOrder { 2'000 };
+    constexpr std::int64_t spreadOfDelay = 10'000;
+    constexpr std::int64_t thousandths = 1'000;
+    constexpr const char* service = "service";
+
+    std::string sidecarName(int number) { return fmt::format("sidecar-{}", number); }
+
+    int sidecarNumber(const std::string& name) { return std::stoi(name.substr(name.find('-') + 1)); }
+
+} // namespace
+
+struct DispatchModel::Entry {
+    std::unique_ptr<JobDispatcher> dispatcher;
+    std::string life;
+    int generation { 0 };
+    Milliseconds frozenUntil {};
+    bool wakes { false };
+    std::deque<std::function<void()>> inbox;
+    std::map<std::uint64_t, std::size_t> outcomeOf;
+    std::optional<Milliseconds> timerAt;
+    int incarnation { 0 };
+};
+
+struct DispatchModel::Sidecar {
+    std::unique_ptr<RunTable> runs;
+    int generation { 0 };
+    Milliseconds frozenUntil {};
+    bool wakes { false };
+    std::deque<std::function<void()>> inbox;
+    std::optional<Milliseconds> timerAt;
+    bool out { false };
+};
+
+struct DispatchModel::Minion {
+    struct Run {
+        std::uint64_t serial { 0 };
+        Milliseconds startedAt {};
+        Milliseconds takes {};
+        TaskNeeds needs;
+        bool fails { false };
+    };
+    Milliseconds born {};
+    std::uint64_t sequence { 0 };
+    bool up { true };
+    Milliseconds leaseEnd {};
+    TaskNeeds used;
+    std::map<RunName, Run> running;
+    std::deque<ListedEnd> ends;
+    std::uint64_t lastEnd { 0 };
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint64_t> highestEnded;
+    // Lists that wait for an end.
+    std::vector<std::pair<ListRuns, Milliseconds>> waiting;
+    std::int64_t slow { 1 };
+    double failShare { 0 };
+    bool hangs { false };
+};
+
+struct DispatchModel::Link {
+    bool open { false };
+    // Counts the streams, so that what was on its way on a former one is dropped.
+    int stream { 0 };
+    bool greeted { false };
+    Milliseconds cutUntil {};
+};
+
+DispatchModel::DispatchModel(const DispatchModelOptions& options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int i = 0; i < options.entries; ++i) {
+        m_entries.push_back(std::make_unique<Entry>());
+        restartEntry(i);
+    }
+    for (int i = 0; i < options.sidecars; ++i) {
+        m_minions.push_back(std::make_unique<Minion>());
+        m_minions.back()->born = m_now;
+        m_sidecars.push_back(std::make_unique<Sidecar>());
+        restartSidecar(i);
+    }
+    for (int entry = 0; entry < options.entries; ++entry) {
+        for (int sidecar = 0; sidecar < options.sidecars; ++sidecar)
+            connect(entry, sidecar);
+    }
+}
+
+DispatchModel::~DispatchModel() = default;
+
+void DispatchModel::at(Milliseconds time, std::function<void()> call)
+{
+    m_events.push({ .at = std::max(time, m_now), .order = ++m_lastOrder, .call = std::move(call) });
+}
+
+void DispatchModel::runFor(Milliseconds duration)
+{
+    const Milliseconds until = m_now + duration;
+    while (!m_events.empty() && m_events.top().at <= until) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.call();
+    }
+    m_now = until;
+}
+
+DispatchModel::Link& DispatchModel::link(int entry, int sidecar) { return m_links[{ entry, sidecar }]; }
+
+void DispatchModel::restartEntry(int number)
+{
+    Entry& entry = *m_entries[static_cast<std::size_t>(number)];
+    JobDispatcherOptions options = m_options.dispatcher;
+    options.life = fmt::format("entry-{}/{}", number, ++m_lives);
+    options.entries = static_cast<std::size_t>(m_options.entries);
+    options.sidecars = static_cast<std::size_t>(m_options.sidecars);
+    options.startedAt = m_now;
+    options.seed = m_random();
+    entry.dispatcher = std::make_unique<JobDispatcher>(options);
+    entry.life = options.life;
+    entry.timerAt.reset();
+    entry.outcomeOf.clear();
+    entry.inbox.clear();
+    const bool isFirst = entry.generation++ == 0;
+    if (isFirst)
+        return;
+    for (int sidecar = 0; sidecar < m_options.sidecars; ++sidecar) {
+        disconnect(number, sidecar);
+        connect(number, sidecar);
+    }
+}
+
+void DispatchModel::restartSidecar(int number)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    RunTableOptions options = m_options.runs;
+    options.life = fmt::format("{}/{}", sidecarName(number), ++m_lives);
+    options.dataCentre = "dc";
+    sidecar.runs = std::make_unique<RunTable>(options, m_now);
+    sidecar.inbox.clear();
+    sidecar.timerAt.reset();
+    const bool isFirst = sidecar.generation++ == 0;
+    m_minions[static_cast<std::size_t>(number)]->waiting.clear();
+    const int generation = sidecar.generation;
+    // The minion reports when it notices, at the latest with its next heartbeat.
+    const Milliseconds reportAt = isFirst ? m_now : m_now + Milliseconds { static_cast<std::int64_t>(m_random() % reportPeriod.count) };
+    at(reportAt, [this, number, generation] {
+        if (m_sidecars[static_cast<std::size_t>(number)]->generation == generation)
+            report(number);
+    });
+    if (isFirst)
+        return;
+    for (int entry = 0; entry < m_options.entries; ++entry) {
+        disconnect(entry, number);
+        at(m_now + reconnectPause, [this, entry, number] { connect(entry, number); });
+    }
+}
+
+void DispatchModel::report(int number)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    const int generation = sidecar.generation;
+    if (minion.up) {
+        sidecar.runs->permit(m_now + Milliseconds { 3'600'000 }, !sidecar.out);
+        sidecar.runs->reported({ .born = minion.born,
+                                   .sequence = ++minion.sequence,
+                                   .service = service,
+                                   .capacity = m_options.capacity },
+            m_now);
+        actSidecar(number);
+    }
+    at(m_now + reportPeriod, [this, number, generation] {
+        if (m_sidecars[static_cast<std::size_t>(number)]->generation == generation)
+            report(number);
+    });
+}
+
+void DispatchModel::connect(int entry, int sidecar)
+{
+    Link& link = this->link(entry, sidecar);
+    if (link.open)
+        return;
+    ++link.stream;
+    link.open = true;
+    link.greeted = false;
+    m_entries[static_cast<std::size_t>(entry)]->dispatcher->connected(sidecarName(sidecar), m_now);
+    actEntry(entry);
+}
+
+void DispatchModel::disconnect(int entry, int sidecar)
+{
+    Link& link = this->link(entry, sidecar);
+    if (!link.open)
+        return;
+    link.open = false;
+    ++link.stream;
+    m_entries[static_cast<std::size_t>(entry)]->dispatcher->disconnected(sidecarName(sidecar));
+}
+
+void DispatchModel::reset(int entry, int sidecar)
+{
+    disconnect(entry, sidecar);
+    m_sidecars[static_cast<std::size_t>(sidecar)]->runs->closed(m_entries[static_cast<std::size_t>(entry)]->life);
+    at(m_now + reconnectPause, [this, entry, sidecar] { connect(entry, sidecar); });
+    actEntry(entry);
+    actSidecar(sidecar);
+}
+
+void DispatchModel::cut(int entry, int sidecar, Milliseconds duration)
+{
+    link(entry, sidecar).cutUntil = m_now + duration;
+}
+
+void DispatchModel::freezeEntry(int number, Milliseconds duration)
+{
+    m_entries[static_cast<std::size_t>(number)]->frozenUntil = m_now + duration;
+    at(m_now + duration, [this, number] { actEntry(number); });
+}
+
+void DispatchModel::freezeSidecar(int number, Milliseconds duration)
+{
+    m_sidecars[static_cast<std::size_t>(number)]->frozenUntil = m_now + duration;
+    at(m_now + duration, [this, number] { actSidecar(number); });
+}
+
+void DispatchModel::crashMinion(int number, Milliseconds duration)
+{
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    minion.up = false;
+    for (const auto& [name, run] : minion.running)
+        m_wastedCoreMs += static_cast<double>((m_now - run.startedAt).count * run.needs.cpuMillis) / thousandths;
+    minion.running.clear();
+    minion.ends.clear();
+    minion.waiting.clear();
+    at(m_now + duration, [this, number] {
+        Minion& again = *m_minions[static_cast<std::size_t>(number)];
+        again = Minion {};
+        again.born = m_now;
+        report(number);
+    });
+}
+
+void DispatchModel::slowMinion(int number, std::int64_t times) { m_minions[static_cast<std::size_t>(number)]->slow = times; }
+void DispatchModel::failMinion(int number, double share) { m_minions[static_cast<std::size_t>(number)]->failShare = share; }
+void DispatchModel::hangMinion(int number, bool hangs) { m_minions[static_cast<std::size_t>(number)]->hangs = hangs; }
+void DispatchModel::delayOrders(double share) { m_delayedOrders = share; }
+
+void DispatchModel::takeOut(int number, bool out)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    sidecar.out = out;
+    sidecar.runs->permit(m_now + Milliseconds { 3'600'000 }, !out);
+    actSidecar(number);
+}
+
+std::size_t DispatchModel::submit(int entry, const ModelQueue& queue, const std::string& job, Milliseconds patience)
+{
+    const std::size_t index = m_outcomes.size();
+    const Milliseconds real { queue.needs.runTime.count * queue.realRunThousandths / thousandths };
+    m_outcomes.push_back({ .job = job,
+        .queue = queue.config.name,
+        .arrived = m_now,
+        .ideal = real,
+        .objective = Milliseconds { real.count * queue.config.stretchPercent / 100 } + queue.config.latencyAllowance });
+    m_queueOfJob[job] = queue;
+    const auto submitNow = [this, entry, queue, job, patience, index] {
+        Entry& at = *m_entries[static_cast<std::size_t>(entry)];
+        QueueConfig config = queue.config;
+        config.service = service;
+        DispatchStep step { .count = queue.tasks, .needs = queue.needs };
+        const auto submission = at.dispatcher->submit(
+            { .name = job, .payload = job, .queue = config, .deadline = m_now + patience, .steps = { step } }, m_now);
+        at.outcomeOf[submission] = index;
+    };
+    Entry& target = *m_entries[static_cast<std::size_t>(entry)];
+    if (m_now < target.frozenUntil)
+        target.inbox.emplace_back(submitNow);
+    else
+        submitNow();
+    actEntry(entry);
+    return index;
+}
+
+void DispatchModel::abandon(std::size_t index)
+{
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        for (const auto& [submission, outcome] : m_entries[i]->outcomeOf) {
+            if (outcome != index)
+                continue;
+            m_entries[i]->dispatcher->abandon(submission);
+            return actEntry(static_cast<int>(i));
+        }
+    }
+}
+
+void DispatchModel::actEntry(int number)
+{
+    Entry& entry = *m_entries[static_cast<std::size_t>(number)];
+    if (m_now < entry.frozenUntil)
+        return;
+    while (!entry.inbox.empty()) {
+        const auto call = std::move(entry.inbox.front());
+        entry.inbox.pop_front();
+        call();
+    }
+    perform(number, entry.dispatcher->act(m_now));
+    const auto due = entry.dispatcher->nextDue();
+    if (!due || (entry.timerAt && *entry.timerAt <= *due && *entry.timerAt > m_now))
+        return;
+    const Milliseconds when = std::max(*due, m_now + Milliseconds { 1 });
+    entry.timerAt = when;
+    at(when, [this, number, generation = entry.generation] {
+        if (m_entries[static_cast<std::size_t>(number)]->generation == generation)
+            actEntry(number);
+    });
+}
+
+void DispatchModel::actSidecar(int number)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    if (m_now < sidecar.frozenUntil)
+        return;
+    while (!sidecar.inbox.empty()) {
+        const auto call = std::move(sidecar.inbox.front());
+        sidecar.inbox.pop_front();
+        call();
+    }
+    perform(number, sidecar.runs->act(m_now));
+    const auto due = sidecar.runs->nextDue(m_now);
+    if (!due || (sidecar.timerAt && *sidecar.timerAt <= *due && *sidecar.timerAt > m_now))
+        return;
+    const Milliseconds when = std::max(*due, m_now + Milliseconds { 1 });
+    sidecar.timerAt = when;
+    at(when, [this, number, generation = sidecar.generation] {
+        if (m_sidecars[static_cast<std::size_t>(number)]->generation == generation)
+            actSidecar(number);
+    });
+}
+
+void DispatchModel::perform(int entry, const DispatchActions& actions)
+{
+    for (const auto& item : actions.frames)
+        toSidecar(entry, sidecarNumber(item.sidecar), item.frame);
+    Entry& own = *m_entries[static_cast<std::size_t>(entry)];
+    for (const auto& end : actions.ends) {
+        const auto found = own.outcomeOf.find(end.submission);
+        if (found == own.outcomeOf.end())
+            continue;
+        ModelOutcome& outcome = m_outcomes[found->second];
+        outcome.kind = end.kind;
+        outcome.reason = end.reason;
+        outcome.retryAfter = end.retryAfter;
+        outcome.endedAt = m_now;
+        own.outcomeOf.erase(found);
+    }
+    for (const auto& name : actions.reconnect) {
+        const int sidecar = sidecarNumber(name);
+        disconnect(entry, sidecar);
+        at(m_now + reconnectPause, [this, entry, sidecar] { connect(entry, sidecar); });
+    }
+}
+
+void DispatchModel::toSidecar(int entry, int sidecar, const EntryFrame& frame)
+{
+    const Link& link = this->link(entry, sidecar);
+    if (!link.open)
+        return;
+    // TCP delivers what a cut held up, unless the stream is closed meanwhile.
+    at(std::max(m_now, link.cutUntil) + m_options.delay, [this, entry, sidecar, frame, stream = link.stream] {
+        Link& now = this->link(entry, sidecar);
+        if (now.stream != stream)
+            return;
+        Sidecar& target = *m_sidecars[static_cast<std::size_t>(sidecar)];
+        const auto take = [this, entry, sidecar, frame, stream, generation = target.generation] {
+            Sidecar& again = *m_sidecars[static_cast<std::size_t>(sidecar)];
+            Link& current = this->link(entry, sidecar);
+            if (current.stream != stream || again.generation != generation)
+                return;
+            if (!frame.entry.empty()) {
+                current.greeted = true;
+                again.runs->opened(frame, m_now);
+            } else if (current.greeted) {
+                again.runs->received(m_entries[static_cast<std::size_t>(entry)]->life, frame, m_now);
+            }
+        };
+        if (m_now < target.frozenUntil)
+            target.inbox.emplace_back(take);
+        else
+            take();
+        actSidecar(sidecar);
+    });
+}
+
+void DispatchModel::toEntry(int sidecar, int entry, const SidecarFrame& frame)
+{
+    const Link& link = this->link(entry, sidecar);
+    if (!link.open)
+        return;
+    // TCP delivers what a cut held up, unless the stream is closed meanwhile.
+    at(std::max(m_now, link.cutUntil) + m_options.delay, [this, entry, sidecar, frame, stream = link.stream] {
+        if (this->link(entry, sidecar).stream != stream)
+            return;
+        Entry& target = *m_entries[static_cast<std::size_t>(entry)];
+        const auto take = [this, entry, sidecar, frame, stream] {
+            if (this->link(entry, sidecar).stream == stream)
+                m_entries[static_cast<std::size_t>(entry)]->dispatcher->received(sidecarName(sidecar), frame, m_now);
+        };
+        if (m_now < target.frozenUntil)
+            target.inbox.emplace_back(take);
+        else
+            take();
+        actEntry(entry);
+    });
+}
+
+// An order reaches the minion, or is carried out seconds later without an answer.
+void DispatchModel::order(int sidecar, const std::function<void(bool answer)>& carryOut)
+{
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const bool delayed = draw < m_delayedOrders;
+    const Milliseconds born = m_minions[static_cast<std::size_t>(sidecar)]->born;
+    const Milliseconds wait = delayed
+        ? leastDelayOfOrder + Milliseconds { static_cast<std::int64_t>(m_random() % spreadOfDelay) }
+        : m_options.localDelay;
+    at(m_now + wait, [this, sidecar, delayed, born, carryOut] {
+        const Minion& minion = *m_minions[static_cast<std::size_t>(sidecar)];
+        if (minion.up && minion.born == born)
+            carryOut(!delayed);
+    });
+}
+
+void DispatchModel::perform(int number, RunActions actions)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    const int generation = sidecar.generation;
+    // Answers that come after their time are told as lost, once.
+    const auto answerOnce = [this, number, generation](auto answered, auto lost) {
+        auto open = std::make_shared<bool>(true);
+        at(m_now + m_options.orderTimeout, [this, number, generation, open, lost] {
+            if (std::exchange(*open, false) && m_sidecars[static_cast<std::size_t>(number)]->generation == generation) {
+                lost();
+                actSidecar(number);
+            }
+        });
+        return [this, number, generation, open, answered](auto answer) {
+            if (std::exchange(*open, false) && m_sidecars[static_cast<std::size_t>(number)]->generation == generation) {
+                answered(answer);
+                actSidecar(number);
+            }
+        };
+    };
+    for (const auto& item : actions.starts) {
+        const Milliseconds lateAt = m_now + item.lease;
+        const auto reply = answerOnce(
+            [this, number, name = item.run](StartAnswer answer) {
+                m_sidecars[static_cast<std::size_t>(number)]->runs->startAnswered(name, answer, m_now);
+            },
+            [this, number, name = item.run] {
+                m_sidecars[static_cast<std::size_t>(number)]->runs->startAnswered(name, StartAnswer::Unknown, m_now);
+            });
+        order(number, [this, number, item, reply, lateAt](bool answer) {
+            const StartAnswer taken = m_now >= lateAt ? StartAnswer::Refused : start(number, item);
+            if (answer)
+                reply(taken);
+        });
+    }
+    for (const auto& item : actions.stops) {
+        const auto reply = answerOnce(
+            [this, number, name = item.run](bool answered) {
+                m_sidecars[static_cast<std::size_t>(number)]->runs->stopAnswered(name, answered, m_now);
+            },
+            [this, number, name = item.run] {
+                m_sidecars[static_cast<std::size_t>(number)]->runs->stopAnswered(name, false, m_now);
+            });
+        order(number, [this, number, item, reply](bool answer) {
+            stop(number, item);
+            if (answer)
+                reply(true);
+        });
+    }
+    if (actions.list)
+        list(number, *actions.list, m_now);
+    for (const auto& item : actions.frames) {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            if (m_entries[entry]->life == item.entry)
+                toEntry(number, static_cast<int>(entry), item.frame);
+        }
+    }
+}
+
+void DispatchModel::checkTwice(int sidecar, const RunName& started)
+{
+    for (std::size_t i = 0; i < m_minions.size(); ++i) {
+        lapse(static_cast<int>(i));
+        const Minion& minion = *m_minions[i];
+        for (const auto& [name, run] : minion.running) {
+            const bool sameTask = name.job == started.job && name.step == started.step && name.index == started.index;
+            const bool sameRun = static_cast<int>(i) == sidecar && name.run == started.run;
+            if (minion.up && sameTask && !sameRun) {
+                m_violations.push_back(fmt::format("{} ms: {} task {} starts as run {} on minion {} and runs as run {} on minion {}",
+                    m_now.count, started.job, started.index, started.run, sidecar, name.run, i));
+            }
+        }
+    }
+}
+
+StartAnswer DispatchModel::start(int number, const StartRun& order)
+{
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    lapse(number);
+    minion.leaseEnd = std::max(minion.leaseEnd, m_now + order.lease);
+    if (minion.running.contains(order.run))
+        return StartAnswer::Started;
+    const auto highest = minion.highestEnded.find({ order.run.job, order.run.step, order.run.index });
+    if (highest != minion.highestEnded.end() && order.run.run <= highest->second)
+        return StartAnswer::Superseded;
+    const ModelQueue& queue = m_queueOfJob.at(order.run.job);
+    TaskNeeds free = m_options.capacity;
+    addNeeds(free, minion.used, -1);
+    if (!fitsInto(free, queue.needs))
+        return StartAnswer::NoRoom;
+    ++m_starts;
+    checkTwice(number, order.run);
+    addNeeds(minion.used, queue.needs, 1);
+    const double spread = std::lognormal_distribution<double>(0, 0.15)(m_random);
+    const double real = static_cast<double>(queue.needs.runTime.count * queue.realRunThousandths) / thousandths;
+    const Milliseconds takes { std::max<std::int64_t>(static_cast<std::int64_t>(real * spread) * minion.slow, 1) };
+    const bool fails = queue.failing || std::uniform_real_distribution<double>(0, 1)(m_random) < minion.failShare;
+    const std::uint64_t serial = ++m_lastOrder;
+    minion.running[order.run]
+        = { .serial = serial, .startedAt = m_now, .takes = takes, .needs = queue.needs, .fails = fails };
+    if (!minion.hangs) {
+        at(m_now + takes, [this, number, name = order.run, serial, fails] {
+            lapse(number);
+            const auto& running = m_minions[static_cast<std::size_t>(number)]->running;
+            const auto found = running.find(name);
+            if (found != running.end() && found->second.serial == serial)
+                endRun(number, name, fails ? ListedEndKind::Failed : ListedEndKind::Done);
+        });
+    }
+    return StartAnswer::Started;
+}
+
+bool DispatchModel::stop(int number, const StopRun& order)
+{
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    auto& highest = minion.highestEnded[{ order.run.job, order.run.step, order.run.index }];
+    highest = std::max(highest, order.run.run);
+    const auto found = minion.running.find(order.run);
+    if (found == minion.running.end())
+        return true;
+    at(m_now + stopGrace, [this, number, name = order.run, serial = found->second.serial] {
+        const auto& running = m_minions[static_cast<std::size_t>(number)]->running;
+        const auto again = running.find(name);
+        if (again != running.end() && again->second.serial == serial)
+            endRun(number, name, ListedEndKind::Stopped);
+    });
+    return true;
+}
+
+// Ends everything once the lease has run out.
+void DispatchModel::lapse(int number)
+{
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    if (m_now < minion.leaseEnd)
+        return;
+    while (!minion.running.empty())
+        endRun(number, RunName(minion.running.begin()->first), ListedEndKind::Stopped);
+}
+
+void DispatchModel::endRun(int number, const RunName& name, ListedEndKind kind)
+{
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    const auto found = minion.running.find(name);
+    addNeeds(minion.used, found->second.needs, -1);
+    if (kind != ListedEndKind::Done) {
+        m_wastedCoreMs
+            += static_cast<double>((m_now - found->second.startedAt).count * found->second.needs.cpuMillis) / thousandths;
+    }
+    minion.running.erase(found);
+    auto& highest = minion.highestEnded[{ name.job, name.step, name.index }];
+    highest = std::max(highest, name.run);
+    minion.ends.push_back({ .number = ++minion.lastEnd, .run = name, .kind = kind });
+    for (const auto& [asked, askedAt] : std::exchange(minion.waiting, {}))
+        answerList(number, asked, askedAt);
+}
+
+void DispatchModel::list(int number, const ListRuns& request, Milliseconds askedAt)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    const int generation = sidecar.generation;
+    const Milliseconds giveUpAt = m_now + request.wait + m_options.orderTimeout;
+    auto answered = std::make_shared<bool>(false);
+    at(giveUpAt, [this, number, generation, answered, askedAt] {
+        Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+        const bool wasOpen = std::erase_if(minion.waiting, [askedAt](const auto& each) { return each.second == askedAt; }) > 0;
+        if (m_sidecars[static_cast<std::size_t>(number)]->generation != generation || (*answered && !wasOpen))
+            return;
+        m_sidecars[static_cast<std::size_t>(number)]->runs->listFailed(m_now);
+        actSidecar(number);
+    });
+    order(number, [this, number, request, askedAt, answered](bool answer) {
+        lapse(number);
+        Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+        if (!answer)
+            return;
+        if (request.lease)
+            minion.leaseEnd = std::max(minion.leaseEnd, askedAt + *request.lease);
+        std::erase_if(minion.ends, [&request](const ListedEnd& end) { return end.number <= request.endsSeen; });
+        *answered = true;
+        if (request.wait.count == 0 || !minion.ends.empty())
+            return answerList(number, request, askedAt);
+        minion.waiting.emplace_back(request, askedAt);
+        at(m_now + request.wait, [this, number, askedAt, request] {
+            Minion& again = *m_minions[static_cast<std::size_t>(number)];
+            if (std::erase_if(again.waiting, [askedAt](const auto& each) { return each.second == askedAt; }) > 0)
+                answerList(number, request, askedAt);
+        });
+    });
+}
+
+void DispatchModel::answerList(int number, const ListRuns& asked, Milliseconds askedAt)
+{
+    lapse(number);
+    const Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    RunList list { .born = minion.born };
+    for (const auto& [name, run] : minion.running) {
+        const auto elapsed = (m_now - run.startedAt).count;
+        const auto percent = minion.hangs ? 0 : elapsed * 100 / std::max<std::int64_t>(run.takes.count, 1);
+        list.running.push_back({ .run = name, .percent = static_cast<int>(percent) });
+    }
+    list.ended.assign(minion.ends.begin(), minion.ends.end());
+    const int generation = m_sidecars[static_cast<std::size_t>(number)]->generation;
+    at(m_now + m_options.localDelay, [this, number, generation, list, asked, askedAt] {
+        Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+        if (sidecar.generation != generation)
+            return;
+        const auto take = [this, number, generation, list, asked, askedAt] {
+            Sidecar& again = *m_sidecars[static_cast<std::size_t>(number)];
+            if (again.generation == generation)
+                again.runs->listed(list, asked, askedAt, m_now);
+        };
+        if (m_now < sidecar.frozenUntil)
+            sidecar.inbox.emplace_back(take);
+        else
+            take();
+        actSidecar(number);
+    });
+}
+
+std::size_t DispatchModel::running(int sidecar) const { return m_minions[static_cast<std::size_t>(sidecar)]->running.size(); }
+
+std::size_t DispatchModel::runsAt(int entry, int sidecar) const
+{
+    return m_entries[static_cast<std::size_t>(entry)]->dispatcher->runsAt(sidecarName(sidecar));
+}
+
+std::size_t DispatchModel::jobsAt(int entry) const { return m_entries[static_cast<std::size_t>(entry)]->dispatcher->jobs(); }
+
+std::size_t DispatchModel::liveRunsAt(int sidecar) const { return m_sidecars[static_cast<std::size_t>(sidecar)]->runs->liveRuns(); }
+
+} // namespace oleanderport
--- /dev/null
+++ b/test/support/DispatchModel.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "policy/JobDispatcher.h"
+#include "policy/RunTable.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleanderport {
+
+struct DispatchModelOptions {
+    int entries { 3 };
+    int sidecars { 4 };
+    // Of each minion.
+    TaskNeeds capacity { .cpuMillis = 64'000, .memoryMb = 131'072 };
+    // One way, between any two processes.
+    Milliseconds delay { 1 };
+    // Between a sidecar and its minion.
+    Milliseconds localDelay { 0 };
+    // How long an order to a minion waits for its answer, as in the adapter.
+    Milliseconds orderTimeout { 35 };
+    std::uint64_t seed { 1 };
+    JobDispatcherOptions dispatcher;
+    RunTableOptions runs;
+};
+
+// Kinds of work, as the deployments of the users describe theirs.
+struct ModelQueue {
+    QueueConfig config;
+    std::uint32_t tasks { 1 };
+    TaskNeeds needs;
+    // Real run time of a task in thousandths of its estimate.
+    std::int64_t realRunThousandths { 1'000 };
+    // Every run of the queue's jobs fails.
+    bool failing { false };
+};
+
+struct ModelOutcome {
+    std::string job;
+    std::string queue;
+    Milliseconds arrived {};
+    Milliseconds endedAt {};
+    // Absent while the job is under way, and for a caller that left.
+    std::optional<DispatchEndKind> kind;
+    std::string reason;
+    Milliseconds retryAfter {};
+    // Time within which an ideal system would have ended it.
+    Milliseconds ideal {};
+    Milliseconds objective {};
+};
+
+// Entries, sidecars and minions around the real decisions, under a virtual clock. Minions keep the rules of
+// sidecar/MinionPort.h: leases, run numbers, room, ends that are listed until they are seen. Faults are injected from
+// outside. While it runs it checks that no task runs twice at the same time on minions that are up.
+class DispatchModel {
+public:
+    explicit DispatchModel(const DispatchModelOptions&);
+    ~DispatchModel();
+    DispatchModel(const DispatchModel&) = delete;
+    DispatchModel& operator=(const DispatchModel&) = delete;
+
+    Milliseconds now() const { return m_now; }
+    void runFor(Milliseconds);
+    // Calls back at that time.
+    void at(Milliseconds, std::function<void()>);
+
+    // Submits a job at an entry; its outcome is at the index returned.
+    std::size_t submit(int entry, const ModelQueue&, const std::string& job, Milliseconds patience);
+    void abandon(std::size_t outcome);
+    const std::vector<ModelOutcome>& outcomes() const { return m_outcomes; }
+    const ModelOutcome& outcome(std::size_t index) const { return m_outcomes.at(index); }
+
+    // A process stands still, then goes on with all that has arrived meanwhile.
+    void freezeEntry(int, Milliseconds duration);
+    void freezeSidecar(int, Milliseconds duration);
+    // A process ends and starts again with nothing.
+    void restartEntry(int);
+    void restartSidecar(int);
+    // Messages between both are lost for a time; streams fail only by silence.
+    void cut(int entry, int sidecar, Milliseconds duration);
+    // Both sides see the stream fail, and what was on its way is lost.
+    void reset(int entry, int sidecar);
+    void crashMinion(int, Milliseconds duration);
+    // Every run takes so many times as long.
+    void slowMinion(int, std::int64_t times);
+    // Runs fail with this probability.
+    void failMinion(int, double share);
+    // Runs that begin stand still.
+    void hangMinion(int, bool hangs);
+    // Orders with this probability get no answer and are carried out seconds later.
+    void delayOrders(double share);
+    void takeOut(int sidecar, bool out);
+
+    // Times at which one task ran twice, each in a line.
+    const std::vector<std::string>& violations() const { return m_violations; }
+    std::size_t starts() const { return m_starts; }
+    // Processor time of runs that did not end well, in core milliseconds.
+    double wastedCoreMs() const { return m_wastedCoreMs; }
+    std::size_t running(int sidecar) const;
+    std::size_t runsAt(int entry, int sidecar) const;
+    // Jobs that an entry still holds, and runs that a sidecar does.
+    std::size_t jobsAt(int entry) const;
+    std::size_t liveRunsAt(int sidecar) const;
+
+private:
+    struct Entry;
+    struct Sidecar;
+    struct Minion;
+    struct Link;
+    struct Event {
+        Milliseconds at {};
+        std::uint64_t order { 0 };
+        std::function<void()> call;
+        bool operator>(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    Link& link(int entry, int sidecar);
+    void connect(int entry, int sidecar);
+    void disconnect(int entry, int sidecar);
+    void actEntry(int);
+    void actSidecar(int);
+    void perform(int entry, const DispatchActions&);
+    void perform(int sidecar, RunActions);
+    void toSidecar(int entry, int sidecar, const EntryFrame&);
+    void toEntry(int sidecar, int entry, const SidecarFrame&);
+    void report(int sidecar);
+    void order(int sidecar, const std::function<void(bool answer)>& carryOut);
+    StartAnswer start(int sidecar, const StartRun&);
+    bool stop(int sidecar, const StopRun&);
+    void list(int sidecar, const ListRuns&, Milliseconds askedAt);
+    void answerList(int sidecar, const ListRuns&, Milliseconds askedAt);
+    void endRun(int sidecar, const RunName&, ListedEndKind);
+    void checkTwice(int sidecar, const RunName&);
+    void lapse(int sidecar);
+
+    DispatchModelOptions m_options;
+    Milliseconds m_now { 100'000 };
+    std::uint64_t m_lastOrder { 0 };
+    std::uint64_t m_lives { 0 };
+    std::mt19937_64 m_random;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::vector<std::unique_ptr<Sidecar>> m_sidecars;
+    std::vector<std::unique_ptr<Minion>> m_minions;
+    std::map<std::pair<int, int>, Link> m_links;
+    std::vector<ModelOutcome> m_outcomes;
+    std::map<std::string, ModelQueue> m_queueOfJob;
+    std::vector<std::string> m_violations;
+    std::size_t m_starts { 0 };
+    double m_wastedCoreMs { 0 };
+    double m_delayedOrders { 0 };
+};
+
+} // namespace oleanderport
