--- a/src/control/OperatorMethods.h
+++ b/src/control/OperatorMethods.h
@@ -27,7 +27,6 @@
     void changeDataCentre(DataCentreChange, const Reply<DataCentreChanged>&);
 
 private:
-
     void addQueries();
     void addDocumentChanges();
     void addDataCentreChange();
--- a/src/wire/MessageStream.cpp
+++ b/src/wire/MessageStream.cpp
@@ -123,6 +123,15 @@
         evconnlistener_free(m_listener);
 }
 
+std::uint16_t StreamListener::port() const
+{
+    sockaddr_in address {};
+    socklen_t size = sizeof address;
+    if (getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&address), &size) != 0)
+        return 0;
+    return ntohs(address.sin_port);
+}
+
 Result<std::unique_ptr<StreamListener>> StreamListener::listen(
     EventLoop& loop, const std::string& address, std::function<void(int)> accepted)
 {
--- a/src/wire/MessageStream.h
+++ b/src/wire/MessageStream.h
@@ -58,6 +58,9 @@
     StreamListener(const StreamListener&) = delete;
     StreamListener& operator=(const StreamListener&) = delete;
 
+    // Port that is bound; of use when the address asked for port 0.
+    std::uint16_t port() const;
+
 private:
     explicit StreamListener(std::function<void(int)> accepted);
 
--- a/test/policy/ControlStateTest.cpp
+++ b/test/policy/ControlStateTest.cpp
@@ -166,3 +166,40 @@
     cr_assert(!refused.has_value());
     cr_assert(refused.assume_error().code == ErrorCode::StaleEpoch);
 }
+
+namespace {
+
+CataloguePublished publish(Control& control, std::uint64_t version, const std::string& queue)
+{
+    const PublishCatalogue request { .catalogue = { .version = version, .queues = { { .name = queue } } },
+        .source = "source of " + queue };
+    return std::get<CataloguePublished>(control.apply(request).assume_value());
+}
+
+} // namespace
+
+Test(ControlState, keepsTheCatalogueWithTheHighestVersion)
+{
+    Control control;
+    cr_assert(!control.state.view().catalogue && !control.state.catalogueSource());
+    cr_assert(publish(control, 7, "seven").changed);
+    // The same version with other content, and an older one, change nothing and are not refused.
+    cr_assert(!publish(control, 7, "other").changed);
+    cr_assert(publish(control, 3, "three").version == 7);
+    cr_assert(control.state.catalogueSource() == "source of seven");
+    cr_assert(publish(control, 9, "nine").changed);
+    cr_assert(control.state.view().catalogue->queues.front().name == "nine");
+    const ControlState copy(ControlStateOptions {}, control.state.content());
+    cr_assert(copy.catalogueSource() == "source of nine" && copy.view().catalogue->version == 9);
+}
+
+Test(ControlState, takesOutADataCentreThatSettingsDeclare)
+{
+    Control control;
+    const DataCentreChange unknown { .dataCentre = "dc-z", .out = true };
+    cr_assert(!control.apply(unknown).has_value());
+    DataCentreChange declared = unknown;
+    declared.declared = true;
+    cr_assert(control.apply(declared).has_value());
+    cr_assert(control.state.isOut("dc-z"));
+}
--- /dev/null
+++ b/test/policy/RunPlacementTest.cpp
@@ -0,0 +1,84 @@
+#include "policy/RunPlacement.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+PlacementCandidate candidate(const std::string& name, std::int64_t freeCpu)
+{
+    return { .sidecar = name,
+        .dataCentre = "dc-1",
+        .rack = "rack-" + name,
+        .labels = { "kind", "rack-" + name },
+        .capacity = { .cpuMillis = 10'000, .memoryMb = 1'000 },
+        .free = { .cpuMillis = freeCpu, .memoryMb = 1'000 } };
+}
+
+const PlacementRequest request { .needs = { .cpuMillis = 1'000, .memoryMb = 10 } };
+
+std::string chosen(const std::vector<PlacementCandidate>& candidates, const PlacementRequest& wanted)
+{
+    const auto index = chooseMinion(candidates, wanted);
+    return index ? candidates[*index].sidecar : "none";
+}
+
+} // namespace
+
+Test(RunPlacement, prefersTheMinionWithMostRoom)
+{
+    const std::vector<PlacementCandidate> all { candidate("a", 3'000), candidate("b", 8'000), candidate("c", 5'000) };
+    cr_assert(chosen(all, request) == "b");
+}
+
+Test(RunPlacement, choosesNoneWithoutRoom)
+{
+    auto small = candidate("a", 999);
+    cr_assert(chosen({ small }, request) == "none");
+    auto noMemory = candidate("b", 5'000);
+    noMemory.free.memoryMb = 9;
+    cr_assert(chosen({ noMemory }, request) == "none");
+}
+
+Test(RunPlacement, choosesNoneThatMayTakeNothing)
+{
+    auto paused = candidate("a", 9'000);
+    paused.allowance = 0;
+    cr_assert(chosen({ paused, candidate("b", 2'000) }, request) == "b");
+}
+
+Test(RunPlacement, takesAMinionThatFailedTheTaskOnlyWhenNoOtherHasRoom)
+{
+    PlacementRequest again = request;
+    again.avoid = { "a" };
+    cr_assert(chosen({ candidate("a", 9'000), candidate("b", 1'000) }, again) == "b");
+    cr_assert(chosen({ candidate("a", 9'000), candidate("b", 500) }, again) == "a");
+}
+
+Test(RunPlacement, prefersTheRackOfTheData)
+{
+    PlacementRequest near = request;
+    near.preferredRack = "rack-b";
+    cr_assert(chosen({ candidate("a", 9'000), candidate("b", 2'000) }, near) == "b");
+}
+
+Test(RunPlacement, obeysLabelsAndTheMostForOneMinion)
+{
+    PlacementRequest labelled = request;
+    labelled.requiredLabel = "rack-a";
+    cr_assert(chosen({ candidate("a", 2'000), candidate("b", 9'000) }, labelled) == "a");
+    PlacementRequest apart = request;
+    apart.mostPerMinion = 2;
+    auto full = candidate("b", 9'000);
+    full.ofStep = 2;
+    cr_assert(chosen({ candidate("a", 2'000), full }, apart) == "a");
+}
+
+Test(RunPlacement, keepsAJobTogetherWhereRoomIsAboutTheSame)
+{
+    auto chosenBefore = candidate("a", 6'000);
+    chosenBefore.chosenNow = 1;
+    cr_assert(chosen({ chosenBefore, candidate("b", 6'500) }, request) == "a");
+    cr_assert(chosen({ chosenBefore, candidate("b", 9'000) }, request) == "b");
+}
--- /dev/null
+++ b/test/policy/RunTableTest.cpp
@@ -0,0 +1,291 @@
+#include "policy/RunTable.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr Milliseconds start { 50'000 };
+constexpr const char* entryLife = "entry/1";
+
+// A table with a minion that is found empty, and one entry whose stream is open.
+struct Table {
+    RunTable runs { { .life = "sidecar/1", .dataCentre = "dc" }, start };
+    Milliseconds now { start };
+
+    Table()
+    {
+        runs.permit({ 1'000'000 }, true);
+        runs.reported(report(), now);
+        const auto asked = runs.act(now).list;
+        cr_assert(asked && !asked->lease, "expected a list that renews nothing while the minion is not known to be empty");
+        answer({}, {});
+        runs.opened({ .entry = entryLife }, now);
+        runs.act(now);
+        runs.received(entryLife, { .echo = now }, now);
+    }
+
+    static MinionReport report()
+    {
+        return { .born = { 7 }, .sequence = 1, .service = "service", .capacity = { .cpuMillis = 4'000, .memoryMb = 100 } };
+    }
+
+    void answer(const std::vector<ListedRun>& running, const std::vector<ListedEnd>& ended)
+    {
+        runs.listed({ .born = { 7 }, .running = running, .ended = ended }, {}, now, now);
+    }
+
+    RunActions order(const std::string& job, std::uint64_t run = 1, Milliseconds estimate = { 1'000 })
+    {
+        runs.received(entryLife,
+            { .echo = now,
+                .orders = { { .job = job,
+                    .tasks = { { .index = 0, .run = run } },
+                    .needs = { .cpuMillis = 2'000, .memoryMb = 1, .runTime = estimate },
+                    .endBy = { 1'000'000 } } } },
+            now);
+        return runs.act(now);
+    }
+
+    RunActions after(Milliseconds span, bool echo = true)
+    {
+        now = now + span;
+        if (echo)
+            runs.received(entryLife, { .echo = now }, now);
+        return runs.act(now);
+    }
+};
+
+std::vector<RunEnd> endsOf(const RunActions& actions)
+{
+    std::vector<RunEnd> ends;
+    for (const auto& item : actions.frames)
+        ends.insert(ends.end(), item.frame.ends.begin(), item.frame.ends.end());
+    return ends;
+}
+
+} // namespace
+
+Test(RunTable, startsAnOrderWithALeaseAndTellsItsEnd)
+{
+    Table table;
+    const auto actions = table.order("a");
+    cr_assert(actions.starts.size() == 1);
+    cr_assert(actions.starts[0].lease.count > 0);
+    const RunName name = actions.starts[0].run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    table.now = table.now + Milliseconds { 90 };
+    table.runs.received(entryLife, { .echo = table.now }, table.now);
+    table.answer({}, { { .number = 1, .run = name, .kind = ListedEndKind::Done } });
+    const auto ends = endsOf(table.runs.act(table.now));
+    cr_assert(ends.size() == 1 && ends[0].kind == RunEndKind::Done, "expected one end, got %zu", ends.size());
+    cr_assert(ends[0].ranFor == Milliseconds { 90 });
+}
+
+Test(RunTable, startsNothingForAnEntryWhoseNewsAreOld)
+{
+    Table table;
+    table.now = table.now + Milliseconds { 800 };
+    table.runs.received(entryLife,
+        { .echo = table.now - Milliseconds { 701 },
+            .orders = { { .job = "a", .tasks = { { .index = 0, .run = 1 } }, .endBy = { 1'000'000 } } } },
+        table.now);
+    const auto actions = table.runs.act(table.now);
+    cr_assert(actions.starts.empty());
+    const auto ends = endsOf(actions);
+    cr_assert(ends.size() == 1 && ends[0].kind == RunEndKind::NotStarted);
+}
+
+Test(RunTable, stopsWhatAnEntryLeftBehindWithinItsLease)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    cr_assert(table.after({ 700 }, false).stops.empty());
+    const auto actions = table.after({ 1 }, false);
+    cr_assert(actions.stops.size() == 1, "expected a stop 701 ms after the last echo, got %zu", actions.stops.size());
+}
+
+Test(RunTable, tellsTheEndOfAStoppedRunOnlyOnceTheMinionNoLongerListsIt)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    table.runs.received(entryLife, { .echo = table.now, .stops = { { .job = "a", .index = 0, .run = 1 } } }, table.now);
+    cr_assert(table.runs.act(table.now).stops.size() == 1);
+    table.runs.stopAnswered(name, true, table.now);
+    const Milliseconds askedBefore = table.now;
+    table.now = table.now + Milliseconds { 5 };
+    table.runs.listed({ .born = { 7 }, .running = { { .run = name, .percent = 10 } } }, {}, askedBefore, table.now);
+    cr_assert(endsOf(table.runs.act(table.now)).empty());
+    table.now = table.now + Milliseconds { 50 };
+    table.answer({}, { { .number = 1, .run = name, .kind = ListedEndKind::Stopped } });
+    const auto ends = endsOf(table.runs.act(table.now));
+    cr_assert(ends.size() == 1 && ends[0].kind == RunEndKind::Stopped);
+}
+
+// A list that was asked for before the minion had confirmed the start says nothing about it.
+Test(RunTable, keepsARunThatAListOvertook)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    const Milliseconds askedAt = table.now + Milliseconds { 1 };
+    table.now = table.now + Milliseconds { 3 };
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    table.now = table.now + Milliseconds { 1 };
+    table.runs.listed({ .born = { 7 } }, {}, askedAt, table.now);
+    cr_assert(endsOf(table.runs.act(table.now)).empty());
+    cr_assert(table.runs.liveRuns() == 1);
+}
+
+Test(RunTable, startsATaskAgainOnlyAfterAnUnansweredStartWasMadeHarmless)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+    cr_assert(table.runs.act(table.now).stops.size() == 1);
+    cr_assert(endsOf(table.after({ 40 })).empty());
+    table.runs.stopAnswered(name, true, table.now);
+    table.now = table.now + Milliseconds { 10 };
+    table.runs.received(entryLife, { .echo = table.now }, table.now);
+    table.answer({}, {});
+    const auto ends = endsOf(table.runs.act(table.now));
+    cr_assert(ends.size() == 1 && ends[0].kind == RunEndKind::NotStarted);
+    // The number of the next run is higher, although another entry counts from 1 again.
+    const auto again = table.order("a", 1);
+    cr_assert(again.starts.empty() || again.starts[0].run.run > name.run);
+}
+
+Test(RunTable, givesAnotherRunOfATaskAHigherNumber)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    table.now = table.now + Milliseconds { 10 };
+    table.answer({}, { { .number = 1, .run = name, .kind = ListedEndKind::Done } });
+    table.runs.act(table.now);
+    table.runs.opened({ .entry = "entry/2" }, table.now);
+    table.runs.received("entry/2",
+        { .echo = table.now,
+            .orders = { { .job = "a", .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 1 }, .endBy = { 1'000'000 } } } },
+        table.now);
+    const auto starts = table.runs.act(table.now).starts;
+    cr_assert(starts.size() == 1 && starts[0].run.run == 2, "expected run 2, got %zu starts", starts.size());
+}
+
+Test(RunTable, takesNoMoreThanTheMinionHasRoomFor)
+{
+    Table table;
+    cr_assert(table.order("a").starts.size() == 1);
+    cr_assert(table.order("b").starts.size() == 1);
+    cr_assert(table.order("c").starts.empty());
+    cr_assert(table.runs.queuedRuns() == 1);
+}
+
+Test(RunTable, recallsOnlyWhatHasNotStarted)
+{
+    Table table;
+    table.order("a");
+    table.order("b");
+    table.order("c");
+    table.runs.received(entryLife,
+        { .echo = table.now, .recalls = { { .job = "a", .run = 1 }, { .job = "c", .run = 1 } } }, table.now);
+    const auto actions = table.runs.act(table.now);
+    cr_assert(actions.stops.empty());
+    cr_assert(table.runs.queuedRuns() == 0 && table.runs.liveRuns() == 2);
+}
+
+Test(RunTable, stopsStrayRunsBeforeItTakesAny)
+{
+    RunTable runs { { .life = "sidecar/2", .dataCentre = "dc" }, start };
+    runs.permit({ 1'000'000 }, true);
+    runs.reported(Table::report(), start);
+    runs.act(start);
+    const RunName stray { .job = "old", .run = 4 };
+    runs.listed({ .born = { 7 }, .running = { { .run = stray, .percent = 5 } } }, {}, start, start);
+    const auto actions = runs.act(start);
+    cr_assert(actions.stops.size() == 1 && actions.stops[0].run == stray);
+    cr_assert(!runs.isReady());
+    const Milliseconds later = start + Milliseconds { 60 };
+    runs.listed({ .born = { 7 } }, {}, later, later);
+    cr_assert(runs.isReady());
+}
+
+// A former life of the sidecar may have started them; nobody may start them elsewhere before that is settled.
+Test(RunTable, answersForUnknownRunsOnlyOnceTheMinionIsKnownToBeEmpty)
+{
+    RunTable runs { { .life = "sidecar/2", .dataCentre = "dc" }, start };
+    runs.permit({ 1'000'000 }, true);
+    runs.opened({ .entry = entryLife, .outstanding = { { .job = "a", .run = 1 } } }, start);
+    cr_assert(endsOf(runs.act(start)).empty());
+    runs.reported(Table::report(), start);
+    cr_assert(endsOf(runs.act(start)).empty());
+    runs.listed({ .born = { 7 } }, {}, start, start);
+    const auto ends = endsOf(runs.act(start));
+    cr_assert(ends.size() == 1 && ends[0].run.job == "a");
+}
+
+Test(RunTable, numbersEndsOnFromWhatTheEntryHasSeen)
+{
+    Table table;
+    table.runs.opened({ .entry = "entry/9", .outstanding = { { .job = "x", .run = 1 } }, .endsSeen = 41 }, table.now);
+    const auto ends = endsOf(table.runs.act(table.now));
+    cr_assert(ends.size() == 1 && ends[0].number == 42, "expected end 42");
+}
+
+Test(RunTable, endsAllRunsOfAFormerLifeOfTheMinion)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    MinionReport again = Table::report();
+    again.born = { 9 };
+    cr_assert(table.runs.reported(again, table.now));
+    cr_assert(table.runs.liveRuns() == 0);
+    MinionReport late = Table::report();
+    late.sequence = 99;
+    cr_assert(!table.runs.reported(late, table.now), "a report of the former life is no news");
+}
+
+Test(RunTable, tellsRunsAsEndedWhenTheMinionIsSilentBeyondItsLease)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    table.now = table.now + Milliseconds { 600 };
+    table.runs.received(entryLife, { .echo = table.now }, table.now);
+    table.runs.listFailed(table.now);
+    cr_assert(table.runs.liveRuns() == 1);
+    // Nothing was renewed, since no list was asked for meanwhile.
+    table.now = table.now + Milliseconds { 400 };
+    table.runs.received(entryLife, { .echo = table.now }, table.now);
+    table.runs.listFailed(table.now);
+    cr_assert(table.runs.liveRuns() == 0);
+}
+
+Test(RunTable, stopsARunThatStandsStill)
+{
+    Table table;
+    const auto name = table.order("a", 1, { 100 }).starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    bool stopped = false;
+    for (int i = 0; i < 12 && !stopped; ++i) {
+        table.now = table.now + Milliseconds { 50 };
+        table.runs.received(entryLife, { .echo = table.now }, table.now);
+        table.answer({ { .run = name, .percent = 1 } }, {});
+        stopped = !table.runs.act(table.now).stops.empty();
+    }
+    cr_assert(stopped, "expected a stop within 600 ms of a run estimated at 100 ms");
+}
+
+Test(RunTable, takesNothingOutOfServiceOrWhileLeaving)
+{
+    Table table;
+    table.runs.permit({ 1'000'000 }, false);
+    cr_assert(table.order("a").starts.empty());
+    table.runs.permit({ 1'000'000 }, true);
+    table.runs.beginLeaving();
+    cr_assert(table.order("b").starts.empty());
+    cr_assert(table.runs.queuedRuns() == 0);
+}
--- a/test/policy/ViewDeltaTest.cpp
+++ b/test/policy/ViewDeltaTest.cpp
@@ -133,3 +133,19 @@
     known.version += 10;
     cr_assert(!viewDelta(history.environment(), known));
 }
+
+Test(ViewDelta, carriesTheCatalogueOnlyWhenItChanged)
+{
+    ControlState state { ControlStateOptions {} };
+    const auto apply = [&state](const auto& change) { cr_assert(state.apply({ .stampUnix = { 1 }, .change = change }).has_value()); };
+    apply(OpenSessionRequest { .node = { .role = Role::Entry, .instance = "entry-1" } });
+    ClusterView view = state.view();
+    apply(PublishCatalogue { .catalogue = { .version = 4, .queues = { { .name = "queue" } } }, .source = "text" });
+    const auto delta = viewDelta(*state.environment(productionEnvironment), { .version = view.version });
+    cr_assert(delta && delta->catalogue && delta->catalogue->version == 4);
+    cr_assert(applyDelta(view, *delta) && view.catalogue->queues.size() == 1);
+    apply(OpenSessionRequest { .node = { .role = Role::Entry, .instance = "entry-2" } });
+    const auto next = viewDelta(*state.environment(productionEnvironment), { .version = view.version });
+    cr_assert(next && !next->catalogue);
+    cr_assert(applyDelta(view, *next) && view.catalogue->version == 4);
+}
--- /dev/null
+++ b/test/wire/DispatchCodecTest.cpp
@@ -0,0 +1,74 @@
+#include "wire/DispatchCodec.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+namespace {
+
+EntryFrame entryFrame()
+{
+    return { .entry = "entry/1",
+        .outstanding = { { .job = "a", .step = 1, .index = 2, .run = 3 } },
+        .stateGap = { 11 },
+        .echo = { 1'234 },
+        .endsSeen = 5,
+        .orders = { { .job = "b",
+            .step = 2,
+            .tasks = { { .index = 7, .run = 8 } },
+            .payload = std::string("bytes \0 and more", 16),
+            .needs = { .cpuMillis = 1, .memoryMb = 2, .accelerators = 3, .runTime = { 4 } },
+            .rank = { -5 },
+            .endBy = { 99 } } },
+        .stops = { { .job = "c", .run = 1 } },
+        .recalls = { { .job = "d", .run = 2 } } };
+}
+
+SidecarFrame sidecarFrame()
+{
+    return { .sidecar = "sidecar/1",
+        .clock = { 77 },
+        .framesSeen = 9,
+        .state = MinionState { .service = "s",
+            .dataCentre = "dc",
+            .rack = "r",
+            .labels = { "x", "y" },
+            .capacity = { .cpuMillis = 10 },
+            .used = { .cpuMillis = 4 },
+            .accepting = true },
+        .ends = { { .number = 3, .run = { .job = "a", .run = 1 }, .kind = RunEndKind::Stuck, .ranFor = { 12 } } } };
+}
+
+} // namespace
+
+Test(DispatchCodec, bringsFramesAcrossUnchanged)
+{
+    const auto entry = decodeEntryFrame(encodeFrame(entryFrame()));
+    cr_assert(entry.has_value());
+    cr_assert(encodeFrame(entry.assume_value()) == encodeFrame(entryFrame()));
+    cr_assert(entry.assume_value().orders[0].payload.size() == 16);
+    cr_assert(entry.assume_value().orders[0].rank == Milliseconds { -5 });
+    const auto sidecar = decodeSidecarFrame(encodeFrame(sidecarFrame()));
+    cr_assert(sidecar.has_value());
+    cr_assert(encodeFrame(sidecar.assume_value()) == encodeFrame(sidecarFrame()));
+    cr_assert(sidecar.assume_value().ends[0].kind == RunEndKind::Stuck);
+}
+
+Test(DispatchCodec, refusesWhatIsCutShortOrTooLong)
+{
+    const std::string bytes = encodeFrame(entryFrame());
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        cr_assert(!decodeEntryFrame(bytes.substr(0, size)).has_value(), "expected a refusal of %zu bytes", size);
+    cr_assert(!decodeEntryFrame(bytes + "x").has_value());
+}
+
+Test(DispatchCodec, refusesForeignBytesWithoutCrashing)
+{
+    std::string bytes = encodeFrame(sidecarFrame());
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        std::string changed = bytes;
+        changed[i] = static_cast<char>(0xff);
+        (void)decodeSidecarFrame(changed);
+    }
+    cr_assert(!decodeSidecarFrame("GET / HTTP/1.1\r\n\r\n").has_value());
+}
--- a/test/wire/HttpServerTest.cpp
+++ b/test/wire/HttpServerTest.cpp
@@ -175,3 +175,56 @@
     cr_assert(runUntil(echo.loop, [&echo] { return echo.server->connections() == 0; }));
     cr_assert(echo.server->openRequests() == 0);
 }
+
+Test(HttpServer, tellsThatThePeerOfAHeldRequestHasGone)
+{
+    EchoServer echo(options());
+    auto peer = echo.connect();
+    peer->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    bool gone = false;
+    echo.held->onPeerGone([&gone] { gone = true; });
+    peer->close();
+    cr_assert(runUntil(echo.loop, [&gone] { return gone; }));
+    cr_assert(!echo.held->isOpen());
+    echo.held->reply({ .body = "too late" });
+    echo.held.reset();
+    echo.expectServing();
+}
+
+Test(HttpServer, answersARequestThatCameAheadOfAWatchedOne)
+{
+    EchoServer echo(options());
+    auto peer = echo.connect();
+    peer->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    echo.held->onPeerGone([] { cr_assert_fail("the peer is there"); });
+    peer->send("GET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+    echo.expectServing();
+    echo.held->reply({ .body = "held" });
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "path:/next") == 1; }));
+    cr_assert(countOf(peer->received(), "held") == 1);
+}
+
+Test(HttpServer, handsOnTheHostAndTheHeadersThatWereAskedFor)
+{
+    HttpServerOptions wanted = options();
+    wanted.headers = { "X-Deadline", "X-Absent" };
+    EchoServer echo(wanted);
+    auto peer = echo.connect();
+    peer->send("GET /a HTTP/1.1\r\nHost: name.example:8080\r\nx-deadline: 250\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.handled == 1; }));
+    cr_assert(echo.last.host == "name.example", "host '%s'", echo.last.host.c_str());
+    cr_assert(echo.last.headers.size() == 2 && echo.last.headers[0] == "250" && echo.last.headers[1].empty());
+}
+
+Test(HttpServer, closesTheConnectionAfterAnAnswerThatAsksForIt)
+{
+    EchoServer echo(options());
+    auto peer = echo.connect();
+    peer->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    echo.held->reply({ .body = "whole", .close = true });
+    cr_assert(runUntil(echo.loop, [&peer] { return peer->closedByPeer(); }));
+    cr_assert(countOf(peer->received(), "whole") == 1);
+}
