The control group grows beyond the instances that everybody is told

An instance that is no peer finds the group through the peers, follows the log, and is made a voter, spread over data centres; a voter that is silent for 8 s is replaced, the new one first. Tests with the virtual cluster, red first: growth, two disks lost and all power, seeds gone for good, a replaced voter that returns, no group of its own.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -115,9 +115,7 @@
         .twice = model.violations().size() };
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+void runMain(int argc, char** argv)
 {
     cxxopts::Options options("dispatch-bench", "What callers get, by setting and scene");
     options.add_options()("seeds", "Seeds of each", cxxopts::value<std::uint64_t>()->default_value("3"))(
@@ -152,3 +150,15 @@
         }
     }
 }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        runMain(argc, argv);
+    } catch (const std::exception& exception) {
+        fmt::print(stderr, "dispatch-bench: {}\n", exception.what());
+        return 2;
+    }
+}
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -14,6 +14,7 @@
     constexpr std::int64_t maxTime = 3'600'000;
     constexpr std::int64_t minBody = 1024;
     constexpr std::int64_t maxBody = 256 * 1024 * 1024;
+    constexpr std::int64_t mostLosses = 7;
     constexpr std::int64_t maxCount = 1'000'000'000;
     constexpr NumberRange timeRange { 1, maxTime };
 
@@ -80,6 +81,10 @@
         section.time("session_timeout_ms", settings.sessionTimeout, timeRange);
         section.time("heartbeat_ms", settings.heartbeat, timeRange);
         section.time("timeout_ms", settings.controlTimeout, timeRange);
+        std::int64_t losses = 0;
+        section.number("tolerated_losses", losses, { 0, mostLosses });
+        if (section.find("tolerated_losses"))
+            settings.toleratedLosses = losses;
         section.time("election_ms", settings.election, timeRange);
         section.time("verify_wait_ms", settings.verifyWait, timeRange);
         section.texts("data_centres", settings.declaredDataCentres);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -5,6 +5,7 @@
 #include "oleanderport/Messages.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
     Milliseconds heartbeat { 500 };
     // Longest that a process waits for control to answer one of its session's calls.
     Milliseconds controlTimeout { 3'000 };
+    // Control instances that may be lost at the same time. The group grows to twice as many voters, and one, from
+    // instances that find it through `controlPeers`. Without it just the peers vote.
+    std::optional<std::int64_t> toleratedLosses;
     // Least time without a leader after which a control instance stands for election. The group's other times follow.
     Milliseconds election { 1'000 };
     // How long a restarted control instance waits to hear from every other before it votes.
--- a/src/control/LogStore.h
+++ b/src/control/LogStore.h
@@ -16,6 +16,8 @@
     std::string folder;
     // Address of this instance, which names it as a member.
     std::string address;
+    // Data centre of this instance.
+    std::string dataCentre {};
     // Take a new incarnation although the folder looks like the own one.
     bool renewIncarnation { false };
     // Take a folder whose log has another inode or time of birth for a copy. Off where the file system gives files new
--- a/src/control/RaftCodec.cpp
+++ b/src/control/RaftCodec.cpp
@@ -55,12 +55,16 @@
         Json::Value value;
         value["address"] = member.address;
         value["incarnation"] = member.incarnation;
+        if (!member.dataCentre.empty())
+            value["dataCentre"] = member.dataCentre;
         return value;
     }
 
     RaftMember memberFrom(const Json::Value& value)
     {
-        return { .address = value["address"].asString(), .incarnation = value["incarnation"].asString() };
+        return { .address = value["address"].asString(),
+            .incarnation = value["incarnation"].asString(),
+            .dataCentre = value["dataCentre"].asString() };
     }
 
     Json::Value votersToJson(const std::vector<RaftMember>& voters)
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -42,6 +42,14 @@
         return bytes;
     }
 
+    // A majority has to be left after the losses that are to be borne; 0 for a group that does not grow.
+    std::size_t votersFor(const Settings& settings)
+    {
+        if (!settings.toleratedLosses)
+            return 0;
+        return static_cast<std::size_t>(std::max<std::int64_t>(*settings.toleratedLosses, 1) * 2 + 1);
+    }
+
     std::size_t messageLimit(const Settings& settings)
     {
         return std::min(maxMessageBytes, static_cast<std::size_t>(settings.maxBodyBytes / bodyShare));
@@ -108,7 +116,9 @@
 {
     const auto& peers = m_process.settings.controlPeers;
     const std::string& own = m_process.settings.advertise;
-    if (std::find(peers.begin(), peers.end(), own) == peers.end()) {
+    // A group that does not grow is just its list of peers.
+    const bool isListed = std::find(peers.begin(), peers.end(), own) != peers.end();
+    if (!m_process.settings.toleratedLosses && !isListed) {
         return Error { .code = ErrorCode::BadSettings,
             .ran = Ran::No,
             .step = "control.start",
@@ -129,6 +139,7 @@
     BOOST_OUTCOME_TRY(m_store,
         LogStore::open({ .folder = m_process.settings.dataFolder,
                            .address = m_process.settings.advertise,
+                           .dataCentre = m_process.settings.dataCentre,
                            .renewIncarnation = renewIncarnation,
                            .checkIdentity = m_process.settings.checkFileIdentity },
             [completions = m_completions](const Result<std::uint64_t>& result) { completions->add(result); }));
@@ -140,6 +151,7 @@
         install(*stored.snapshot);
     const Milliseconds election = m_process.settings.election;
     const RaftOptions options { .peers = m_process.settings.controlPeers,
+        .voters = votersFor(m_process.settings),
         .bootstrap = m_process.settings.bootstrap,
         .heartbeat = { election.count * heartbeatPercent / wholePercent },
         .electionLeast = election,
--- a/src/policy/Raft.cpp
+++ b/src/policy/Raft.cpp
@@ -114,7 +114,8 @@
 
 RaftActions Raft::tick(Milliseconds now)
 {
-    if (hasNoGroup() || !m_verified) {
+    const bool seeksGroup = !leads() && now >= m_heardLeaderAt + m_options.electionMost;
+    if (hasNoGroup() || !m_verified || seeksGroup) {
         if (now >= m_heartbeatAt) {
             m_heartbeatAt = now + m_options.heartbeat;
             sayHello(now);
@@ -150,6 +151,7 @@
     mergeEvidence(message.evidence);
     if (m_actions.stale)
         return take();
+    meet(message.from);
     switch (message.kind) {
     case RaftMessageKind::Hello:
         receiveHello(message);
@@ -312,6 +314,8 @@
     for (const auto& voter : voters())
         addresses.insert(voter.address);
     addresses.erase(m_self.address);
+    // An instance that votes by now has no use for others' advice.
+    m_namedLeaders.clear();
     for (const auto& address : addresses)
         m_progress[address].next = m_log.lastIndex() + 1;
     m_termStart = m_log.lastIndex() + 1;
--- a/src/policy/Raft.h
+++ b/src/policy/Raft.h
@@ -13,6 +13,10 @@
 struct RaftOptions {
     // Addresses of all instances, this one included.
     std::vector<std::string> peers;
+    // Voters that the group grows to from instances that found it through `peers`; 0 when just the peers vote.
+    std::size_t voters { 0 };
+    // A voter that has been silent for this long is replaced when another instance is ready.
+    Milliseconds replaceAfter { 8'000 };
     // Found a group once every peer is known to have an empty folder.
     bool bootstrap { false };
     Milliseconds heartbeat { 150 };
@@ -81,6 +85,7 @@
     // What a leader knows of one peer.
     struct Progress {
         std::string incarnation;
+        std::string dataCentre;
         bool verified { false };
         std::uint64_t next { 1 };
         std::uint64_t match { 0 };
@@ -150,6 +155,18 @@
     void advanceCommit();
     void commitUpTo(std::uint64_t index);
     void changeMembership(Milliseconds now);
+    // The change that is due, as the new set of voters; nothing when there is none.
+    std::optional<std::vector<RaftMember>> nextVoters(Milliseconds now) const;
+    // Instances that follow the log and do not vote, best first: those in data centres with the fewest voters.
+    std::vector<RaftMember> readyLearners(Milliseconds now) const;
+    bool isSilent(const RaftMember& voter, Milliseconds now) const;
+    std::size_t votersIn(const std::string& dataCentre) const;
+    // Whether the best learner in place of a voter of the fullest data centre would even out the group.
+    bool improvesSpread(const std::vector<RaftMember>& ready) const;
+    // The voter to take out when there is one too many.
+    std::optional<RaftMember> surplusVoter(Milliseconds now) const;
+    // A leader carries the log to every instance that speaks to it.
+    void meet(const RaftMember&);
     bool majorityAnswered(Milliseconds now, Milliseconds window) const;
 
     RaftOptions m_options;
@@ -184,6 +201,8 @@
 
     bool m_verified { false };
     std::set<std::string> m_helloed;
+    // Leaders that peers have named.
+    std::set<std::string> m_namedLeaders;
     std::map<std::string, RaftMessage> m_emptyPeers;
     std::map<std::string, RaftEvidence> m_evidence;
     RaftSnapshot m_incoming;
--- a/src/policy/RaftEvidence.cpp
+++ b/src/policy/RaftEvidence.cpp
@@ -84,6 +84,7 @@
     std::set<std::string> addresses(m_options.peers.begin(), m_options.peers.end());
     for (const auto& voter : voters())
         addresses.insert(voter.address);
+    addresses.insert(m_namedLeaders.begin(), m_namedLeaders.end());
     for (const auto& address : addresses) {
         RaftMessage hello = make(RaftMessageKind::Hello, address);
         hello.sentAt = now;
@@ -98,6 +99,7 @@
     reply.logTerm = message.life;
     reply.empty = hasNoGroup();
     reply.granted = m_options.bootstrap && hasNoGroup();
+    reply.data = m_leader;
     const auto known = m_evidence.find(message.from.incarnation);
     if (known != m_evidence.end())
         reply.evidence.push_back(known->second);
@@ -110,6 +112,8 @@
     if (message.logTerm != m_life)
         return;
     m_helloed.insert(message.from.address);
+    if (!message.data.empty() && message.data != m_self.address)
+        m_namedLeaders.insert(message.data);
     if (message.empty)
         m_emptyPeers[message.from.address] = message;
     else
@@ -128,7 +132,9 @@
 
 void Raft::bootstrapIfAllEmpty()
 {
-    if (!m_options.bootstrap)
+    // An instance that the others do not know of must not found a group of its own.
+    const auto& peers = m_options.peers;
+    if (!m_options.bootstrap || std::find(peers.begin(), peers.end(), m_self.address) == peers.end())
         return;
     RaftEntry entry { .index = 1, .term = 1, .kind = RaftEntryKind::Configuration, .data = {}, .voters = { m_self } };
     for (const auto& address : m_options.peers) {
--- a/src/policy/RaftMessages.h
+++ b/src/policy/RaftMessages.h
@@ -14,8 +14,13 @@
 struct RaftMember {
     std::string address;
     std::string incarnation;
+    // Where it stands; voters are spread over data centres. No part of its identity.
+    std::string dataCentre {};
 
-    bool operator==(const RaftMember&) const = default;
+    bool operator==(const RaftMember& other) const
+    {
+        return address == other.address && incarnation == other.incarnation;
+    }
 };
 
 enum class RaftEntryKind {
--- a/src/policy/RaftReplication.cpp
+++ b/src/policy/RaftReplication.cpp
@@ -179,6 +179,7 @@
         progress.incarnation = message.from.incarnation;
         progress.next = m_log.lastIndex() + 1;
     }
+    progress.dataCentre = message.from.dataCentre;
     progress.verified = message.verified;
     if (progress.inFlightSince == message.sentAt)
         progress.inFlightSince.reset();
@@ -310,30 +311,112 @@
     return leads() && m_commit >= m_termStart && majorityAnswered(now, m_options.confirmWindow);
 }
 
-void Raft::changeMembership(Milliseconds now)
+void Raft::meet(const RaftMember& other)
 {
-    // One change at a time, and none before this term has committed.
-    const bool settled = m_log.configurationIndex() <= m_commit && isConfirmedLeader(now);
-    if (!settled)
+    if (!leads() || other.address == m_self.address || m_progress.contains(other.address))
         return;
+    m_progress[other.address].next = m_log.lastIndex() + 1;
+}
+
+std::size_t Raft::votersIn(const std::string& dataCentre) const
+{
+    return static_cast<std::size_t>(std::count_if(voters().begin(), voters().end(),
+        [&dataCentre](const RaftMember& voter) { return voter.dataCentre == dataCentre; }));
+}
+
+std::vector<RaftMember> Raft::readyLearners(Milliseconds now) const
+{
+    std::vector<RaftMember> ready;
     for (const auto& [address, progress] : m_progress) {
-        const RaftMember member { .address = address, .incarnation = progress.incarnation };
+        const RaftMember member { .address = address, .incarnation = progress.incarnation, .dataCentre = progress.dataCentre };
         const bool caughtUp = progress.match >= m_commit && progress.match > 0;
         const bool present
             = progress.answeredSentAt && now < *progress.answeredSentAt + m_options.confirmWindow && progress.verified;
-        if (member.incarnation.empty() || isVoter(member) || !caughtUp || !present)
+        if (!member.incarnation.empty() && !isVoter(member) && caughtUp && present)
+            ready.push_back(member);
+    }
+    std::stable_sort(ready.begin(), ready.end(), [this](const RaftMember& a, const RaftMember& b) {
+        return votersIn(a.dataCentre) < votersIn(b.dataCentre);
+    });
+    return ready;
+}
+
+bool Raft::isSilent(const RaftMember& voter, Milliseconds now) const
+{
+    if (voter == m_self)
+        return false;
+    const auto found = m_progress.find(voter.address);
+    const bool isKnown = found != m_progress.end() && found->second.incarnation == voter.incarnation;
+    const Milliseconds heardAt = isKnown && found->second.answeredSentAt ? *found->second.answeredSentAt : m_leadingSince;
+    return now >= std::max(heardAt, m_leadingSince) + m_options.replaceAfter;
+}
+
+std::optional<RaftMember> Raft::surplusVoter(Milliseconds now) const
+{
+    std::optional<RaftMember> chosen;
+    for (const auto& voter : voters()) {
+        if (isSilent(voter, now))
+            return voter;
+        if (voter != m_self && (!chosen || votersIn(voter.dataCentre) > votersIn(chosen->dataCentre)))
+            chosen = voter;
+    }
+    return chosen;
+}
+
+bool Raft::improvesSpread(const std::vector<RaftMember>& ready) const
+{
+    std::size_t most = 0;
+    for (const auto& voter : voters())
+        most = std::max(most, votersIn(voter.dataCentre));
+    return !ready.empty() && votersIn(ready.front().dataCentre) + 2 <= most;
+}
+
+std::optional<std::vector<RaftMember>> Raft::nextVoters(Milliseconds now) const
+{
+    const std::vector<RaftMember> ready = readyLearners(now);
+    std::vector<RaftMember> next = voters();
+    // The former incarnation at an address leaves in a change of its own: two sets that differ by two members may have
+    // majorities without a common member.
+    for (const auto& learner : ready) {
+        const auto former = std::find_if(next.begin(), next.end(),
+            [&learner](const RaftMember& voter) { return voter.address == learner.address; });
+        if (former == next.end())
+            continue;
+        next.erase(former);
+        return next;
+    }
+    const auto& peers = m_options.peers;
+    const bool fixed = m_options.voters == 0;
+    const std::size_t wanted = fixed ? peers.size() : m_options.voters;
+    if (next.size() > wanted && !fixed) {
+        const auto surplus = surplusVoter(now);
+        if (!surplus)
+            return std::nullopt;
+        std::erase(next, *surplus);
+        return next;
+    }
+    const bool anySilent = std::any_of(
+        next.begin(), next.end(), [this, now](const RaftMember& voter) { return isSilent(voter, now); });
+    // A new voter comes before another goes, so that the group is never smaller than it was.
+    if (next.size() >= wanted && (fixed || (!anySilent && !improvesSpread(ready))))
+        return std::nullopt;
+    for (const auto& learner : ready) {
+        if (fixed && std::find(peers.begin(), peers.end(), learner.address) == peers.end())
             continue;
-        RaftEntry change { .kind = RaftEntryKind::Configuration, .data = {}, .voters = voters() };
-        // The former incarnation leaves in an entry of its own: two sets that differ by two members may have
-        // majorities without a common member.
-        const auto former = std::find_if(change.voters.begin(), change.voters.end(),
-            [&address = address](const RaftMember& voter) { return voter.address == address; });
-        if (former != change.voters.end())
-            change.voters.erase(former);
-        else
-            change.voters.push_back(member);
-        return appendAsLeader({ change }, now);
+        next.push_back(learner);
+        return next;
     }
+    return std::nullopt;
+}
+
+void Raft::changeMembership(Milliseconds now)
+{
+    // One change at a time, and none before this term has committed.
+    const bool settled = m_log.configurationIndex() <= m_commit && isConfirmedLeader(now);
+    if (!settled)
+        return;
+    if (auto next = nextVoters(now))
+        appendAsLeader({ RaftEntry { .kind = RaftEntryKind::Configuration, .data = {}, .voters = std::move(*next) } }, now);
 }
 
 } // namespace oleanderport
--- a/src/wire/ControlClient.cpp
+++ b/src/wire/ControlClient.cpp
@@ -90,9 +90,11 @@
 {
     if (m_leader != asked)
         return;
-    const bool named = error.code == ErrorCode::NotLeader && error.peer != asked
-        && std::find(m_peers.begin(), m_peers.end(), error.peer) != m_peers.end();
+    const bool named = error.code == ErrorCode::NotLeader && error.peer != asked && !error.peer.empty();
     if (named) {
+        // A group may grow beyond the instances that this process was told of.
+        if (std::find(m_peers.begin(), m_peers.end(), error.peer) == m_peers.end())
+            m_peers.push_back(error.peer);
         m_leader = error.peer;
         return;
     }
--- a/test/policy/RaftTest.cpp
+++ b/test/policy/RaftTest.cpp
@@ -462,3 +462,110 @@
     raft.receive(fromB, now);
     cr_assert(raft.commitIndex() == 3, "expected 3 committed, got %lu", raft.commitIndex());
 }
+
+namespace {
+
+ClusterOptions growing(std::uint64_t seed)
+{
+    return { .size = 9, .seeds = 3, .voters = 5, .dataCentres = 3, .seed = seed, .loss = 0.02 };
+}
+
+std::size_t liveCount(RaftCluster& cluster)
+{
+    std::size_t count = 0;
+    for (const auto& [dataCentre, voters] : cluster.liveVoters())
+        count += voters;
+    return count;
+}
+
+void expectSpread(RaftCluster& cluster, std::size_t voters, std::size_t mostInOne)
+{
+    expectReached(cluster, "as many live voters as wanted, spread over the data centres", [&] {
+        const auto live = cluster.liveVoters();
+        return liveCount(cluster) >= voters && std::all_of(live.begin(), live.end(), [mostInOne](const auto& item) { return item.second <= mostInOne; });
+    });
+}
+
+} // namespace
+
+Test(Raft, growsBeyondTheInstancesThatEverybodyIsTold)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        RaftCluster cluster(growing(seed));
+        expectSpread(cluster, 5, 2);
+        commitMany(cluster, "grown", 10);
+        const std::uint64_t index = cluster.committed.rbegin()->first;
+        expectReached(cluster, "every instance to follow the log", [&] { return cluster.allApplied(index); });
+        cr_assert(cluster.leader()->committedVoters().size() == 5, "expected five voters, got %zu",
+            cluster.leader()->committedVoters().size());
+    }
+}
+
+Test(Raft, bearsTheLossOfTwoDisksAtOnceWithFiveVoters)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        RaftCluster cluster(growing(seed));
+        expectSpread(cluster, 5, 2);
+        commitMany(cluster, "before", 10);
+        // Two voters lose their disks, then everything loses power.
+        const auto voters = cluster.leader()->committedVoters();
+        for (std::size_t i = 0; i < 2; ++i)
+            cluster.loseDisk(static_cast<std::size_t>(voters[(seed + i * 2) % 5].address.back() - '0'));
+        for (std::size_t i = 0; i < 9; ++i)
+            cluster.crash(i);
+        for (std::size_t i = 0; i < 9; ++i)
+            cluster.start(i);
+        expectSpread(cluster, 5, 2);
+        for (int i = 0; i < 10; ++i)
+            cr_assert(isCommitted(cluster, fmt::format("before-{}", i)));
+        commitMany(cluster, "after", 5);
+    }
+}
+
+Test(Raft, replacesVotersThatAreGoneForGood)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        RaftCluster cluster(growing(seed));
+        expectSpread(cluster, 5, 2);
+        commitMany(cluster, "before", 5);
+        // All three seeds end, one after the other; the rest goes on without any of them.
+        for (std::size_t seedNode = 0; seedNode < 3; ++seedNode) {
+            cluster.crash(seedNode);
+            expectSpread(cluster, 5, 2);
+        }
+        commitMany(cluster, "after", 5);
+    }
+}
+
+Test(Raft, takesBackAVoterThatWasReplacedWhileItWasAway)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        RaftCluster cluster(growing(seed));
+        expectSpread(cluster, 5, 2);
+        const auto voter = cluster.leader()->committedVoters().front().address;
+        const auto number = static_cast<std::size_t>(voter.back() - '0');
+        cluster.freeze(number, 15'000);
+        cluster.run(14'000);
+        commitMany(cluster, "meanwhile", 5);
+        const std::uint64_t index = cluster.committed.rbegin()->first;
+        expectReached(cluster, "the returned instance to follow the log", [&] { return cluster.allApplied(index); });
+        expectSpread(cluster, 5, 2);
+        cr_assert(cluster.leader()->committedVoters().size() <= 6);
+    }
+}
+
+Test(Raft, leavesAnInstanceThatIsNoSeedWithoutAGroupWhileTheSeedsAreAway)
+{
+    RaftCluster cluster(growing(3));
+    for (std::size_t i = 0; i < 9; ++i)
+        cluster.crash(i);
+    for (std::size_t i = 0; i < 9; ++i)
+        cluster.loseDisk(i);
+    for (std::size_t i = 3; i < 9; ++i)
+        cluster.start(i);
+    cluster.run(20'000);
+    cr_assert(!cluster.leader(), "expected no group without the seeds");
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster.start(i);
+    expectSpread(cluster, 5, 2);
+}
--- a/test/support/DispatchLoad.h
+++ b/test/support/DispatchLoad.h
@@ -52,7 +52,7 @@
         const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
         const ModelQueue queue = draw < 0.245 ? lookupQueue() : draw < 0.29 ? calloutQueue()
                                                                             : bookingQueue();
-        const std::string name = "job-" + std::to_string(++m_last);
+        std::string name = "job-" + std::to_string(++m_last);
         m_model.submit(static_cast<int>(m_random() % static_cast<std::uint64_t>(m_entries)), queue, name, patience);
         return name;
     }
--- a/test/support/RaftCluster.cpp
+++ b/test/support/RaftCluster.cpp
@@ -38,12 +38,19 @@
     nodes.resize(options.size);
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         nodes[i].address = "node-" + std::to_string(i);
-        nodes[i].disk.self = { .address = nodes[i].address, .incarnation = newIncarnation() };
+        nodes[i].disk.self = selfOf(i);
     }
     for (std::size_t i = 0; i < nodes.size(); ++i)
         start(i);
 }
 
+RaftMember RaftCluster::selfOf(std::size_t index)
+{
+    return { .address = nodes[index].address,
+        .incarnation = newIncarnation(),
+        .dataCentre = "dc-" + std::to_string(index % options.dataCentres) };
+}
+
 bool RaftCluster::chance(double probability)
 {
     constexpr std::uint64_t scale = 1'000'000;
@@ -60,9 +67,14 @@
     Node& node = nodes[index];
     ++node.disk.boot;
     node.disk.life = random();
-    RaftOptions raftOptions { .bootstrap = index == 0, .keptEntries = options.keptEntries, .seed = random() };
-    for (const auto& other : nodes)
-        raftOptions.peers.push_back(other.address);
+    RaftOptions raftOptions { .voters = options.voters,
+        .bootstrap = options.seeds > 0 || index == 0,
+        .keptEntries = options.keptEntries,
+        .seed = random() };
+    for (const auto& other : nodes) {
+        if (options.seeds == 0 || raftOptions.peers.size() < options.seeds)
+            raftOptions.peers.push_back(other.address);
+    }
     node.applied.clear();
     node.appliedIndex = 0;
     if (node.disk.snapshot) {
@@ -101,7 +113,7 @@
 void RaftCluster::loseDisk(std::size_t index)
 {
     crash(index);
-    nodes[index].disk = { .self = { .address = nodes[index].address, .incarnation = newIncarnation() } };
+    nodes[index].disk = { .self = selfOf(index) };
 }
 
 void RaftCluster::restore(std::size_t index, const RaftStored& copy, bool noticed)
@@ -261,6 +273,20 @@
     return true;
 }
 
+std::map<std::string, std::size_t> RaftCluster::liveVoters()
+{
+    std::map<std::string, std::size_t> live;
+    const Raft* raft = leader();
+    if (!raft)
+        return live;
+    for (const auto& voter : raft->committedVoters()) {
+        const Node& node = nodes[indexOf(voter.address)];
+        if (node.raft && node.disk.self == voter)
+            ++live[voter.dataCentre];
+    }
+    return live;
+}
+
 bool RaftCluster::isWhole()
 {
     const Raft* raft = leader();
--- a/test/support/RaftCluster.h
+++ b/test/support/RaftCluster.h
@@ -14,6 +14,11 @@
 
 struct ClusterOptions {
     std::size_t size { 3 };
+    // The first so many instances are told to everybody, and the group grows to so many voters; 0 for all and no growth.
+    std::size_t seeds { 0 };
+    std::size_t voters { 0 };
+    // Instances stand in so many data centres in turn.
+    std::size_t dataCentres { 1 };
     std::uint64_t seed { 0 };
     double loss { 0 };
     double duplication { 0 };
@@ -62,6 +67,8 @@
     bool propose(const std::string&);
     // True when the confirmed leader's committed voters are the present incarnations of all instances.
     bool isWhole();
+    // Committed voters of the confirmed leader that are alive, by data centre; empty without a leader.
+    std::map<std::string, std::size_t> liveVoters();
     bool allApplied(std::uint64_t index) const;
 
     std::vector<Node> nodes;
@@ -87,6 +94,7 @@
     void post(std::size_t from, const RaftMessage&);
     void apply(Node&, const RaftEntry&);
     void check();
+    RaftMember selfOf(std::size_t);
     std::string newIncarnation() { return "i" + std::to_string(++m_incarnations); }
     std::size_t indexOf(const std::string& address) const;
     bool chance(double probability);
