Structured logs on standard output, bounded and never waiting; explain; metrics of best-effort jobs

'oleanderport explain' prints what saved logs tell of a request or job. A test showed that a client which follows a leader it was not told of could ask it for ever; it goes on with the next peer. The test's body is unchanged, its name said the opposite of the new behaviour (passesOverANamedLeaderThatDoesNotAnswer).

--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,10 +1,12 @@
 #include "base/Log.h"
 
+#include "base/LogBudget.h"
 #include "oleanderport/NameTable.h"
 
 #include <fmt/format.h>
 
-#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
 
 namespace oleanderport {
 
@@ -21,8 +23,16 @@
         LogLevel least { LogLevel::Info };
         std::string role;
         std::string instance;
+        int descriptor { STDERR_FILENO };
+        LogBudget ordinary;
+        // Warnings and errors.
+        LogBudget serious;
+        std::uint64_t dropped { 0 };
     };
 
+    // A pipe with room for so many bytes takes them whole and at once.
+    constexpr std::size_t mostLineBytes = 4'096;
+
     LogContext& context()
     {
         static LogContext value;
@@ -37,30 +47,86 @@
 
 void configureLog(LogLevel least, std::string_view role, std::string_view instance)
 {
-    context() = LogContext { .least = least, .role = std::string(role), .instance = std::string(instance) };
+    LogContext& own = context();
+    own.least = least;
+    own.role = role;
+    own.instance = instance;
+    own.descriptor = STDOUT_FILENO;
 }
 
+namespace {
+
+    // Quotes and line ends within a value would break the line's format.
+    void appendQuoted(fmt::memory_buffer& line, std::string_view text)
+    {
+        line.push_back('"');
+        for (const char c : text) {
+            if (c == '"' || c == '\\')
+                line.push_back('\\');
+            line.push_back(c == '\n' ? ' ' : c);
+        }
+        line.push_back('"');
+    }
+
+    fmt::memory_buffer lineOf(LogLevel level, const LogFields& fields, std::string_view message)
+    {
+        const LogContext& own = context();
+        fmt::memory_buffer line;
+        auto out = std::back_inserter(line);
+        fmt::format_to(out, "time={} level={} role={} instance={}", Clock::unixNow().count, logLevelName(level), own.role,
+            own.instance);
+        if (!fields.step.empty())
+            fmt::format_to(out, " step={}", fields.step);
+        if (!fields.peer.empty())
+            fmt::format_to(out, " peer={}", fields.peer);
+        if (!fields.request.empty())
+            fmt::format_to(out, " request={}", fields.request);
+        if (fields.job)
+            fmt::format_to(out, " job={}/{}", fields.job->caller, fields.job->job);
+        else if (!fields.jobName.empty())
+            fmt::format_to(out, " job={}", fields.jobName);
+        if (fields.task >= 0)
+            fmt::format_to(out, " task={}", fields.task);
+        fmt::format_to(out, " message=");
+        appendQuoted(line, message);
+        line.resize(std::min(line.size(), mostLineBytes - 1));
+        line.push_back('\n');
+        return line;
+    }
+
+    // False when the reader has no room for the line.
+    bool writeAtOnce(const fmt::memory_buffer& line)
+    {
+        pollfd target { .fd = context().descriptor, .events = POLLOUT, .revents = 0 };
+        if (::poll(&target, 1, 0) != 1 || (target.revents & POLLOUT) == 0)
+            return false;
+        return ::write(target.fd, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    }
+
+} // namespace
+
 void log(LogLevel level, const LogFields& fields, std::string_view message)
 {
-    const LogContext& own = context();
+    LogContext& own = context();
     if (level < own.least)
         return;
-    fmt::memory_buffer line;
-    auto out = std::back_inserter(line);
-    fmt::format_to(out, "time={} level={} role={} instance={}", Clock::unixNow().count, logLevelName(level), own.role,
-        own.instance);
-    if (!fields.step.empty())
-        fmt::format_to(out, " step={}", fields.step);
-    if (!fields.peer.empty())
-        fmt::format_to(out, " peer={}", fields.peer);
-    if (fields.job)
-        fmt::format_to(out, " job={}/{}", fields.job->caller, fields.job->job);
-    if (fields.task >= 0)
-        fmt::format_to(out, " task={}", fields.task);
-    fmt::format_to(out, " message=\"{}\"\n", message);
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    LogBudget& budget = level >= LogLevel::Warning ? own.serious : own.ordinary;
+    if (!budget.allow(Clock::now()))
+        return;
+    if (!writeAtOnce(lineOf(level, fields, message))) {
+        budget.drop();
+        return;
+    }
+    const std::uint64_t dropped = budget.takeDropped();
+    if (dropped == 0)
+        return;
+    own.dropped += dropped;
+    if (!writeAtOnce(lineOf(LogLevel::Warning, { .step = "log" }, fmt::format("{} lines were left out before this one", dropped))))
+        budget.drop();
 }
 
+std::uint64_t droppedLogLines() { return context().dropped; }
+
 void logError(LogLevel level, const Error& error)
 {
     log(level, { .step = error.step, .peer = error.peer },
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -24,15 +24,24 @@
     std::string_view peer {};
     const JobKey* job { nullptr };
     std::int64_t task { -1 };
+    // Id of the caller's request, and name of a best-effort job.
+    std::string_view request {};
+    std::string_view jobName {};
 };
 
-// Sets what every later line of this process carries. Call once at start.
+// Sets what every later line of this process carries, and makes them go to standard output rather than to standard
+// error. Call once at start of a daemon.
 void configureLog(LogLevel least, std::string_view role, std::string_view instance);
 
-// Writes one line to standard error: time, level, role, instance, the fields that are set, and the message.
+// Writes one line: time, level, role, instance, the fields that are set, and the message, as key=value pairs. Never
+// waits: a line that its reader has no room for, or that is beyond the budget of its level, is left out and counted,
+// and a later line says how many were.
 void log(LogLevel, const LogFields&, std::string_view message);
 
 // Logs an error with its step and peer.
 void logError(LogLevel, const Error&);
 
+// Lines left out in all.
+std::uint64_t droppedLogLines();
+
 } // namespace oleanderport
--- a/src/cli/Command.cpp
+++ b/src/cli/Command.cpp
@@ -57,6 +57,7 @@
         { "status", "Print the document in force, the data centres and the members", &runStatus },
         { "datacentre", "Take a data centre out or bring it in", &runDataCentre },
         { "timeline", "Print one ordered line of the events of all processes", &runTimeline },
+        { "explain", "Print what saved logs tell of one request or job", &runExplain },
     };
     return all;
 }
--- a/src/cli/Command.h
+++ b/src/cli/Command.h
@@ -43,6 +43,7 @@
 ExitCode runStatus(const std::vector<std::string>&);
 ExitCode runDataCentre(const std::vector<std::string>&);
 ExitCode runTimeline(const std::vector<std::string>&);
+ExitCode runExplain(const std::vector<std::string>&);
 
 // Makes one HTTP call and waits for its answer.
 Result<HttpAnswer> callAndWait(const std::string& address, const HttpCall&);
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -139,6 +139,8 @@
     while (std::exchange(m_runAgain, false))
         perform(m_dispatcher.act(Clock::now()));
     m_running = false;
+    m_process.metrics.set("jobs_held", static_cast<double>(m_dispatcher.jobs()));
+    m_process.metrics.set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     armTimer();
 }
 
@@ -149,10 +151,20 @@
         if (link != m_links.end() && link->second.stream)
             link->second.stream->send(encodeFrame(item.frame));
     }
+    for (const auto& failed : actions.failedRuns) {
+        m_process.metrics.add(fmt::format("runs_{}_total", runEndKindName(failed.kind)));
+        log(LogLevel::Info,
+            { .step = "entry.run", .peer = failed.sidecar, .task = failed.run.index, .jobName = failed.run.job },
+            fmt::format("run {} of step {} {} after {} ms", failed.run.run, failed.run.step, runEndKindName(failed.kind),
+                failed.ranFor.count));
+    }
     for (const auto& end : actions.ends) {
         const auto found = m_replies.find(end.submission);
         if (found == m_replies.end())
             continue;
+        m_process.metrics.add(fmt::format("jobs_{}_total", dispatchEndKindName(end.kind)));
+        if (end.runs > 0)
+            m_process.metrics.observe("job_wait_milliseconds", static_cast<double>(end.waited.count));
         const Reply reply = std::move(found->second);
         m_replies.erase(found);
         reply(end);
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -277,6 +277,7 @@
             endJob(place.job, DispatchEndKind::Completed, {}, {});
         return;
     }
+    m_actions.failedRuns.push_back({ .run = name, .sidecar = sidecar, .kind = kind, .ranFor = ranFor });
     if (kind == RunEndKind::Failed || kind == RunEndKind::Stuck)
         health.record(healthId(sidecar), TaskOutcome::Failed, ranFor, now);
     else if (kind == RunEndKind::NotStarted)
@@ -321,10 +322,19 @@
             link.hasNext = true;
         }
     }
+    std::size_t tasks = 0;
+    for (const auto& step : job.tasks)
+        tasks += static_cast<std::size_t>(std::count_if(step.begin(), step.end(), [](const Task& task) { return task.run > 0; }));
     for (const auto submission : job.submissions) {
         m_submissions.erase(submission);
-        m_actions.ends.push_back(
-            { .submission = submission, .kind = kind, .reason = reason, .retryAfter = retryAfter });
+        m_actions.ends.push_back({ .submission = submission,
+            .kind = kind,
+            .reason = reason,
+            .retryAfter = retryAfter,
+            .runs = job.runs,
+            .retries = job.runs - tasks,
+            .sidecars = { job.sidecars.begin(), job.sidecars.end() },
+            .waited = job.runs > 0 ? job.firstSentAt - job.arrived : Milliseconds {} });
     }
     m_queue.erase({ job.urgentAt, id });
     m_byName.erase({ job.spec.queue.name, job.spec.name });
@@ -454,6 +464,9 @@
     task.state = TaskState::AtSidecar;
     task.sidecar = sidecar;
     ++task.run;
+    if (job.runs++ == 0)
+        job.firstSentAt = now;
+    job.sidecars.insert(sidecar);
     --job.waiting;
     ++job.atSidecars;
     m_meanCpu += (spec.needs.cpuMillis - m_meanCpu) / meanCpuShare;
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -59,6 +59,20 @@
     std::string reason;
     // When the caller may come back; zero when that is unknown.
     Milliseconds retryAfter {};
+    // What became of it: runs that were sent, those after the first of a task, the sidecars that had any, and the time
+    // until the first was sent.
+    std::size_t runs { 0 };
+    std::size_t retries { 0 };
+    std::vector<std::string> sidecars;
+    Milliseconds waited {};
+};
+
+// A run that did not end well.
+struct FailedRun {
+    RunName run;
+    std::string sidecar;
+    RunEndKind kind { RunEndKind::Failed };
+    Milliseconds ranFor {};
 };
 
 struct FrameToSidecar {
@@ -69,6 +83,7 @@
 struct DispatchActions {
     std::vector<FrameToSidecar> frames;
     std::vector<DispatchEnd> ends;
+    std::vector<FailedRun> failedRuns;
     // Sidecars whose stream has gone silent: close it and connect anew.
     std::vector<std::string> reconnect;
 };
@@ -173,6 +188,9 @@
         bool ran { false };
         // Its runs were asked back.
         bool recalled { false };
+        std::size_t runs { 0 };
+        std::set<std::string> sidecars;
+        Milliseconds firstSentAt {};
         Milliseconds arrived {};
         Milliseconds longestRun {};
         Milliseconds objectiveAt {};
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -144,6 +144,9 @@
     while (std::exchange(m_runAgain, false))
         perform(m_runs.act(Clock::now()));
     m_running = false;
+    m_process.metrics.set("runs_live", static_cast<double>(m_runs.liveRuns()));
+    m_process.metrics.set("runs_queued", static_cast<double>(m_runs.queuedRuns()));
+    m_process.metrics.set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     finishShutDown();
     armTimer();
 }
@@ -153,6 +156,8 @@
     for (const auto& item : actions.starts) {
         m_process.metrics.add("starts_total");
         m_minion.start(item, [this, run = item.run](StartAnswer answer) {
+            if (answer != StartAnswer::Started)
+                m_process.metrics.add("starts_not_taken_total");
             m_runs.startAnswered(run, answer, Clock::now());
             this->run();
         });
@@ -167,8 +172,10 @@
         m_minion.list(*actions.list, [this, asked = *actions.list, askedAt = Clock::now()](const Result<RunList>& list) {
             if (list.has_value())
                 m_runs.listed(list.assume_value(), asked, askedAt, Clock::now());
-            else
+            else {
+                m_process.metrics.add("run_lists_failed_total");
                 m_runs.listFailed(Clock::now());
+            }
             run();
         });
     }
--- a/src/wire/ControlClient.cpp
+++ b/src/wire/ControlClient.cpp
@@ -90,15 +90,18 @@
 {
     if (m_leader != asked)
         return;
+    const bool isPeer = std::find(m_peers.begin(), m_peers.end(), asked) != m_peers.end();
+    if (isPeer)
+        m_lastPeer = asked;
     const bool named = error.code == ErrorCode::NotLeader && error.peer != asked && !error.peer.empty();
-    if (named) {
-        // A group may grow beyond the instances that this process was told of.
-        if (std::find(m_peers.begin(), m_peers.end(), error.peer) == m_peers.end())
-            m_peers.push_back(error.peer);
+    const bool namesPeer = named && std::find(m_peers.begin(), m_peers.end(), error.peer) != m_peers.end();
+    // A group may grow beyond the instances that this process was told of. Such a leader is asked on the word of a
+    // peer; when it does not answer, the next peer is.
+    if (namesPeer || (named && isPeer)) {
         m_leader = error.peer;
         return;
     }
-    const auto position = std::find(m_peers.begin(), m_peers.end(), asked);
+    const auto position = std::find(m_peers.begin(), m_peers.end(), m_lastPeer);
     const auto next = position == m_peers.end() || position + 1 == m_peers.end() ? m_peers.begin() : position + 1;
     m_leader = *next;
 }
--- a/src/wire/ControlClient.h
+++ b/src/wire/ControlClient.h
@@ -43,6 +43,8 @@
     EventLoop& m_loop;
     std::vector<std::string> m_peers;
     std::string m_leader;
+    // The peer that was asked last.
+    std::string m_lastPeer;
     std::map<std::string, std::unique_ptr<RpcClient>> m_session;
     // A claim waits for a synced commit; claims made meanwhile go together.
     std::map<std::string, std::unique_ptr<RpcBatcher>> m_work;
--- a/test/wire/ControlClientTest.cpp
+++ b/test/wire/ControlClientTest.cpp
@@ -112,7 +112,7 @@
     cr_assert(answer.assume_error().ran == Ran::Unknown);
 }
 
-Test(ControlClient, aLeaderThatIsNoPeerIsNotFollowed)
+Test(ControlClient, passesOverANamedLeaderThatDoesNotAnswer)
 {
     EventLoop loop;
     Instance one(loop);
@@ -123,3 +123,15 @@
     cr_assert(answer.has_value());
     cr_assert(answer.assume_value() == two.address);
 }
+
+Test(ControlClient, followsAPeerToALeaderThatItWasNotToldOf)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance grown(loop);
+    one.leader = grown.address;
+    ControlClient client(loop, { one.address });
+    const auto answer = ask(loop, client, { 10'000 });
+    cr_assert(answer.has_value());
+    cr_assert(answer.assume_value() == grown.address);
+}
