--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -38,6 +38,7 @@
     return {
         { .name = "ordinary" },
         { .name = "short of minions", .sidecars = 9 },
+        { .name = "overload", .sidecars = 7 },
         { .name = "burst", .burstPerSecond = 110 },
         { .name = "orders lost", .delayedOrders = 0.05 },
         { .name = "slow minions", .slowMinions = 2 },
@@ -49,28 +50,14 @@
 {
     std::vector<Setting> all;
     all.push_back({ .name = "as built" });
-    for (const std::int64_t timeout : { 80, 200 }) {
-        Setting setting { .name = fmt::format("order {} ms", timeout) };
-        setting.orderTimeout = { timeout };
-        all.push_back(setting);
-    }
-    for (const std::int64_t wait : { 30, 150 }) {
-        Setting setting { .name = fmt::format("list {} ms", wait) };
-        setting.runs.listWait = { wait };
-        all.push_back(setting);
-    }
-    for (const std::int64_t frames : { 200, 500, 2'000 }) {
-        Setting setting { .name = fmt::format("{} states/s", frames) };
-        setting.dispatcher.statesPerSecond = frames;
-        all.push_back(setting);
-    }
-    Setting prefetch { .name = "prefetch 20%" };
-    prefetch.dispatcher.prefetchPercent = 20;
-    all.push_back(prefetch);
-    for (const double weight : { 0.0, 0.3 }) {
-        Setting setting { .name = fmt::format("chance {:.1f}", weight) };
-        setting.dispatcher.drawWeight = weight;
-        all.push_back(setting);
+    for (const std::int64_t percent : { 100, 115, 130 }) {
+        for (const std::int64_t reserve : { 0, 4, 6, 8, 10 }) {
+            Setting setting { .name = fmt::format("prompt {}% reserve {}%", percent, reserve) };
+            setting.dispatcher.promptPercent = percent;
+            setting.dispatcher.promptMargin = { 30 };
+            setting.dispatcher.reservePercent = reserve;
+            all.push_back(setting);
+        }
     }
     for (const std::int64_t step : { 0, 100, 600 }) {
         Setting setting { .name = fmt::format("priority {} ms", step) };
@@ -125,8 +112,8 @@
     const auto seeds = arguments["seeds"].as<std::uint64_t>();
     const auto only = arguments["scene"].as<std::string>();
     const auto prefix = arguments["setting"].as<std::string>();
-    fmt::print("{:<18} {:<22} {:>9} {:>7} {:>8} {:>10} {:>7} {:>6}\n", "scene", "setting", "in aim", "late", "refused",
-        "unfinished", "wasted", "twice");
+    fmt::print("{:<18} {:<22} {:>9} {:>7} {:>8} {:>10} {:>7} {:>6} {:>6} {:>7}\n", "scene", "setting", "in aim", "late", "refused",
+        "unfinished", "wasted", "twice", "worth", "lookups");
     for (const auto& scene : scenes()) {
         if (!only.empty() && scene.name != only)
             continue;
@@ -140,12 +127,14 @@
                 sum.shares.late += one.shares.late / static_cast<double>(seeds);
                 sum.shares.refused += one.shares.refused / static_cast<double>(seeds);
                 sum.shares.unfinished += one.shares.unfinished / static_cast<double>(seeds);
+                sum.shares.worth += one.shares.worth / static_cast<double>(seeds);
+                sum.shares.lookupWorth += one.shares.lookupWorth / static_cast<double>(seeds);
                 sum.wastedShare += one.wastedShare / static_cast<double>(seeds);
                 sum.twice += one.twice;
             }
-            fmt::print("{:<18} {:<22} {:>9.3f} {:>7.3f} {:>8.3f} {:>10.3f} {:>7.3f} {:>6}\n", scene.name, setting.name,
+            fmt::print("{:<18} {:<22} {:>9.3f} {:>7.3f} {:>8.3f} {:>10.3f} {:>7.3f} {:>6} {:>6.3f} {:>7.3f}\n", scene.name, setting.name,
                 sum.shares.inObjective, sum.shares.late, sum.shares.refused, sum.shares.unfinished, sum.wastedShare,
-                sum.twice);
+                sum.twice, sum.shares.worth, sum.shares.lookupWorth);
             std::fflush(stdout);
         }
     }
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -383,7 +383,8 @@
 
 bool JobDispatcher::isPrompt(const Job& job, Milliseconds now) const
 {
-    return job.ran || job.atSidecars > 0 || now + job.longestRun <= job.objectiveAt;
+    const Milliseconds needed = Milliseconds { job.longestRun.count * m_options.promptPercent / percent } + m_options.promptMargin;
+    return job.ran || job.atSidecars > 0 || now + needed <= job.objectiveAt;
 }
 
 void JobDispatcher::place(Milliseconds now)
@@ -409,11 +410,25 @@
         m_queue.erase(entry);
 }
 
+bool JobDispatcher::exceedsReserve(const std::vector<PlacementCandidate>& candidates) const
+{
+    std::int64_t free = 0;
+    std::int64_t room = 0;
+    for (const auto& candidate : candidates) {
+        free += std::max<std::int64_t>(candidate.free.cpuMillis, 0);
+        room += candidate.capacity.cpuMillis;
+    }
+    return free > room * m_options.reservePercent / percent;
+}
+
 bool JobDispatcher::placeJob(
     std::uint64_t id, Job& job, std::vector<PlacementCandidate>& candidates, Milliseconds now)
 {
     for (auto& candidate : candidates)
         candidate.chosenNow = 0;
+    const bool mayUseReserve = job.spec.queue.priority == 0 || job.ran || job.atSidecars > 0 || m_options.reservePercent == 0;
+    if (!mayUseReserve && !exceedsReserve(candidates))
+        return false;
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         const DispatchStep& spec = job.spec.steps[step];
         if (!isStepOpen(job, spec))
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -120,6 +120,13 @@
     std::size_t entries { 1 };
     // Jobs of a lower priority wait this much longer, for each step of priority.
     Milliseconds priorityStep { 300 };
+    // A job counts as able to meet its objective while this many hundredths of its expected run, and so much more, fit
+    // before it: the last of several tasks ends later than the mean one.
+    std::int64_t promptPercent { 115 };
+    Milliseconds promptMargin { 30 };
+    // Part of a service's room, in hundredths, that is left to jobs of priority 0: they are wide, and wait for much room
+    // to come free at once.
+    std::int64_t reservePercent { 7 };
     // A job is of use until this many times its latency objective.
     std::int64_t usefulFactor { 3 };
     // Least and largest time after which a refused caller is asked to come back.
@@ -246,6 +253,8 @@
     std::int64_t coresOf(const std::string& service) const;
     void place(Milliseconds now);
     std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
+    // Whether more is free than what is left to jobs of priority 0.
+    bool exceedsReserve(const std::vector<PlacementCandidate>&) const;
     bool placeJob(std::uint64_t id, Job&, std::vector<PlacementCandidate>&, Milliseconds now);
     void send(std::uint64_t id, Job&, std::uint32_t step, std::uint32_t index, const std::string& sidecar, Milliseconds now);
     void takeEnd(Link&, const std::string& sidecar, const RunEnd&, Milliseconds now);
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -316,6 +316,20 @@
         after.inObjective, after.late, after.refused);
 }
 
+// More work for a long time than the minions can do: the wide jobs of the first priority are still served in time.
+Test(JobDispatcher, servesTheFirstPriorityInTimeUnderLastingOverload)
+{
+    DispatchModel model({ .sidecars = 7 });
+    model.runFor({ 3'000 });
+    DispatchLoad load(model, 3, 9);
+    const Milliseconds from = model.now();
+    load.offer(140, from, { 15'000 });
+    model.runFor({ 25'000 });
+    const ServedShares shares = servedShares(model, from + Milliseconds { 2'000 }, from + Milliseconds { 15'000 });
+    cr_assert(shares.lookupWorth >= 0.75, "expected three quarters of what is owed to lookups, got %.3f", shares.lookupWorth);
+    cr_assert(shares.worth >= 0.7, "expected seven tenths of all that is owed, got %.3f", shares.worth);
+}
+
 Test(JobDispatcher, refusesTruthfullyAndWithATimeToComeBackUnderOverload)
 {
     DispatchModel model({ .sidecars = 2 });
--- a/test/support/DispatchLoad.h
+++ b/test/support/DispatchLoad.h
@@ -73,6 +73,10 @@
     double refused { 0 };
     double unfinished { 0 };
     std::size_t jobs { 0 };
+    // Worth earned of the worth owed: the whole in objective, a fifth up to three times the objective.
+    double worth { 0 };
+    // The same of the widest queue alone.
+    double lookupWorth { 0 };
     // No end was told.
     std::size_t open { 0 };
 };
@@ -81,10 +85,23 @@
 inline ServedShares servedShares(const DispatchModel& model, Milliseconds from, Milliseconds until)
 {
     ServedShares shares;
+    double owed = 0;
+    double owedToLookups = 0;
     for (const auto& outcome : model.outcomes()) {
         if (outcome.arrived < from || outcome.arrived >= until)
             continue;
         ++shares.jobs;
+        const double value = outcome.queue == "lookup" ? 0.0291 : outcome.queue == "callout" ? 0.16
+                                                                                             : 0.01;
+        const bool isLookup = outcome.queue == "lookup";
+        owed += value;
+        owedToLookups += isLookup ? value : 0;
+        const Milliseconds took = outcome.endedAt - outcome.arrived;
+        if (outcome.kind == DispatchEndKind::Completed && took <= outcome.objective * 3) {
+            const double earned = took <= outcome.objective ? value : value / 5;
+            shares.worth += earned;
+            shares.lookupWorth += isLookup ? earned : 0;
+        }
         if (!outcome.kind) {
             ++shares.open;
             continue;
@@ -97,6 +114,8 @@
         else
             shares.unfinished += 1;
     }
+    shares.worth /= std::max(owed, 1e-9);
+    shares.lookupWorth /= std::max(owedToLookups, 1e-9);
     for (double* share : { &shares.inObjective, &shares.late, &shares.refused, &shares.unfinished })
         *share /= static_cast<double>(std::max<std::size_t>(shares.jobs, 1));
     return shares;
