--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -50,14 +50,15 @@
 {
     std::vector<Setting> all;
     all.push_back({ .name = "as built" });
-    for (const std::int64_t percent : { 100, 115, 130 }) {
-        for (const std::int64_t reserve : { 0, 4, 6, 8, 10 }) {
-            Setting setting { .name = fmt::format("prompt {}% reserve {}%", percent, reserve) };
-            setting.dispatcher.promptPercent = percent;
-            setting.dispatcher.promptMargin = { 30 };
-            setting.dispatcher.reservePercent = reserve;
-            all.push_back(setting);
-        }
+    for (const std::int64_t useful : { 90, 130, 200, 300 }) {
+        Setting setting { .name = fmt::format("useful {}%", useful) };
+        setting.dispatcher.busyUsefulPercent = useful;
+        all.push_back(setting);
+    }
+    for (const std::int64_t reserve : { 0, 4, 10 }) {
+        Setting setting { .name = fmt::format("reserve {}%", reserve) };
+        setting.dispatcher.reservePercent = reserve;
+        all.push_back(setting);
     }
     for (const std::int64_t step : { 0, 100, 600 }) {
         Setting setting { .name = fmt::format("priority {} ms", step) };
@@ -67,7 +68,7 @@
     // Baselines: in order of arrival without refusals for being late, and placing at random.
     Setting arrival { .name = "baseline: by arrival" };
     arrival.dispatcher.priorityStep = { 0 };
-    arrival.dispatcher.usefulFactor = 1'000;
+    arrival.dispatcher.busyUsefulPercent = 100'000;
     all.push_back(arrival);
     Setting random { .name = "baseline: at random" };
     random.dispatcher.drawWeight = 1'000;
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -72,7 +72,11 @@
     job.left = job.waiting;
     job.longestRun = longestChain(spec);
     const Milliseconds objective = Milliseconds { job.longestRun.count * spec.queue.stretchPercent / percent } + spec.queue.latencyAllowance;
-    job.usefulUntil = std::min(spec.deadline, now + objective * m_options.usefulFactor);
+    const auto within = [&](std::int64_t hundredths) {
+        return std::min(spec.deadline, now + Milliseconds { objective.count * hundredths / percent });
+    };
+    job.busyUsefulUntil = within(m_options.busyUsefulPercent);
+    job.idleUsefulUntil = within(m_options.idleUsefulPercent);
     job.objectiveAt = now + objective;
     job.urgentAt = now + objective + m_options.priorityStep * spec.queue.priority;
     m_submissions[submission] = submission;
@@ -86,6 +90,11 @@
     return submission;
 }
 
+Milliseconds JobDispatcher::usefulUntil(const Job& job) const
+{
+    return coresOf(job.spec.queue.service) > 0 ? job.busyUsefulUntil : job.idleUsefulUntil;
+}
+
 std::optional<std::string> JobDispatcher::refusal(const Job& job, Milliseconds now) const
 {
     bool present = false;
@@ -103,7 +112,7 @@
         return "no minion of the service is there";
     if (std::find(fitting.begin(), fitting.end(), false) != fitting.end())
         return "a task needs more than any minion has";
-    if (now + expectedWait(job, now) + job.longestRun > job.usefulUntil)
+    if (now + expectedWait(job, now) + job.longestRun > usefulUntil(job))
         return "it would not be done in time by the work ahead of it";
     return std::nullopt;
 }
@@ -498,7 +507,7 @@
             .tasks = { { .index = index, .run = task.run } },
             .payload = job.spec.payload,
             .needs = needs,
-            .rank = isPrompt(job, now) ? job.urgentAt - now : job.usefulUntil - now,
+            .rank = isPrompt(job, now) ? job.urgentAt - now : job.idleUsefulUntil - now,
             // The sidecar's clock stood at `clock` when the frame that told it arrived, or a little later.
             .endBy = link.clock + (job.spec.deadline - link.heardAt) });
     }
@@ -542,7 +551,7 @@
 {
     std::vector<std::uint64_t> over;
     for (auto& [id, job] : m_jobs) {
-        const bool tooLate = !job.ran && now + job.longestRun > job.usefulUntil;
+        const bool tooLate = !job.ran && now + job.longestRun > usefulUntil(job);
         if (job.spec.deadline <= now || (tooLate && job.atSidecars == 0))
             over.push_back(id);
         else if (tooLate && !job.recalled)
@@ -606,7 +615,7 @@
     for (const auto& [id, job] : m_jobs) {
         at(job.spec.deadline);
         if (!job.ran && !job.recalled)
-            at(job.usefulUntil - job.longestRun + Milliseconds { 1 });
+            at(std::max(usefulUntil(job) - job.longestRun, m_awakeAt) + Milliseconds { 1 });
     }
     for (const auto& [name, link] : m_links) {
         if (!link.outstanding.empty())
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -127,8 +127,11 @@
     // Part of a service's room, in hundredths, that is left to jobs of priority 0: they are wide, and wait for much room
     // to come free at once.
     std::int64_t reservePercent { 7 };
-    // A job is of use until this many times its latency objective.
-    std::int64_t usefulFactor { 3 };
+    // A job that has not been begun is refused once it cannot end within this many hundredths of its latency objective:
+    // while minions are busy with other work, and while there is none that takes any. In the first case it would only
+    // make others late; in the second it costs nobody anything.
+    std::int64_t busyUsefulPercent { 100 };
+    std::int64_t idleUsefulPercent { 300 };
     // Least and largest time after which a refused caller is asked to come back.
     Milliseconds leastRetryAfter { 1'000 };
     Milliseconds mostRetryAfter { 8'000 };
@@ -201,7 +204,9 @@
         Milliseconds arrived {};
         Milliseconds longestRun {};
         Milliseconds objectiveAt {};
-        Milliseconds usefulUntil {};
+        // See JobDispatcherOptions.
+        Milliseconds busyUsefulUntil {};
+        Milliseconds idleUsefulUntil {};
         // Orders jobs; see JobDispatcher.
         Milliseconds urgentAt {};
     };
@@ -242,6 +247,8 @@
     MinionHealth& healthOf(const std::string& service) { return m_health.try_emplace(service, MinionHealthOptions {}).first->second; }
     Milliseconds expectedRun(const QueueConfig&, const TaskNeeds&) const;
     Milliseconds longestChain(const DispatchJob&) const;
+    // Until when the job is of use as things are now.
+    Milliseconds usefulUntil(const Job&) const;
     std::optional<std::string> refusal(const Job&, Milliseconds now) const;
     Milliseconds expectedWait(const Job&, Milliseconds now) const;
     Milliseconds retryAfter(const Job&, Milliseconds now);
