--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -99,8 +99,8 @@
         link.heard = true;
         log(LogLevel::Info, { .step = "dispatch.link", .peer = address }, "connected to " + frame.assume_value().sidecar);
     }
-    m_dispatcher.received(address, frame.assume_value(), Clock::now());
-    run();
+    if (m_dispatcher.received(address, frame.assume_value(), Clock::now()))
+        run();
 }
 
 std::uint64_t DispatchService::submit(const DispatchJob& job, Reply reply)
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -119,12 +119,15 @@
 
 std::int64_t JobDispatcher::coresOf(const std::string& service) const
 {
+    if (const auto known = m_cores.find(service); known != m_cores.end())
+        return known->second;
     std::int64_t cores = 0;
     for (const auto& [name, link] : m_links) {
         if (link.connected && link.greeted && link.state.accepting && link.state.service == service
             && !m_dataCentresOut.contains(link.state.dataCentre))
             cores += link.state.capacity.cpuMillis;
     }
+    m_cores[service] = cores;
     return cores;
 }
 
@@ -179,6 +182,12 @@
     return true;
 }
 
+void JobDispatcher::setDataCentresOut(const std::vector<std::string>& names)
+{
+    m_dataCentresOut = { names.begin(), names.end() };
+    m_cores.clear();
+}
+
 void JobDispatcher::setSizes(std::size_t entries, std::size_t sidecars)
 {
     m_options.entries = std::max<std::size_t>(entries, 1);
@@ -211,11 +220,12 @@
         return;
     found->second.connected = false;
     found->second.greeted = false;
+    m_cores.clear();
     found->second.next = {};
     found->second.hasNext = false;
 }
 
-void JobDispatcher::received(const std::string& sidecar, const SidecarFrame& frame, Milliseconds now)
+bool JobDispatcher::received(const std::string& sidecar, const SidecarFrame& frame, Milliseconds now)
 {
     noticeFreeze(now);
     Link& link = m_links[sidecar];
@@ -227,12 +237,17 @@
             link.endsAcknowledged = 0;
         }
         link.greeted = true;
+        m_cores.clear();
     }
     link.heardAt = now;
     link.aliveAt = now;
     link.clock = std::max(link.clock, frame.clock);
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
     if (frame.state) {
+        const bool sameRoom = link.state.accepting == frame.state->accepting
+            && link.state.capacity.cpuMillis == frame.state->capacity.cpuMillis && link.state.service == frame.state->service;
+        if (!sameRoom)
+            m_cores.clear();
         link.state = *frame.state;
         if (!link.known && link.state.capacity.cpuMillis > 0) {
             link.known = true;
@@ -241,6 +256,7 @@
     }
     for (const auto& end : frame.ends)
         takeEnd(link, sidecar, end, now);
+    return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || wantsEcho(link, now);
 }
 
 std::int64_t JobDispatcher::expectedSlots(const TaskNeeds& capacity) const
@@ -373,7 +389,7 @@
         PlacementCandidate candidate { .sidecar = name,
             .dataCentre = link.state.dataCentre,
             .rack = link.state.rack,
-            .labels = link.state.labels,
+            .labels = &link.state.labels,
             .capacity = link.state.capacity,
             .free = link.state.capacity,
             .allowance = health.allowance(healthId(name), now) };
@@ -576,14 +592,18 @@
     }
 }
 
+bool JobDispatcher::wantsEcho(const Link& link, Milliseconds now) const
+{
+    return link.greeted && now >= link.sentAt + m_options.echoGap
+        && ((!link.outstanding.empty() && link.clock > link.echoed) || link.endsAcknowledged < link.endsSeen);
+}
+
 void JobDispatcher::flush(Milliseconds now)
 {
     for (auto& [name, link] : m_links) {
         if (!link.connected)
             continue;
-        const bool wantsEcho = link.greeted && now >= link.sentAt + m_options.echoGap
-            && ((!link.outstanding.empty() && link.clock > link.echoed) || link.endsAcknowledged < link.endsSeen);
-        if (!link.hasNext && !wantsEcho)
+        if (!link.hasNext && !wantsEcho(link, now))
             continue;
         link.next.echo = link.clock;
         link.next.endsSeen = link.endsSeen;
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -113,7 +113,7 @@
     double drawWeight { 0.1 };
     // Frames that only tell of a minion's room arrive at most this often, from all sidecars together. More often is
     // better placed, and costs an entry its processor.
-    std::int64_t statesPerSecond { 1'000 };
+    std::int64_t statesPerSecond { 600 };
     // Sidecars of the deployment.
     std::size_t sidecars { 1 };
     // Entries of the deployment. Each counts on its share of the minions when it estimates a wait.
@@ -160,9 +160,10 @@
     // The stream to a sidecar is open; the next frame to it is its first.
     void connected(const std::string& sidecar, Milliseconds now);
     void disconnected(const std::string& sidecar);
-    void received(const std::string& sidecar, const SidecarFrame&, Milliseconds now);
+    // False when nothing follows from the frame now, so that act() need not be called.
+    bool received(const std::string& sidecar, const SidecarFrame&, Milliseconds now);
 
-    void setDataCentresOut(const std::vector<std::string>& names) { m_dataCentresOut = { names.begin(), names.end() }; }
+    void setDataCentresOut(const std::vector<std::string>& names);
     void setSizes(std::size_t entries, std::size_t sidecars);
 
     DispatchActions act(Milliseconds now);
@@ -258,6 +259,7 @@
     bool isWaitingForFormer(const Job&) const;
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
     std::int64_t coresOf(const std::string& service) const;
+    bool wantsEcho(const Link&, Milliseconds now) const;
     void place(Milliseconds now);
     std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
     // Whether more is free than what is left to jobs of priority 0.
@@ -294,6 +296,8 @@
     // Mean processor need of the tasks that were placed, in thousandths of a core.
     std::int64_t m_meanCpu { 1'000 };
     Milliseconds m_awakeAt {};
+    // What coresOf() found; emptied when a minion begins or ceases to take work.
+    mutable std::map<std::string, std::int64_t> m_cores;
     DispatchActions m_actions;
 };
 
--- a/src/policy/RunPlacement.cpp
+++ b/src/policy/RunPlacement.cpp
@@ -23,9 +23,9 @@
     {
         const bool allowed = !candidate.allowance || *candidate.allowance > 0;
         const bool withinStep = request.mostPerMinion == 0 || candidate.ofStep < request.mostPerMinion;
-        const auto& labels = candidate.labels;
+        const auto* labels = candidate.labels;
         const bool labelled = request.requiredLabel.empty()
-            || std::find(labels.begin(), labels.end(), request.requiredLabel) != labels.end();
+            || (labels && std::find(labels->begin(), labels->end(), request.requiredLabel) != labels->end());
         return allowed && withinStep && labelled && fitsInto(candidate.free, request.needs);
     }
 
--- a/src/policy/RunPlacement.h
+++ b/src/policy/RunPlacement.h
@@ -17,7 +17,8 @@
     std::string sidecar;
     std::string dataCentre;
     std::string rack;
-    std::vector<std::string> labels;
+    // Null when it has none.
+    const std::vector<std::string>* labels { nullptr };
     TaskNeeds capacity;
     // What is free by the last report, less what was sent since.
     TaskNeeds free;
--- a/test/policy/RunPlacementTest.cpp
+++ b/test/policy/RunPlacementTest.cpp
@@ -11,7 +11,6 @@
     return { .sidecar = name,
         .dataCentre = "dc-1",
         .rack = "rack-" + name,
-        .labels = { "kind", "rack-" + name },
         .capacity = { .cpuMillis = 10'000, .memoryMb = 1'000 },
         .free = { .cpuMillis = freeCpu, .memoryMb = 1'000 } };
 }
@@ -66,8 +65,11 @@
 Test(RunPlacement, obeysLabelsAndTheMostForOneMinion)
 {
     PlacementRequest labelled = request;
-    labelled.requiredLabel = "rack-a";
-    cr_assert(chosen({ candidate("a", 2'000), candidate("b", 9'000) }, labelled) == "a");
+    labelled.requiredLabel = "kind-1";
+    const std::vector<std::string> labels { "kind-1", "rack-a" };
+    auto labelledMinion = candidate("a", 2'000);
+    labelledMinion.labels = &labels;
+    cr_assert(chosen({ labelledMinion, candidate("b", 9'000) }, labelled) == "a");
     PlacementRequest apart = request;
     apart.mostPerMinion = 2;
     auto full = candidate("b", 9'000);
