--- a/samples/demo/run.sh
+++ b/samples/demo/run.sh
@@ -27,7 +27,7 @@
 data_folder = "$work/$2"
 bootstrap = true
 TOML
-    "$build/oleanderportd" --settings "$work/$2.toml" & pids+=($!)
+    "$build/oleanderportd" --settings "$work/$2.toml" > "$work/$2.log" 2>&1 & pids+=($!)
 }
 centre() { local all=(dc-a dc-b dc-c); echo "${all[$(($1 % 3))]}"; }
 
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -234,7 +234,7 @@
                     tableChanged();
                     return;
                 }
-                // The sidecar may only be slow; control's word on its session ends the wait.
+                // the sidecar may only be slow; the wait ends when control ends its session.
                 collectLater(member, request);
             });
 }
@@ -433,7 +433,7 @@
             const bool isStale = !recorded.has_value()
                 && (recorded.assume_error().code == ErrorCode::StaleEpoch
                     || recorded.assume_error().code == ErrorCode::StaleIncarnation);
-            // A stale owner answers nothing; control's word on its session ends the wait.
+            // A stale owner answers nothing; the wait ends when control ends its session.
             if (isStale)
                 return;
             if (!recorded.has_value())
--- a/src/sidecar/SidecarServer.cpp
+++ b/src/sidecar/SidecarServer.cpp
@@ -31,7 +31,7 @@
               .opened = [this](const SessionId&) { openLinks(); },
               .ended =
                   [this] {
-                      // The next session is a new life: what the former held is settled by control's word.
+                      // The next session is a new life: what the former held is settled when control ends its session.
                       if (m_life)
                           announce(MinionAnnouncement(m_life->announcement));
                   },
@@ -117,7 +117,7 @@
     }
     if (request.path == "/v1/minion/leave") {
         m_life->leaveCalls.push_back(responder);
-        return beginLeaving("it left");
+        return beginLeaving("the minion is leaving");
     }
     replyError(*responder,
         { .code = ErrorCode::NotFound, .ran = Ran::No, .step = "sidecar.http", .peer = {}, .message = "no such path" });
