Queues without an objective have their jobs wait a little all the same

Cause, found on the last reading: without estimates, or with an objective that leaves no time to wait, a job was refused as soon as it could not start at once. Test servesQueuesWithoutAnObjective, red before.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -72,8 +72,10 @@
     job.left = job.waiting;
     job.longestRun = longestChain(spec);
     const Milliseconds objective = Milliseconds { job.longestRun.count * spec.queue.stretchPercent / percent } + spec.queue.latencyAllowance;
+    // A queue without an objective, or with one that leaves no time to wait, has its jobs wait a little all the same.
+    const Milliseconds aim = std::max(objective, job.longestRun + m_options.leastPatience);
     const auto within = [&](std::int64_t hundredths) {
-        return std::min(spec.deadline, now + Milliseconds { objective.count * hundredths / percent });
+        return std::min(spec.deadline, now + Milliseconds { aim.count * hundredths / percent });
     };
     job.busyUsefulUntil = within(m_options.busyUsefulPercent);
     job.idleUsefulUntil = within(m_options.idleUsefulPercent);
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -132,6 +132,8 @@
     // make others late; in the second it costs nobody anything.
     std::int64_t busyUsefulPercent { 100 };
     std::int64_t idleUsefulPercent { 300 };
+    // Shortest time that a job may wait before it is refused for being late, whatever its objective; some round trips.
+    Milliseconds leastPatience { 90 };
     // Least and largest time after which a refused caller is asked to come back.
     Milliseconds leastRetryAfter { 1'000 };
     Milliseconds mostRetryAfter { 8'000 };
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -311,6 +311,22 @@
     }
 }
 
+// Callers need not say how long their tasks run, and a queue need not have an objective.
+Test(JobDispatcher, servesQueuesWithoutAnObjective)
+{
+    DispatchModel model({ .sidecars = 1 });
+    model.runFor({ 3'000 });
+    ModelQueue queue { .config = { .name = "plain", .maxAttempts = 1, .stretchPercent = 100 },
+        .tasks = 10,
+        .needs = { .cpuMillis = 6'200, .memoryMb = 64 } };
+    // The second job has to wait for the first to end.
+    const auto first = model.submit(0, queue, "a", patience);
+    const auto second = model.submit(0, queue, "b", patience);
+    model.runFor({ 2'000 });
+    assertCompleted(model, first);
+    assertCompleted(model, second);
+}
+
 // Plays a burst of several times what the minions can do, then the ordinary load again.
 Test(JobDispatcher, servesTheOrdinaryLoadSoonAfterABurst)
 {
