Dispatch: name the submission in each run

Cause: a job that is submitted again at the same entry had its runs numbered from 1 again. After a lost stream the sidecar may still report the end of the former run, and the entry took it for the end of the new run of that name: "not started" of the one refused a job whose other ran. Ruled out: the minion's part (the former run was never started, its report was true). Change: the name of a run holds the number of its submission, which an entry never uses again. Runs at the minion keep their names.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -298,14 +298,13 @@
         return;
     const TaskPlace place = found->second;
     link.outstanding.erase(found);
-    runEnded(sidecar, place, end.run, end.kind, end.ranFor, now);
+    runEnded(sidecar, place, end, now);
 }
 
-void JobDispatcher::runEnded(const std::string& sidecar, const TaskPlace& place, const RunName& name, RunEndKind kind,
-    Milliseconds ranFor, Milliseconds now)
+void JobDispatcher::runEnded(const std::string& sidecar, const TaskPlace& place, const RunEnd& end, Milliseconds now)
 {
     if (place.job == 0) {
-        const auto former = m_formerRuns.find(name.job);
+        const auto former = m_formerRuns.find(end.run.job);
         if (former != m_formerRuns.end() && --former->second == 0)
             m_formerRuns.erase(former);
         return;
@@ -314,31 +313,31 @@
     Task& task = job.tasks[place.step][place.index];
     const DispatchStep& step = job.spec.steps[place.step];
     MinionHealth& health = healthOf(job.spec.queue.service);
-    if (kind != RunEndKind::NotStarted)
+    if (end.kind != RunEndKind::NotStarted)
         job.ran = true;
     --job.atSidecars;
-    if (kind == RunEndKind::Done) {
+    if (end.kind == RunEndKind::Done) {
         task.state = TaskState::Done;
-        health.record(healthId(sidecar), TaskOutcome::Done, ranFor, now);
-        learnRunTime(job, step, ranFor);
+        health.record(healthId(sidecar), TaskOutcome::Done, end.ranFor, now);
+        learnRunTime(job, step, end.ranFor);
         if (--job.left == 0)
             endJob(place.job, DispatchEndKind::Completed, {}, {});
         return;
     }
-    m_actions.failedRuns.push_back({ .run = name, .sidecar = sidecar, .kind = kind, .ranFor = ranFor });
-    if (kind == RunEndKind::Stuck)
+    m_actions.failedRuns.push_back({ .run = end.run, .sidecar = sidecar, .kind = end.kind, .ranFor = end.ranFor });
+    if (end.kind == RunEndKind::Stuck)
         health.recordStuck(healthId(sidecar), now);
-    else if (kind == RunEndKind::Failed)
-        health.record(healthId(sidecar), TaskOutcome::Failed, ranFor, now);
-    else if (kind == RunEndKind::NotStarted)
-        health.record(healthId(sidecar), TaskOutcome::NotStarted, ranFor, now);
-    if (kind == RunEndKind::Failed && ++task.failures >= std::max<std::int64_t>(job.spec.queue.maxAttempts, 1)) {
+    else if (end.kind == RunEndKind::Failed)
+        health.record(healthId(sidecar), TaskOutcome::Failed, end.ranFor, now);
+    else if (end.kind == RunEndKind::NotStarted)
+        health.record(healthId(sidecar), TaskOutcome::NotStarted, end.ranFor, now);
+    if (end.kind == RunEndKind::Failed && ++task.failures >= std::max<std::int64_t>(job.spec.queue.maxAttempts, 1)) {
         endJob(place.job, DispatchEndKind::Failed, "a task failed as often as its queue allows", {});
         return;
     }
-    if (kind == RunEndKind::Stuck && ranFor.count > 0)
-        learnFromSlowRun(job, step, task, sidecar, ranFor);
-    if (kind != RunEndKind::NotStarted)
+    if (end.kind == RunEndKind::Stuck && end.ranFor.count > 0)
+        learnFromSlowRun(job, step, task, sidecar, end.ranFor);
+    if (end.kind != RunEndKind::NotStarted)
         task.failedAt.push_back(sidecar);
     task.state = TaskState::Waiting;
     ++job.waiting;
@@ -366,18 +365,18 @@
     const auto lost = std::exchange(link.outstanding, {});
     for (const auto& [name, place] : lost) {
         if (place.job == 0 || m_jobs.contains(place.job))
-            runEnded(sidecar, place, name, RunEndKind::Stopped, {}, now);
+            runEnded(sidecar, place, { .run = name }, now);
     }
 }
 
 template <typename Visit>
-void JobDispatcher::forEachRunAtSidecar(const Job& job, Visit visit)
+void JobDispatcher::forEachRunAtSidecar(std::uint64_t id, const Job& job, Visit visit)
 {
     for (std::uint32_t step = 0; step < job.tasks.size(); ++step) {
         for (std::uint32_t index = 0; index < job.tasks[step].size(); ++index) {
             const Task& task = job.tasks[step][index];
             if (task.state == TaskState::AtSidecar)
-                visit(RunName { .job = job.spec.name, .step = step, .index = index, .run = task.run }, m_links.at(task.sidecar));
+                visit(RunName { .job = job.spec.name, .step = step, .index = index, .run = task.run, .submission = id }, m_links.at(task.sidecar));
         }
     }
 }
@@ -394,7 +393,7 @@
 {
     const auto found = m_jobs.find(id);
     Job& job = found->second;
-    forEachRunAtSidecar(job, [this](const RunName& name, Link& link) {
+    forEachRunAtSidecar(id, job, [this](const RunName& name, Link& link) {
         const auto place = link.outstanding.find(name);
         if (place == link.outstanding.end())
             return;
@@ -566,13 +565,14 @@
     m_meanCpu += (spec.needs.cpuMillis - m_meanCpu) / meanCpuShare;
     auto& orders = link.next.orders;
     const auto same = std::find_if(orders.begin(), orders.end(),
-        [&job, step](const RunOrder& order) { return order.job == job.spec.name && order.step == step; });
+        [id, step](const RunOrder& order) { return order.submission == id && order.step == step; });
     if (same != orders.end()) {
         same->tasks.push_back({ .index = index, .run = task.run });
     } else {
         TaskNeeds needs = spec.needs;
         needs.runTime = expectedRun(job.spec.queue, spec.needs);
         orders.push_back({ .job = job.spec.name,
+            .submission = id,
             .step = step,
             .tasks = { { .index = index, .run = task.run } },
             .payload = job.spec.payload,
@@ -583,7 +583,7 @@
     }
     link.hasNext = true;
     link.sent.push_back({ .frame = link.framesSent + 1, .needs = spec.needs });
-    link.outstanding[{ job.spec.name, step, index, task.run }] = { .job = id, .step = step, .index = index };
+    link.outstanding[{ job.spec.name, step, index, task.run, id }] = { .job = id, .step = step, .index = index };
 }
 
 void JobDispatcher::noticeFreeze(Milliseconds now)
@@ -599,10 +599,10 @@
         giveUp(id, "this entry stood still", "this entry stood still", now);
 }
 
-void JobDispatcher::recall(Job& job)
+void JobDispatcher::recall(std::uint64_t id, Job& job)
 {
     job.recalled = true;
-    forEachRunAtSidecar(job, [](const RunName& name, Link& link) {
+    forEachRunAtSidecar(id, job, [](const RunName& name, Link& link) {
         link.next.recalls.push_back(name);
         link.hasNext = true;
     });
@@ -616,7 +616,7 @@
         if (job.spec.deadline <= now || (tooLate && job.atSidecars == 0))
             over.push_back(id);
         else if (tooLate && !job.recalled)
-            recall(job);
+            recall(id, job);
     }
     for (const auto id : over)
         giveUp(id, "the time of the job is over", "it can no longer be done in time", now);
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -286,14 +286,14 @@
     bool placeJob(std::uint64_t id, Job&, std::vector<PlacementCandidate>&, Milliseconds now);
     void send(std::uint64_t id, Job&, std::uint32_t step, std::uint32_t index, const std::string& sidecar, Milliseconds now);
     void takeEnd(Link&, const std::string& sidecar, const RunEnd&, Milliseconds now);
-    void runEnded(const std::string& sidecar, const TaskPlace&, const RunName&, RunEndKind, Milliseconds ranFor, Milliseconds now);
+    void runEnded(const std::string& sidecar, const TaskPlace&, const RunEnd&, Milliseconds now);
     void learnRunTime(const Job&, const DispatchStep&, Milliseconds ranFor);
     // Learns from a run that was ended as stuck while it made progress.
     void learnFromSlowRun(const Job&, const DispatchStep&, Task&, const std::string& sidecar, Milliseconds projected);
     void loseRuns(const std::string& sidecar, Link&, Milliseconds now);
     // Calls with the name of each run of the job that is at a sidecar, and the link to it.
     template <typename Visit>
-    void forEachRunAtSidecar(const Job&, Visit);
+    void forEachRunAtSidecar(std::uint64_t id, const Job&, Visit);
     // Ends a job that cannot be finished: as refused while nothing of it has begun.
     void giveUp(std::uint64_t id, std::string_view whenBegun, std::string_view otherwise, Milliseconds now);
     void endJob(std::uint64_t id, DispatchEndKind, std::string reason, Milliseconds retryAfter);
@@ -301,7 +301,7 @@
     void noticeFreeze(Milliseconds now);
     void checkJobs(Milliseconds now);
     // Takes back runs of a job that no sidecar has started yet.
-    void recall(Job&);
+    void recall(std::uint64_t id, Job&);
     void checkLinks(Milliseconds now);
     void flush(Milliseconds now);
 
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -92,7 +92,7 @@
         for (const auto& task : order.tasks) {
             take(name, order, task, now);
             if (!fresh)
-                end({ name, { order.job, order.step, task.index, task.run } }, RunEndKind::NotStarted, now);
+                end({ name, { order.job, order.step, task.index, task.run, order.submission } }, RunEndKind::NotStarted, now);
         }
     }
 }
@@ -112,7 +112,7 @@
 
 void RunTable::take(const std::string& entry, const RunOrder& order, const OrderedTask& task, Milliseconds now)
 {
-    const RunKey key { entry, { order.job, order.step, task.index, task.run } };
+    const RunKey key { entry, { order.job, order.step, task.index, task.run, order.submission } };
     if (m_runs.contains(key))
         return;
     Run run;
@@ -476,6 +476,7 @@
     if (other != m_byMinionName.end() && taskOf(other->first) == task)
         return;
     run.minionName = key.second;
+    run.minionName.submission = 0;
     run.minionName.run = std::max(key.second.run, last.run + 1);
     last = { .run = run.minionName.run, .at = now };
     run.state = State::Starting;
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -28,7 +28,7 @@
 template <typename Archive>
 void serialize(Archive& a, RunName& m)
 {
-    a(m.job, m.step, m.index, m.run);
+    a(m.job, m.step, m.index, m.run, m.submission);
 }
 
 template <typename Archive>
@@ -40,7 +40,7 @@
 template <typename Archive>
 void serialize(Archive& a, RunOrder& m)
 {
-    a(m.job, m.step, m.tasks, m.payload, m.needs, m.rank, m.endBy);
+    a(m.job, m.submission, m.step, m.tasks, m.payload, m.needs, m.rank, m.endBy);
 }
 
 template <typename Archive>
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -18,6 +18,8 @@
     std::uint32_t step { 0 };
     std::uint32_t index { 0 };
     std::uint64_t run { 0 };
+    // Tells runs of a job that was submitted again at the same entry from the former ones. Zero where minions are spoken to.
+    std::uint64_t submission { 0 };
 
     auto operator<=>(const RunName&) const = default;
 };
@@ -31,6 +33,7 @@
 // Tasks of one step of one job that a sidecar is to run.
 struct RunOrder {
     std::string job;
+    std::uint64_t submission { 0 };
     std::uint32_t step { 0 };
     std::vector<OrderedTask> tasks;
     std::string payload;
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -215,6 +215,36 @@
 }
 
 // A busy entry that has not read what arrived must not take its sidecars for silent: connecting anew costs it more.
+Test(JobDispatcher, anEndOfALostRunNeverCountsForTheSameJobSubmittedAgain)
+{
+    JobDispatcher dispatcher({ .life = "entry/1", .dataCentre = "dc" });
+    Milliseconds now { 100'000 };
+    SidecarFrame greeting { .sidecar = "sidecar/1", .clock = now, .framesSeen = 1 };
+    greeting.state = MinionState { .service = "service", .dataCentre = "dc", .capacity = { .cpuMillis = 64'000, .memoryMb = 1'000 }, .accepting = true };
+    const auto submitAndTakeOrder = [&] {
+        const ModelQueue queue = slowQueue();
+        QueueConfig config = queue.config;
+        config.service = "service";
+        dispatcher.connected("sidecar-0", now);
+        dispatcher.received("sidecar-0", greeting, now);
+        dispatcher.act(now);
+        dispatcher.submit({ .name = "a", .queue = config, .deadline = now + patience, .steps = { { .needs = queue.needs } } }, now);
+        const auto frames = dispatcher.act(now).frames;
+        cr_assert(frames.size() == 1 && frames[0].frame.orders.size() == 1, "expected one order, got %zu frames", frames.size());
+        const RunOrder& order = frames[0].frame.orders[0];
+        return RunName { .job = order.job, .index = order.tasks.at(0).index, .run = order.tasks.at(0).run, .submission = order.submission };
+    };
+    const RunName former = submitAndTakeOrder();
+    dispatcher.disconnected("sidecar-0");
+    now = now + patience;
+    const auto lost = dispatcher.act(now);
+    cr_assert(lost.ends.size() == 1 && lost.ends[0].kind == DispatchEndKind::Unfinished);
+    const RunName again = submitAndTakeOrder();
+    cr_assert(again != former, "expected a run of another name, got run %lu again", static_cast<unsigned long>(again.run));
+    dispatcher.received("sidecar-0", { .clock = now, .framesSeen = 2, .ends = { { .number = 1, .run = former, .kind = RunEndKind::NotStarted } } }, now);
+    cr_assert(dispatcher.runsAt("sidecar-0") == 1, "expected the run to be under way still");
+}
+
 Test(JobDispatcher, blamesNoSidecarForWhatItHasNotRead)
 {
     JobDispatcher dispatcher({ .life = "entry/1" });
--- a/test/policy/RunTableModelTest.cpp
+++ b/test/policy/RunTableModelTest.cpp
@@ -153,7 +153,7 @@
     }
 
 private:
-    // One order of a run; the same run may be ordered again once it has ended.
+    // One order of a run. It is the run's submission too, since an entry never uses a name again.
     using Order = std::uint64_t;
 
     void sendFrame()
@@ -163,7 +163,7 @@
         EntryFrame frame { .echo = m_draw.oneIn(40) ? m_now - Milliseconds { 800 } : m_now, .endsSeen = m_endsSeen };
         if (m_draw.oneIn(2))
             frame.orders.push_back(order());
-        for (const auto& [run, id] : m_outstanding) {
+        for (const auto& run : m_outstanding) {
             if (m_draw.oneIn(60))
                 (m_draw.oneIn(2) ? frame.stops : frame.recalls).push_back(run);
         }
@@ -172,13 +172,15 @@
 
     RunOrder order()
     {
-        RunOrder order { .job = std::to_string(m_draw.below(20)), .needs = { .cpuMillis = 1'000, .memoryMb = 1, .runTime = { 200 } }, .endBy = m_now + m_draw.between({ 20 }, { 900 }) };
+        RunOrder order { .job = std::to_string(m_draw.below(20)), .submission = ++m_lastOrder, .needs = { .cpuMillis = 1'000, .memoryMb = 1, .runTime = { 200 } }, .endBy = m_now + m_draw.between({ 20 }, { 900 }) };
         const std::uint32_t tasks = 1 + m_draw.below(2U);
         for (std::uint32_t index = 0; index < tasks; ++index) {
-            const RunName run { .job = order.job, .index = index, .run = 1 };
-            if (m_outstanding.contains(run))
+            const bool isUnderWay = std::any_of(m_outstanding.begin(), m_outstanding.end(), [&](const RunName& run) { return taskOf(run) == Task { order.job, index }; });
+            if (isUnderWay)
                 continue;
-            m_outstanding[run] = ++m_lastOrder;
+            const RunName run { .job = order.job, .index = index, .run = 1, .submission = order.submission };
+            m_outstanding.insert(run);
+            m_newest[taskOf(run)] = order.submission;
             order.tasks.push_back({ .index = index, .run = run.run });
         }
         return order;
@@ -193,7 +195,7 @@
             if (m_draw.oneIn(2))
                 m_outstanding.clear();
             EntryFrame first { .entry = entryLife, .endsSeen = m_endsSeen };
-            for (const auto& [run, id] : m_outstanding)
+            for (const auto& run : m_outstanding)
                 first.outstanding.push_back(run);
             m_table.opened(first, m_now);
             m_connected = true;
@@ -223,8 +225,8 @@
         if (found == m_outstanding.end())
             return;
         if (ended.kind == RunEndKind::NotStarted) {
-            m_promised.insert(found->second);
-            if (m_started.contains(found->second))
+            m_promised.insert({ taskOf(ended.run), ended.run.submission });
+            if (m_started.contains({ taskOf(ended.run), ended.run.submission }))
                 m_broken.push_back(ended.run);
         }
         m_outstanding.erase(found);
@@ -232,9 +234,8 @@
 
     void start(const StartRun& item)
     {
-        const RunName ordered { .job = item.run.job, .index = item.run.index, .run = 1 };
-        const auto found = m_outstanding.find(ordered);
-        m_orders[item.run] = found == m_outstanding.end() ? ++m_lastOrder : found->second;
+        // A former run of the task has ended, so this one is for its newest order.
+        m_orders[item.run] = { taskOf(item.run), m_newest.at(taskOf(item.run)) };
         const Milliseconds deadline = m_now + item.lease;
         call(
             orderTimeout, [this, item, deadline] { return m_minion.start(item.run, deadline, m_now); },
@@ -300,11 +301,13 @@
     bool m_connected { true };
     std::uint64_t m_endsSeen { 0 };
     Order m_lastOrder { 0 };
-    std::map<RunName, Order> m_outstanding;
+    std::set<RunName> m_outstanding;
+    std::map<Task, Order> m_newest;
+    using OrderedTaskOf = std::pair<Task, Order>;
     // By the name that the minion was given.
-    std::map<RunName, Order> m_orders;
-    std::set<Order> m_started;
-    std::set<Order> m_promised;
+    std::map<RunName, OrderedTaskOf> m_orders;
+    std::set<OrderedTaskOf> m_started;
+    std::set<OrderedTaskOf> m_promised;
     std::vector<RunName> m_broken;
 };
 
