RunTable: report a run as not started only on proof

A refusal rests on the reports that no run of the job started; the class of the fault is that such a report could be given without evidence: any path could end a run as not started, and each had its own idea of what proves it.

Paths found on the present code: an order in a stale frame ended a run of that name that was under way; a run absent from a list that leaves ends out (a page holds so many) or has rows that cannot be read was taken as never begun; the minion's late answer that a run did start was not noted for a run that was being stopped. Change: each run holds what is known of its start (not ordered, declined, possible, ruled out, started). RunTable::end() alone decides, by that, whether a run is reported as not started. An order without an answer is ruled out by the minion's answer to a stop and a whole list that was asked for after it. The evidence goes to the entry with the end, and both log it; the sidecar counts unanswered orders by what became of them.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -18,6 +18,8 @@
 
     std::string howItEnded(const FailedRun& run)
     {
+        if (run.kind == RunEndKind::NotStarted)
+            return fmt::format("{}: {}", runEndKindName(run.kind), startEvidenceName(run.evidence));
         if (run.kind != RunEndKind::Stuck)
             return fmt::format("{} after {} ms", runEndKindName(run.kind), run.ranFor.count);
         if (run.ranFor.count == 0)
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -324,7 +324,7 @@
             endJob(place.job, DispatchEndKind::Completed, {}, {});
         return;
     }
-    m_actions.failedRuns.push_back({ .run = end.run, .sidecar = sidecar, .kind = end.kind, .ranFor = end.ranFor });
+    m_actions.failedRuns.push_back({ .run = end.run, .sidecar = sidecar, .kind = end.kind, .ranFor = end.ranFor, .evidence = end.evidence });
     if (end.kind == RunEndKind::Stuck)
         health.recordStuck(healthId(sidecar), now);
     else if (end.kind == RunEndKind::Failed)
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -74,6 +74,7 @@
     RunEndKind kind { RunEndKind::Failed };
     // As in RunEnd.
     Milliseconds ranFor {};
+    StartEvidence evidence { StartEvidence::Possible };
 };
 
 struct FrameToSidecar {
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -3,6 +3,7 @@
 #include "policy/TaskRoom.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oleanderport {
 
@@ -85,15 +86,12 @@
     for (const auto& run : frame.recalls) {
         const auto found = m_runs.find({ name, run });
         if (found != m_runs.end() && found->second.state == State::Queued)
-            end(RunKey(found->first), RunEndKind::NotStarted, now);
+            end(RunKey(found->first), RunEndKind::Stopped, now);
     }
     const bool fresh = now <= frame.echo + m_options.entryLease;
     for (const auto& order : frame.orders) {
-        for (const auto& task : order.tasks) {
-            take(name, order, task, now);
-            if (!fresh)
-                end({ name, { order.job, order.step, task.index, task.run, order.submission } }, RunEndKind::NotStarted, now);
-        }
+        for (const auto& task : order.tasks)
+            take(name, order, task, fresh, now);
     }
 }
 
@@ -104,13 +102,13 @@
         if (found == m_runs.end())
             continue;
         if (found->second.state == State::Queued)
-            end(RunKey(found->first), RunEndKind::NotStarted, now);
+            end(RunKey(found->first), RunEndKind::Stopped, now);
         else
             stop(found->second, RunEndKind::Stopped);
     }
 }
 
-void RunTable::take(const std::string& entry, const RunOrder& order, const OrderedTask& task, Milliseconds now)
+void RunTable::take(const std::string& entry, const RunOrder& order, const OrderedTask& task, bool fresh, Milliseconds now)
 {
     const RunKey key { entry, { order.job, order.step, task.index, task.run, order.submission } };
     if (m_runs.contains(key))
@@ -121,8 +119,8 @@
     run.queuedAt = now;
     m_runs.emplace(key, std::move(run));
     ++m_entries[entry].runs;
-    if (!mayStart(now) || order.endBy <= now)
-        end(key, RunEndKind::NotStarted, now);
+    if (!fresh || !mayStart(now) || order.endBy <= now)
+        end(key, RunEndKind::Stopped, now);
     else
         stopOthers(key);
     markStateChanged();
@@ -207,33 +205,35 @@
     if (run.state != State::Starting && run.state != State::Stopping)
         return;
     const bool wanted = run.state == State::Starting;
-    switch (answer) {
-    case StartAnswer::Started:
-        if (!wanted)
-            return;
-        run.state = State::Running;
-        run.confirmedAt = now;
+    if (answer == StartAnswer::Started) {
+        noteStarted(run);
+        if (wanted) {
+            run.state = State::Running;
+            run.confirmedAt = now;
+        }
         return;
-    case StartAnswer::Unknown:
+    }
+    if (answer == StartAnswer::Unknown) {
+        run.startUnanswered = true;
         // Only a stop that is answered makes the order harmless.
-        if (wanted)
-            stop(run, RunEndKind::NotStarted);
+        stop(run, RunEndKind::Stopped);
         return;
-    default:
-        break;
     }
+    if (run.evidence == StartEvidence::Started)
+        return;
+    run.evidence = StartEvidence::Declined;
+    if (!wanted || answer == StartAnswer::Refused || answer == StartAnswer::Unhealthy)
+        return end(key, RunEndKind::Stopped, now);
     addNeeds(m_used, run.order.needs, -1);
     m_byMinionName.erase(found);
-    if (!wanted || answer == StartAnswer::Refused)
-        return end(key, RunEndKind::NotStarted, now);
-    if (answer == StartAnswer::Unhealthy)
-        return end(key, RunEndKind::NotStarted, now);
     if (answer == StartAnswer::Superseded)
         m_lastRuns[taskOf(name)] = { .run = name.run + supersedeStep, .at = now };
     run.state = State::Queued;
     run.notBefore = now + (answer == StartAnswer::Superseded ? Milliseconds {} : m_options.startRetry);
 }
 
+void RunTable::noteStarted(Run& run) { run.evidence = StartEvidence::Started; }
+
 void RunTable::stopAnswered(const RunName& name, bool answered, Milliseconds now)
 {
     if (const auto stray = m_strays.find(name); stray != m_strays.end()) {
@@ -263,10 +263,9 @@
         if (found == m_byMinionName.end())
             continue;
         const RunKey key = found->second;
-        const Run& run = m_runs.at(key);
-        // An end that the minion lists proves that the run had started.
-        const bool isKnown = run.state == State::Stopping && run.endAs != RunEndKind::NotStarted;
-        const RunEndKind early = isKnown ? run.endAs : RunEndKind::Stopped;
+        Run& run = m_runs.at(key);
+        noteStarted(run);
+        const RunEndKind early = run.state == State::Stopping ? run.endAs : RunEndKind::Stopped;
         end(key,
             ended.kind == ListedEndKind::Done         ? RunEndKind::Done
                 : ended.kind == ListedEndKind::Failed ? RunEndKind::Failed
@@ -277,7 +276,7 @@
         return;
     m_newestListAskedAt = askedAt;
     takeListedRuns(list, askedAt, now);
-    if (m_phase == Phase::Clearing && list.running.empty()) {
+    if (m_phase == Phase::Clearing && list.running.empty() && list.isRunningWhole) {
         m_phase = Phase::Ready;
         markStateChanged();
     }
@@ -296,25 +295,39 @@
         Run& run = m_runs.at(found->second);
         run.listedAt = now;
         run.percent = item.percent;
-        if (run.endAs == RunEndKind::NotStarted)
-            run.endAs = RunEndKind::Stopped;
+        noteStarted(run);
         if (run.state != State::Starting)
             continue;
         run.state = State::Running;
         run.confirmedAt = now;
     }
     m_strays = std::move(strays);
-    // What was there before the question and is neither running nor ended is gone.
+    endWhatIsAbsent(list.isRunningWhole && list.isEndedWhole, askedAt, now);
+}
+
+bool RunTable::isGone(const Run& run, bool listIsWhole, Milliseconds askedAt) const
+{
+    if (run.state == State::Running)
+        return listIsWhole && run.confirmedAt < askedAt;
+    if (run.state != State::Stopping || !run.stopAnsweredAt)
+        return false;
+    return *run.stopAnsweredAt + (listIsWhole ? Milliseconds {} : m_options.stopSettles) < askedAt;
+}
+
+void RunTable::endWhatIsAbsent(bool listIsWhole, Milliseconds askedAt, Milliseconds now)
+{
     std::vector<RunKey> gone;
     for (const auto& [name, key] : m_byMinionName) {
-        const Run& run = m_runs.at(key);
-        const bool settledBefore = (run.state == State::Running && run.confirmedAt < askedAt)
-            || (run.state == State::Stopping && run.stopAnsweredAt && *run.stopAnsweredAt < askedAt);
-        if (settledBefore && run.listedAt != now)
-            gone.push_back(key);
+        Run& run = m_runs.at(key);
+        if (run.listedAt == now || !isGone(run, listIsWhole, askedAt))
+            continue;
+        // Once it has answered a stop, the minion accepts no start of the run, and it lists every end until that was seen.
+        if (listIsWhole && run.evidence == StartEvidence::Possible)
+            run.evidence = StartEvidence::RuledOut;
+        gone.push_back(key);
     }
     for (const auto& key : gone)
-        end(key, m_runs.at(key).state == State::Stopping ? m_runs.at(key).endAs : RunEndKind::Stopped, now);
+        end(key, m_runs.at(key).endAs, now);
 }
 
 void RunTable::listFailed(Milliseconds now)
@@ -330,12 +343,15 @@
     m_reachable = false;
 }
 
-void RunTable::end(const RunKey& key, RunEndKind kind, Milliseconds now)
+void RunTable::end(const RunKey& key, RunEndKind whenStarted, Milliseconds now)
 {
     const auto found = m_runs.find(key);
     if (found == m_runs.end())
         return;
     Run& run = found->second;
+    const RunEndKind kind = provesNotStarted(run.evidence) ? RunEndKind::NotStarted : whenStarted;
+    if (run.startUnanswered)
+        m_settledStarts.push_back({ .run = run.minionName, .evidence = run.evidence });
     const bool atMinion = m_byMinionName.erase(run.minionName) > 0;
     if (atMinion)
         addNeeds(m_used, run.order.needs, -1);
@@ -343,7 +359,8 @@
     if (kind == RunEndKind::Stuck)
         ranFor = run.percent > 0 ? projectedRun(run) : Milliseconds {};
     Entry& entry = m_entries[key.first];
-    entry.unseenEnds.push_back({ .number = ++entry.lastEnd, .run = key.second, .kind = kind, .ranFor = ranFor });
+    entry.unseenEnds.push_back(
+        { .number = ++entry.lastEnd, .run = key.second, .kind = kind, .ranFor = ranFor, .evidence = run.evidence });
     --entry.runs;
     m_runs.erase(found);
     markStateChanged();
@@ -381,7 +398,7 @@
             keys.push_back(key);
     }
     for (const auto& key : keys)
-        end(key, RunEndKind::NotStarted, now);
+        end(key, RunEndKind::Stopped, now);
 }
 
 bool RunTable::fits(const TaskNeeds& needs) const
@@ -434,11 +451,12 @@
             ended.push_back(key);
     }
     for (const auto& key : ended)
-        end(key, RunEndKind::NotStarted, now);
+        end(key, RunEndKind::Stopped, now);
     startQueued(actions, now);
     sendStops(actions, now);
     listRuns(actions, now);
     sendFrames(actions, now);
+    actions.settledStarts = std::exchange(m_settledStarts, {});
     std::erase_if(m_entries, [this, now](const auto& item) {
         const Entry& entry = item.second;
         return !entry.connected && entry.runs == 0 && now > entry.echo + m_options.entryLease * 2;
@@ -480,6 +498,8 @@
     run.minionName.run = std::max(key.second.run, last.run + 1);
     last = { .run = run.minionName.run, .at = now };
     run.state = State::Starting;
+    run.evidence = StartEvidence::Possible;
+    run.startUnanswered = false;
     run.startedAt = now;
     run.listedAt = {};
     run.percent = 0;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -63,6 +63,9 @@
     Milliseconds born {};
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
+    // False when there may be runs or ends that it does not show. Nothing follows from what is absent then.
+    bool isRunningWhole { true };
+    bool isEndedWhole { true };
 };
 
 // Orders to the minion. `lease` is how long from now on the minion may go on running without hearing again.
@@ -90,11 +93,19 @@
     SidecarFrame frame;
 };
 
+// What became of an order to start a run that the minion had not answered in time.
+struct SettledStart {
+    RunName run;
+    StartEvidence evidence { StartEvidence::Possible };
+};
+
 struct RunActions {
     std::vector<StartRun> starts;
     std::vector<StopRun> stops;
     std::optional<ListRuns> list;
     std::vector<OutgoingFrame> frames;
+    // For the log.
+    std::vector<SettledStart> settledStarts;
 };
 
 struct RunTableOptions {
@@ -115,6 +126,9 @@
     Milliseconds listGap { 6 };
     // A stop that was not answered is sent again after this time.
     Milliseconds stopRetry { 150 };
+    // A run whose stop was answered this long before a list was asked for has ended if that does not show it as running,
+    // also when the list is not whole.
+    Milliseconds stopSettles { 1'000 };
     // An entry with runs here hears at least this often.
     Milliseconds heartbeat { 200 };
     // The same for an entry without runs. Shorter than `entryLease`, so that an order after a pause is never stale.
@@ -201,6 +215,10 @@
         Milliseconds confirmedAt {};
         Milliseconds listedAt {};
         int percent { 0 };
+        StartEvidence evidence { StartEvidence::NotOrdered };
+        // The order got no answer in time.
+        bool startUnanswered { false };
+        // Of a run that is being stopped: Stopped or Stuck, if it had started.
         RunEndKind endAs { RunEndKind::Stopped };
         Milliseconds stopSentAt {};
         std::optional<Milliseconds> stopAnsweredAt;
@@ -231,10 +249,14 @@
     static TaskKey taskOf(const RunName& run) { return { run.job, run.step, run.index }; }
     bool mayStart(Milliseconds now) const;
     bool isStale(const Entry&, Milliseconds now) const;
-    void take(const std::string& entry, const RunOrder&, const OrderedTask&, Milliseconds now);
-    void end(const RunKey&, RunEndKind, Milliseconds now);
+    // `fresh` tells that the order is no older than the entry's lease.
+    void take(const std::string& entry, const RunOrder&, const OrderedTask&, bool fresh, Milliseconds now);
+    // Ends a run as not started when that is proven, otherwise as given.
+    void end(const RunKey&, RunEndKind whenStarted, Milliseconds now);
     static void stop(Run&, RunEndKind);
     void stopOthers(const RunKey&);
+    // The minion has answered the order, or lists the run or its end.
+    static void noteStarted(Run&);
     void endAllLive(Milliseconds now);
     void endQueued(Milliseconds now);
     void checkRun(const RunKey&, Run&, Milliseconds now) const;
@@ -253,6 +275,9 @@
     // When the next list may be asked for; nothing while none is needed.
     std::optional<Milliseconds> nextListAt() const;
     void takeListedRuns(const RunList&, Milliseconds askedAt, Milliseconds now);
+    // Whether the run has ended or never began, by a list that does not show it as running.
+    bool isGone(const Run&, bool listIsWhole, Milliseconds askedAt) const;
+    void endWhatIsAbsent(bool listIsWhole, Milliseconds askedAt, Milliseconds now);
     // The minion may run something until the lease that it is given now ends.
     void noteLeaseGiven(Milliseconds now);
     // How often the entry hears at least.
@@ -286,6 +311,7 @@
     // Runs at the minion that belong to no entry, with the time at which a stop was sent last.
     std::map<RunName, Milliseconds> m_strays;
     std::map<TaskKey, LastRun> m_lastRuns;
+    std::vector<SettledStart> m_settledStarts;
     TaskNeeds m_used;
 };
 
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -201,6 +201,11 @@
             run();
         });
     }
+    for (const auto& item : actions.settledStarts) {
+        m_process.metrics.add(fmt::format("starts_unanswered_{}_total", startEvidenceName(item.evidence)));
+        log(LogLevel::Info, { .step = "sidecar.start", .task = item.run.index, .jobName = item.run.job },
+            fmt::format("run {} of step {}, whose start was not answered: {}", item.run.run, item.run.step, startEvidenceName(item.evidence)));
+    }
     for (const auto& item : actions.frames) {
         const auto stream = std::find_if(m_streams.begin(), m_streams.end(),
             [&item](const auto& each) { return each.second.entry == item.entry; });
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -52,7 +52,7 @@
 template <typename Archive>
 void serialize(Archive& a, RunEnd& m)
 {
-    a(m.number, m.run, m.kind, m.ranFor);
+    a(m.number, m.run, m.kind, m.ranFor, m.evidence);
 }
 
 template <typename Archive>
@@ -77,6 +77,14 @@
         { RunEndKind::Stuck, "stuck" },
     } };
 
+    constexpr NameTable<StartEvidence, 5> startEvidenceNames { {
+        { StartEvidence::NotOrdered, "not_ordered" },
+        { StartEvidence::Declined, "declined" },
+        { StartEvidence::Possible, "possible" },
+        { StartEvidence::RuledOut, "ruled_out" },
+        { StartEvidence::Started, "started" },
+    } };
+
     // Reads from memory that someone else owns, without a copy.
     class ViewBuffer final : public std::streambuf {
     public:
@@ -123,6 +131,13 @@
 
 std::string_view runEndKindName(RunEndKind kind) { return nameIn(runEndKindNames, kind); }
 
+std::string_view startEvidenceName(StartEvidence evidence) { return nameIn(startEvidenceNames, evidence); }
+
+bool provesNotStarted(StartEvidence evidence)
+{
+    return evidence == StartEvidence::NotOrdered || evidence == StartEvidence::Declined || evidence == StartEvidence::RuledOut;
+}
+
 std::string encodeFrame(const EntryFrame& frame) { return encode(frame); }
 
 std::string encodeFrame(const SidecarFrame& frame) { return encode(frame); }
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -67,7 +67,7 @@
     Done,
     // The minion ran it and it failed.
     Failed,
-    // It never began, and no longer can.
+    // It never began, and no longer can: its StartEvidence proves that.
     NotStarted,
     // It was ended early, or its minion is gone. It no longer runs.
     Stopped,
@@ -77,6 +77,25 @@
 
 std::string_view runEndKindName(RunEndKind);
 
+// What a sidecar knows of whether its minion began a run.
+enum class StartEvidence {
+    // No order to start it was given to the minion.
+    NotOrdered,
+    // The minion answered that it did nothing, or the order is known not to have been sent.
+    Declined,
+    // An order went out and was not answered: it may have been carried out, or may still be.
+    Possible,
+    // The order was not answered, and the minion can neither have carried it out nor do so later.
+    RuledOut,
+    // The minion has answered the order, or listed the run or its end.
+    Started,
+};
+
+std::string_view startEvidenceName(StartEvidence);
+
+// Whether it proves that the run never started and never will.
+bool provesNotStarted(StartEvidence);
+
 struct RunEnd {
     // Counts the ends of one life of an entry at one life of a sidecar, from 1.
     std::uint64_t number { 0 };
@@ -84,6 +103,7 @@
     RunEndKind kind { RunEndKind::Stopped };
     // Of a stuck run: how long it would have run in all by its progress, zero when it stood still.
     Milliseconds ranFor {};
+    StartEvidence evidence { StartEvidence::Possible };
 };
 
 // A minion as its sidecar knows it.
--- a/test/policy/RunTableModelTest.cpp
+++ b/test/policy/RunTableModelTest.cpp
@@ -98,6 +98,8 @@
             m_leaseEnd = std::max(m_leaseEnd, askedAt + *asked.lease);
         std::erase_if(m_ended, [&](const ListedEnd& each) { return each.number <= asked.endsSeen; });
         RunList list { .born = { 7 }, .running = {}, .ended = m_ended };
+        list.isEndedWhole = m_ended.size() <= mostEndsListed;
+        list.ended.resize(std::min(list.ended.size(), mostEndsListed));
         for (const auto& [task, run] : m_running)
             list.running.push_back({ .run = run, .percent = 50 });
         return list;
@@ -105,6 +107,8 @@
 
 private:
     static constexpr std::size_t room = 6;
+    // Few, so that many lists leave ends out.
+    static constexpr std::size_t mostEndsListed = 2;
 
     void expire(Milliseconds now)
     {
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -190,6 +190,24 @@
     assertOnlyEnd(table.after({ 1 }), RunEndKind::Stopped);
 }
 
+Test(RunTable, anAbsentRunIsNotReportedAsNotStartedByAListThatIsNotWhole)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+    table.after({ 1 });
+    table.runs.stopAnswered(name, true, table.now);
+    const auto listWithout = [&](Milliseconds span) {
+        table.now = table.now + span;
+        table.runs.received(entryLife, { .echo = table.now }, table.now);
+        table.runs.listed({ .born = { 7 }, .running = {}, .ended = {}, .isEndedWhole = false }, {}, table.now, table.now);
+        return table.after({ 1 });
+    };
+    cr_assert(endsOf(listWithout({ 20 })).empty(), "expected no end by a list that leaves ends out");
+    // By then it runs no more, whether it had started or not.
+    assertOnlyEnd(listWithout({ 1'100 }), RunEndKind::Stopped);
+}
+
 Test(RunTable, aStaleFrameNeverEndsARunThatIsUnderWay)
 {
     Table table;
