SidecarLedger: keep that a former attempt may have run

Callers could be told "ran: no" of an idempotent job of which a task had run. Cause: a further attempt of an idempotent task overwrites the record of the former one. An entry that takes the job over collects "not started" for the further attempt while it still waits, and knows nothing of the former, whose end was unknown. Ruled out: the owner that ordered both attempts (JobTable keeps mayHaveStarted). Change: the record keeps that an attempt before may have run, and a new owner is told unknown. Evidence: the new test failed before and passes; unit tests of the ledger and of the job table pass.

--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -42,7 +42,8 @@
         if (!mayStartAgain || assignment.attempt <= record.assignment.attempt)
             return std::nullopt;
     }
-    record = Record { .state = State::Queued, .assignment = assignment, .result = {}, .teamWeight = teamWeight };
+    const bool mayHaveStarted = !isNew && (record.mayHaveStarted || record.result.outcome != TaskOutcome::NotStarted);
+    record = Record { .state = State::Queued, .assignment = assignment, .result = {}, .teamWeight = teamWeight, .mayHaveStarted = mayHaveStarted };
     m_queue.push(assignment.team, teamWeight, { .key = assignment.key, .task = assignment.task });
     return std::nullopt;
 }
@@ -138,6 +139,8 @@
             result = notStarted(record.assignment, {});
             result.outcome = TaskOutcome::Running;
         }
+        if (result.outcome == TaskOutcome::NotStarted && record.mayHaveStarted)
+            result.outcome = TaskOutcome::Unknown;
         result.epoch = request.epoch;
         response.tasks.push_back(result);
     }
--- a/src/policy/SidecarLedger.h
+++ b/src/policy/SidecarLedger.h
@@ -93,6 +93,8 @@
         std::int64_t teamWeight { 1 };
         // Name of the run; set while it runs.
         std::string run;
+        // A former attempt may have run.
+        bool mayHaveStarted { false };
     };
     struct JobRecord {
         std::uint64_t epoch { 0 };
--- a/test/policy/SidecarLedgerTest.cpp
+++ b/test/policy/SidecarLedgerTest.cpp
@@ -110,6 +110,21 @@
     cr_assert(starts(ledger));
 }
 
+Test(SidecarLedger, aTaskOfWhichAFormerAttemptMayHaveRunIsNeverReportedAsNotStartedToANewOwner)
+{
+    auto ledger = ledgerWith(4);
+    TaskAssignment task = assignment(0);
+    task.idempotent = true;
+    ledger.accept(entryOne, task);
+    const auto next = ledger.next(now, leaseEnd, unixNow);
+    ledger.ended(next.start->run, TaskOutcome::Unknown, "the minion is lost", { 5 });
+    task.attempt = 2;
+    ledger.accept(entryOne, task);
+    const auto collected = ledger.collect({ .key = key, .epoch = 2, .owner = entryTwo, .deadlineUnix = startBy });
+    cr_assert(collected.has_value() && collected.assume_value().tasks.size() == 1);
+    cr_assert(collected.assume_value().tasks[0].outcome == TaskOutcome::Unknown, "expected unknown, since attempt 1 may have run");
+}
+
 Test(SidecarLedger, reportsTheEndOfARunOnce)
 {
     auto ledger = ledgerWith(4);
