RunTable: send a stop again as soon as it was not answered

Callers waited longer than needed where orders to minions are lost: the room and the task of a run in doubt stay blocked until its stop is answered, and a stop without an answer (35 ms) was sent again only 150 ms after it.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -245,8 +245,12 @@
     if (found == m_byMinionName.end())
         return;
     Run& run = m_runs.at(found->second);
-    if (run.state == State::Stopping && answered)
+    if (run.state != State::Stopping)
+        return;
+    if (answered)
         run.stopAnsweredAt = now;
+    else
+        run.stopSentAt = {};
 }
 
 void RunTable::listed(const RunList& list, const ListRuns& asked, Milliseconds askedAt, Milliseconds now)
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -222,6 +222,17 @@
     cr_assert(table.runs.liveRuns() == 1);
 }
 
+Test(RunTable, sendsAStopAgainAtOnceWhenItWasNotAnswered)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+    cr_assert(table.after({ 1 }).stops.size() == 1);
+    table.now = table.now + Milliseconds { 35 };
+    table.runs.stopAnswered(name, false, table.now);
+    cr_assert(table.runs.act(table.now).stops.size() == 1, "expected the stop again once its answer had not come");
+}
+
 Test(RunTable, givesAnotherRunOfATaskAHigherNumber)
 {
     Table table;
