RunTable: rule out no start by lists after one that left ends out

Change: a list that leaves ends out marks the runs that are under way; none of them is ruled out by absence any more. Evidence: aRunWhoseEndStoodInAnUnreadableRowIsNotReportedAsNotStarted failed before ("the first not_started").

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -261,6 +261,10 @@
     m_listedAt = now;
     m_reachable = true;
     m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
+    if (!list.isEndedWhole) {
+        for (const auto& [name, key] : m_byMinionName)
+            m_runs.at(key).mayHaveMissedEnd = true;
+    }
     for (const auto& ended : list.ended) {
         m_endsSeen = std::max(m_endsSeen, ended.number);
         const auto found = m_byMinionName.find(ended.run);
@@ -326,7 +330,7 @@
         if (run.listedAt == now || !isGone(run, listIsWhole, askedAt))
             continue;
         // Once it has answered a stop, the minion accepts no start of the run, and it lists every end until that was seen.
-        if (listIsWhole && run.evidence == StartEvidence::Possible)
+        if (listIsWhole && !run.mayHaveMissedEnd && run.evidence == StartEvidence::Possible)
             run.evidence = StartEvidence::RuledOut;
         gone.push_back(key);
     }
@@ -504,6 +508,7 @@
     run.state = State::Starting;
     run.evidence = StartEvidence::Possible;
     run.startUnanswered = false;
+    run.mayHaveMissedEnd = false;
     run.startedAt = now;
     run.listedAt = {};
     run.percent = 0;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -218,6 +218,8 @@
         StartEvidence evidence { StartEvidence::NotOrdered };
         // The order got no answer in time.
         bool startUnanswered { false };
+        // A list left ends out while the run was under way: its own may have been among them, and be forgotten by now.
+        bool mayHaveMissedEnd { false };
         // Of a run that is being stopped: Stopped or Stuck, if it had started.
         RunEndKind endAs { RunEndKind::Stopped };
         Milliseconds stopSentAt {};
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -395,3 +395,20 @@
     cr_assert(table.order("b").starts.empty());
     cr_assert(table.runs.queuedRuns() == 0);
 }
+
+Test(RunTable, aRunWhoseEndStoodInAnUnreadableRowIsNotReportedAsNotStarted)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+    cr_assert(table.after({ 1 }).stops.size() == 1);
+    table.runs.stopAnswered(name, true, table.now);
+    const auto asked = table.after({ 10 }).list;
+    cr_assert(asked.has_value());
+    // Its end is row 1, which could not be read; row 2 could, so that the next list acknowledges both.
+    table.runs.listed({ .born = { 7 }, .ended = { { .number = 2, .run = {} } }, .isEndedWhole = false }, *asked, table.now, table.now);
+    const auto next = table.after({ 10 }).list;
+    cr_assert(next.has_value() && next->endsSeen == 2);
+    table.runs.listed({ .born = { 7 } }, *next, table.now, table.now);
+    assertOnlyEnd(table.after({ 1 }), RunEndKind::Stopped);
+}
