--- a/test/support/RawPeer.h
+++ b/test/support/RawPeer.h
@@ -11,7 +11,11 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -60,6 +64,24 @@
             bufferevent_free(m_connection);
         m_connection = nullptr;
     }
+    // Ends the connection at once with a reset, whatever was not read.
+    void reset()
+    {
+        if (!m_connection)
+            return;
+        const linger discard { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(bufferevent_getfd(m_connection), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+        close();
+    }
+    // From now on what arrives stays in the kernel.
+    void stopReading() { bufferevent_disable(m_connection, EV_READ); }
+    // Bytes that have arrived and were not read.
+    int unread() const
+    {
+        int bytes = 0;
+        ioctl(bufferevent_getfd(m_connection), FIONREAD, &bytes);
+        return bytes;
+    }
     const std::string& received() const { return m_received; }
     bool closedByPeer() const { return m_closed; }
     void onData(std::function<void(RawConnection&)> callback) { m_onData = std::move(callback); }
@@ -129,6 +151,8 @@
         return ntohs(address.sin_port);
     }
     std::string address() const { return fmt::format("127.0.0.1:{}", port()); }
+    // From now on only the kernel accepts connections.
+    void stopAccepting() { evconnlistener_disable(m_listener); }
     void stop()
     {
         if (m_listener)
@@ -151,6 +175,41 @@
     evconnlistener* m_listener;
 };
 
+// A port that neither takes nor refuses a connection: its queue is full, so that the kernel drops what asks for one.
+class DeafPort {
+public:
+    DeafPort()
+        : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        sockaddr_in address = loopback(0);
+        bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        listen(m_listener, 0);
+        socklen_t size = sizeof(address);
+        getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+        for (int& queued : m_queued) {
+            queued = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            connect(queued, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        }
+    }
+    ~DeafPort()
+    {
+        for (const int queued : m_queued)
+            ::close(queued);
+        ::close(m_listener);
+    }
+    DeafPort(const DeafPort&) = delete;
+    DeafPort& operator=(const DeafPort&) = delete;
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", m_port); }
+
+private:
+    int m_listener;
+    std::uint16_t m_port { 0 };
+    // More than the queue of a listener with a backlog of 0 holds.
+    std::array<int, 3> m_queued {};
+};
+
 // The start of an HTTP answer whose body has this many bytes.
 inline std::string rawAnswer(std::size_t bodyBytes)
 {
