--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -12,7 +12,9 @@
 
 struct HttpConnection::PendingCall {
     HttpConnection* connection { nullptr };
+    HttpCall message;
     HttpCallback callback;
+    // Null while the call waits.
     evhttp_request* request { nullptr };
     std::optional<evhttp_request_error> error;
     std::unique_ptr<EventLoop::Timer> timer;
@@ -58,6 +60,7 @@
 HttpConnection::HttpConnection(EventLoop& loop, std::string address)
     : m_loop(loop)
     , m_address(std::move(address))
+    , m_alive(std::make_shared<bool>(true))
 {
     const auto endpoint = parseEndpoint(m_address);
     if (!endpoint.has_value())
@@ -87,10 +90,20 @@
     m_pending.push_back(std::make_unique<PendingCall>());
     PendingCall* pending = m_pending.back().get();
     pending->connection = this;
+    pending->message = message;
     pending->callback = std::move(callback);
     pending->timer = m_loop.once(message.timeout + totalSlack, [this, pending] { expire(pending); });
-    evhttp_request* request = evhttp_request_new(&HttpConnection::finished, pending);
-    pending->request = request;
+    sendNext();
+}
+
+void HttpConnection::sendNext()
+{
+    if (m_pending.empty() || m_pending.front()->request)
+        return;
+    PendingCall& next = *m_pending.front();
+    const HttpCall& message = next.message;
+    evhttp_request* request = evhttp_request_new(&HttpConnection::finished, &next);
+    next.request = request;
     evhttp_request_set_error_cb(request, &PendingCall::failed);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", (message.host.empty() ? m_address : message.host).c_str());
@@ -100,12 +113,18 @@
     evbuffer_add(evhttp_request_get_output_buffer(request), message.body.data(), message.body.size());
     const timeval timeout { static_cast<time_t>(message.timeout.count / millisecondsPerSecond),
         static_cast<suseconds_t>(message.timeout.count % millisecondsPerSecond * microsecondsPerMillisecond) };
-    // The timeout belongs to the connection: changing it here would end an earlier call too soon.
-    if (m_pending.size() == 1)
-        evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    evhttp_connection_set_timeout_tv(m_connection, &timeout);
     evhttp_make_request(m_connection, request, commandOf(message.method), message.path.c_str());
 }
 
+void HttpConnection::conclude(const PendingCall& pending, Result<HttpAnswer> end)
+{
+    const std::weak_ptr<bool> alive = m_alive;
+    pending.callback(std::move(end));
+    if (!alive.expired())
+        sendNext();
+}
+
 std::unique_ptr<HttpConnection::PendingCall> HttpConnection::takePending(PendingCall* pending)
 {
     const auto position = std::find_if(
@@ -117,39 +136,40 @@
 
 void HttpConnection::expire(PendingCall* pending)
 {
-    const bool underWay = m_pending.front().get() == pending;
-    // Neither evhttp's callback nor a timer follows a cancelled request.
     const auto taken = takePending(pending);
-    evhttp_cancel_request(taken->request);
-    taken->callback(Error { .code = ErrorCode::Timeout,
-        .ran = underWay ? Ran::Unknown : Ran::No,
-        .step = "http.call",
-        .peer = m_address,
-        .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
+    const bool underWay = taken->request != nullptr;
+    // Neither evhttp's callback nor a timer follows a cancelled request.
+    if (underWay)
+        evhttp_cancel_request(taken->request);
+    conclude(*taken,
+        Error { .code = ErrorCode::Timeout,
+            .ran = underWay ? Ran::Unknown : Ran::No,
+            .step = "http.call",
+            .peer = m_address,
+            .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
 }
 
 void HttpConnection::finished(evhttp_request* request, void* data)
 {
     auto* ended = static_cast<PendingCall*>(data);
-    const std::string peer = ended->connection->address();
-    const auto pending = ended->connection->takePending(ended);
+    HttpConnection& connection = *ended->connection;
+    const auto pending = connection.takePending(ended);
     // evhttp's timeout would also close a connection that is merely idle.
-    if (ended->connection->m_pending.empty())
-        evhttp_connection_set_timeout_tv(ended->connection->m_connection, &idleTimeout);
+    if (connection.m_pending.empty())
+        evhttp_connection_set_timeout_tv(connection.m_connection, &idleTimeout);
     const int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (request && status != 0 && !pending->error) {
-        pending->callback(readAnswer(request));
-        return;
-    }
+    if (request && status != 0 && !pending->error)
+        return connection.conclude(*pending, readAnswer(request));
     const bool timedOut = pending->error == EVREQ_HTTP_TIMEOUT;
     // Without an error of the exchange itself, evhttp reports a request that it never got to send.
     const bool neverSent = request && !pending->error;
-    pending->callback(Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
-        .ran = neverSent ? Ran::No : Ran::Unknown,
-        .step = "http.call",
-        .peer = peer,
-        .message = timedOut ? "no answer in time" : neverSent ? "cannot connect"
-                                                              : "connection lost" });
+    connection.conclude(*pending,
+        Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
+            .ran = neverSent ? Ran::No : Ran::Unknown,
+            .step = "http.call",
+            .peer = connection.m_address,
+            .message = timedOut ? "no answer in time" : neverSent ? "cannot connect"
+                                                                  : "connection lost" });
 }
 
 } // namespace oleanderport
--- a/src/wire/HttpClient.h
+++ b/src/wire/HttpClient.h
@@ -58,13 +58,18 @@
     struct PendingCall;
     static void finished(evhttp_request*, void* pending);
     void expire(PendingCall*);
+    // Sends the first call unless one is under way.
+    void sendNext();
     std::unique_ptr<PendingCall> takePending(PendingCall*);
+    // Ends a call that has been taken out, and sends the next.
+    void conclude(const PendingCall&, Result<HttpAnswer>);
 
     EventLoop& m_loop;
     std::string m_address;
     evhttp_connection* m_connection { nullptr };
-    // In the order of the calls; the first is the one under way.
+    // In the order of the calls; only the first has been given to evhttp.
     std::list<std::unique_ptr<PendingCall>> m_pending;
+    std::shared_ptr<bool> m_alive;
 };
 
 } // namespace oleanderport
--- a/test/wire/HttpClientTest.cpp
+++ b/test/wire/HttpClientTest.cpp
@@ -372,3 +372,25 @@
     cr_assert(!waiting->has_value() && waiting->assume_error().ran == Ran::No);
     cr_assert(countOf(server.connections[0]->received(), "waiting") == 0);
 }
+
+Test(HttpClient, mayBeDestroyedByACallbackWhileCallsWaitForTheSameConnect)
+{
+    EventLoop loop;
+    std::string address;
+    {
+        const RawServer gone(loop, {});
+        address = gone.address();
+    }
+    auto connection = std::make_unique<HttpConnection>(loop, address);
+    int ended = 0;
+    for (int call = 0; call < 3; ++call) {
+        connection->call(callWith("x"), [&](const Result<HttpAnswer>&) {
+            ++ended;
+            connection.reset();
+        });
+    }
+    cr_assert(runUntil(loop, [&ended] { return ended > 0; }));
+    const Milliseconds later = Clock::now() + Milliseconds { 100 };
+    cr_assert(runUntil(loop, [later] { return Clock::now() > later; }));
+    cr_assert(ended == 1, "a destroyed connection called back %d times", ended - 1);
+}
