--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "wire/HttpClient.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -16,6 +17,8 @@
     HttpCallback callback;
     // Null while the call waits.
     evhttp_request* request { nullptr };
+    // Bytes of it may have left this process.
+    bool isHandedOver { false };
     std::optional<evhttp_request_error> error;
     std::unique_ptr<EventLoop::Timer> timer;
 
@@ -47,8 +50,8 @@
         return answer;
     }
 
-    // evhttp's timeout ends a silent call and a connect, and knows whether the call was sent. The total comes just
-    // after it and ends the rest: an answer that trickles in, or the wait behind a slow call.
+    // evhttp's timeout ends a silent call and a connect. The total comes just after it and ends the rest: an answer that
+    // trickles in, or the wait behind a slow call.
     constexpr Milliseconds totalSlack { 50 };
     // An idle connection stays open until the peer closes it.
     constexpr timeval idleTimeout { 86'400, 0 };
@@ -69,6 +72,16 @@
         m_loop.base(), nullptr, endpoint.assume_value().ip.c_str(), endpoint.assume_value().port);
     // Retrying is a decision of the policy, never of the transport.
     evhttp_connection_set_retries(m_connection, 0);
+    evbuffer_add_cb(
+        bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), &HttpConnection::outputChanged, this);
+}
+
+// evhttp puts a call into the output only once the connection is made.
+void HttpConnection::outputChanged(evbuffer*, const evbuffer_cb_info* change, void* self)
+{
+    auto& pending = static_cast<HttpConnection*>(self)->m_pending;
+    if (change->n_added > 0 && !pending.empty())
+        pending.front()->isHandedOver = true;
 }
 
 HttpConnection::~HttpConnection()
@@ -143,7 +156,7 @@
         evhttp_cancel_request(taken->request);
     conclude(*taken,
         Error { .code = ErrorCode::Timeout,
-            .ran = underWay ? Ran::Unknown : Ran::No,
+            .ran = taken->isHandedOver ? Ran::Unknown : Ran::No,
             .step = "http.call",
             .peer = m_address,
             .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
@@ -161,15 +174,13 @@
     if (request && status != 0 && !pending->error)
         return connection.conclude(*pending, readAnswer(request));
     const bool timedOut = pending->error == EVREQ_HTTP_TIMEOUT;
-    // Without an error of the exchange itself, evhttp reports a request that it never got to send.
-    const bool neverSent = request && !pending->error;
     connection.conclude(*pending,
         Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
-            .ran = neverSent ? Ran::No : Ran::Unknown,
+            .ran = pending->isHandedOver ? Ran::Unknown : Ran::No,
             .step = "http.call",
             .peer = connection.m_address,
-            .message = timedOut ? "no answer in time" : neverSent ? "cannot connect"
-                                                                  : "connection lost" });
+            .message = !pending->isHandedOver ? "cannot connect" : timedOut ? "no answer in time"
+                                                                            : "connection lost" });
 }
 
 } // namespace oleanderport
--- a/src/wire/HttpClient.h
+++ b/src/wire/HttpClient.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -42,7 +44,8 @@
 
 // One persistent connection to one peer. Calls made while one is under way wait in order. After an error the next
 // call connects anew. Errors: Unavailable when no whole answer came, Timeout when it took too long; ran is No only
-// when the call was never sent. Callbacks are not called once this object is destroyed; a callback may destroy it.
+// when nothing of the call was handed to the socket. Callbacks are not called once this object is destroyed; a callback
+// may destroy it.
 class HttpConnection {
 public:
     // `address` is "IP:port".
@@ -57,6 +60,7 @@
 private:
     struct PendingCall;
     static void finished(evhttp_request*, void* pending);
+    static void outputChanged(evbuffer*, const evbuffer_cb_info*, void* self);
     void expire(PendingCall*);
     // Sends the first call unless one is under way.
     void sendNext();
