--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -96,4 +96,11 @@
     cr_assert(readStartAnswer(503, "") == StartAnswer::Unhealthy);
     cr_assert(readStartAnswer(429, "") == StartAnswer::Unhealthy);
     cr_assert(readStartAnswer(421, "") == StartAnswer::Refused);
+    cr_assert(readStartAnswer(400, "") == StartAnswer::Refused);
+}
+
+Test(MinionAdapter, neverTakesAnAnswerThatThePlatformDoesNotDescribeForARefusal)
+{
+    for (const int status : { 201, 202, 204, 301, 307, 401, 403, 404, 408, 410, 500, 502, 504, 599 })
+        cr_assert(readStartAnswer(status, R"({"reason":"old"})") == StartAnswer::Unknown, "status %d is no evidence that nothing was done", status);
 }
