--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -3,6 +3,7 @@
 #include "wire/MessageCodec.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 using namespace oleanderport;
 using namespace oleanderport::platform;
@@ -33,6 +34,13 @@
     return writeJson(body);
 }
 
+RunList listOf(const std::string& running, const std::string& finished)
+{
+    const auto list = readRunList(parseJson(fmt::format(R"({{"born":1700,"running":[{}],"finished":[{}]}})", running, finished)).assume_value());
+    cr_assert(list.has_value(), "expected a list, with %s and %s", running.c_str(), finished.c_str());
+    return list.assume_value();
+}
+
 } // namespace
 
 Test(MinionAdapter, namesTasksAndReadsTheirNames)
@@ -80,6 +88,49 @@
     cr_assert(ended[2].number == 60 && ended[2].run.job.empty());
 }
 
+Test(MinionAdapter, neverTakesAListWithUnreadableRowsForAWholeOne)
+{
+    const char* const run = R"(["j.0.1.17",2,"",41])";
+    const char* const end = R"([58,"j.0.1.9",1,"done",""])";
+    const char* const oddRun = R"(["odd",1,"",0])";
+    const char* const oddEnd = R"([60,"odd",1,"failed",""])";
+    cr_assert(listOf(run, end).isRunningWhole && listOf(run, end).isEndedWhole);
+    // A name that is no run of ours was read all the same.
+    cr_assert(listOf(oddRun, oddEnd).isRunningWhole && listOf(oddRun, oddEnd).isEndedWhole);
+    for (const char* row : { "5", "{}", "[]", R"(["j.0.1.17",2,""])", R"([7,2,"",41])", R"(["j.0.1.17",-2,"",41])", R"(["j.0.1.17",2.5,"",41])",
+             R"(["j.0.1.17",18446744073709551616,"",41])", R"(["j.0.1.17","2","",41])" }) {
+        const RunList list = listOf(row, end);
+        cr_assert(list.running.empty() && !list.isRunningWhole && list.isEndedWhole, "expected that running is not whole with %s", row);
+    }
+    for (const char* row : { "5", "{}", "[]", R"([58,"j.0.1.9",1])", R"(["58","j.0.1.9",1,"done",""])", R"([58,9,1,"done",""])", R"([58,"j.0.1.9",-1,"done",""])",
+             R"([58,"j.0.1.9",1e300,"done",""])", R"([-58,"j.0.1.9",1,"done",""])", R"([58,"j.0.1.9",1,5,""])" }) {
+        const RunList list = listOf(run, row);
+        cr_assert(list.ended.empty() && list.isRunningWhole && !list.isEndedWhole, "expected that finished is not whole with %s", row);
+    }
+}
+
+Test(MinionAdapter, neverTakesAListWithAsManyEndsAsFitForAWholeOne)
+{
+    for (const int ends : { 499, 500, 501 }) {
+        std::string rows;
+        for (int number = 1; number <= ends; ++number)
+            rows += fmt::format(R"({}[{},"j.0.1.{}",1,"done",""])", number == 1 ? "" : ",", number, number);
+        const RunList list = listOf("", rows);
+        cr_assert(list.ended.size() == static_cast<std::size_t>(ends) && list.isRunningWhole);
+        cr_assert(list.isEndedWhole == (ends < 500), "wrong for %d ends", ends);
+    }
+}
+
+Test(MinionAdapter, readsARunWhateverItsPercentIs)
+{
+    for (const char* percent : { "-1", "-3000000000", "3000000000", "1e300", "18446744073709551615", "99999999999999999999", "null", R"("41")", "[]", "true" }) {
+        const RunList list = listOf(fmt::format(R"(["j.0.1.17",2,"",{}])", percent), "");
+        cr_assert(list.running.size() == 1 && list.isRunningWhole, "expected the run with percent %s", percent);
+        cr_assert(list.running[0].percent >= 0 && list.running[0].percent <= 100, "got %d from %s", list.running[0].percent, percent);
+    }
+    cr_assert(listOf(R"(["j.0.1.17",2,"",41.9])", "").running[0].percent == 41);
+}
+
 Test(MinionAdapter, refusesAListWithoutItsParts)
 {
     for (const char* text : { "{}", R"({"running":[],"finished":[]})", R"({"born":1,"running":[]})", R"({"born":"1","running":[],"finished":[]})" })
