--- /dev/null
+++ b/test/platform/MinionReplacedTest.cpp
@@ -0,0 +1,93 @@
+#include "support/FaultRelay.h"
+#include "support/PlatformDeployment.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace oleanderport;
+using namespace oleanderport::platform;
+
+namespace {
+
+constexpr std::size_t tasks = 8;
+
+std::uint16_t portOf(const std::string& address) { return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))); }
+
+// A deployment whose minion executes every order while its answers vanish, and is replaced while starts are under way and
+// others wait for a connection.
+struct ReplacedMinion {
+    std::string behindRelay { freeAddress() };
+    std::string throughRelay { freeAddress() };
+    PlatformDeployment deployment;
+    FaultRelay relay;
+    PlatformMinion next;
+    RawConnection* client { nullptr };
+
+    explicit ReplacedMinion(const std::string& nextId)
+        : deployment({ .listen = behindRelay, .advertise = throughRelay, .runTime = [](const std::string& spec) { return spec == "long" ? Milliseconds { 10'000 } : Milliseconds { 20 }; } })
+        , relay(deployment.loop, portOf(throughRelay), portOf(behindRelay))
+        , next(deployment.loop, { .id = nextId, .born = { 1'800 }, .runTime = [](const std::string&) { return Milliseconds { 20 }; } })
+    {
+        cr_assert(relay.start().has_value());
+        deployment.becomeReady();
+    }
+
+    void submit(Milliseconds deadline)
+    {
+        relay.setFault({ .dropAnswers = true });
+        const std::string job
+            = fmt::format(R"({{"spec":"long","bestEffort":true,"steps":[{{"count":{},"cpu":1000,"memMb":1,"estimatedMs":100}}]}})", tasks);
+        deployment.clients.push_back(rawConnect(deployment.loop, portOf(deployment.front)));
+        client = deployment.clients.back().get();
+        client->send(fmt::format("POST /a/job HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q2\r\nOleanderport-Deadline: {}\r\nContent-Length: {}\r\n\r\n{}",
+            deadline.count, job.size(), job));
+        cr_assert(runUntil(deployment.loop, [this] { return !deployment.minion.started.empty(); }));
+    }
+
+    void replace(const char* state)
+    {
+        next.report(deployment.reports, state);
+        cr_assert(runUntil(deployment.loop, [this] { return next.acknowledged == 1; }));
+    }
+
+    const std::string& answer()
+    {
+        cr_assert(runUntil(deployment.loop, [this] { return PlatformDeployment::isWhole(client->received()); }), "expected an answer");
+        return client->received();
+    }
+};
+
+} // namespace
+
+Test(MinionReplaced, aJobIsNotRefusedWhenItsMinionIsReplacedWithStartsUnderWay)
+{
+    for (const char* nextId : { "i-1", "i-2" }) {
+        ReplacedMinion minion(nextId);
+        minion.submit({ 1'200 });
+        // It takes nothing, so that the job cannot go on elsewhere.
+        minion.replace("draining");
+        const std::string& answer = minion.answer();
+        cr_assert(answer.rfind("HTTP/1.1 503 ", 0) != 0 && answer.rfind("HTTP/1.1 429 ", 0) != 0,
+            "refused although %zu of its tasks had started: %s", minion.deployment.minion.started.size(), answer.c_str());
+        cr_assert(minion.next.started.empty(), "a start that waited for the former minion went to the next");
+    }
+}
+
+Test(MinionReplaced, aJobGoesOnAtTheMinionThatReplacesItsOwn)
+{
+    for (const char* nextId : { "i-1", "i-2" }) {
+        ReplacedMinion minion(nextId);
+        minion.submit({ 4'000 });
+        minion.replace("ready");
+        const std::string& answer = minion.answer();
+        cr_assert(answer.rfind("HTTP/1.1 200 ", 0) == 0 && answer.find("\"completed\"") != std::string::npos, "got %s", answer.c_str());
+        cr_assert(minion.next.started.size() == tasks, "expected each task once at the next minion, got %zu", minion.next.started.size());
+    }
+}
+
+// Its orders never come to an end there.
+Test(MinionReplaced, theAdapterMayBeDestroyedWithOrdersUnderWayAndWaiting)
+{
+    ReplacedMinion minion("i-2");
+    minion.submit({ 4'000 });
+}
