--- a/test/sidecar/MinionClientTest.cpp
+++ b/test/sidecar/MinionClientTest.cpp
@@ -3,6 +3,7 @@
 #include "support/RawPeer.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 using namespace oleanderport;
 
@@ -72,3 +73,36 @@
     cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
     cr_assert(end->outcome == TaskOutcome::Unknown);
 }
+
+Test(MinionClient, aRunIsNotStartedOnlyByThePromiseOfTheMinionOrWhenItWasNeverSent)
+{
+    EventLoop loop;
+    for (const int status : { 200, 204, 301, 400, 404, 409, 421, 429, 500, 502, 503, 504 }) {
+        RawServer minion(loop, [status](RawConnection& peer) {
+            const bool isRun = countOf(peer.received(), "POST /run") > 0;
+            peer.send(fmt::format("HTTP/1.1 {} Any\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{{}}", isRun ? status : 200));
+        });
+        MinionClient client(loop, { .address = minion.address(), .connections = 2, .maxRunTime = { 5'000 } });
+        std::optional<MinionRunEnd> end;
+        client.run(startOf("run-1"), [&end](const MinionRunEnd& ended) { end = ended; });
+        cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
+        cr_assert((end->outcome == TaskOutcome::NotStarted) == (status == 503), "wrong for status %d", status);
+        cr_assert((countAtAll(minion, "POST /stop") == 1) == (status != 503), "wrong stops for status %d", status);
+    }
+}
+
+Test(MinionClient, aRunWhoseConnectionIsResetAfterItWasReadMayHaveStarted)
+{
+    EventLoop loop;
+    RawServer minion(loop, [](RawConnection& peer) {
+        if (countOf(peer.received(), "POST /run") > 0)
+            peer.reset();
+        else
+            peer.send(rawAnswer(2) + "{}");
+    });
+    MinionClient client(loop, { .address = minion.address(), .connections = 2, .maxRunTime = { 5'000 } });
+    std::optional<MinionRunEnd> end;
+    client.run(startOf("run-1"), [&end](const MinionRunEnd& ended) { end = ended; });
+    cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
+    cr_assert(end->outcome == TaskOutcome::Unknown);
+}
--- a/test/support/RawPeer.h
+++ b/test/support/RawPeer.h
@@ -18,6 +18,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -182,14 +183,14 @@
         : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
     {
         sockaddr_in address = loopback(0);
-        bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-        listen(m_listener, 0);
+        if (bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 || listen(m_listener, 0) != 0)
+            throw std::runtime_error("no free port");
         socklen_t size = sizeof(address);
         getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
         m_port = ntohs(address.sin_port);
         for (int& queued : m_queued) {
             queued = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            connect(queued, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+            static_cast<void>(connect(queued, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
         }
     }
     ~DeafPort()
