--- a/src/sidecar/MinionPort.h
+++ b/src/sidecar/MinionPort.h
@@ -8,7 +8,7 @@
 namespace oleanderport {
 
 // How a sidecar orders runs at its minion. Each call is answered once, later in the loop; one that gets no answer in
-// time is told as Unknown, false or an error.
+// time is told as Unknown, false or an error. Only calls to a former life of the minion are not answered at all.
 struct MinionPort {
     std::function<void(const StartRun&, std::function<void(StartAnswer)>)> start;
     std::function<void(const StopRun&, std::function<void(bool answered)>)> stop;
