--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "wire/HttpClient.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -12,8 +13,12 @@
 
 struct HttpConnection::PendingCall {
     HttpConnection* connection { nullptr };
+    HttpCall message;
     HttpCallback callback;
+    // Null while the call waits.
     evhttp_request* request { nullptr };
+    // Bytes of it may have left this process.
+    bool isHandedOver { false };
     std::optional<evhttp_request_error> error;
     std::unique_ptr<EventLoop::Timer> timer;
 
@@ -45,8 +50,8 @@
         return answer;
     }
 
-    // evhttp's timeout ends a silent call and a connect, and knows whether the call was sent. The total comes just
-    // after it and ends the rest: an answer that trickles in, or the wait behind a slow call.
+    // evhttp's timeout ends a silent call and a connect. The total comes just after it and ends the rest: an answer that
+    // trickles in, or the wait behind a slow call.
     constexpr Milliseconds totalSlack { 50 };
     // An idle connection stays open until the peer closes it.
     constexpr timeval idleTimeout { 86'400, 0 };
@@ -58,6 +63,7 @@
 HttpConnection::HttpConnection(EventLoop& loop, std::string address)
     : m_loop(loop)
     , m_address(std::move(address))
+    , m_alive(std::make_shared<bool>(true))
 {
     const auto endpoint = parseEndpoint(m_address);
     if (!endpoint.has_value())
@@ -66,6 +72,16 @@
         m_loop.base(), nullptr, endpoint.assume_value().ip.c_str(), endpoint.assume_value().port);
     // Retrying is a decision of the policy, never of the transport.
     evhttp_connection_set_retries(m_connection, 0);
+    evbuffer_add_cb(
+        bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)), &HttpConnection::outputChanged, this);
+}
+
+// evhttp puts a call into the output only once the connection is made.
+void HttpConnection::outputChanged(evbuffer*, const evbuffer_cb_info* change, void* self)
+{
+    auto& pending = static_cast<HttpConnection*>(self)->m_pending;
+    if (change->n_added > 0 && !pending.empty())
+        pending.front()->isHandedOver = true;
 }
 
 HttpConnection::~HttpConnection()
@@ -87,10 +103,20 @@
     m_pending.push_back(std::make_unique<PendingCall>());
     PendingCall* pending = m_pending.back().get();
     pending->connection = this;
+    pending->message = message;
     pending->callback = std::move(callback);
     pending->timer = m_loop.once(message.timeout + totalSlack, [this, pending] { expire(pending); });
-    evhttp_request* request = evhttp_request_new(&HttpConnection::finished, pending);
-    pending->request = request;
+    sendNext();
+}
+
+void HttpConnection::sendNext()
+{
+    if (m_pending.empty() || m_pending.front()->request)
+        return;
+    PendingCall& next = *m_pending.front();
+    const HttpCall& message = next.message;
+    evhttp_request* request = evhttp_request_new(&HttpConnection::finished, &next);
+    next.request = request;
     evhttp_request_set_error_cb(request, &PendingCall::failed);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", (message.host.empty() ? m_address : message.host).c_str());
@@ -100,12 +126,18 @@
     evbuffer_add(evhttp_request_get_output_buffer(request), message.body.data(), message.body.size());
     const timeval timeout { static_cast<time_t>(message.timeout.count / millisecondsPerSecond),
         static_cast<suseconds_t>(message.timeout.count % millisecondsPerSecond * microsecondsPerMillisecond) };
-    // The timeout belongs to the connection: changing it here would end an earlier call too soon.
-    if (m_pending.size() == 1)
-        evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    evhttp_connection_set_timeout_tv(m_connection, &timeout);
     evhttp_make_request(m_connection, request, commandOf(message.method), message.path.c_str());
 }
 
+void HttpConnection::conclude(const PendingCall& pending, Result<HttpAnswer> end)
+{
+    const std::weak_ptr<bool> alive = m_alive;
+    pending.callback(std::move(end));
+    if (!alive.expired())
+        sendNext();
+}
+
 std::unique_ptr<HttpConnection::PendingCall> HttpConnection::takePending(PendingCall* pending)
 {
     const auto position = std::find_if(
@@ -117,39 +149,38 @@
 
 void HttpConnection::expire(PendingCall* pending)
 {
-    const bool underWay = m_pending.front().get() == pending;
-    // Neither evhttp's callback nor a timer follows a cancelled request.
     const auto taken = takePending(pending);
-    evhttp_cancel_request(taken->request);
-    taken->callback(Error { .code = ErrorCode::Timeout,
-        .ran = underWay ? Ran::Unknown : Ran::No,
-        .step = "http.call",
-        .peer = m_address,
-        .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
+    const bool underWay = taken->request != nullptr;
+    // Neither evhttp's callback nor a timer follows a cancelled request.
+    if (underWay)
+        evhttp_cancel_request(taken->request);
+    conclude(*taken,
+        Error { .code = ErrorCode::Timeout,
+            .ran = taken->isHandedOver ? Ran::Unknown : Ran::No,
+            .step = "http.call",
+            .peer = m_address,
+            .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
 }
 
 void HttpConnection::finished(evhttp_request* request, void* data)
 {
     auto* ended = static_cast<PendingCall*>(data);
-    const std::string peer = ended->connection->address();
-    const auto pending = ended->connection->takePending(ended);
+    HttpConnection& connection = *ended->connection;
+    const auto pending = connection.takePending(ended);
     // evhttp's timeout would also close a connection that is merely idle.
-    if (ended->connection->m_pending.empty())
-        evhttp_connection_set_timeout_tv(ended->connection->m_connection, &idleTimeout);
+    if (connection.m_pending.empty())
+        evhttp_connection_set_timeout_tv(connection.m_connection, &idleTimeout);
     const int status = request ? evhttp_request_get_response_code(request) : 0;
-    if (request && status != 0 && !pending->error) {
-        pending->callback(readAnswer(request));
-        return;
-    }
+    if (request && status != 0 && !pending->error)
+        return connection.conclude(*pending, readAnswer(request));
     const bool timedOut = pending->error == EVREQ_HTTP_TIMEOUT;
-    // Without an error of the exchange itself, evhttp reports a request that it never got to send.
-    const bool neverSent = request && !pending->error;
-    pending->callback(Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
-        .ran = neverSent ? Ran::No : Ran::Unknown,
-        .step = "http.call",
-        .peer = peer,
-        .message = timedOut ? "no answer in time" : neverSent ? "cannot connect"
-                                                              : "connection lost" });
+    connection.conclude(*pending,
+        Error { .code = timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable,
+            .ran = pending->isHandedOver ? Ran::Unknown : Ran::No,
+            .step = "http.call",
+            .peer = connection.m_address,
+            .message = !pending->isHandedOver ? "cannot connect" : timedOut ? "no answer in time"
+                                                                            : "connection lost" });
 }
 
 } // namespace oleanderport
