RunTable: end runs of a former incarnation only once the new one cannot run them

Cause: a minion may start again under its id and address. An order that reaches the new incarnation before its report is carried out there, and the report then ended every run at once. Ruled out: a new incarnation of the sidecar, whose higher fencing token the minion has seen before it is found empty. Change: upon the report of a new incarnation every run is stopped there, and ends once the stop is answered and a list does not show it. The test endsAllRunsOfAFormerLifeOfTheMinion demanded the end at once, which is the fault; its place takes one that asks for the stop, no end while the new incarnation lists the run or has not answered the stop, and the end after both.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -151,8 +151,7 @@
     if (isLate)
         return false;
     if (!sameLife) {
-        // Whatever a former life ran has ended with it.
-        endAllLive(now);
+        stopRunsOfFormerIncarnation();
         m_phase = Phase::Clearing;
         m_endsSeen = 0;
         m_endsForgotten = 0;
@@ -389,6 +388,18 @@
     run.stopAnsweredAt.reset();
 }
 
+// What the former incarnation ran has ended with it. The new one may have carried out orders before its report, or may do so yet.
+void RunTable::stopRunsOfFormerIncarnation()
+{
+    for (const auto& [name, key] : m_byMinionName) {
+        Run& run = m_runs.at(key);
+        stop(run, RunEndKind::Stopped);
+        run.mayHaveMissedEnd = true;
+        run.stopSentAt = {};
+        run.stopAnsweredAt.reset();
+    }
+}
+
 void RunTable::endAllLive(Milliseconds now)
 {
     std::vector<RunKey> keys;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -218,7 +218,7 @@
         StartEvidence evidence { StartEvidence::NotOrdered };
         // The order got no answer in time.
         bool startUnanswered { false };
-        // A list left ends out while the run was under way: its own may have been among them, and be forgotten by now.
+        // A list left ends out, or the minion started anew, while the run was under way: its end may never be listed.
         bool mayHaveMissedEnd { false };
         // Of a run that is being stopped: Stopped or Stuck, if it had started.
         RunEndKind endAs { RunEndKind::Stopped };
@@ -259,6 +259,7 @@
     void stopOthers(const RunKey&);
     // The minion has answered the order, or lists the run or its end.
     static void noteStarted(Run&);
+    void stopRunsOfFormerIncarnation();
     void endAllLive(Milliseconds now);
     void endQueued(Milliseconds now);
     void checkRun(const RunKey&, Run&, Milliseconds now) const;
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -310,7 +310,8 @@
     cr_assert(ends.size() == 1 && ends[0].number == 42, "expected end 42");
 }
 
-Test(RunTable, endsAllRunsOfAFormerLifeOfTheMinion)
+// The new incarnation may have taken an order at the same address before its report, and may do so seconds later.
+Test(RunTable, endsARunOfAFormerIncarnationOfTheMinionOnlyOnceTheNewOneCannotRunIt)
 {
     Table table;
     const auto name = table.order("a").starts.at(0).run;
@@ -318,10 +319,21 @@
     MinionReport again = Table::report();
     again.born = { 9 };
     cr_assert(table.runs.reported(again, table.now));
+    const auto listNew = [&](const std::vector<ListedRun>& running) {
+        table.now = table.now + Milliseconds { 10 };
+        table.runs.received(entryLife, { .echo = table.now }, table.now);
+        table.runs.listed({ .born = { 9 }, .running = running }, {}, table.now, table.now);
+        return table.after({ 1 });
+    };
+    const auto actions = listNew({ { .run = name, .percent = 10 } });
+    cr_assert(actions.stops.size() == 1 && endsOf(actions).empty(), "expected a stop of the run that the new incarnation lists");
+    cr_assert(endsOf(listNew({})).empty(), "expected no end while the stop is not answered");
+    table.runs.stopAnswered(name, true, table.now);
+    assertOnlyEnd(listNew({}), RunEndKind::Stopped);
     cr_assert(table.runs.liveRuns() == 0);
     MinionReport late = Table::report();
     late.sequence = 99;
-    cr_assert(!table.runs.reported(late, table.now), "a report of the former life is no news");
+    cr_assert(!table.runs.reported(late, table.now), "a report of the former incarnation is no news");
 }
 
 Test(RunTable, stopsEverythingAndTakesNothingOnceTheMinionLeaves)
