Soak: give some seeds minions that serve calls late

The stand-in minion answered every call within a millisecond, so that no order ever ran into the sidecar's time-out but for faults of the relay.

Two seeds of five now have minions that carry calls out late, or seconds late after the caller has given up, answer late what they carried out, and stand still again and again for the whole run. Each kind of call has its own draw, apart from the one of the plan: the plans of the seeds in soak/seeds.txt are the same byte for byte.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -120,10 +120,12 @@
     const std::string role = roleOf(name);
     const std::string number = numberOf(name);
     if (role == "minion") {
-        m_processes.start(name,
-            { m_options.build / "soak-minion", "--listen", local(name), "--advertise", relayed(name), "--sidecar",
-                local("sidecar-" + number + "/reports"), "--id", "i-" + number, "--zone", dataCentre(name), "--rack", "r-" + number,
-                "--record", recordFile(name), "--life", std::to_string(state.life) });
+        std::vector<std::string> command { m_options.build / "soak-minion", "--listen", local(name), "--advertise", relayed(name), "--sidecar",
+            local("sidecar-" + number + "/reports"), "--id", "i-" + number, "--zone", dataCentre(name), "--rack", "r-" + number,
+            "--record", recordFile(name), "--life", std::to_string(state.life) };
+        if (m_options.shape.lateMinions)
+            command.insert(command.end(), { "--late", std::to_string((m_options.seed << 32) + (std::stoull(number) << 16) + static_cast<std::uint64_t>(state.life)) });
+        m_processes.start(name, command);
         return;
     }
     std::filesystem::create_directories(dataFolder(name));
--- a/soak/Deployment.h
+++ b/soak/Deployment.h
@@ -24,6 +24,7 @@
     std::filesystem::path folder;
     // First of the ports that this run uses, one after the other.
     std::uint16_t basePort { 0 };
+    std::uint64_t seed { 0 };
     Shape shape;
 };
 
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -37,7 +37,7 @@
 public:
     Soak(const SoakOptions& options, std::uint64_t seed, const Shape& shape)
         : m_plan(makePlan(seed, shape))
-        , m_deployment(m_loop, { .build = options.build, .folder = options.folder, .basePort = options.basePort, .shape = shape })
+        , m_deployment(m_loop, { .build = options.build, .folder = options.folder, .basePort = options.basePort, .seed = seed, .shape = shape })
         , m_operator(m_loop, seed + 1, controls())
         , m_callers(m_loop, seed + 2, entries(), shape.callers)
         , m_firstCallers(m_loop, seed + 3, entries(), 1)
@@ -154,8 +154,8 @@
 
 std::string describe(const Plan& plan)
 {
-    std::string text = fmt::format("{} control instances, {} entries, {} sidecars, {} data centres, {} callers\n", plan.shape.controls,
-        plan.shape.entries, plan.shape.sidecars, plan.shape.dataCentres, plan.shape.callers);
+    std::string text = fmt::format("{} control instances, {} entries, {} sidecars, {} data centres, {} callers{}\n", plan.shape.controls,
+        plan.shape.entries, plan.shape.sidecars, plan.shape.dataCentres, plan.shape.callers, plan.shape.lateMinions ? ", late minions" : "");
     for (const auto& fault : plan.faults)
         text += fmt::format("{:>6} ms {} {} for {} ms\n", fault.at.count, faultKindName(fault.kind), fault.target, fault.lasts.count);
     return text;
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -2,13 +2,18 @@
 // "start LIFE TIME TASK RUN SPEC" and "end LIFE TIME TASK RUN HOW".
 
 #include "support/PlatformMinion.h"
+#include "support/RandomDraw.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <map>
+#include <optional>
+#include <thread>
 #include <unistd.h>
 
 namespace {
@@ -20,10 +25,64 @@
 constexpr Milliseconds drainTime { 2'000 };
 constexpr std::size_t room = 16;
 
+// Of the calls to a late minion, one in so many is carried out late, is carried out so late that its caller has long given
+// up, or is answered late.
+constexpr int carriedOutLateOneIn = 12;
+constexpr int carriedOutVeryLateOneIn = 80;
+constexpr int answeredLateOneIn = 10;
+constexpr Milliseconds shortestDelay { 20 };
+constexpr Milliseconds longestDelay { 500 };
+constexpr Milliseconds shortestVeryLate { 2'000 };
+constexpr Milliseconds longestVeryLate { 12'000 };
+// A late minion stands still again and again.
+constexpr Milliseconds shortestPause { 20 };
+constexpr Milliseconds longestPause { 300 };
+constexpr Milliseconds shortestWork { 200 };
+constexpr Milliseconds longestWork { 2'000 };
+
 // Specs are "run=MS,..." or "fail=MS,...".
 bool isFailing(const std::string& spec) { return spec.rfind("fail=", 0) == 0; }
 Milliseconds workOf(const std::string& spec) { return { std::stoll(spec.substr(spec.find('=') + 1)) }; }
 
+// Draws how late a minion is. Each kind of call has its own draw.
+class Lateness {
+public:
+    Lateness(EventLoop& loop, std::uint64_t seed)
+        : m_loop(loop)
+        , m_pauses(seed)
+    {
+        for (const auto call : { PlatformMinion::Call::Start, PlatformMinion::Call::Stop, PlatformMinion::Call::List })
+            m_calls.emplace(call, RandomDraw(m_pauses.number()));
+        planPause();
+    }
+
+    PlatformMinion::CallDelay delayOf(PlatformMinion::Call call)
+    {
+        RandomDraw& random = m_calls.at(call);
+        const auto drawn = [&random](int oneIn, Milliseconds from, Milliseconds until) {
+            const Milliseconds delay = random.between(from, until);
+            return random.oneIn(oneIn) ? delay : Milliseconds {};
+        };
+        const Milliseconds veryLate = drawn(carriedOutVeryLateOneIn, shortestVeryLate, longestVeryLate);
+        return { .carryOut = veryLate + drawn(carriedOutLateOneIn, shortestDelay, longestDelay), .answer = drawn(answeredLateOneIn, shortestDelay, longestDelay) };
+    }
+
+private:
+    // Calls that arrive meanwhile wait between accept and read.
+    void planPause()
+    {
+        m_pause = m_loop.once(m_pauses.between(shortestWork, longestWork), [this] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_pauses.between(shortestPause, longestPause).count));
+            planPause();
+        });
+    }
+
+    EventLoop& m_loop;
+    RandomDraw m_pauses;
+    std::map<PlatformMinion::Call, RandomDraw> m_calls;
+    std::unique_ptr<EventLoop::Timer> m_pause;
+};
+
 // Lines are written at once and whole, so that none is lost when the process is killed.
 class RunFile {
 public:
@@ -51,6 +110,9 @@
     EventLoop loop;
     std::signal(SIGPIPE, SIG_IGN);
     const RunFile record(text("record"), arguments["life"].as<int>());
+    std::optional<Lateness> lateness;
+    if (arguments.count("late") > 0)
+        lateness.emplace(loop, arguments["late"].as<std::uint64_t>());
     PlatformMinion minion(loop,
         { .id = text("id"),
             .zone = text("zone"),
@@ -61,6 +123,7 @@
             .runTime = workOf,
             .isFailing = isFailing,
             .room = room,
+            .delayOf = [&](PlatformMinion::Call call) { return lateness ? lateness->delayOf(call) : PlatformMinion::CallDelay {}; },
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, started.spec); },
             .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, how); } });
     const char* state = "ready";
@@ -89,6 +152,7 @@
         for (const char* name : { "listen", "advertise", "sidecar", "id", "zone", "rack", "record" })
             add(name, "see soak/Deployment.cpp", cxxopts::value<std::string>());
         add("life", "Number of this life, from 1", cxxopts::value<int>());
+        add("late", "Serves calls late, drawn from this seed", cxxopts::value<std::uint64_t>());
         return run(options.parse(argc, argv));
     } catch (const std::exception& exception) {
         fmt::print(stderr, "soak-minion: {}\n", exception.what());
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -37,6 +37,9 @@
     constexpr Milliseconds outLasts { 8'000 };
     // Time between two losses of control instances: the former has caught up by then.
     constexpr Milliseconds controlCatchUp { 5'000 };
+    // Of so many seeds one after the other, so many have minions that serve their calls at once.
+    constexpr std::uint64_t lateMinionsPeriod = 5;
+    constexpr std::uint64_t promptSeedsOfPeriod = 3;
 
     class Draw {
     public:
@@ -140,7 +143,8 @@
         .entries = 2 + random.below(2),
         .sidecars = 3 + random.below(4),
         .dataCentres = 2 + random.below(2),
-        .callers = 4 + random.below(6) };
+        .callers = 4 + random.below(6),
+        .lateMinions = seed % lateMinionsPeriod >= promptSeedsOfPeriod };
 }
 
 const char* faultKindName(FaultKind kind) { return nameIn(faultKindNames, kind).data(); }
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -15,6 +15,8 @@
     int sidecars { 4 };
     int dataCentres { 3 };
     int callers { 6 };
+    // Minions serve calls late, and stand still again and again, for the whole run.
+    bool lateMinions { false };
 };
 
 enum class FaultKind {
--- a/test/soak/PlanTest.cpp
+++ b/test/soak/PlanTest.cpp
@@ -73,3 +73,10 @@
     }
     cr_assert(overlaps > static_cast<int>(seeds), "expected more than one overlap a seed, got %d in %lu", overlaps, static_cast<unsigned long>(seeds));
 }
+
+Test(SoakPlan, leavesFormerSeedsTheirPromptMinions)
+{
+    for (const std::uint64_t seed : { 1, 2, 12, 26, 27 })
+        cr_assert(!makeShape(seed).lateMinions, "seed %lu", static_cast<unsigned long>(seed));
+    cr_assert(makeShape(3).lateMinions);
+}
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -17,10 +17,11 @@
 
     std::int64_t minionClock() { return Clock::now().count - clockOrigin; }
 
-    void replyJson(HttpResponder& responder, int status, Json::Value body)
+    PlatformMinion::Call callOf(const std::string& path)
     {
-        body["clockMs"] = static_cast<Json::Int64>(minionClock());
-        responder.reply({ .status = status, .body = writeJson(body) });
+        if (path == "/run-start")
+            return PlatformMinion::Call::Start;
+        return path == "/run-stop" ? PlatformMinion::Call::Stop : PlatformMinion::Call::List;
     }
 
 } // namespace
@@ -77,24 +78,49 @@
 }
 
 void PlatformMinion::serve(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+{
+    const CallDelay delay = m_options.delayOf(callOf(request.path));
+    const Caller caller { .responder = responder, .answerDelay = delay.answer };
+    later(delay.carryOut, [this, request, caller] { carryOut(request, caller); });
+}
+
+void PlatformMinion::carryOut(const HttpRequest& request, const Caller& caller)
 {
     expire();
     if (request.headers.front() != m_options.id)
-        return responder->reply({ .status = statusWrongLife, .body = "{}" });
+        return answer(caller, statusWrongLife, Json::Value(Json::objectValue));
     const Json::Value order = parseJson(request.body).value();
     const std::uint64_t fencingToken = order["fencingToken"].asUInt64();
     const char* reason = fencingToken < m_fencingToken ? "fence" : nullptr;
     m_fencingToken = std::max(m_fencingToken, fencingToken);
     if (!reason && request.path == "/hold")
-        return list(order, responder);
+        return list(order, caller);
     if (!reason && request.path == "/run-start")
         reason = start(order);
     if (!reason && request.path == "/run-stop")
         stop(order);
-    Json::Value answer(Json::objectValue);
+    Json::Value body(Json::objectValue);
     if (reason)
-        answer["reason"] = reason;
-    replyJson(*responder, reason ? statusConflict : 200, std::move(answer));
+        body["reason"] = reason;
+    answer(caller, reason ? statusConflict : 200, std::move(body));
+}
+
+void PlatformMinion::answer(const Caller& caller, int status, Json::Value body)
+{
+    body["clockMs"] = static_cast<Json::Int64>(minionClock());
+    later(caller.answerDelay, [responder = caller.responder, status, text = writeJson(body)] { responder->reply({ .status = status, .body = text }); });
+}
+
+void PlatformMinion::later(Milliseconds delay, std::function<void()> what)
+{
+    if (delay.count == 0)
+        return what();
+    const auto position = m_late.emplace(m_late.end());
+    *position = m_loop.once(delay, [this, position, what = std::move(what)] {
+        const auto timer = std::move(*position);
+        m_late.erase(position);
+        what();
+    });
 }
 
 int PlatformMinion::Work::percent(Milliseconds now) const
@@ -165,21 +191,21 @@
         end(m_running.begin()->first, how, at);
 }
 
-void PlatformMinion::list(const Json::Value& order, const std::shared_ptr<HttpResponder>& responder)
+void PlatformMinion::list(const Json::Value& order, const Caller& caller)
 {
     takeLease(order);
     const auto seen = order["ackCursor"].asUInt64();
     std::erase_if(m_ended, [seen](const Json::Value& row) { return row[0].asUInt64() <= seen; });
     const Milliseconds wait { order["waitMs"].asInt64() };
     if (!m_ended.empty() || wait.count == 0)
-        return replyJson(*responder, 200, lists());
-    m_waiting.push_back({ .responder = responder, .timer = m_loop.once(wait, [this] { answerWaiting(); }) });
+        return answer(caller, 200, lists());
+    m_waiting.push_back({ .caller = caller, .timer = m_loop.once(wait, [this] { answerWaiting(); }) });
 }
 
 void PlatformMinion::answerWaiting()
 {
     for (const auto& waiting : std::exchange(m_waiting, {}))
-        replyJson(*waiting.responder, 200, lists());
+        answer(waiting.caller, 200, lists());
 }
 
 Json::Value PlatformMinion::lists() const
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -25,6 +25,20 @@
         std::string spec;
     };
 
+    enum class Call {
+        Start,
+        Stop,
+        List,
+    };
+
+    // How late one call is served. Calls that wait are overtaken by newer ones.
+    struct CallDelay {
+        // Until it is carried out.
+        Milliseconds carryOut {};
+        // From then until the answer, as it was then, leaves.
+        Milliseconds answer {};
+    };
+
     struct Options {
         std::string id { "i-1" };
         std::string service { "s1" };
@@ -41,6 +55,7 @@
         // Tasks that it runs at the same time; it refuses more.
         std::size_t room { 1'000 };
         Milliseconds longestLease { 1'000 };
+        std::function<CallDelay(Call)> delayOf { [](Call) { return CallDelay {}; } };
         // Tell what runs here, as it begins and as it has ended. The times are on Clock::now().
         std::function<void(Milliseconds, const Run&)> onStart { [](Milliseconds, const Run&) {} };
         std::function<void(Milliseconds, const Run&, const char* how)> onEnd { [](Milliseconds, const Run&, const char*) {} };
@@ -77,16 +92,24 @@
         // Done part of the work, 0 to 99.
         int percent(Milliseconds now) const;
     };
-    struct Waiting {
+    struct Caller {
         std::shared_ptr<HttpResponder> responder;
+        Milliseconds answerDelay {};
+    };
+    struct Waiting {
+        Caller caller;
         std::unique_ptr<EventLoop::Timer> timer;
     };
 
     void serve(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
+    void carryOut(const HttpRequest&, const Caller&);
+    void answer(const Caller&, int status, Json::Value body);
+    // At once when the delay is zero.
+    void later(Milliseconds delay, std::function<void()>);
     // The reason of a refusal, or null after a start.
     const char* start(const Json::Value& order);
     void stop(const Json::Value& order);
-    void list(const Json::Value& order, const std::shared_ptr<HttpResponder>&);
+    void list(const Json::Value& order, const Caller&);
     Json::Value lists() const;
     void takeLease(const Json::Value& order);
     // Ends everything once the lease has run out, whenever this process gets to it.
@@ -104,6 +127,7 @@
     std::map<std::string, std::uint64_t> m_lastRun;
     std::vector<Json::Value> m_ended;
     std::list<Waiting> m_waiting;
+    std::list<std::unique_ptr<EventLoop::Timer>> m_late;
     Milliseconds m_leaseEnd {};
     std::unique_ptr<EventLoop::Timer> m_leaseTimer;
     std::uint64_t m_fencingToken { 0 };
