--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -80,6 +80,28 @@
     cr_assert(ended[2].number == 60 && ended[2].run.job.empty());
 }
 
+Test(MinionAdapter, aListIsNotWholeWhenRowsCannotBeReadOrAPageOfEndsIsFull)
+{
+    const auto wholeParts = [](const Json::Value& running, const Json::Value& finished) {
+        Json::Value body(Json::objectValue);
+        body["born"] = 1700;
+        body["running"] = running;
+        body["finished"] = finished;
+        const auto list = readRunList(body).assume_value();
+        return std::pair(list.isRunningWhole, list.isEndedWhole);
+    };
+    const Json::Value none(Json::arrayValue);
+    Json::Value odd(Json::arrayValue);
+    odd.append("odd");
+    Json::Value page(Json::arrayValue);
+    for (int number = 1; number <= 500; ++number)
+        page.append(parseJson(R"([)" + std::to_string(number) + R"(,"j.0.0.1",1,"done",""])").assume_value());
+    cr_expect(wholeParts(none, none) == std::pair(true, true));
+    cr_expect(!wholeParts(odd, none).first, "a running row that cannot be read");
+    cr_expect(!wholeParts(none, odd).second, "an ended row that cannot be read");
+    cr_expect(!wholeParts(none, page).second, "a full page of ends");
+}
+
 Test(MinionAdapter, refusesAListWithoutItsParts)
 {
     for (const char* text : { "{}", R"({"running":[],"finished":[]})", R"({"born":1,"running":[]})", R"({"born":"1","running":[],"finished":[]})" })
