RunTable: add a failing test of stops that fail at once

A stop that was not answered is due again at once. Where that is known at once (connection refused, 409, 421), each answer sends the next stop without any pause, until the lease has run out, or for as long as the minion refuses the token. The test fails on the present code: 100 stops in one millisecond for 100 failed ones.

--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -233,6 +233,21 @@
     cr_assert(table.runs.act(table.now).stops.size() == 1, "expected the stop again once its answer had not come");
 }
 
+Test(RunTable, aStopThatFailsAtOnceIsNotRepeatedWithoutPause)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+    cr_assert(table.after({ 1 }).stops.size() == 1);
+    // As when the connection is refused, or the minion answers that it takes no such order.
+    std::size_t stops = 0;
+    for (int round = 0; round < 100; ++round) {
+        table.runs.stopAnswered(name, false, table.now);
+        stops += table.runs.act(table.now).stops.size();
+    }
+    cr_assert(stops <= 1, "expected a pause between stops that fail at once, got %zu in one millisecond", stops);
+}
+
 Test(RunTable, givesAnotherRunOfATaskAHigherNumber)
 {
     Table table;
