RunTable: add a failing test of a run in the minion's next life

A report of a new life ends all live runs at once as those of the former life. A minion that started again under its id before it took the order runs it in the new life: the entry hears of its end, may start the task elsewhere, and the run is only then found there and stopped. The test fails on the present code.

--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -339,6 +339,23 @@
     cr_assert(!table.runs.reported(late, table.now), "a report of the former life is no news");
 }
 
+Test(RunTable, noRunIsReportedAsEndedThatTheNextLifeOfTheMinionListsAsRunning)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    // The minion had started again under its id before it took the order, and its report comes after its answer.
+    MinionReport again = Table::report();
+    again.born = { 9 };
+    table.runs.reported(again, table.now);
+    const auto actions = table.after({ 10 });
+    cr_assert(actions.list.has_value());
+    const bool toldEnded = !endsOf(actions).empty();
+    table.runs.listed({ .born = { 9 }, .running = { { .run = name, .percent = 10 } }, .ended = {} }, *actions.list, table.now, table.now);
+    const auto afterList = table.after({ 1 });
+    cr_assert(!toldEnded || afterList.stops.empty(), "expected no end of a run that then has to be stopped at the minion");
+}
+
 Test(RunTable, stopsEverythingAndTakesNothingOnceTheMinionLeaves)
 {
     Table table;
