SidecarLedger: add a failing test of a former attempt at a collect

A new owner collects "running" for a further attempt and hears nothing of the former one, whose end was unknown. When the minion then refuses the further attempt, the owner is told "not started", and may tell its caller "ran: no". Only the collect itself looks at mayHaveStarted.

--- a/test/policy/SidecarLedgerTest.cpp
+++ b/test/policy/SidecarLedgerTest.cpp
@@ -125,6 +125,23 @@
     cr_assert(collected.assume_value().tasks[0].outcome == TaskOutcome::Unknown, "expected unknown, since attempt 1 may have run");
 }
 
+Test(SidecarLedger, aFormerAttemptThatMayHaveRunIsNotForgottenWhenTheNextIsUnderWayAtACollect)
+{
+    auto ledger = ledgerWith(4);
+    TaskAssignment task = assignment(0);
+    task.idempotent = true;
+    ledger.accept(entryOne, task);
+    ledger.ended(ledger.next(now, leaseEnd, unixNow).start->run, TaskOutcome::Unknown, "the minion is lost", { 5 });
+    task.attempt = 2;
+    ledger.accept(entryOne, task);
+    const auto again = ledger.next(now, leaseEnd, unixNow);
+    const auto collected = ledger.collect({ .key = key, .epoch = 2, .owner = entryTwo, .deadlineUnix = startBy });
+    cr_assert(collected.assume_value().tasks[0].outcome == TaskOutcome::Running);
+    const auto end = ledger.ended(again.start->run, TaskOutcome::NotStarted, "the minion refused it", {});
+    cr_assert(end && end->epoch == 2);
+    cr_assert(end->outcome == TaskOutcome::Unknown, "expected unknown, since attempt 1 may have run");
+}
+
 Test(SidecarLedger, reportsTheEndOfARunOnce)
 {
     auto ledger = ledgerWith(4);
