--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -233,6 +233,21 @@
     cr_assert(table.runs.act(table.now).stops.size() == 1, "expected the stop again once its answer had not come");
 }
 
+Test(RunTable, aStopThatFailsAtOnceIsNotRepeatedWithoutPause)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+    cr_assert(table.after({ 1 }).stops.size() == 1);
+    // As when the connection is refused, or the minion answers that it takes no such order.
+    std::size_t stops = 0;
+    for (int round = 0; round < 100; ++round) {
+        table.runs.stopAnswered(name, false, table.now);
+        stops += table.runs.act(table.now).stops.size();
+    }
+    cr_assert(stops <= 1, "expected a pause between stops that fail at once, got %zu in one millisecond", stops);
+}
+
 Test(RunTable, givesAnotherRunOfATaskAHigherNumber)
 {
     Table table;
@@ -336,6 +351,23 @@
     cr_assert(!table.runs.reported(late, table.now), "a report of the former incarnation is no news");
 }
 
+Test(RunTable, noRunIsReportedAsEndedThatTheNextLifeOfTheMinionListsAsRunning)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    // The minion had started again under its id before it took the order, and its report comes after its answer.
+    MinionReport again = Table::report();
+    again.born = { 9 };
+    table.runs.reported(again, table.now);
+    const auto actions = table.after({ 10 });
+    cr_assert(actions.list.has_value());
+    const bool toldEnded = !endsOf(actions).empty();
+    table.runs.listed({ .born = { 9 }, .running = { { .run = name, .percent = 10 } }, .ended = {} }, *actions.list, table.now, table.now);
+    const auto afterList = table.after({ 1 });
+    cr_assert(!toldEnded || afterList.stops.empty(), "expected no end of a run that then has to be stopped at the minion");
+}
+
 Test(RunTable, stopsEverythingAndTakesNothingOnceTheMinionLeaves)
 {
     Table table;
