RunTable: add a failing test of stray runs whose stops fail at once

The same as for stops of runs in the table, and older: a stop of a stray run that fails is due again at once. The test fails on the present code: 100 stops in one millisecond for 100 failed ones.

--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -248,6 +248,22 @@
     cr_assert(stops <= 1, "expected a pause between stops that fail at once, got %zu in one millisecond", stops);
 }
 
+Test(RunTable, aStopOfAStrayRunThatFailsAtOnceIsNotRepeatedWithoutPause)
+{
+    Table table;
+    table.runs.act(table.now);
+    const RunName stray { .job = "stray", .run = 3 };
+    table.now = table.now + Milliseconds { 10 };
+    table.answer({ { .run = stray, .percent = 0 } }, {});
+    cr_assert(table.runs.act(table.now).stops.size() == 1);
+    std::size_t stops = 0;
+    for (int round = 0; round < 100; ++round) {
+        table.runs.stopAnswered(stray, false, table.now);
+        stops += table.runs.act(table.now).stops.size();
+    }
+    cr_assert(stops <= 1, "expected a pause between stops that fail at once, got %zu in one millisecond", stops);
+}
+
 Test(RunTable, givesAnotherRunOfATaskAHigherNumber)
 {
     Table table;
