SidecarLedger: keep that a former attempt may have run past a collect

Found in review: a new owner that collects "running" for a further attempt hears nothing of the former one; when the minion refuses the further attempt, the owner was told "not started" and could tell its caller "ran: no". Change: the end of an attempt after one that may have run is unknown rather than not started. Evidence: aFormerAttemptThatMayHaveRunIsNotForgottenWhenTheNextIsUnderWayAtACollect failed before.

--- a/src/policy/SidecarLedger.cpp
+++ b/src/policy/SidecarLedger.cpp
@@ -102,6 +102,8 @@
     JobRecord& job = m_jobs.at(task.key);
     Record& record = job.tasks.at(task.task);
     addNeeds(m_used, record.assignment.needs, -1);
+    if (outcome == TaskOutcome::NotStarted && record.mayHaveStarted)
+        outcome = TaskOutcome::Unknown;
     record.run.clear();
     record.state = State::Ended;
     record.result = TaskResult { .key = task.key,
