RunTable: take nothing but the minion's own refusal as proof that a run did not start

Callers could still be told that a job never ran, and it ran. Cause: an order without an answer counted as ruled out once a stop was answered and a whole list did not show the run. The platform lets such an order be carried out seconds later, and a minion start again under its id with no memory of stops and a clock that starts anew: it may carry the order out then. Also a list of the former incarnation may make the new one forget an end that was never listed. Change: the inference is gone. A run is reported as not started only if it was never ordered, or if the minion answered the order with a refusal, or if nothing of the order was sent.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -18,7 +18,7 @@
 
     std::string howItEnded(const FailedRun& run)
     {
-        if (run.kind == RunEndKind::NotStarted)
+        if (run.kind == RunEndKind::NotStarted || run.evidence == StartEvidence::Unanswered)
             return fmt::format("{}: {}", runEndKindName(run.kind), startEvidenceName(run.evidence));
         if (run.kind != RunEndKind::Stuck)
             return fmt::format("{} after {} ms", runEndKindName(run.kind), run.ranFor.count);
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -329,7 +329,7 @@
         health.recordStuck(healthId(sidecar), now);
     else if (end.kind == RunEndKind::Failed)
         health.record(healthId(sidecar), TaskOutcome::Failed, end.ranFor, now);
-    else if (end.kind == RunEndKind::NotStarted)
+    else if (end.kind == RunEndKind::NotStarted || end.evidence == StartEvidence::Unanswered)
         health.record(healthId(sidecar), TaskOutcome::NotStarted, end.ranFor, now);
     if (end.kind == RunEndKind::Failed && ++task.failures >= std::max<std::int64_t>(job.spec.queue.maxAttempts, 1)) {
         endJob(place.job, DispatchEndKind::Failed, "a task failed as often as its queue allows", {});
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -74,7 +74,7 @@
     RunEndKind kind { RunEndKind::Failed };
     // As in RunEnd.
     Milliseconds ranFor {};
-    StartEvidence evidence { StartEvidence::Possible };
+    StartEvidence evidence { StartEvidence::Ordered };
 };
 
 struct FrameToSidecar {
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -214,6 +214,8 @@
     }
     if (answer == StartAnswer::Unknown) {
         run.startUnanswered = true;
+        if (run.evidence == StartEvidence::Ordered)
+            run.evidence = StartEvidence::Unanswered;
         // Only a stop that is answered makes the order harmless.
         stop(run, RunEndKind::Stopped);
         return;
@@ -266,10 +268,6 @@
     m_listedAt = now;
     m_reachable = true;
     m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
-    if (!list.isEndedWhole) {
-        for (const auto& [name, key] : m_byMinionName)
-            m_runs.at(key).mayHaveMissedEnd = true;
-    }
     for (const auto& ended : list.ended) {
         m_endsSeen = std::max(m_endsSeen, ended.number);
         const auto found = m_byMinionName.find(ended.run);
@@ -331,12 +329,9 @@
 {
     std::vector<RunKey> gone;
     for (const auto& [name, key] : m_byMinionName) {
-        Run& run = m_runs.at(key);
+        const Run& run = m_runs.at(key);
         if (run.listedAt == now || !isGone(run, listIsWhole, askedAt))
             continue;
-        // Once it has answered a stop, the minion accepts no start of the run, and it lists every end until that was seen.
-        if (listIsWhole && !run.mayHaveMissedEnd && run.evidence == StartEvidence::Possible)
-            run.evidence = StartEvidence::RuledOut;
         gone.push_back(key);
     }
     for (const auto& key : gone)
@@ -402,7 +397,6 @@
         stop(run, RunEndKind::Stopped);
         run.stopOrder = {};
         run.stopAnsweredAt.reset();
-        run.mayHaveMissedEnd = true;
     }
 }
 
@@ -523,8 +517,7 @@
     run.minionName.run = std::max(key.second.run, last.run + 1);
     last = { .run = run.minionName.run, .at = now };
     run.state = State::Starting;
-    run.evidence = StartEvidence::Possible;
-    run.mayHaveMissedEnd = false;
+    run.evidence = StartEvidence::Ordered;
     run.startUnanswered = false;
     run.startedAt = now;
     run.listedAt = {};
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -96,7 +96,7 @@
 // What became of an order to start a run that the minion had not answered in time.
 struct SettledStart {
     RunName run;
-    StartEvidence evidence { StartEvidence::Possible };
+    StartEvidence evidence { StartEvidence::Ordered };
 };
 
 struct RunActions {
@@ -224,8 +224,6 @@
         StartEvidence evidence { StartEvidence::NotOrdered };
         // The order got no answer in time.
         bool startUnanswered { false };
-        // A list left ends out, or the minion started anew, while the run was under way: its end may never be listed.
-        bool mayHaveMissedEnd { false };
         // Of a run that is being stopped: Stopped or Stuck, if it had started.
         RunEndKind endAs { RunEndKind::Stopped };
         StopOrder stopOrder;
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -202,7 +202,9 @@
         });
     }
     for (const auto& item : actions.settledStarts) {
-        m_process.metrics.add(fmt::format("starts_unanswered_{}_total", startEvidenceName(item.evidence)));
+        m_process.metrics.add("starts_unanswered_total");
+        if (item.evidence == StartEvidence::Started)
+            m_process.metrics.add("starts_unanswered_started_total");
         log(LogLevel::Info, { .step = "sidecar.start", .task = item.run.index, .jobName = item.run.job },
             fmt::format("run {} of step {}, whose start was not answered: {}", item.run.run, item.run.step, startEvidenceName(item.evidence)));
     }
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -80,8 +80,8 @@
     constexpr NameTable<StartEvidence, 5> startEvidenceNames { {
         { StartEvidence::NotOrdered, "not_ordered" },
         { StartEvidence::Declined, "declined" },
-        { StartEvidence::Possible, "possible" },
-        { StartEvidence::RuledOut, "ruled_out" },
+        { StartEvidence::Ordered, "ordered" },
+        { StartEvidence::Unanswered, "unanswered" },
         { StartEvidence::Started, "started" },
     } };
 
@@ -135,7 +135,7 @@
 
 bool provesNotStarted(StartEvidence evidence)
 {
-    return evidence == StartEvidence::NotOrdered || evidence == StartEvidence::Declined || evidence == StartEvidence::RuledOut;
+    return evidence == StartEvidence::NotOrdered || evidence == StartEvidence::Declined;
 }
 
 std::string encodeFrame(const EntryFrame& frame) { return encode(frame); }
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -77,16 +77,17 @@
 
 std::string_view runEndKindName(RunEndKind);
 
-// What a sidecar knows of whether its minion began a run.
+// What is known of whether a minion began a run.
 enum class StartEvidence {
     // No order to start it was given to the minion.
     NotOrdered,
     // The minion answered that it did nothing, or the order is known not to have been sent.
     Declined,
-    // An order went out and was not answered: it may have been carried out, or may still be.
-    Possible,
-    // The order was not answered, and the minion can neither have carried it out nor do so later.
-    RuledOut,
+    // It was ordered, and nothing further is known.
+    Ordered,
+    // The order got no answer in time. It may have been carried out, or may be yet: also by a later incarnation of the
+    // minion, which knows of no stop. So nothing that the minion lists or answers afterwards proves that it was not.
+    Unanswered,
     // The minion has answered the order, or listed the run or its end.
     Started,
 };
@@ -103,7 +104,7 @@
     RunEndKind kind { RunEndKind::Stopped };
     // Of a stuck run: how long it would have run in all by its progress, zero when it stood still.
     Milliseconds ranFor {};
-    StartEvidence evidence { StartEvidence::Possible };
+    StartEvidence evidence { StartEvidence::Ordered };
 };
 
 // A minion as its sidecar knows it.
