Log: give lines about callers who were not served a budget of their own

Callers saw a job refused of which no line told anything: at more than 300 jobs a second the line of a refusal was left out as readily as that of a job that had completed, as both are ordinary lines.

Counting refusals as warnings was ruled out: under overload they would use up the budget of errors.

LogFields::unserved puts a line into a third budget of the same size.

--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -27,6 +27,7 @@
         LogBudget ordinary;
         // Warnings and errors.
         LogBudget serious;
+        LogBudget unserved;
         std::uint64_t dropped { 0 };
     };
 
@@ -94,6 +95,13 @@
         return line;
     }
 
+    LogBudget& budgetOf(LogLevel level, const LogFields& fields)
+    {
+        if (fields.unserved)
+            return context().unserved;
+        return level >= LogLevel::Warning ? context().serious : context().ordinary;
+    }
+
     // False when the reader has no room for the line.
     bool writeAtOnce(const fmt::memory_buffer& line)
     {
@@ -110,7 +118,7 @@
     LogContext& own = context();
     if (level < own.least)
         return;
-    LogBudget& budget = level >= LogLevel::Warning ? own.serious : own.ordinary;
+    LogBudget& budget = budgetOf(level, fields);
     if (!budget.allow(Clock::now()))
         return;
     if (!writeAtOnce(lineOf(level, fields, message))) {
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -27,6 +27,8 @@
     // Id of the caller's request, and name of a best-effort job.
     std::string_view request {};
     std::string_view jobName {};
+    // About a caller who was not served. The line counts against a budget of its own, not against that of its level.
+    bool unserved { false };
 };
 
 // Sets what every later line of this process carries, and makes them go to standard output rather than to standard
@@ -34,7 +36,7 @@
 void configureLog(LogLevel least, std::string_view role, std::string_view instance);
 
 // Writes one line: time, level, role, instance, the fields that are set, and the message, as key=value pairs. Never
-// waits: a line that its reader has no room for, or that is beyond the budget of its level, is left out and counted,
+// waits: a line that its reader has no room for, or that is beyond its budget, is left out and counted,
 // and a later line says how many were.
 void log(LogLevel, const LogFields&, std::string_view message);
 
--- a/test/base/LogTest.cpp
+++ b/test/base/LogTest.cpp
@@ -1,6 +1,7 @@
 #include "base/Log.h"
 
 #include "base/LogBudget.h"
+#include "support/RawPeer.h"
 
 #include <criterion/criterion.h>
 
@@ -81,6 +82,25 @@
     cr_assert(droppedLogLines() > 0);
 }
 
+// Ten seconds' jobs of an entry at ten times its ordinary load, at once.
+Test(Log, leavesOutNoRefusalForTheSakeOfLinesOfCompletedJobs)
+{
+    const Pipe pipe;
+    configureLog(LogLevel::Info, "entry", "entry-1");
+    std::size_t completed = 0;
+    std::size_t refused = 0;
+    for (int i = 0; i < 5'000; ++i) {
+        log(LogLevel::Info, { .step = "entry.job", .request = "r" }, "completed");
+        if (i % 10 == 9)
+            log(LogLevel::Info, { .step = "entry.job", .request = "r", .unserved = true }, "refused");
+        const std::string lines = pipe.read();
+        completed += countOf(lines, "\"completed\"");
+        refused += countOf(lines, "\"refused\"");
+    }
+    cr_assert(refused == 500, "expected the lines of all 500 refusals, got %zu", refused);
+    cr_assert(completed < 5'000, "expected less than all 5000 lines of completed jobs, got %zu", completed);
+}
+
 Test(Log, writesOneLineWithItsFieldsWhateverTheValues)
 {
     const Pipe pipe;
