Ingress: leave one line and one count for every refusal

Each answer to a submission, and each 404 and 410 to a request that names a job, now leaves one entry.job line with the request, the job, its queue, the reason, the status and the time after which the caller may retry.

The new tests of Explain find each of these causes from the request's id alone, in exactly one line.

--- a/test/platform/ExplainTest.cpp
+++ b/test/platform/ExplainTest.cpp
@@ -52,6 +52,13 @@
     }
 }
 
+// Exactly one line tells what was answered.
+void assertOneAnswer(const std::string& text, const std::vector<std::string>& parts)
+{
+    cr_assert(countOf(text, "step=entry.job") == 1, "expected one line of the answer in what is told of the request:\n%s", text.c_str());
+    assertTells(text, parts);
+}
+
 // A job of as many tasks as the minion has room for.
 const char* const wideJob = R"({"spec":"text","bestEffort":true,"steps":[{"count":16,"cpu":1000,"memMb":1,"estimatedMs":400}]})";
 
@@ -67,7 +74,7 @@
     cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 16; }));
     deployment.requestId = "refused";
     deployment.ask(deployment.front, "POST /a/two", wideJob);
-    assertTells(kept.explain("refused"), { "step=entry.job", "request=refused", "refused after", "0 runs", "done in time" });
+    assertTells(kept.explain("refused"), { "step=entry.job", "request=refused", "refused after", "0 runs", "done in time", "answered 503, retry after" });
 }
 
 Test(Explain, findsTheRunsThatFailed)
@@ -124,3 +131,63 @@
     cr_assert(runUntil(deployment.loop, [&kept] { return kept.explain("lost").find("entry.job") != std::string::npos; }));
     assertTells(kept.explain("lost"), { "step=entry.run", "stopped after", "step=entry.job", "unfinished after" });
 }
+
+Test(Explain, findsThatAnEntryWasStopping)
+{
+    const KeptLog kept;
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'200 }; } });
+    deployment.becomeReady();
+    deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    deployment.ingress.shutDown([] {});
+    const Milliseconds drained = Clock::now() + Milliseconds { 250 };
+    cr_assert(runUntil(deployment.loop, [drained] { return Clock::now() >= drained; }));
+    deployment.requestId = "stopping";
+    deployment.ask(deployment.front, "POST /a/y", testJob);
+    assertOneAnswer(kept.explain("stopping"),
+        { "step=entry.job", "peer=r1", "request=stopping", "job=y", "refused after", "stopping", "this entry is stopping",
+            "answered 503, retry after 1000 ms" });
+}
+
+Test(Explain, findsThatAnEntryDidNotKnowTheQueuesYet)
+{
+    const KeptLog kept;
+    PlatformDeployment deployment;
+    deployment.requestId = "early";
+    deployment.ask(deployment.front, "POST /a/x", testJob);
+    assertOneAnswer(kept.explain("early"),
+        { "step=entry.job", "request=early", "job=x", "refused after", "queues_unknown", "the queues are not known yet",
+            "answered 503, retry after 1000 ms" });
+}
+
+Test(Explain, findsWhatWasWrongWithASubmission)
+{
+    const KeptLog kept;
+    PlatformDeployment deployment;
+    deployment.becomeReady();
+    deployment.requestId = "unreadable";
+    deployment.ask(deployment.front, "POST /a/a", "{");
+    assertOneAnswer(kept.explain("unreadable"), { "peer=r1", "job=a", "unreadable", "answered 400" });
+    deployment.requestId = "malformed";
+    deployment.ask(deployment.front, "POST /a/b", R"({"bestEffort":true,"steps":[{"count":0}]})");
+    assertOneAnswer(kept.explain("malformed"), { "peer=r1", "job=b", "unreadable", "expected 1 to 10000 tasks", "answered 400" });
+    deployment.requestId = "unsupported";
+    deployment.ask(deployment.front, "POST /a/c", R"({"steps":[{"count":1}]})");
+    assertOneAnswer(kept.explain("unsupported"), { "peer=r1", "job=c", "job_unsupported", "have to be stored", "answered 503" });
+    deployment.requestId = "elsewhere";
+    deployment.ask(deployment.front, "POST /b/d", testJob);
+    assertOneAnswer(kept.explain("elsewhere"), { "job=d", "no_queue", "no queue has host h.example and path /b/d", "answered 404" });
+}
+
+Test(Explain, findsThatAJobWasNotKnownWhenItWasAskedFor)
+{
+    const KeptLog kept;
+    PlatformDeployment deployment;
+    deployment.becomeReady();
+    for (const char* method : { "GET", "DELETE" }) {
+        deployment.requestId = method;
+        deployment.ask(deployment.front, fmt::format("{} /a/of-{}", method, method));
+        assertOneAnswer(kept.explain(method), { "peer=r1", fmt::format("job=of-{}", method), "no_job", "answered 410" });
+    }
+    cr_assert(deployment.entry.process().metrics.counter("refusals_no_job_total") == 2);
+}
