--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -129,6 +129,26 @@
     cr_assert(client.received().find(R"({"state":"completed"})") != std::string::npos, "got %s", client.received().c_str());
 }
 
+Test(PlatformPath, takesNoFurtherJobOnceItsGraceHasRunOut)
+{
+    bool hangs = false;
+    PlatformDeployment deployment({ .runTime = [&hangs](const std::string&) { return Milliseconds { hangs ? 600'000 : 50 }; } });
+    deployment.becomeReady();
+    hangs = true;
+    deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    RawConnection& open = deployment.connect(deployment.front);
+    deployment.entry.process().settings.shutdownGrace = { 300 };
+    deployment.ingress.shutDown([] {});
+    deployment.pass({ 400 });
+    const std::string ready = deployment.ask(deployment.ready, "GET /readyz");
+    cr_assert(hasStatus(ready, 503), "expected an entry that stops not to be ready, got %s", ready.c_str());
+    open.send(deployment.requestOf("POST /a/y", testJob));
+    cr_assert(runUntil(deployment.loop, [&open] { return PlatformDeployment::isWhole(open.received()); }));
+    cr_assert(hasStatus(open.received(), 503), "expected an entry that stops to refuse, got %s", open.received().c_str());
+    cr_assert(deployment.minion.started.size() == 3);
+}
+
 // Its runs may start elsewhere once it is told that it may go, and it goes when it likes.
 Test(PlatformPath, letsAMinionGoOnceNothingRunsThere)
 {
--- a/test/support/PlatformDeployment.h
+++ b/test/support/PlatformDeployment.h
@@ -80,14 +80,31 @@
     }
 
     RawConnection& send(const std::string& address, const std::string& head, const std::string& body = "")
+    {
+        RawConnection& client = connect(address);
+        client.send(requestOf(head, body));
+        return client;
+    }
+
+    RawConnection& connect(const std::string& address)
     {
         const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
         clients.push_back(rawConnect(loop, port));
-        clients.back()->send(fmt::format("{} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nOleanderport-Deadline: 4000\r\nContent-Length: {}\r\n\r\n{}",
-            head, requestId, body.size(), body));
         return *clients.back();
     }
 
+    std::string requestOf(const std::string& head, const std::string& body) const
+    {
+        return fmt::format("{} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nOleanderport-Deadline: 4000\r\nContent-Length: {}\r\n\r\n{}",
+            head, requestId, body.size(), body);
+    }
+
+    void pass(Milliseconds time)
+    {
+        const Milliseconds until = Clock::now() + time;
+        cr_assert(runUntil(loop, [until] { return Clock::now() >= until; }));
+    }
+
     static bool isWhole(const std::string& text)
     {
         const auto length = text.find("Content-Length: ");
