Ingress: never refuse a job that a former submission may have started

A caller whose connection broke submits its job again. An entry that had started tasks of the first submission answered the second one 503, which says that the job never runs: when it stops, though the tasks are still at work, and when its dispatcher refuses the second submission, which it takes for a new job once the first has been abandoned.

The dispatcher was ruled out as the place: it forgets a job with its last submission, and does not see what is refused before it.

A further submission of a job that is under way is joined to it also while the entry stops. A job that was only refused is refused again as before.

--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -149,6 +149,46 @@
     cr_assert(deployment.minion.started.size() == 3);
 }
 
+Test(PlatformPath, refusesNoJobThatIsUnderWayWhileItStops)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 700 }; } });
+    deployment.becomeReady();
+    deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    deployment.ingress.shutDown([] {});
+    deployment.pass({ 250 });
+    const std::string again = deployment.ask(deployment.front, "POST /a/x", testJob);
+    cr_assert(hasStatus(again, 200), "expected the job's own end for a job that has started, got %s", again.c_str());
+    const std::string other = deployment.ask(deployment.front, "POST /a/y", testJob);
+    cr_assert(hasStatus(other, 503), "expected another job to be refused, got %s", other.c_str());
+}
+
+Test(PlatformPath, neverSaysOfAJobThatItNeverRunsOnceAFormerSubmissionStarted)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'500 }; } });
+    deployment.becomeReady();
+    RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    cr_assert(hasStatus(deployment.ask(deployment.control, "POST /Evacuations.Start/dc-a"), 200));
+    cr_assert(runUntil(deployment.loop, [&deployment] { return !deployment.entry.view().dataCentresOut.empty(); }));
+    client.close();
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 0; }));
+    const std::string again = deployment.ask(deployment.front, "POST /a/x", testJob);
+    cr_assert(hasStatus(again, 504), "expected no refusal of a job that has started, got %s", again.c_str());
+    const std::string other = deployment.ask(deployment.front, "POST /a/y", testJob);
+    cr_assert(hasStatus(other, 503), "expected another job to be refused, got %s", other.c_str());
+}
+
+Test(PlatformPath, refusesAJobThatItRefusedBefore)
+{
+    PlatformDeployment deployment;
+    deployment.becomeReady();
+    cr_assert(hasStatus(deployment.ask(deployment.control, "POST /Evacuations.Start/dc-a"), 200));
+    cr_assert(runUntil(deployment.loop, [&deployment] { return !deployment.entry.view().dataCentresOut.empty(); }));
+    for (int i = 0; i < 2; ++i)
+        cr_assert(hasStatus(deployment.ask(deployment.front, "POST /a/x", testJob), 503));
+}
+
 // Its runs may start elsewhere once it is told that it may go, and it goes when it likes.
 Test(PlatformPath, letsAMinionGoOnceNothingRunsThere)
 {
