--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -189,6 +189,18 @@
         cr_assert(hasStatus(deployment.ask(deployment.front, "POST /a/x", testJob), 503));
 }
 
+Test(PlatformPath, saysThatAJobUnderWayIsRunning)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 700 }; } });
+    deployment.becomeReady();
+    const RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    const std::string state = deployment.ask(deployment.front, "GET /a/x");
+    cr_assert(hasStatus(state, 200) && state.find(R"({"state":"running"})") != std::string::npos, "got %s", state.c_str());
+    cr_assert(runUntil(deployment.loop, [&client] { return PlatformDeployment::isWhole(client.received()); }));
+    cr_assert(hasStatus(deployment.ask(deployment.front, "GET /a/x"), 410));
+}
+
 // Its runs may start elsewhere once it is told that it may go, and it goes when it likes.
 Test(PlatformPath, letsAMinionGoOnceNothingRunsThere)
 {
