HttpServer: answer 504 to a request that is dropped

A responder that is let go without an answer replied 500, which callers of the front take for final, with a body that says that it may have run. No way to drop one of the front's requests in a running entry was found by reading; the answer is now right if there is one.

Ruled out: that an entry that ends sends it. A server that ends closes the connections of what it holds, and of what was dropped just before, without a byte, as the second new test shows before and after. The first one got 500 before.

--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -26,6 +26,8 @@
     constexpr std::size_t hardLimitFactor = 4;
     constexpr std::int64_t millisecondsPerSecond = 1000;
 
+    // A caller takes other errors for the final word on a request that has not run.
+    constexpr int unknownOutcomeStatus = 504;
     constexpr Milliseconds sweepPeriod { 250 };
     // What a peer may send ahead of an answer while its connection is watched.
     constexpr std::size_t mostReadAhead = 64 * 1024;
@@ -196,7 +198,7 @@
 HttpResponder::~HttpResponder()
 {
     if (m_request)
-        reply({ .status = 500, .body = R"({"error":{"code":"internal","ran":"unknown","step":"http"}})" });
+        reply({ .status = unknownOutcomeStatus, .body = R"({"error":{"code":"internal","ran":"unknown","step":"http"}})" });
 }
 
 void HttpResponder::connectionClosed(evhttp_connection*, void* self)
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -47,7 +47,8 @@
     bool close { false };
 };
 
-// The right to answer one request, once, at any later time in the loop. Safe to use after the peer has gone.
+// The right to answer one request, once, at any later time in the loop. Safe to use after the peer has gone. One that
+// is let go without an answer tells the peer that the request may have run.
 class HttpResponder {
 public:
     // `unsent` counts replies that were begun and have not left the process yet.
--- a/test/wire/HttpServerTest.cpp
+++ b/test/wire/HttpServerTest.cpp
@@ -228,3 +228,31 @@
     cr_assert(runUntil(echo.loop, [&peer] { return peer->closedByPeer(); }));
     cr_assert(countOf(peer->received(), "whole") == 1);
 }
+
+Test(HttpServer, saysOfADroppedRequestThatItMayHaveRun)
+{
+    EchoServer echo(options());
+    const auto peer = echo.connect();
+    peer->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    echo.held.reset();
+    cr_assert(runUntil(echo.loop, [&peer] { return countOf(peer->received(), "unknown") == 1; }));
+    cr_assert(countOf(peer->received(), "HTTP/1.1 504") == 1, "got '%s'", peer->received().c_str());
+}
+
+Test(HttpServer, closesTheConnectionsOfHeldRequestsWithoutAnAnswerWhenItEnds)
+{
+    EchoServer echo(options());
+    const auto held = echo.connect();
+    held->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    const auto first = std::exchange(echo.held, nullptr);
+    const auto dropped = echo.connect();
+    dropped->send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(echo.loop, [&echo] { return echo.held != nullptr; }));
+    echo.held.reset();
+    echo.server.reset();
+    cr_assert(runUntil(echo.loop, [&] { return held->closedByPeer() && dropped->closedByPeer(); }));
+    cr_assert(held->received().empty() && dropped->received().empty(), "got '%s' and '%s'", held->received().c_str(),
+        dropped->received().c_str());
+}
