--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -201,6 +201,21 @@
     cr_assert(hasStatus(deployment.ask(deployment.front, "GET /a/x"), 410));
 }
 
+Test(PlatformPath, answersARequestThatWaitedForTheQueuesBeforeItsCallerLeaves)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 600'000 }; } });
+    deployment.minion.report(deployment.reports);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.acknowledged == 1; }));
+    const Milliseconds sent = Clock::now();
+    const RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    deployment.pass({ 800 });
+    cr_assert(deployment.ask(deployment.control, "POST /Config.Put", testConfig).find("200") == 9);
+    cr_assert(runUntil(deployment.loop, [&client] { return PlatformDeployment::isWhole(client.received()); }));
+    const Milliseconds took = Clock::now() - sent;
+    cr_assert(took < Milliseconds { 4'400 }, "expected an answer by the 4000 ms that the caller waits, got it after %lld ms: %s",
+        static_cast<long long>(took.count), client.received().c_str());
+}
+
 // Its runs may start elsewhere once it is told that it may go, and it goes when it likes.
 Test(PlatformPath, letsAMinionGoOnceNothingRunsThere)
 {
