Ingress: tell an entry that ends from a caller that leaves

The line of a job that an entry held when it ended said that its client had gone, and a request that waited for the queues left no line.

--- a/test/platform/ExplainTest.cpp
+++ b/test/platform/ExplainTest.cpp
@@ -191,3 +191,28 @@
     }
     cr_assert(deployment.entry.process().metrics.counter("refusals_no_job_total") == 2);
 }
+
+Test(Explain, findsThatAnEntryEndedWithAJobUnderWay)
+{
+    const KeptLog kept;
+    {
+        PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'200 }; } });
+        deployment.becomeReady();
+        deployment.requestId = "ended";
+        deployment.send(deployment.front, "POST /a/x", testJob);
+        cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    }
+    assertOneAnswer(kept.explain("ended"), { "step=entry.job", "peer=r1", "request=ended", "job=x", "this entry has ended; not answered" });
+}
+
+Test(Explain, findsThatAnEntryEndedBeforeItKnewTheQueues)
+{
+    const KeptLog kept;
+    {
+        PlatformDeployment deployment;
+        deployment.requestId = "early";
+        deployment.send(deployment.front, "POST /a/x", testJob);
+        deployment.pass({ 200 });
+    }
+    assertOneAnswer(kept.explain("early"), { "step=entry.job", "request=early", "job=x", "this entry has ended; not answered" });
+}
