--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -43,7 +43,7 @@
     Milliseconds retryAfter {};
     // Set on a redirect.
     std::string location;
-    // Ask the peer to come back on another connection.
+    // Ask the peer to use another connection for its next request.
     bool close { false };
 };
 
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -60,7 +60,7 @@
     assertStoppedEachOnceOrAgain(deployment.minion, 3);
 }
 
-// The whole deployment stands still while the answers to its stops arrive.
+// The whole deployment is paused while the answers to its stops arrive.
 Test(PlatformPath, stopsAgainWhatWasNotSeenToStop)
 {
     PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'000 }; } });
