--- a/test/platform/ExplainTest.cpp
+++ b/test/platform/ExplainTest.cpp
@@ -1,5 +1,6 @@
 #include "base/Log.h"
 #include "base/LogLines.h"
+#include "support/FaultRelay.h"
 #include "support/PlatformDeployment.h"
 
 #include <fstream>
@@ -216,3 +217,25 @@
     }
     assertOneAnswer(kept.explain("early"), { "step=entry.job", "request=early", "job=x", "this entry has ended; not answered" });
 }
+
+Test(Explain, findsTheStartsThatAMinionDidNotAnswer)
+{
+    const KeptLog kept;
+    const auto portOf = [](const std::string& address) { return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))); };
+    const std::string behindRelay = freeAddress();
+    const std::string throughRelay = freeAddress();
+    PlatformDeployment deployment({ .listen = behindRelay, .advertise = throughRelay, .runTime = [](const std::string&) { return Milliseconds { 400 }; } });
+    FaultRelay relay(deployment.loop, portOf(throughRelay), portOf(behindRelay));
+    cr_assert(relay.start().has_value());
+    deployment.becomeReady();
+    relay.setFault({ .dropAnswers = true });
+    deployment.requestId = "unanswered";
+    const RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.started.size() == 3; }));
+    deployment.pass({ 100 });
+    relay.setFault({});
+    cr_assert(runUntil(deployment.loop, [&client] { return PlatformDeployment::isWhole(client.received()); }));
+    const std::string told = kept.explain("unanswered");
+    assertTells(told, { "step=minion.start", "step=sidecar.start", "run 1 of step 0, whose start was not answered: started", "step=entry.job" });
+    assertOneAnswer(told, { "answered " });
+}
