DispatchModel: play minions that answer late, lose answers, pause and restart

The model's minion answered at once, or seconds later without an answer, so no schedule came near a loaded machine.

Change: busyMinions() draws the way of each call and each answer, loses some, lets them overtake each other, and has a sidecar that stands still take answers in afterwards; pauseMinion(), restartMinion(), cancel(). The model notes jobs that were only refused and of which a task started, and keeps the story of each job. Default behaviour is as before, but for a caller that leaves a frozen entry, whom the entry now notices when it goes on.

--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -15,6 +15,26 @@
     constexpr std::int64_t spreadOfDelay = 10'000;
     constexpr std::int64_t thousandths = 1'000;
     constexpr const char* service = "service";
+    constexpr std::uint64_t wholePercent = 100;
+
+    const char* startAnswerName(StartAnswer answer)
+    {
+        switch (answer) {
+        case StartAnswer::Started:
+            return "started";
+        case StartAnswer::NoRoom:
+            return "no room";
+        case StartAnswer::Unhealthy:
+            return "unhealthy";
+        case StartAnswer::Superseded:
+            return "superseded";
+        case StartAnswer::Refused:
+            return "refused";
+        case StartAnswer::Unknown:
+            break;
+        }
+        return "no answer";
+    }
 
     std::string sidecarName(int number) { return fmt::format("sidecar-{}", number); }
 
@@ -42,6 +62,7 @@
     std::deque<std::function<void()>> inbox;
     std::optional<Milliseconds> timerAt;
     bool out { false };
+    TaskNeeds used;
 };
 
 struct DispatchModel::Minion {
@@ -62,7 +83,8 @@
     std::uint64_t lastEnd { 0 };
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::uint64_t> highestEnded;
     // Lists that wait for an end.
-    std::vector<std::pair<ListRuns, Milliseconds>> waiting;
+    std::vector<WaitingList> waiting;
+    Milliseconds pausedUntil {};
     std::int64_t slow { 1 };
     double failShare { 0 };
     bool hangs { false };
@@ -131,6 +153,10 @@
     entry.timerAt.reset();
     entry.outcomeOf.clear();
     entry.inbox.clear();
+    for (auto& outcome : m_outcomes) {
+        if (outcome.entry == number && !outcome.kind && !outcome.left)
+            outcome.left = true, outcome.endedAt = m_now;
+    }
     const bool isFirst = entry.generation++ == 0;
     if (isFirst)
         return;
@@ -172,13 +198,21 @@
     Minion& minion = *m_minions[static_cast<std::size_t>(number)];
     const int generation = sidecar.generation;
     if (minion.up) {
-        sidecar.runs->permit(m_now + Milliseconds { 3'600'000 }, !sidecar.out);
-        sidecar.runs->reported({ .born = minion.born,
-                                   .sequence = ++minion.sequence,
-                                   .service = service,
-                                   .capacity = m_options.capacity },
-            m_now);
-        actSidecar(number);
+        const MinionReport report { .born = minion.born,
+            .sequence = ++minion.sequence,
+            .service = service,
+            .capacity = m_options.capacity };
+        const auto take = [this, number, report] {
+            Sidecar& again = *m_sidecars[static_cast<std::size_t>(number)];
+            again.runs->permit(m_now + Milliseconds { 3'600'000 }, !again.out);
+            again.runs->reported(report, m_now);
+        };
+        if (m_busy) {
+            at(std::max(m_now, minion.pausedUntil) + way(), [this, number, generation, take] { atSidecar(number, generation, take); });
+        } else {
+            take();
+            actSidecar(number);
+        }
     }
     at(m_now + reportPeriod, [this, number, generation] {
         if (m_sidecars[static_cast<std::size_t>(number)]->generation == generation)
@@ -251,6 +285,15 @@
     });
 }
 
+void DispatchModel::pauseMinion(int number, Milliseconds duration)
+{
+    Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    minion.pausedUntil = std::max(minion.pausedUntil, m_now + duration);
+}
+
+void DispatchModel::restartMinion(int number) { crashMinion(number, {}); }
+void DispatchModel::busyMinions(const BusyMinions& busy) { m_busy = busy; }
+
 void DispatchModel::slowMinion(int number, std::int64_t times) { m_minions[static_cast<std::size_t>(number)]->slow = times; }
 void DispatchModel::failMinion(int number, double share) { m_minions[static_cast<std::size_t>(number)]->failShare = share; }
 void DispatchModel::hangMinion(int number, bool hangs) { m_minions[static_cast<std::size_t>(number)]->hangs = hangs; }
@@ -271,6 +314,7 @@
     m_outcomes.push_back({ .job = job,
         .queue = queue.config.name,
         .arrived = m_now,
+        .entry = entry,
         .ideal = real,
         .objective = Milliseconds { real.count * queue.config.stretchPercent / 100 } + queue.config.latencyAllowance });
     m_queueOfJob[job] = queue;
@@ -282,6 +326,7 @@
         const auto submission = at.dispatcher->submit(
             { .name = job, .payload = job, .queue = config, .deadline = m_now + patience, .steps = { step } }, m_now);
         at.outcomeOf[submission] = index;
+        tell(job, "is submitted at entry {}", entry);
     };
     Entry& target = *m_entries[static_cast<std::size_t>(entry)];
     if (m_now < target.frozenUntil)
@@ -292,16 +337,41 @@
     return index;
 }
 
+void DispatchModel::cancel(int number, const ModelQueue& queue, const std::string& job)
+{
+    const auto cancelNow = [this, number, queue = queue.config.name, job] {
+        m_entries[static_cast<std::size_t>(number)]->dispatcher->cancel(queue, job);
+    };
+    Entry& target = *m_entries[static_cast<std::size_t>(number)];
+    if (m_now < target.frozenUntil)
+        target.inbox.emplace_back(cancelNow);
+    else
+        cancelNow();
+    actEntry(number);
+}
+
 void DispatchModel::abandon(std::size_t index)
 {
-    for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        for (const auto& [submission, outcome] : m_entries[i]->outcomeOf) {
-            if (outcome != index)
-                continue;
-            m_entries[i]->dispatcher->abandon(submission);
-            return actEntry(static_cast<int>(i));
-        }
-    }
+    ModelOutcome& outcome = m_outcomes.at(index);
+    if (outcome.left)
+        return;
+    outcome.left = true;
+    outcome.endedAt = m_now;
+    const auto abandonNow = [this, number = outcome.entry, index] {
+        Entry& at = *m_entries[static_cast<std::size_t>(number)];
+        const auto found = std::find_if(
+            at.outcomeOf.begin(), at.outcomeOf.end(), [index](const auto& item) { return item.second == index; });
+        if (found == at.outcomeOf.end())
+            return;
+        at.dispatcher->abandon(found->first);
+        at.outcomeOf.erase(found);
+    };
+    Entry& target = *m_entries[static_cast<std::size_t>(outcome.entry)];
+    if (m_now < target.frozenUntil)
+        target.inbox.emplace_back(abandonNow);
+    else
+        abandonNow();
+    actEntry(outcome.entry);
 }
 
 void DispatchModel::actEntry(int number)
@@ -358,10 +428,15 @@
         if (found == own.outcomeOf.end())
             continue;
         ModelOutcome& outcome = m_outcomes[found->second];
+        if (outcome.left) {
+            own.outcomeOf.erase(found);
+            continue;
+        }
         outcome.kind = end.kind;
         outcome.reason = end.reason;
         outcome.retryAfter = end.retryAfter;
         outcome.endedAt = m_now;
+        tell(outcome.job, "entry {} answers {} ({})", entry, dispatchEndKindName(end.kind), end.reason);
         own.outcomeOf.erase(found);
     }
     for (const auto& name : actions.reconnect) {
@@ -376,6 +451,11 @@
     const Link& link = this->link(entry, sidecar);
     if (!link.open)
         return;
+    for (const auto& order : frame.orders)
+        for (const auto& task : order.tasks)
+            tell(order.job, "entry {} sends task {} run {} to sidecar {}", entry, task.index, task.run, sidecar);
+    for (const auto& run : frame.stops)
+        tell(run.job, "entry {} stops task {} run {} at sidecar {}", entry, run.index, run.run, sidecar);
     // TCP delivers what a cut held up, unless the stream is closed meanwhile.
     at(std::max(m_now, link.cutUntil) + m_options.delay, [this, entry, sidecar, frame, stream = link.stream] {
         Link& now = this->link(entry, sidecar);
@@ -405,8 +485,13 @@
 void DispatchModel::toEntry(int sidecar, int entry, const SidecarFrame& frame)
 {
     const Link& link = this->link(entry, sidecar);
-    if (!link.open)
+    if (frame.state)
+        m_sidecars[static_cast<std::size_t>(sidecar)]->used = frame.state->used;
+    // Until the first frame of a new stream has arrived, the sidecar writes to the former one.
+    if (!link.open || (m_busy && !link.greeted))
         return;
+    for (const auto& end : frame.ends)
+        tell(end.run.job, "sidecar {} tells entry {} the end of task {} run {}: {}", sidecar, entry, end.run.index, end.run.run, runEndKindName(end.kind));
     // TCP delivers what a cut held up, unless the stream is closed meanwhile.
     at(std::max(m_now, link.cutUntil) + m_options.delay, [this, entry, sidecar, frame, stream = link.stream] {
         if (this->link(entry, sidecar).stream != stream)
@@ -424,9 +509,88 @@
     });
 }
 
+Milliseconds DispatchModel::way()
+{
+    const auto below = [this](std::int64_t limit) { return static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(limit)); };
+    if (drawn(m_busy->verySlowPercent))
+        return leastDelayOfOrder + Milliseconds { below(spreadOfDelay) };
+    if (drawn(m_busy->slowPercent))
+        return { 10 + below(290) };
+    return { below(5) };
+}
+
+bool DispatchModel::drawn(int percent) { return m_random() % wholePercent < static_cast<std::uint64_t>(percent); }
+
+// A process that stands still takes it in when it goes on.
+void DispatchModel::atSidecar(int number, int generation, const std::function<void()>& take)
+{
+    Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
+    if (sidecar.generation != generation)
+        return;
+    if (m_now < sidecar.frozenUntil)
+        sidecar.inbox.emplace_back(take);
+    else
+        take();
+    actSidecar(number);
+}
+
+// A call ends with the life of the minion to which it was sent.
+void DispatchModel::callMinion(int sidecar, const std::function<void()>& carryOut)
+{
+    if (drawn(m_busy->lostCallPercent))
+        return;
+    const Milliseconds born = m_minions[static_cast<std::size_t>(sidecar)]->born;
+    const auto arrive = [this, sidecar, born, carryOut] {
+        const Minion& minion = *m_minions[static_cast<std::size_t>(sidecar)];
+        if (!minion.up || minion.born != born)
+            return;
+        if (m_now >= minion.pausedUntil)
+            return carryOut();
+        at(minion.pausedUntil, [this, sidecar, born, carryOut] {
+            const Minion& again = *m_minions[static_cast<std::size_t>(sidecar)];
+            if (again.up && again.born == born)
+                carryOut();
+        });
+    };
+    at(m_now + way(), arrive);
+}
+
+void DispatchModel::answerFrom(int sidecar, int generation, const std::function<void()>& take)
+{
+    const Minion& minion = *m_minions[static_cast<std::size_t>(sidecar)];
+    if (drawn(m_busy->lostAnswerPercent))
+        return;
+    at(std::max(m_now, minion.pausedUntil) + way(), [this, sidecar, generation, take] { atSidecar(sidecar, generation, take); });
+}
+
+std::string DispatchModel::story(const std::string& job) const
+{
+    const auto found = m_stories.find(job);
+    return found == m_stories.end() ? std::string() : found->second;
+}
+
+std::vector<std::string> DispatchModel::refusedButStarted() const
+{
+    std::map<std::string, bool> refused;
+    for (const auto& outcome : m_outcomes) {
+        const bool isRefused = outcome.kind == DispatchEndKind::Refused;
+        const auto [item, isFirst] = refused.emplace(outcome.job, isRefused);
+        item->second = item->second && isRefused;
+    }
+    std::vector<std::string> broken;
+    for (const auto& job : m_started) {
+        const auto found = refused.find(job);
+        if (found != refused.end() && found->second)
+            broken.push_back(job);
+    }
+    return broken;
+}
+
 // An order reaches the minion, or is carried out seconds later without an answer.
 void DispatchModel::order(int sidecar, const std::function<void(bool answer)>& carryOut)
 {
+    if (m_busy)
+        return callMinion(sidecar, [carryOut] { carryOut(true); });
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
     const bool delayed = draw < m_delayedOrders;
     const Milliseconds born = m_minions[static_cast<std::size_t>(sidecar)]->born;
@@ -448,12 +612,24 @@
     const auto answerOnce = [this, number, generation](auto answered, auto lost) {
         auto open = std::make_shared<bool>(true);
         at(m_now + m_options.orderTimeout, [this, number, generation, open, lost] {
+            const auto giveUp = [open, lost] {
+                if (std::exchange(*open, false))
+                    lost();
+            };
+            if (m_busy)
+                return atSidecar(number, generation, giveUp);
             if (std::exchange(*open, false) && m_sidecars[static_cast<std::size_t>(number)]->generation == generation) {
                 lost();
                 actSidecar(number);
             }
         });
         return [this, number, generation, open, answered](auto answer) {
+            const auto take = [open, answered, answer] {
+                if (std::exchange(*open, false))
+                    answered(answer);
+            };
+            if (m_busy)
+                return answerFrom(number, generation, take);
             if (std::exchange(*open, false) && m_sidecars[static_cast<std::size_t>(number)]->generation == generation) {
                 answered(answer);
                 actSidecar(number);
@@ -464,13 +640,16 @@
         const Milliseconds lateAt = m_now + item.lease;
         const auto reply = answerOnce(
             [this, number, name = item.run](StartAnswer answer) {
+                tell(name.job, "minion {} answers the start of task {} run {}: {}", number, name.index, name.run, startAnswerName(answer));
                 m_sidecars[static_cast<std::size_t>(number)]->runs->startAnswered(name, answer, m_now);
             },
             [this, number, name = item.run] {
+                tell(name.job, "sidecar {} gives the start of task {} run {} up", number, name.index, name.run);
                 m_sidecars[static_cast<std::size_t>(number)]->runs->startAnswered(name, StartAnswer::Unknown, m_now);
             });
         order(number, [this, number, item, reply, lateAt](bool answer) {
-            const StartAnswer taken = m_now >= lateAt ? StartAnswer::Refused : start(number, item);
+            const Milliseconds leaseEnd = m_busy ? lateAt : m_now + item.lease;
+            const StartAnswer taken = m_now >= lateAt ? StartAnswer::Refused : start(number, item, leaseEnd);
             if (answer)
                 reply(taken);
         });
@@ -478,6 +657,7 @@
     for (const auto& item : actions.stops) {
         const auto reply = answerOnce(
             [this, number, name = item.run](bool answered) {
+                tell(name.job, "minion {} answers the stop of task {} run {}", number, name.index, name.run);
                 m_sidecars[static_cast<std::size_t>(number)]->runs->stopAnswered(name, answered, m_now);
             },
             [this, number, name = item.run] {
@@ -515,11 +695,11 @@
     }
 }
 
-StartAnswer DispatchModel::start(int number, const StartRun& order)
+StartAnswer DispatchModel::start(int number, const StartRun& order, Milliseconds leaseEnd)
 {
     Minion& minion = *m_minions[static_cast<std::size_t>(number)];
     lapse(number);
-    minion.leaseEnd = std::max(minion.leaseEnd, m_now + order.lease);
+    minion.leaseEnd = std::max(minion.leaseEnd, leaseEnd);
     if (minion.running.contains(order.run))
         return StartAnswer::Started;
     const auto highest = minion.highestEnded.find({ order.run.job, order.run.step, order.run.index });
@@ -531,6 +711,8 @@
     if (!fitsInto(free, queue.needs))
         return StartAnswer::NoRoom;
     ++m_starts;
+    m_started.insert(order.run.job);
+    tell(order.run.job, "task {} run {} starts at minion {}", order.run.index, order.run.run, number);
     checkTwice(number, order.run);
     addNeeds(minion.used, queue.needs, 1);
     const double spread = std::lognormal_distribution<double>(0, 0.15)(m_random);
@@ -560,7 +742,10 @@
     const auto found = minion.running.find(order.run);
     if (found == minion.running.end())
         return true;
-    at(m_now + stopGrace, [this, number, name = order.run, serial = found->second.serial] {
+    const Milliseconds grace = m_busy
+        ? Milliseconds { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(m_busy->stopGrace.count + 1)) }
+        : stopGrace;
+    at(m_now + grace, [this, number, name = order.run, serial = found->second.serial] {
         const auto& running = m_minions[static_cast<std::size_t>(number)]->running;
         const auto again = running.find(name);
         if (again != running.end() && again->second.serial == serial)
@@ -592,19 +777,50 @@
     auto& highest = minion.highestEnded[{ name.job, name.step, name.index }];
     highest = std::max(highest, name.run);
     minion.ends.push_back({ .number = ++minion.lastEnd, .run = name, .kind = kind });
-    for (const auto& [asked, askedAt] : std::exchange(minion.waiting, {}))
-        answerList(number, asked, askedAt);
+    tell(name.job, "task {} run {} ends at minion {}", name.index, name.run, number);
+    for (const auto& each : std::exchange(minion.waiting, {}))
+        answerList(number, each);
+}
+
+void DispatchModel::listBusy(int number, const ListRuns& request)
+{
+    const Milliseconds askedAt = m_now;
+    const int generation = m_sidecars[static_cast<std::size_t>(number)]->generation;
+    const WaitingList list { .asked = request, .askedAt = askedAt, .open = std::make_shared<bool>(true) };
+    at(m_now + request.wait + m_options.orderTimeout, [this, number, generation, open = list.open] {
+        atSidecar(number, generation, [this, number, open] {
+            if (std::exchange(*open, false))
+                m_sidecars[static_cast<std::size_t>(number)]->runs->listFailed(m_now);
+        });
+    });
+    callMinion(number, [this, number, list] {
+        lapse(number);
+        Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+        if (list.asked.lease)
+            minion.leaseEnd = std::max(minion.leaseEnd, list.askedAt + *list.asked.lease);
+        std::erase_if(minion.ends, [&list](const ListedEnd& end) { return end.number <= list.asked.endsSeen; });
+        if (list.asked.wait.count == 0 || !minion.ends.empty())
+            return answerList(number, list);
+        minion.waiting.push_back(list);
+        at(m_now + list.asked.wait, [this, number, list] {
+            Minion& again = *m_minions[static_cast<std::size_t>(number)];
+            if (std::erase_if(again.waiting, [&list](const auto& each) { return each.open == list.open; }) > 0)
+                answerList(number, list);
+        });
+    });
 }
 
 void DispatchModel::list(int number, const ListRuns& request, Milliseconds askedAt)
 {
+    if (m_busy)
+        return listBusy(number, request);
     Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
     const int generation = sidecar.generation;
     const Milliseconds giveUpAt = m_now + request.wait + m_options.orderTimeout;
     auto answered = std::make_shared<bool>(false);
     at(giveUpAt, [this, number, generation, answered, askedAt] {
         Minion& minion = *m_minions[static_cast<std::size_t>(number)];
-        const bool wasOpen = std::erase_if(minion.waiting, [askedAt](const auto& each) { return each.second == askedAt; }) > 0;
+        const bool wasOpen = std::erase_if(minion.waiting, [askedAt](const auto& each) { return each.askedAt == askedAt; }) > 0;
         if (m_sidecars[static_cast<std::size_t>(number)]->generation != generation || (*answered && !wasOpen))
             return;
         m_sidecars[static_cast<std::size_t>(number)]->runs->listFailed(m_now);
@@ -619,18 +835,19 @@
             minion.leaseEnd = std::max(minion.leaseEnd, askedAt + *request.lease);
         std::erase_if(minion.ends, [&request](const ListedEnd& end) { return end.number <= request.endsSeen; });
         *answered = true;
+        const WaitingList list { .asked = request, .askedAt = askedAt, .open = {} };
         if (request.wait.count == 0 || !minion.ends.empty())
-            return answerList(number, request, askedAt);
-        minion.waiting.emplace_back(request, askedAt);
-        at(m_now + request.wait, [this, number, askedAt, request] {
+            return answerList(number, list);
+        minion.waiting.push_back(list);
+        at(m_now + request.wait, [this, number, list] {
             Minion& again = *m_minions[static_cast<std::size_t>(number)];
-            if (std::erase_if(again.waiting, [askedAt](const auto& each) { return each.second == askedAt; }) > 0)
-                answerList(number, request, askedAt);
+            if (std::erase_if(again.waiting, [&list](const auto& each) { return each.askedAt == list.askedAt; }) > 0)
+                answerList(number, list);
         });
     });
 }
 
-void DispatchModel::answerList(int number, const ListRuns& asked, Milliseconds askedAt)
+RunList DispatchModel::runList(int number)
 {
     lapse(number);
     const Minion& minion = *m_minions[static_cast<std::size_t>(number)];
@@ -641,24 +858,40 @@
         list.running.push_back({ .run = name, .percent = static_cast<int>(percent) });
     }
     list.ended.assign(minion.ends.begin(), minion.ends.end());
+    return list;
+}
+
+void DispatchModel::answerList(int number, const WaitingList& request)
+{
     const int generation = m_sidecars[static_cast<std::size_t>(number)]->generation;
-    at(m_now + m_options.localDelay, [this, number, generation, list, asked, askedAt] {
-        Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
-        if (sidecar.generation != generation)
+    const Minion& minion = *m_minions[static_cast<std::size_t>(number)];
+    if (m_busy && m_now < minion.pausedUntil) {
+        return at(minion.pausedUntil, [this, number, request, born = minion.born] {
+            if (m_minions[static_cast<std::size_t>(number)]->born == born)
+                answerList(number, request);
+        });
+    }
+    const RunList list = runList(number);
+    const auto take = [this, number, generation, list, request] {
+        Sidecar& again = *m_sidecars[static_cast<std::size_t>(number)];
+        if (again.generation != generation || (request.open && !std::exchange(*request.open, false)))
             return;
-        const auto take = [this, number, generation, list, asked, askedAt] {
-            Sidecar& again = *m_sidecars[static_cast<std::size_t>(number)];
-            if (again.generation == generation)
-                again.runs->listed(list, asked, askedAt, m_now);
-        };
-        if (m_now < sidecar.frozenUntil)
-            sidecar.inbox.emplace_back(take);
-        else
-            take();
-        actSidecar(number);
+        again.runs->listed(list, request.asked, request.askedAt, m_now);
+    };
+    if (m_busy)
+        return answerFrom(number, generation, take);
+    at(m_now + m_options.localDelay, [this, number, generation, take] {
+        if (m_sidecars[static_cast<std::size_t>(number)]->generation == generation)
+            atSidecar(number, generation, take);
     });
 }
 
+std::size_t DispatchModel::queuedRunsAt(int sidecar) const { return m_sidecars[static_cast<std::size_t>(sidecar)]->runs->queuedRuns(); }
+
+std::size_t DispatchModel::waitingCallersAt(int entry) const { return m_entries[static_cast<std::size_t>(entry)]->outcomeOf.size(); }
+
+TaskNeeds DispatchModel::usedAt(int sidecar) const { return m_sidecars[static_cast<std::size_t>(sidecar)]->used; }
+
 std::size_t DispatchModel::running(int sidecar) const { return m_minions[static_cast<std::size_t>(sidecar)]->running.size(); }
 
 std::size_t DispatchModel::runsAt(int entry, int sidecar) const
--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -3,6 +3,8 @@
 #include "policy/JobDispatcher.h"
 #include "policy/RunTable.h"
 
+#include <fmt/format.h>
+
 #include <deque>
 #include <functional>
 #include <map>
@@ -32,6 +34,19 @@
     RunTableOptions runs;
 };
 
+// How calls between a sidecar and its minion fare on a machine with much else to do. Each call and each answer has its
+// own delay, so that they overtake each other; shares are hundredths of all calls.
+struct BusyMinions {
+    // Take 10 to 300 ms on their way, and two seconds or more; all others up to 4 ms.
+    int slowPercent { 0 };
+    int verySlowPercent { 0 };
+    // Never reach the minion, or are carried out without an answer.
+    int lostCallPercent { 0 };
+    int lostAnswerPercent { 0 };
+    // Longest time that a stop takes.
+    Milliseconds stopGrace { 50 };
+};
+
 // Kinds of work, as the deployments of the users describe theirs.
 struct ModelQueue {
     QueueConfig config;
@@ -50,6 +65,9 @@
     Milliseconds endedAt {};
     // Absent while the job is under way, and for a caller that left.
     std::optional<DispatchEndKind> kind;
+    // The caller did not wait for the answer, or its connection broke at `endedAt`.
+    bool left { false };
+    int entry { 0 };
     std::string reason;
     Milliseconds retryAfter {};
     // Time within which an ideal system would have ended it.
@@ -59,7 +77,8 @@
 
 // Entries, sidecars and minions around the real decisions, under a virtual clock. Minions keep the rules of
 // sidecar/MinionPort.h: leases, run numbers, room, ends that are listed until they are seen. Faults are injected from
-// outside. While it runs it checks that no task runs twice at the same time on minions that are up.
+// outside. While it runs it checks that no task runs twice at the same time on minions that are up, and notes which jobs
+// were answered as refused although a task of theirs started.
 class DispatchModel {
 public:
     explicit DispatchModel(const DispatchModelOptions&);
@@ -75,6 +94,7 @@
     // Submits a job at an entry; its outcome is at the index returned.
     std::size_t submit(int entry, const ModelQueue&, const std::string& job, Milliseconds patience);
     void abandon(std::size_t outcome);
+    void cancel(int entry, const ModelQueue&, const std::string& job);
     const std::vector<ModelOutcome>& outcomes() const { return m_outcomes; }
     const ModelOutcome& outcome(std::size_t index) const { return m_outcomes.at(index); }
 
@@ -97,11 +117,21 @@
     void hangMinion(int, bool hangs);
     // Orders with this probability get no answer and are carried out seconds later.
     void delayOrders(double share);
+    // From now on, instead of what delayOrders() does.
+    void busyMinions(const BusyMinions&);
+    // The minion takes in and answers nothing, while its runs and its lease go on. With busyMinions() only.
+    void pauseMinion(int, Milliseconds duration);
+    // The minion ends and starts again at once, with nothing, under the same address.
+    void restartMinion(int);
     void takeOut(int sidecar, bool out);
 
     // Times at which one task ran twice, each in a line.
     const std::vector<std::string>& violations() const { return m_violations; }
     std::size_t starts() const { return m_starts; }
+    // Jobs of which every submission was answered as refused and a task has started, before or after.
+    std::vector<std::string> refusedButStarted() const;
+    // What became of a job, a line for each order, answer and end. Kept with busyMinions() only.
+    std::string story(const std::string& job) const;
     // Processor time of runs that did not end well, in core milliseconds.
     double wastedCoreMs() const { return m_wastedCoreMs; }
     std::size_t running(int sidecar) const;
@@ -109,12 +139,24 @@
     // Jobs that an entry still holds, and runs that a sidecar does.
     std::size_t jobsAt(int entry) const;
     std::size_t liveRunsAt(int sidecar) const;
+    std::size_t queuedRunsAt(int sidecar) const;
+    // Callers that wait at an entry for an answer.
+    std::size_t waitingCallersAt(int entry) const;
+    // What is taken at the minion, as its sidecar told entries last.
+    TaskNeeds usedAt(int sidecar) const;
 
 private:
     struct Entry;
     struct Sidecar;
     struct Minion;
     struct Link;
+    // A list that waits for an end. `open` until the sidecar has the answer or no longer waits for it; only with
+    // busyMinions().
+    struct WaitingList {
+        ListRuns asked;
+        Milliseconds askedAt {};
+        std::shared_ptr<bool> open;
+    };
     struct Event {
         Milliseconds at {};
         std::uint64_t order { 0 };
@@ -133,10 +175,25 @@
     void toEntry(int sidecar, int entry, const SidecarFrame&);
     void report(int sidecar);
     void order(int sidecar, const std::function<void(bool answer)>& carryOut);
-    StartAnswer start(int sidecar, const StartRun&);
+    // Calls and answers with busyMinions().
+    Milliseconds way();
+    bool drawn(int percent);
+    void atSidecar(int sidecar, int generation, const std::function<void()>&);
+    void callMinion(int sidecar, const std::function<void()>& carryOut);
+    void answerFrom(int sidecar, int generation, const std::function<void()>& take);
+    void listBusy(int sidecar, const ListRuns&);
+    // Adds a line to the story of a job, with busyMinions() only.
+    template <typename... Args>
+    void tell(const std::string& job, fmt::format_string<Args...> text, Args&&... args)
+    {
+        if (m_busy)
+            m_stories[job] += fmt::format("{} ms: {}\n", m_now.count, fmt::format(text, std::forward<Args>(args)...));
+    }
+    StartAnswer start(int sidecar, const StartRun&, Milliseconds leaseEnd);
     bool stop(int sidecar, const StopRun&);
     void list(int sidecar, const ListRuns&, Milliseconds askedAt);
-    void answerList(int sidecar, const ListRuns&, Milliseconds askedAt);
+    void answerList(int sidecar, const WaitingList&);
+    RunList runList(int sidecar);
     void endRun(int sidecar, const RunName&, ListedEndKind);
     void checkTwice(int sidecar, const RunName&);
     void lapse(int sidecar);
@@ -157,6 +214,9 @@
     std::size_t m_starts { 0 };
     double m_wastedCoreMs { 0 };
     double m_delayedOrders { 0 };
+    std::optional<BusyMinions> m_busy;
+    std::set<std::string> m_started;
+    std::map<std::string, std::string> m_stories;
 };
 
 } // namespace oleanderport
