DispatchModel: let no frame overtake another on one stream

Change: a cut never shortens another, and what arrives at a process that has not yet read its inbox goes behind it.

--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -253,7 +253,9 @@
 
 void DispatchModel::cut(int entry, int sidecar, Milliseconds duration)
 {
-    link(entry, sidecar).cutUntil = m_now + duration;
+    // A shorter cut does not end a longer one: what is on its way would be overtaken by what follows.
+    Milliseconds& until = link(entry, sidecar).cutUntil;
+    until = std::max(until, m_now + duration);
 }
 
 void DispatchModel::freezeEntry(int number, Milliseconds duration)
@@ -474,7 +476,7 @@
                 again.runs->received(m_entries[static_cast<std::size_t>(entry)]->life, frame, m_now);
             }
         };
-        if (m_now < target.frozenUntil)
+        if (m_now < target.frozenUntil || !target.inbox.empty())
             target.inbox.emplace_back(take);
         else
             take();
@@ -501,7 +503,7 @@
             if (this->link(entry, sidecar).stream == stream)
                 m_entries[static_cast<std::size_t>(entry)]->dispatcher->received(sidecarName(sidecar), frame, m_now);
         };
-        if (m_now < target.frozenUntil)
+        if (m_now < target.frozenUntil || !target.inbox.empty())
             target.inbox.emplace_back(take);
         else
             take();
@@ -527,7 +529,7 @@
     Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
     if (sidecar.generation != generation)
         return;
-    if (m_now < sidecar.frozenUntil)
+    if (m_now < sidecar.frozenUntil || !sidecar.inbox.empty())
         sidecar.inbox.emplace_back(take);
     else
         take();
