--- /dev/null
+++ b/test/policy/RunTableLivesTest.cpp
@@ -0,0 +1,71 @@
+#include "policy/RunTable.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+
+// What a sidecar may tell of runs when it or its minion has just started again.
+
+namespace {
+
+constexpr Milliseconds start { 50'000 };
+constexpr Milliseconds firstBorn { 7 };
+constexpr Milliseconds secondBorn { 9 };
+constexpr const char* entryLife = "entry/1";
+
+MinionReport report(Milliseconds born)
+{
+    return { .born = born, .sequence = 1, .service = "service", .capacity = { .cpuMillis = 4'000, .memoryMb = 100 } };
+}
+
+std::size_t endsIn(const RunActions& actions)
+{
+    std::size_t ends = 0;
+    for (const auto& item : actions.frames)
+        ends += item.frame.ends.size();
+    return ends;
+}
+
+// A sidecar whose minion is found empty.
+RunTable readyTable()
+{
+    RunTable runs { { .life = "sidecar/1", .dataCentre = "dc" }, start };
+    runs.permit({ 1'000'000 }, true);
+    runs.reported(report(firstBorn), start);
+    runs.act(start);
+    runs.listed({ .born = firstBorn }, {}, start, start);
+    return runs;
+}
+
+} // namespace
+
+// Its answer arrives before the report of the new life, at whose address the order was taken.
+Test(RunTableLives, aRunThatANewLifeOfTheMinionTookBeforeItsReportIsNotToldAsEnded)
+{
+    RunTable runs = readyTable();
+    runs.opened({ .entry = entryLife }, start);
+    runs.act(start);
+    runs.received(entryLife,
+        { .echo = start,
+            .orders = { { .job = "a", .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 2'000, .memoryMb = 1 }, .endBy = { 1'000'000 } } } },
+        start);
+    const auto started = runs.act(start).starts;
+    cr_assert(started.size() == 1, "expected a start, got %zu", started.size());
+    runs.startAnswered(started[0].run, StartAnswer::Started, start);
+    const Milliseconds later = start + Milliseconds { 60 };
+    runs.reported(report(secondBorn), later);
+    cr_assert(endsIn(runs.act(later)) == 0, "the new life may run it");
+    runs.listed({ .born = secondBorn, .running = { { .run = started[0].run, .percent = 10 } } }, {}, later, later);
+    cr_assert(endsIn(runs.act(later)) == 0, "the new life runs it");
+}
+
+// The platform may carry out a start seconds after newer calls; only the lease that the order names makes it late.
+Test(RunTableLives, aRunOfAFormerLifeOfTheSidecarIsNotToldAsEndedWhileItsStartMayArrive)
+{
+    RunTable runs = readyTable();
+    runs.opened({ .entry = entryLife, .outstanding = { { .job = "a", .run = 1 } } }, start);
+    const RunTableOptions options;
+    const Milliseconds later = start + options.minionLease - Milliseconds { 1 };
+    cr_assert(endsIn(runs.act(start)) + endsIn(runs.act(later)) == 0, "its start may still be carried out");
+    cr_assert(endsIn(runs.act(start + options.minionLease * 2)) == 1, "its start can no longer be carried out");
+}
