DispatchModel: model fencing tokens, unhealthy minions and partial lists

The model let a minion carry out a start of a former life of the sidecar after it had heard the new one. The platform's minions do nothing for a lower fencing token, and a sidecar sends nothing before it has its own, so a run that the minion does not list then can no longer begin.

Change: calls carry the life of their sidecar and minions keep the highest; starts may be turned down by an unhealthy minion, and lists may lack rows and say so.

--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -43,6 +43,9 @@
     // Never reach the minion, or are carried out without an answer.
     int lostCallPercent { 0 };
     int lostAnswerPercent { 0 };
+    // Starts that an unhealthy minion turns down, and lists of which rows cannot be read.
+    int unhealthyPercent { 0 };
+    int partialListPercent { 0 };
     // Longest time that a stop takes.
     Milliseconds stopGrace { 50 };
 };
@@ -194,6 +197,7 @@
     void list(int sidecar, const ListRuns&, Milliseconds askedAt);
     void answerList(int sidecar, const WaitingList&);
     RunList runList(int sidecar);
+    void dropRows(RunList&);
     void endRun(int sidecar, const RunName&, ListedEndKind);
     void checkTwice(int sidecar, const RunName&);
     void lapse(int sidecar);
