--- a/test/policy/RunTableLivesTest.cpp
+++ b/test/policy/RunTableIncarnationsTest.cpp
@@ -39,8 +39,8 @@
 
 } // namespace
 
-// Its answer arrives before the report of the new life, at whose address the order was taken.
-Test(RunTableLives, aRunThatANewLifeOfTheMinionTookBeforeItsReportIsNotToldAsEnded)
+// Its answer arrives before the report of the new incarnation, at whose address the order was taken.
+Test(RunTableIncarnations, aRunThatANewIncarnationOfTheMinionTookBeforeItsReportIsNotReportedAsEnded)
 {
     RunTable runs = readyTable();
     runs.opened({ .entry = entryLife }, start);
@@ -54,7 +54,7 @@
     runs.startAnswered(started[0].run, StartAnswer::Started, start);
     const Milliseconds later = start + Milliseconds { 60 };
     runs.reported(report(secondBorn), later);
-    cr_assert(endsIn(runs.act(later)) == 0, "the new life may run it");
+    cr_assert(endsIn(runs.act(later)) == 0, "the new incarnation may run it");
     runs.listed({ .born = secondBorn, .running = { { .run = started[0].run, .percent = 10 } } }, {}, later, later);
-    cr_assert(endsIn(runs.act(later)) == 0, "the new life runs it");
+    cr_assert(endsIn(runs.act(later)) == 0, "the new incarnation runs it");
 }
--- a/test/policy/RunTableModelTest.cpp
+++ b/test/policy/RunTableModelTest.cpp
@@ -375,7 +375,7 @@
     }
 }
 
-Test(RunTableModel, noRunThatWasReportedAsNotStartedStartsInTheNextLifeOfTheMinion)
+Test(RunTableModel, noRunThatWasReportedAsNotStartedStartsInTheNextIncarnationOfTheMinion)
 {
     std::size_t brokenSeeds = 0;
     std::uint64_t first = 0;
