RefusalTruth: test refusals against calls that outlive a minion

A call without an answer may be carried out seconds later, and a minion that starts again under its id knows nothing of the stop that had ruled the start out. With callsOutliveMinions the model lets the next life of the minion carry out calls of the former one.

--- a/test/policy/RefusalTruthTest.cpp
+++ b/test/policy/RefusalTruthTest.cpp
@@ -26,8 +26,9 @@
 
 class Schedule {
 public:
-    explicit Schedule(std::uint64_t seed)
+    explicit Schedule(std::uint64_t seed, bool callsOutliveMinions = false)
         : m_draw(seed)
+        , m_callsOutliveMinions(callsOutliveMinions)
         , m_model({ .entries = entries, .sidecars = sidecars, .capacity = capacity, .seed = seed })
     {
     }
@@ -40,7 +41,8 @@
             .lostCallPercent = m_draw.below(3),
             .lostAnswerPercent = m_draw.below(6),
             .unhealthyPercent = m_draw.below(3),
-            .partialListPercent = m_draw.below(4) });
+            .partialListPercent = m_draw.below(4),
+            .callsOutliveMinions = m_callsOutliveMinions });
         const Milliseconds from = m_model.now();
         const int jobs = 60 + m_draw.below(90);
         for (int i = 0; i < jobs; ++i)
@@ -153,12 +155,14 @@
     }
 
     RandomDraw m_draw;
+    bool m_callsOutliveMinions;
     DispatchModel m_model;
 };
 
 // Plays a schedule for each seed and calls with it; what comes back is a broken promise, empty for none.
 template <typename Check>
-void assertKept(std::uint64_t firstSeed, std::uint64_t lastSeed, const std::vector<std::uint64_t>& more, Check check)
+void assertKept(std::uint64_t firstSeed, std::uint64_t lastSeed, const std::vector<std::uint64_t>& more, Check check,
+    bool callsOutliveMinions = false)
 {
     std::vector<std::uint64_t> seeds(more);
     for (std::uint64_t seed = firstSeed; seed <= lastSeed; ++seed)
@@ -166,7 +170,7 @@
     std::vector<std::uint64_t> failing;
     std::string first;
     for (const auto seed : seeds) {
-        Schedule schedule(seed);
+        Schedule schedule(seed, callsOutliveMinions);
         schedule.play();
         const std::string broken = check(schedule);
         if (broken.empty())
@@ -179,6 +183,12 @@
         fmt::format("{}", fmt::join(failing, " ")).c_str(), first.c_str());
 }
 
+std::string firstBrokenRefusal(const Schedule& schedule)
+{
+    const auto broken = schedule.model().refusedButStarted();
+    return broken.empty() ? std::string() : fmt::format("{}\n{}", broken.front(), schedule.model().story(broken.front()));
+}
+
 } // namespace
 
 Test(RefusalTruth, noTaskStartsOfAJobThatWasOnlyRefused)
@@ -188,13 +198,18 @@
         const auto& outcomes = schedule.model().outcomes();
         refusals += std::count_if(outcomes.begin(), outcomes.end(),
             [](const ModelOutcome& outcome) { return outcome.kind == DispatchEndKind::Refused; });
-        const auto broken = schedule.model().refusedButStarted();
-        return broken.empty() ? std::string() : fmt::format("{}\n{}", broken.front(), schedule.model().story(broken.front()));
+        return firstBrokenRefusal(schedule);
     });
     // Without refusals the schedules show nothing.
     cr_assert(refusals > 3'000, "expected ten refusals a schedule, got %ld in all", static_cast<long>(refusals));
 }
 
+// A start without an answer may reach a minion that has started again and knows nothing of the stop.
+Test(RefusalTruth, noTaskOfARefusedJobStartsInTheNextLifeOfAMinion)
+{
+    assertKept(1, 80, { 222, 281 }, firstBrokenRefusal, true);
+}
+
 Test(RefusalTruth, noTaskRunsTwiceAtOnceUnderLateMinions)
 {
     assertKept(301, 340, { 769, 851, 917, 918, 1064, 1132, 1145, 1450, 1476, 1640, 1923, 2124, 2317 }, [](const Schedule& schedule) {
--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -537,7 +537,7 @@
     actSidecar(number);
 }
 
-// A call ends with the life of the minion to which it was sent. A minion that has heard a later life of the sidecar does
+// A call ends with the life of the minion to which it was sent, unless it is to outlive it. A minion that has heard a later life of the sidecar does
 // nothing for an earlier one, by their fencing tokens.
 void DispatchModel::callMinion(int sidecar, const std::function<void()>& carryOut)
 {
@@ -547,7 +547,8 @@
     const Milliseconds born = m_minions[static_cast<std::size_t>(sidecar)]->born;
     const auto take = [this, sidecar, token, born, carryOut] {
         Minion& minion = *m_minions[static_cast<std::size_t>(sidecar)];
-        if (!minion.up || minion.born != born || token < minion.highestToken)
+        const bool isTheirs = minion.born == born || m_busy->callsOutliveMinions;
+        if (!minion.up || !isTheirs || token < minion.highestToken)
             return;
         minion.highestToken = token;
         carryOut();
--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -46,6 +46,8 @@
     // Starts that an unhealthy minion turns down, and lists of which rows cannot be read.
     int unhealthyPercent { 0 };
     int partialListPercent { 0 };
+    // Calls on their way to one life of a minion are carried out by the next.
+    bool callsOutliveMinions { false };
     // Longest time that a stop takes.
     Milliseconds stopGrace { 50 };
 };
