--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -214,6 +214,8 @@
     }
     if (answer == StartAnswer::Unknown) {
         run.startUnanswered = true;
+        if (run.evidence == StartEvidence::Ordered)
+            run.evidence = StartEvidence::Unanswered;
         // Only a stop that is answered makes the order harmless.
         stop(run, RunEndKind::Stopped);
         return;
@@ -236,8 +238,7 @@
 void RunTable::stopAnswered(const RunName& name, bool answered, Milliseconds now)
 {
     if (const auto stray = m_strays.find(name); stray != m_strays.end()) {
-        if (!answered)
-            stray->second = {};
+        stray->second.hasFailed = !answered;
         return;
     }
     const auto found = m_byMinionName.find(name);
@@ -249,7 +250,14 @@
     if (answered)
         run.stopAnsweredAt = now;
     else
-        run.stopSentAt = {};
+        run.stopOrder.hasFailed = true;
+}
+
+Milliseconds RunTable::dueAt(const StopOrder& order) const
+{
+    if (!order.sentAt)
+        return {};
+    return *order.sentAt + (order.hasFailed ? m_options.stopGap : m_options.stopRetry);
 }
 
 void RunTable::listed(const RunList& list, const ListRuns& asked, Milliseconds askedAt, Milliseconds now)
@@ -260,10 +268,6 @@
     m_listedAt = now;
     m_reachable = true;
     m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
-    if (!list.isEndedWhole) {
-        for (const auto& [name, key] : m_byMinionName)
-            m_runs.at(key).mayHaveMissedEnd = true;
-    }
     for (const auto& ended : list.ended) {
         m_endsSeen = std::max(m_endsSeen, ended.number);
         const auto found = m_byMinionName.find(ended.run);
@@ -291,12 +295,12 @@
 
 void RunTable::takeListedRuns(const RunList& list, Milliseconds askedAt, Milliseconds now)
 {
-    std::map<RunName, Milliseconds> strays;
+    std::map<RunName, StopOrder> strays;
     for (const auto& item : list.running) {
         const auto found = m_byMinionName.find(item.run);
         if (found == m_byMinionName.end()) {
             const auto known = m_strays.find(item.run);
-            strays[item.run] = known == m_strays.end() ? Milliseconds {} : known->second;
+            strays[item.run] = known == m_strays.end() ? StopOrder {} : known->second;
             continue;
         }
         Run& run = m_runs.at(found->second);
@@ -325,12 +329,9 @@
 {
     std::vector<RunKey> gone;
     for (const auto& [name, key] : m_byMinionName) {
-        Run& run = m_runs.at(key);
+        const Run& run = m_runs.at(key);
         if (run.listedAt == now || !isGone(run, listIsWhole, askedAt))
             continue;
-        // Once it has answered a stop, the minion accepts no start of the run, and it lists every end until that was seen.
-        if (listIsWhole && !run.mayHaveMissedEnd && run.evidence == StartEvidence::Possible)
-            run.evidence = StartEvidence::RuledOut;
         gone.push_back(key);
     }
     for (const auto& key : gone)
@@ -384,7 +385,7 @@
     }
     run.state = State::Stopping;
     run.endAs = endAs;
-    run.stopSentAt = {};
+    run.stopOrder = {};
     run.stopAnsweredAt.reset();
 }
 
@@ -394,8 +395,7 @@
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
         stop(run, RunEndKind::Stopped);
-        run.mayHaveMissedEnd = true;
-        run.stopSentAt = {};
+        run.stopOrder = {};
         run.stopAnsweredAt.reset();
     }
 }
@@ -517,9 +517,8 @@
     run.minionName.run = std::max(key.second.run, last.run + 1);
     last = { .run = run.minionName.run, .at = now };
     run.state = State::Starting;
-    run.evidence = StartEvidence::Possible;
+    run.evidence = StartEvidence::Ordered;
     run.startUnanswered = false;
-    run.mayHaveMissedEnd = false;
     run.startedAt = now;
     run.listedAt = {};
     run.percent = 0;
@@ -540,20 +539,17 @@
 {
     if (m_phase == Phase::Absent)
         return;
-    const auto due = [this, now](Milliseconds sentAt) {
-        return sentAt.count == 0 || now >= sentAt + m_options.stopRetry;
-    };
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
-        if (run.state != State::Stopping || run.stopAnsweredAt || !due(run.stopSentAt))
+        if (run.state != State::Stopping || run.stopAnsweredAt || now < dueAt(run.stopOrder))
             continue;
-        run.stopSentAt = now;
+        run.stopOrder = { .sentAt = now };
         actions.stops.push_back({ .run = name });
     }
-    for (auto& [name, sentAt] : m_strays) {
-        if (!due(sentAt))
+    for (auto& [name, order] : m_strays) {
+        if (now < dueAt(order))
             continue;
-        sentAt = now;
+        order = { .sentAt = now };
         actions.stops.push_back({ .run = name });
     }
 }
@@ -675,12 +671,12 @@
         if (run.state == State::Queued && run.notBefore > now)
             at(run.notBefore);
         if (run.state == State::Stopping && !run.stopAnsweredAt)
-            at(run.stopSentAt + m_options.stopRetry);
+            at(dueAt(run.stopOrder));
         else if (run.state != State::Stopping)
             at(std::max(run.order.endBy, now + m_options.listGap));
     }
-    if (!m_strays.empty())
-        at(now + m_options.stopRetry);
+    for (const auto& [name, order] : m_strays)
+        at(dueAt(order));
     const bool hasUnknown = std::any_of(
         m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.unknownRuns.empty(); });
     if (hasUnknown)
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -43,11 +43,12 @@
     Milliseconds retryAfter {};
     // Set on a redirect.
     std::string location;
-    // Ask the peer to come back on another connection.
+    // Ask the peer to use another connection for its next request.
     bool close { false };
 };
 
-// The right to answer one request, once, at any later time in the loop. Safe to use after the peer has gone.
+// The right to answer one request, once, at any later time in the loop. Safe to use after the peer has gone. One that
+// is let go without an answer tells the peer that the request may have run.
 class HttpResponder {
 public:
     // `unsent` counts replies that were begun and have not left the process yet.
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -60,7 +60,7 @@
     assertStoppedEachOnceOrAgain(deployment.minion, 3);
 }
 
-// The whole deployment stands still while the answers to its stops arrive.
+// The whole deployment is paused while the answers to its stops arrive.
 Test(PlatformPath, stopsAgainWhatWasNotSeenToStop)
 {
     PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'000 }; } });
@@ -129,6 +129,93 @@
     cr_assert(client.received().find(R"({"state":"completed"})") != std::string::npos, "got %s", client.received().c_str());
 }
 
+Test(PlatformPath, takesNoFurtherJobOnceItsGraceHasRunOut)
+{
+    bool hangs = false;
+    PlatformDeployment deployment({ .runTime = [&hangs](const std::string&) { return Milliseconds { hangs ? 600'000 : 50 }; } });
+    deployment.becomeReady();
+    hangs = true;
+    deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    RawConnection& open = deployment.connect(deployment.front);
+    deployment.entry.process().settings.shutdownGrace = { 300 };
+    deployment.ingress.shutDown([] {});
+    deployment.pass({ 400 });
+    const std::string ready = deployment.ask(deployment.ready, "GET /readyz");
+    cr_assert(hasStatus(ready, 503), "expected an entry that stops not to be ready, got %s", ready.c_str());
+    open.send(deployment.requestOf("POST /a/y", testJob));
+    cr_assert(runUntil(deployment.loop, [&open] { return PlatformDeployment::isWhole(open.received()); }));
+    cr_assert(hasStatus(open.received(), 503), "expected an entry that stops to refuse, got %s", open.received().c_str());
+    cr_assert(deployment.minion.started.size() == 3);
+}
+
+Test(PlatformPath, refusesNoJobThatIsUnderWayWhileItStops)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 700 }; } });
+    deployment.becomeReady();
+    deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    deployment.ingress.shutDown([] {});
+    deployment.pass({ 250 });
+    const std::string again = deployment.ask(deployment.front, "POST /a/x", testJob);
+    cr_assert(hasStatus(again, 200), "expected the job's own end for a job that has started, got %s", again.c_str());
+    const std::string other = deployment.ask(deployment.front, "POST /a/y", testJob);
+    cr_assert(hasStatus(other, 503), "expected another job to be refused, got %s", other.c_str());
+}
+
+Test(PlatformPath, neverSaysOfAJobThatItNeverRunsOnceAFormerSubmissionStarted)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'500 }; } });
+    deployment.becomeReady();
+    RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    cr_assert(hasStatus(deployment.ask(deployment.control, "POST /Evacuations.Start/dc-a"), 200));
+    cr_assert(runUntil(deployment.loop, [&deployment] { return !deployment.entry.view().dataCentresOut.empty(); }));
+    client.close();
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 0; }));
+    const std::string again = deployment.ask(deployment.front, "POST /a/x", testJob);
+    cr_assert(hasStatus(again, 504), "expected no refusal of a job that has started, got %s", again.c_str());
+    const std::string other = deployment.ask(deployment.front, "POST /a/y", testJob);
+    cr_assert(hasStatus(other, 503), "expected another job to be refused, got %s", other.c_str());
+}
+
+Test(PlatformPath, refusesAJobThatItRefusedBefore)
+{
+    PlatformDeployment deployment;
+    deployment.becomeReady();
+    cr_assert(hasStatus(deployment.ask(deployment.control, "POST /Evacuations.Start/dc-a"), 200));
+    cr_assert(runUntil(deployment.loop, [&deployment] { return !deployment.entry.view().dataCentresOut.empty(); }));
+    for (int i = 0; i < 2; ++i)
+        cr_assert(hasStatus(deployment.ask(deployment.front, "POST /a/x", testJob), 503));
+}
+
+Test(PlatformPath, saysThatAJobUnderWayIsRunning)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 700 }; } });
+    deployment.becomeReady();
+    const RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    const std::string state = deployment.ask(deployment.front, "GET /a/x");
+    cr_assert(hasStatus(state, 200) && state.find(R"({"state":"running"})") != std::string::npos, "got %s", state.c_str());
+    cr_assert(runUntil(deployment.loop, [&client] { return PlatformDeployment::isWhole(client.received()); }));
+    cr_assert(hasStatus(deployment.ask(deployment.front, "GET /a/x"), 410));
+}
+
+Test(PlatformPath, answersARequestThatWaitedForTheQueuesBeforeItsCallerLeaves)
+{
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 600'000 }; } });
+    deployment.minion.report(deployment.reports);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.acknowledged == 1; }));
+    const Milliseconds sent = Clock::now();
+    const RawConnection& client = deployment.send(deployment.front, "POST /a/x", testJob);
+    deployment.pass({ 800 });
+    cr_assert(deployment.ask(deployment.control, "POST /Config.Put", testConfig).find("200") == 9);
+    cr_assert(runUntil(deployment.loop, [&client] { return PlatformDeployment::isWhole(client.received()); }));
+    const Milliseconds took = Clock::now() - sent;
+    cr_assert(took < Milliseconds { 4'400 }, "expected an answer by the 4000 ms that the caller waits, got it after %lld ms: %s",
+        static_cast<long long>(took.count), client.received().c_str());
+}
+
 // Its runs may start elsewhere once it is told that it may go, and it goes when it likes.
 Test(PlatformPath, letsAMinionGoOnceNothingRunsThere)
 {
