RunTable: let stray runs go with their minion

Read in the diff: stray runs of a minion that has ended stayed, and their stops, due and never sent, would have had the sidecar look at the time every two milliseconds. They go with the minion, and a stop that cannot be sent asks for a look after the gap of lists. Also a parameter's name and a comment at its test.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -88,10 +88,10 @@
         if (found != m_runs.end() && found->second.state == State::Queued)
             end(RunKey(found->first), RunEndKind::Stopped, now);
     }
-    const bool fresh = now <= frame.echo + m_options.entryLease;
+    const bool isFresh = now <= frame.echo + m_options.entryLease;
     for (const auto& order : frame.orders) {
         for (const auto& task : order.tasks)
-            take(name, order, task, fresh, now);
+            take(name, order, task, isFresh, now);
     }
 }
 
@@ -108,7 +108,7 @@
     }
 }
 
-void RunTable::take(const std::string& entry, const RunOrder& order, const OrderedTask& task, bool fresh, Milliseconds now)
+void RunTable::take(const std::string& entry, const RunOrder& order, const OrderedTask& task, bool isFresh, Milliseconds now)
 {
     const RunKey key { entry, { order.job, order.step, task.index, task.run, order.submission } };
     if (m_runs.contains(key))
@@ -119,7 +119,7 @@
     run.queuedAt = now;
     m_runs.emplace(key, std::move(run));
     ++m_entries[entry].runs;
-    if (!fresh || !mayStart(now) || order.endBy <= now)
+    if (!isFresh || !mayStart(now) || order.endBy <= now)
         end(key, RunEndKind::Stopped, now);
     else
         stopOthers(key);
@@ -181,6 +181,7 @@
 {
     endAllLive(now);
     endQueued(now);
+    m_strays.clear();
     m_phase = Phase::Absent;
     m_reachable = false;
     markStateChanged();
@@ -676,7 +677,7 @@
             at(std::max(run.order.endBy, now + m_options.listGap));
     }
     for (const auto& [name, order] : m_strays)
-        at(dueAt(order));
+        at(std::max(dueAt(order), now + m_options.listGap));
     const bool hasUnknown = std::any_of(
         m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.unknownRuns.empty(); });
     if (hasUnknown)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -255,8 +255,8 @@
     static TaskKey taskOf(const RunName& run) { return { run.job, run.step, run.index }; }
     bool mayStart(Milliseconds now) const;
     bool isStale(const Entry&, Milliseconds now) const;
-    // `fresh` tells that the order is no older than the entry's lease.
-    void take(const std::string& entry, const RunOrder&, const OrderedTask&, bool fresh, Milliseconds now);
+    // `isFresh` tells that the order is no older than the entry's lease.
+    void take(const std::string& entry, const RunOrder&, const OrderedTask&, bool isFresh, Milliseconds now);
     // Ends a run as not started when that is proven, otherwise as given.
     void end(const RunKey&, RunEndKind whenStarted, Milliseconds now);
     static void stop(Run&, RunEndKind);
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -214,7 +214,6 @@
     cr_assert(model.starts() == 4, "expected 4 starts, got %zu", model.starts());
 }
 
-// A busy entry that has not read what arrived must not take its sidecars for silent: connecting anew costs it more.
 Test(JobDispatcher, anEndOfALostRunNeverCountsForTheSameJobSubmittedAgain)
 {
     JobDispatcher dispatcher({ .life = "entry/1", .dataCentre = "dc" });
@@ -245,6 +244,7 @@
     cr_assert(dispatcher.runsAt("sidecar-0") == 1, "expected the run to be under way still");
 }
 
+// A busy entry that has not read what arrived must not take its sidecars for silent: connecting anew costs it more.
 Test(JobDispatcher, blamesNoSidecarForWhatItHasNotRead)
 {
     JobDispatcher dispatcher({ .life = "entry/1" });
