JobDispatcher, RunTable: give back what finds no room, and tell entries that wait of room

Cause: an entry with 240 sidecars hears of each minion's room every 400 ms, while 50 others place on the same news. An order that met a full minion waited there behind tasks of up to a second, although most minions had room; and jobs waited at entries for news of room that had long come free. Ruled out: processor (0.029 of 0.12 cores) and more chance in the choice alone (draw weight 0.3 and 1.0: no change in the model). Change: an order for which there is no room is given back at once with the minion's exact state (NoRoom, never ordered) and placed elsewhere. An entry whose tasks find no room asks two sidecars a task; a sidecar with room tells the one that has waited longest, and holds the room for it for 5 ms. Conclusion: not knowing costs a round trip now, in place of a wait.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -21,7 +21,10 @@
 
 struct Scene {
     std::string name;
+    int entries { 3 };
     int sidecars { 11 };
+    int largerEvery { 0 };
+    LoadSpread spread;
     double jobsPerSecond { 140 };
     Milliseconds duration { 20'000 };
     // A second load on top.
@@ -43,6 +46,9 @@
         { .name = "orders lost", .delayedOrders = 0.05 },
         { .name = "slow minions", .slowMinions = 2 },
         { .name = "failing minions", .failingMinions = 2 },
+        { .name = "large, ordinary", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 875, .duration = { 4'000 } },
+        { .name = "large, heavy", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 1'266, .duration = { 4'000 } },
+        { .name = "large, overload", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 2'000, .duration = { 4'000 } },
     };
 }
 
@@ -70,6 +76,16 @@
     arrival.dispatcher.priorityStep = { 0 };
     arrival.dispatcher.busyUsefulPercent = 100'000;
     all.push_back(arrival);
+    for (const double weight : { 0.3, 1.0 }) {
+        Setting setting { .name = fmt::format("draw {}", weight) };
+        setting.dispatcher.drawWeight = weight;
+        all.push_back(setting);
+    }
+    for (const std::int64_t states : { 2'400, 9'600 }) {
+        Setting setting { .name = fmt::format("states {}", states) };
+        setting.dispatcher.statesPerSecond = states;
+        all.push_back(setting);
+    }
     Setting random { .name = "baseline: at random" };
     random.dispatcher.drawWeight = 1'000;
     all.push_back(random);
@@ -84,9 +100,9 @@
 
 Sum play(const Scene& scene, const Setting& setting, std::uint64_t seed)
 {
-    DispatchModel model({ .sidecars = scene.sidecars, .orderTimeout = setting.orderTimeout, .seed = seed, .dispatcher = setting.dispatcher, .runs = setting.runs });
+    DispatchModel model({ .entries = scene.entries, .sidecars = scene.sidecars, .largerEvery = scene.largerEvery, .orderTimeout = setting.orderTimeout, .seed = seed, .dispatcher = setting.dispatcher, .runs = setting.runs });
     model.runFor({ 3'000 });
-    DispatchLoad load(model, 3, seed);
+    DispatchLoad load(model, scene.entries, seed, scene.spread);
     const Milliseconds from = model.now();
     load.offer(scene.jobsPerSecond, from, scene.duration);
     if (scene.burstPerSecond > 0)
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -171,6 +171,7 @@
         if (found == m_replies.end())
             continue;
         m_process.metrics.add(fmt::format("jobs_{}_total", dispatchEndKindName(end.kind)));
+        m_process.metrics.add("runs_given_back_total", end.givenBack);
         if (end.runs > 0)
             m_process.metrics.observe("job_wait_milliseconds", static_cast<double>(end.waited.count));
         const Reply reply = std::move(found->second);
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -226,6 +226,7 @@
     link.aliveAt = now;
     link.framesSent = 0;
     link.sent.clear();
+    link.wantedCpuMillis = 0;
     link.next = EntryFrame { .entry = m_options.life,
         .outstanding = {},
         .stateGap = { static_cast<std::int64_t>(m_options.sidecars) * thousandths / m_options.statesPerSecond } };
@@ -278,6 +279,8 @@
             healthOf(link.state.service).add(healthId(sidecar), expectedSlots(link.state.capacity));
         }
     }
+    if (freeAt(link).cpuMillis >= link.wantedCpuMillis)
+        link.wantedCpuMillis = 0;
     for (const auto& end : frame.ends)
         takeEnd(link, sidecar, end, now);
     return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || wantsEcho(link, now);
@@ -313,7 +316,7 @@
     Task& task = job.tasks[place.step][place.index];
     const DispatchStep& step = job.spec.steps[place.step];
     MinionHealth& health = healthOf(job.spec.queue.service);
-    if (end.kind != RunEndKind::NotStarted)
+    if (end.kind != RunEndKind::NotStarted && end.kind != RunEndKind::NoRoom)
         job.ran = true;
     --job.atSidecars;
     if (end.kind == RunEndKind::Done) {
@@ -324,6 +327,14 @@
             endJob(place.job, DispatchEndKind::Completed, {}, {});
         return;
     }
+    if (end.kind == RunEndKind::NoRoom) {
+        ++job.givenBack;
+        --job.runs;
+        task.state = TaskState::Waiting;
+        ++job.waiting;
+        m_queue.emplace(job.urgentAt, place.job);
+        return;
+    }
     m_actions.failedRuns.push_back({ .run = end.run, .sidecar = sidecar, .kind = end.kind, .ranFor = end.ranFor, .evidence = end.evidence });
     if (end.kind == RunEndKind::Stuck)
         health.recordStuck(healthId(sidecar), now);
@@ -412,7 +423,8 @@
             .reason = reason,
             .retryAfter = retryAfter,
             .runs = job.runs,
-            .retries = job.runs - tasks,
+            .retries = job.runs > tasks ? job.runs - tasks : 0,
+            .givenBack = job.givenBack,
             .sidecars = { job.sidecars.begin(), job.sidecars.end() },
             .waited = job.runs > 0 ? job.firstSentAt - job.arrived : Milliseconds {} });
     }
@@ -432,6 +444,15 @@
 
 bool JobDispatcher::isWaitingForFormer(const Job& job) const { return m_formerRuns.contains(job.spec.name); }
 
+TaskNeeds JobDispatcher::freeAt(const Link& link)
+{
+    TaskNeeds free = link.state.capacity;
+    addNeeds(free, link.state.used, -1);
+    for (const auto& each : link.sent)
+        addNeeds(free, each.needs, -1);
+    return free;
+}
+
 std::vector<PlacementCandidate> JobDispatcher::candidates(const std::string& service, Milliseconds now)
 {
     std::vector<PlacementCandidate> all;
@@ -444,13 +465,10 @@
             .rack = link.state.rack,
             .labels = &link.state.labels,
             .capacity = link.state.capacity,
-            .free = link.state.capacity,
+            .free = freeAt(link),
             .allowance = health.allowance(healthId(name), now) };
-        addNeeds(candidate.free, link.state.used, -1);
         candidate.free.cpuMillis += link.state.capacity.cpuMillis * m_options.prefetchPercent / percent
             / static_cast<std::int64_t>(m_options.entries);
-        for (const auto& each : link.sent)
-            addNeeds(candidate.free, each.needs, -1);
         candidate.draw = std::uniform_real_distribution<double>(0, 1)(m_random);
         if (candidate.allowance)
             *candidate.allowance -= static_cast<std::int64_t>(link.outstanding.size());
@@ -486,6 +504,41 @@
     }
     for (const auto& entry : placed)
         m_queue.erase(entry);
+    for (const auto& service : full)
+        askForRoom(service);
+}
+
+void JobDispatcher::askForRoom(const std::string& service)
+{
+    std::size_t waiting = 0;
+    std::int64_t least = 0;
+    for (const auto& [urgentAt, id] : m_queue) {
+        const Job& job = m_jobs.at(id);
+        if (job.spec.queue.service != service || isWaitingForFormer(job))
+            continue;
+        waiting += job.waiting;
+        for (const auto& step : job.spec.steps)
+            least = least == 0 ? step.needs.cpuMillis : std::min(least, step.needs.cpuMillis);
+    }
+    std::vector<Link*> others;
+    std::size_t asked = 0;
+    for (auto& [name, link] : m_links) {
+        if (!takesRuns(link, service))
+            continue;
+        if (link.wantedCpuMillis > 0)
+            ++asked;
+        else
+            others.push_back(&link);
+    }
+    const std::size_t wanted = waiting * m_options.asksPerTask;
+    std::shuffle(others.begin(), others.end(), m_random);
+    for (Link* link : others) {
+        if (asked++ >= wanted)
+            return;
+        link->wantedCpuMillis = std::max<std::int64_t>(least, 1);
+        link->next.wantedCpuMillis = link->wantedCpuMillis;
+        link->hasNext = true;
+    }
 }
 
 bool JobDispatcher::exceedsReserve(const std::vector<PlacementCandidate>& candidates) const
@@ -579,7 +632,8 @@
             .needs = needs,
             .rank = isPrompt(job, now) ? job.urgentAt - now : job.idleUsefulUntil - now,
             // The sidecar's clock stood at `clock` when the frame that told it arrived, or a little later.
-            .endBy = link.clock + (job.spec.deadline - link.heardAt) });
+            .endBy = link.clock + (job.spec.deadline - link.heardAt),
+            .mayWait = m_options.prefetchPercent > 0 });
     }
     link.hasNext = true;
     link.sent.push_back({ .frame = link.framesSent + 1, .needs = spec.needs });
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -63,6 +63,8 @@
     // until the first was sent.
     std::size_t runs { 0 };
     std::size_t retries { 0 };
+    // Runs that sidecars gave back for want of room; not counted above.
+    std::size_t givenBack { 0 };
     std::vector<std::string> sidecars;
     Milliseconds waited {};
 };
@@ -136,6 +138,8 @@
     std::int64_t idleUsefulPercent { 300 };
     // Shortest time that a job may wait before it is refused for being late, whatever its objective; some round trips.
     Milliseconds leastPatience { 90 };
+    // For each task that waits, so many sidecars are asked to tell of room.
+    std::size_t asksPerTask { 2 };
     // Least and largest time after which a refused caller is asked to come back.
     Milliseconds leastRetryAfter { 1'000 };
     Milliseconds mostRetryAfter { 8'000 };
@@ -208,6 +212,7 @@
         // Its runs were asked back.
         bool recalled { false };
         std::size_t runs { 0 };
+        std::size_t givenBack { 0 };
         std::set<std::string> sidecars;
         Milliseconds firstSentAt {};
         Milliseconds arrived {};
@@ -253,6 +258,8 @@
         std::map<RunName, TaskPlace> outstanding;
         EntryFrame next;
         bool hasNext { false };
+        // It was asked to tell when so much is free, in thousandths of a core; 0 when it was not.
+        std::int64_t wantedCpuMillis { 0 };
     };
 
     SessionId healthId(const std::string& sidecar) const { return { .instance = sidecar, .incarnation = 0 }; }
@@ -282,6 +289,10 @@
     bool wantsEcho(const Link&, Milliseconds now) const;
     void place(Milliseconds now);
     std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
+    // What is free there by the last report, less what was sent since.
+    static TaskNeeds freeAt(const Link&);
+    // Asks sidecars to tell of room as soon as there is some, a few for each task that waits.
+    void askForRoom(const std::string& service);
     // Whether more is free than what is left to jobs of priority 0.
     bool exceedsReserve(const std::vector<PlacementCandidate>&) const;
     bool placeJob(std::uint64_t id, Job&, std::vector<PlacementCandidate>&, Milliseconds now);
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -45,6 +45,8 @@
     entry.framesSeen = 1;
     entry.sentEnd = 0;
     entry.stateChanged = true;
+    entry.wantedCpuMillis = 0;
+    entry.isOffered = false;
     // A silent former stream may have ended long ago; what follows on this one proves that the entry is there.
     const std::vector<RunName>& known = frame.outstanding;
     for (auto& [key, run] : m_runs) {
@@ -83,11 +85,19 @@
     while (!entry.unseenEnds.empty() && entry.unseenEnds.front().number <= frame.endsSeen)
         entry.unseenEnds.pop_front();
     applyStops(name, frame, now);
+    if (frame.wantedCpuMillis > 0) {
+        if (entry.wantedCpuMillis == 0)
+            entry.wantedSince = now;
+        entry.wantedCpuMillis = frame.wantedCpuMillis;
+    }
     for (const auto& run : frame.recalls) {
         const auto found = m_runs.find({ name, run });
         if (found != m_runs.end() && found->second.state == State::Queued)
             end(RunKey(found->first), RunEndKind::Stopped, now);
     }
+    // What was offered to it is taken now, or not at all.
+    if (!frame.orders.empty())
+        std::erase_if(m_offers, [&name](const Offer& offer) { return offer.entry == name; });
     const bool isFresh = now <= frame.echo + m_options.entryLease;
     for (const auto& order : frame.orders) {
         for (const auto& task : order.tasks)
@@ -121,11 +131,52 @@
     ++m_entries[entry].runs;
     if (!isFresh || !mayStart(now) || order.endBy <= now)
         end(key, RunEndKind::Stopped, now);
+    else if (!order.mayWait && !fitsAtOnce(order.needs))
+        giveBack(key, now);
     else
         stopOthers(key);
     markStateChanged();
 }
 
+bool RunTable::fitsAtOnce(const TaskNeeds& needs) const
+{
+    TaskNeeds free = m_report.capacity;
+    addNeeds(free, m_used, -1);
+    addNeeds(free, queuedNeeds(), -1);
+    // The run itself is queued by now.
+    return free.cpuMillis >= 0 && free.memoryMb >= 0 && free.accelerators >= 0 && fits(needs);
+}
+
+void RunTable::giveBack(const RunKey& key, Milliseconds now)
+{
+    end(key, RunEndKind::NotStarted, now);
+    m_entries.at(key.first).unseenEnds.back().kind = RunEndKind::NoRoom;
+}
+
+void RunTable::offerRoom(Milliseconds now)
+{
+    std::erase_if(m_offers, [now](const Offer& offer) { return offer.until <= now; });
+    std::vector<std::pair<const std::string*, Entry*>> waiting;
+    for (auto& [name, entry] : m_entries) {
+        if (entry.connected && entry.wantedCpuMillis > 0)
+            waiting.emplace_back(&name, &entry);
+    }
+    if (waiting.empty() || !mayStart(now))
+        return;
+    std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) { return a.second->wantedSince < b.second->wantedSince; });
+    std::int64_t free = m_report.capacity.cpuMillis - m_used.cpuMillis - queuedNeeds().cpuMillis;
+    for (const auto& offer : m_offers)
+        free -= offer.cpuMillis;
+    for (const auto& [name, entry] : waiting) {
+        if (entry->wantedCpuMillis > free)
+            return;
+        free -= entry->wantedCpuMillis;
+        m_offers.push_back({ .entry = *name, .cpuMillis = entry->wantedCpuMillis, .until = now + m_options.offerFor });
+        entry->wantedCpuMillis = 0;
+        entry->isOffered = true;
+    }
+}
+
 // A job that was submitted again has been given up where it ran before.
 void RunTable::stopOthers(const RunKey& key)
 {
@@ -475,6 +526,7 @@
     startQueued(actions, now);
     sendStops(actions, now);
     listRuns(actions, now);
+    offerRoom(now);
     sendFrames(actions, now);
     actions.settledStarts = std::exchange(m_settledStarts, {});
     std::erase_if(m_entries, [this, now](const auto& item) {
@@ -627,7 +679,7 @@
     const bool hasEnds = !entry.unseenEnds.empty() && entry.unseenEnds.back().number > entry.sentEnd;
     const bool wantsState = entry.stateChanged && now >= entry.sentAt + entry.stateGap;
     const bool wantsHeartbeat = now >= entry.sentAt + heartbeatOf(entry);
-    return !entry.greeted || hasEnds || wantsState || wantsHeartbeat;
+    return !entry.greeted || hasEnds || wantsState || wantsHeartbeat || entry.isOffered;
 }
 
 void RunTable::sendFrames(RunActions& actions, Milliseconds now)
@@ -650,6 +702,7 @@
         entry.sentEnd = entry.lastEnd;
         entry.sentAt = now;
         entry.stateChanged = false;
+        entry.isOffered = false;
         actions.frames.push_back({ .entry = name, .frame = std::move(frame) });
     }
 }
@@ -676,6 +729,8 @@
         else if (run.state != State::Stopping)
             at(std::max(run.order.endBy, now + m_options.listGap));
     }
+    for (const auto& offer : m_offers)
+        at(std::max(offer.until, now + Milliseconds { 1 }));
     for (const auto& [name, order] : m_strays)
         at(std::max(dueAt(order), now + m_options.listGap));
     const bool hasUnknown = std::any_of(
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -134,6 +134,8 @@
     Milliseconds heartbeat { 200 };
     // The same for an entry without runs. Shorter than `entryLease`, so that an order after a pause is never stale.
     Milliseconds idleHeartbeat { 450 };
+    // Room that an entry was told of is not offered to another for this long: a round trip.
+    Milliseconds offerFor { 5 };
     // Wait before a run is tried again at a minion that had no room or was unhealthy.
     Milliseconds startRetry { 40 };
     // A run is stuck once it is expected to take this many times its estimate, and `stuckLeast` at least.
@@ -248,6 +250,17 @@
         bool greeted { false };
         bool stateChanged { true };
         Milliseconds stateGap {};
+        // It wants to hear once so much of a processor is free, and since when; see EntryFrame.
+        std::int64_t wantedCpuMillis { 0 };
+        Milliseconds wantedSince {};
+        // It hears of the room at once.
+        bool isOffered { false };
+    };
+    // Room that an entry was told of and may be sending a task for.
+    struct Offer {
+        std::string entry;
+        std::int64_t cpuMillis { 0 };
+        Milliseconds until {};
     };
 
     void applyStops(const std::string& entry, const EntryFrame&, Milliseconds now);
@@ -275,6 +288,11 @@
     void startQueued(RunActions&, Milliseconds now);
     void start(const RunKey&, Run&, RunActions&, Milliseconds now);
     bool fits(const TaskNeeds&) const;
+    // Whether a task fits beside what runs and what waits.
+    bool fitsAtOnce(const TaskNeeds&) const;
+    void giveBack(const RunKey&, Milliseconds now);
+    // Tells entries that wait for room of what is free, those that have waited longest first.
+    void offerRoom(Milliseconds now);
     void sendStops(RunActions&, Milliseconds now);
     Milliseconds dueAt(const StopOrder&) const;
     void listRuns(RunActions&, Milliseconds now);
@@ -320,6 +338,7 @@
     std::map<RunName, StopOrder> m_strays;
     std::map<TaskKey, LastRun> m_lastRuns;
     std::vector<SettledStart> m_settledStarts;
+    std::vector<Offer> m_offers;
     TaskNeeds m_used;
 };
 
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -40,13 +40,13 @@
 template <typename Archive>
 void serialize(Archive& a, RunOrder& m)
 {
-    a(m.job, m.submission, m.step, m.tasks, m.payload, m.needs, m.rank, m.endBy);
+    a(m.job, m.submission, m.step, m.tasks, m.payload, m.needs, m.rank, m.endBy, m.mayWait);
 }
 
 template <typename Archive>
 void serialize(Archive& a, EntryFrame& m)
 {
-    a(m.entry, m.outstanding, m.stateGap, m.echo, m.endsSeen, m.orders, m.stops, m.recalls);
+    a(m.entry, m.outstanding, m.stateGap, m.echo, m.endsSeen, m.orders, m.stops, m.recalls, m.wantedCpuMillis);
 }
 
 template <typename Archive>
@@ -69,10 +69,11 @@
 
 namespace {
 
-    constexpr NameTable<RunEndKind, 5> runEndKindNames { {
+    constexpr NameTable<RunEndKind, 6> runEndKindNames { {
         { RunEndKind::Done, "done" },
         { RunEndKind::Failed, "failed" },
         { RunEndKind::NotStarted, "not_started" },
+        { RunEndKind::NoRoom, "no_room" },
         { RunEndKind::Stopped, "stopped" },
         { RunEndKind::Stuck, "stuck" },
     } };
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -43,6 +43,8 @@
     Milliseconds rank {};
     // Nothing of the order runs after this time on the sidecar's clock.
     Milliseconds endBy {};
+    // A task for which there is no room waits at the sidecar. Otherwise it is given back at once, to be placed elsewhere.
+    bool mayWait { true };
 };
 
 // Entry to sidecar.
@@ -60,6 +62,9 @@
     std::vector<RunName> stops;
     // Runs to be ended only if they have not started yet.
     std::vector<RunName> recalls;
+    // The entry has tasks that wait for room. It is told of the minion's state, once, as soon as this much of a processor
+    // is free, in thousandths of a core; 0 when it does not ask.
+    std::int64_t wantedCpuMillis { 0 };
 };
 
 // How a run ended at a sidecar.
@@ -69,6 +74,8 @@
     Failed,
     // It never began, and no longer can: its StartEvidence proves that.
     NotStarted,
+    // It never began, since the minion had no room and the order was not to wait.
+    NoRoom,
     // It was ended early, or its minion is gone. It no longer runs.
     Stopped,
     // It was ended early because it ran far longer than expected.
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -525,3 +525,42 @@
     cr_assert(shares.inObjective >= 0.95, "%.3f in objective, %.3f late, %.3f refused, %.3f unfinished", shares.inObjective, shares.late,
         shares.refused, shares.unfinished);
 }
+
+namespace {
+
+// Entries and sidecars as many as the largest deployment has, under its mix of jobs. Entries see each minion seldom, and
+// many others place on the same news.
+ServedShares serveHundredsOfMachines(double jobsPerSecond)
+{
+    constexpr int entries = 51;
+    constexpr Milliseconds duration { 1'500 };
+    DispatchModel model({ .entries = entries, .sidecars = 240, .largerEvery = 3, .seed = 1 });
+    model.runFor({ 2'500 });
+    DispatchLoad load(model, entries, 1, largeSpread());
+    const Milliseconds from = model.now();
+    load.offer(jobsPerSecond, from, duration);
+    model.runFor(duration + Milliseconds { 5'000 });
+    assertNothingRanTwice(model);
+    const ServedShares shares = servedShares(model, from, from + duration);
+    cr_assert(shares.open == 0, "%zu jobs got no end", shares.open);
+    return shares;
+}
+
+} // namespace
+
+// Two fifths of the room are taken on the mean.
+Test(JobDispatcher, servesTheOrdinaryLoadOfHundredsOfMachinesInTime)
+{
+    const ServedShares shares = serveHundredsOfMachines(875);
+    cr_assert(shares.inObjective >= 0.95, "expected 95%% in objective, got %.3f, late %.3f, refused %.3f", shares.inObjective, shares.late,
+        shares.refused);
+    cr_assert(shares.refused <= 0.01, "expected no refusals while minions are free, got %.3f", shares.refused);
+}
+
+// Nine tenths are, so that most news of free room are old when they are acted upon.
+Test(JobDispatcher, servesTheHeaviestLoadOfHundredsOfMachines)
+{
+    const ServedShares shares = serveHundredsOfMachines(1'800);
+    cr_assert(shares.worth >= 0.83, "expected 83%% of the worth, got %.3f: in objective %.3f, late %.3f, refused %.3f", shares.worth,
+        shares.inObjective, shares.late, shares.refused);
+}
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -472,3 +472,76 @@
     table.runs.listed({ .born = { 7 } }, *next, table.now, table.now);
     assertOnlyEnd(table.after({ 1 }), RunEndKind::Stopped);
 }
+
+namespace {
+
+// Orders tasks of two cores each, of which the minion holds two, without waiting for room.
+RunActions orderWithoutWaiting(Table& table, const std::string& job, std::uint32_t tasks)
+{
+    RunOrder order { .job = job,
+        .needs = { .cpuMillis = 2'000, .memoryMb = 1, .runTime = { 1'000 } },
+        .endBy = { 1'000'000 },
+        .mayWait = false };
+    for (std::uint32_t index = 0; index < tasks; ++index)
+        order.tasks.push_back({ .index = index, .run = 1 });
+    table.runs.received(entryLife, { .echo = table.now, .orders = { order } }, table.now);
+    return table.runs.act(table.now);
+}
+
+bool hasFrame(const RunActions& actions) { return !actions.frames.empty(); }
+
+} // namespace
+
+Test(RunTable, givesBackAtOnceWhatIsNotToWaitForRoom)
+{
+    Table table;
+    const auto actions = orderWithoutWaiting(table, "a", 3);
+    cr_assert(actions.starts.size() == 2, "expected the two tasks that fit to start, got %zu", actions.starts.size());
+    assertOnlyEnd(actions, RunEndKind::NoRoom);
+    cr_assert(endsOf(actions)[0].evidence == StartEvidence::NotOrdered, "a run that is given back was never ordered");
+    cr_assert(actions.frames[0].frame.state->used.cpuMillis == 4'000, "the entry learns why");
+    cr_assert(table.runs.queuedRuns() == 0);
+}
+
+Test(RunTable, tellsAnEntryThatWantsRoomAsSoonAsThereIsSome)
+{
+    Table table;
+    // Nothing but the want makes a frame due before the next heartbeat.
+    table.runs.opened({ .entry = entryLife, .stateGap = { 10'000 } }, table.now);
+    table.runs.act(table.now);
+    const auto started = orderWithoutWaiting(table, "a", 2).starts;
+    table.answer({ { .run = started[0].run }, { .run = started[1].run } }, {});
+    table.runs.received(entryLife, { .echo = table.now, .wantedCpuMillis = 2'000 }, table.now);
+    cr_assert(!hasFrame(table.runs.act(table.now)), "there is no room to tell of");
+    table.now = table.now + Milliseconds { 20 };
+    // The end of a run of another entry frees room; this entry has no end to be told of.
+    constexpr const char* otherLife = "entry/2";
+    table.runs.opened({ .entry = otherLife }, table.now);
+    table.runs.act(table.now);
+    table.answer({ { .run = started[1].run } }, { { .number = 1, .run = started[0].run, .kind = ListedEndKind::Done } });
+    const auto actions = table.runs.act(table.now);
+    cr_assert(hasFrame(actions));
+    cr_assert(actions.frames[0].frame.state->used.cpuMillis == 2'000);
+}
+
+Test(RunTable, offersTheSameRoomToOneEntryAtATime)
+{
+    Table table;
+    constexpr const char* otherLife = "entry/2";
+    for (const char* life : { entryLife, otherLife }) {
+        table.runs.opened({ .entry = life, .stateGap = { 10'000 } }, table.now);
+        table.runs.act(table.now);
+    }
+    // Room for one task of the size that both want.
+    const auto started = orderWithoutWaiting(table, "a", 1).starts;
+    table.answer({ { .run = started[0].run } }, {});
+    table.now = table.now + Milliseconds { 20 };
+    table.runs.received(entryLife, { .echo = table.now, .wantedCpuMillis = 2'000 }, table.now);
+    table.runs.received(otherLife, { .echo = table.now, .wantedCpuMillis = 2'000 }, table.now);
+    const auto first = table.runs.act(table.now);
+    cr_assert(first.frames.size() == 1, "expected one entry to hear of the room, got %zu", first.frames.size());
+    const std::string told = first.frames[0].entry;
+    cr_assert(!hasFrame(table.runs.act(table.now + Milliseconds { 1 })));
+    const auto second = table.runs.act(table.now + Milliseconds { 10 });
+    cr_assert(second.frames.size() == 1 && second.frames[0].entry != told, "expected the other entry to hear once the first has not taken the room");
+}
--- a/test/support/DispatchLoad.h
+++ b/test/support/DispatchLoad.h
@@ -2,6 +2,7 @@
 
 #include "support/DispatchModel.h"
 
+#include <cmath>
 #include <string>
 
 // Loads like those of the users' deployments: short, wide jobs that come first, many small ones, few long ones.
@@ -28,13 +29,31 @@
         .needs = { .cpuMillis = 6'200, .memoryMb = 64, .runTime = { 900 } } };
 }
 
+// How much the jobs of one queue differ from each other. The defaults give jobs that are all alike.
+struct LoadSpread {
+    // Processor need of a task on the mean, in thousandths of a core; 0 leaves the queue's own.
+    std::int64_t cpuMillis { 0 };
+    // Spreads, as of a log-normal distribution, of width, processor need and run time, and of the caller's estimate.
+    double width { 0 };
+    double cpu { 0 };
+    double runTime { 0 };
+    double estimate { 0 };
+};
+
+// Spreads as the users' sheet of hundreds of machines gives them.
+inline LoadSpread largeSpread()
+{
+    return { .cpuMillis = 15'000, .width = 0.4, .cpu = 0.2, .runTime = 0.4, .estimate = 0.4 };
+}
+
 // Submits jobs of all three queues at random times and entries, as many a second as given, for a while from now on.
 class DispatchLoad {
 public:
-    DispatchLoad(DispatchModel& model, int entries, std::uint64_t seed)
+    DispatchLoad(DispatchModel& model, int entries, std::uint64_t seed, const LoadSpread& spread = {})
         : m_model(model)
         , m_entries(entries)
         , m_random(seed)
+        , m_spread(spread)
     {
     }
 
@@ -50,8 +69,9 @@
     std::string submitOne()
     {
         const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
-        const ModelQueue queue = draw < 0.245 ? lookupQueue() : draw < 0.29 ? calloutQueue()
-                                                                            : bookingQueue();
+        ModelQueue queue = draw < 0.245 ? lookupQueue() : draw < 0.29 ? calloutQueue()
+                                                                      : bookingQueue();
+        vary(queue);
         std::string name = "job-" + std::to_string(++m_last);
         m_model.submit(static_cast<int>(m_random() % static_cast<std::uint64_t>(m_entries)), queue, name, patience);
         return name;
@@ -60,9 +80,35 @@
     static constexpr Milliseconds patience { 3'000 };
 
 private:
+    // A factor with a mean of one.
+    double factor(double spread)
+    {
+        return spread > 0 ? std::lognormal_distribution<double>(-spread * spread / 2, spread)(m_random) : 1;
+    }
+
+    void vary(ModelQueue& queue)
+    {
+        if (m_spread.cpuMillis > 0)
+            queue.needs.cpuMillis = m_spread.cpuMillis;
+        // A job has at most four times the tasks and the run time of the mean one.
+        constexpr double most = 4;
+        const auto scaled = [this, most](std::int64_t value, double spread) {
+            return std::max<std::int64_t>(std::llround(static_cast<double>(value) * std::min(factor(spread), most)), 1);
+        };
+        queue.tasks = static_cast<std::uint32_t>(scaled(queue.tasks, m_spread.width));
+        constexpr double mostCpu = 1.5;
+        queue.needs.cpuMillis = std::llround(static_cast<double>(queue.needs.cpuMillis) * std::min(factor(m_spread.cpu), mostCpu));
+        const std::int64_t real = scaled(queue.needs.runTime.count, m_spread.runTime);
+        queue.needs.runTime = { scaled(real, m_spread.estimate) };
+        queue.realRunThousandths = real * thousandths / queue.needs.runTime.count;
+    }
+
+    static constexpr std::int64_t thousandths = 1'000;
+
     DispatchModel& m_model;
     int m_entries;
     std::mt19937_64 m_random;
+    LoadSpread m_spread;
     std::uint64_t m_last { 0 };
 };
 
--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -193,6 +193,14 @@
     }
 }
 
+TaskNeeds DispatchModel::capacityOf(int minion) const
+{
+    TaskNeeds capacity = m_options.capacity;
+    if (m_options.largerEvery > 0 && minion % m_options.largerEvery == m_options.largerEvery - 1)
+        capacity.cpuMillis += capacity.cpuMillis / 2;
+    return capacity;
+}
+
 void DispatchModel::report(int number)
 {
     Sidecar& sidecar = *m_sidecars[static_cast<std::size_t>(number)];
@@ -202,7 +210,7 @@
         const MinionReport report { .born = minion.born,
             .sequence = ++minion.sequence,
             .service = service,
-            .capacity = m_options.capacity };
+            .capacity = capacityOf(number) };
         const auto take = [this, number, report] {
             Sidecar& again = *m_sidecars[static_cast<std::size_t>(number)];
             again.runs->permit(m_now + Milliseconds { 3'600'000 }, !again.out);
@@ -711,7 +719,7 @@
     if (highest != minion.highestEnded.end() && order.run.run <= highest->second)
         return StartAnswer::Superseded;
     const ModelQueue& queue = m_queueOfJob.at(order.run.job);
-    TaskNeeds free = m_options.capacity;
+    TaskNeeds free = capacityOf(number);
     addNeeds(free, minion.used, -1);
     if (!fitsInto(free, queue.needs))
         return StartAnswer::NoRoom;
--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -23,6 +23,8 @@
     int sidecars { 4 };
     // Of each minion.
     TaskNeeds capacity { .cpuMillis = 64'000, .memoryMb = 131'072 };
+    // Every so many minions one has half as much again; 0 for none.
+    int largerEvery { 0 };
     // One way, between any two processes.
     Milliseconds delay { 1 };
     // Between a sidecar and its minion.
@@ -179,6 +181,7 @@
     void toSidecar(int entry, int sidecar, const EntryFrame&);
     void toEntry(int sidecar, int entry, const SidecarFrame&);
     void report(int sidecar);
+    TaskNeeds capacityOf(int minion) const;
     void order(int sidecar, const std::function<void(bool answer)>& carryOut);
     // Calls and answers with busyMinions().
     Milliseconds way();
