Raft: elect at once when every voter has just started

Cause: a voter that has started refuses votes for a whole election time, since it may have answered a leader just before. After a loss of power of all machines that wait, and the draw after it, were most of 1.1 s without a leader. Ruled out: shorter times (a lease of before could still hold). Change: a voter that has heard from every other voter, since its start, that it does not lead and has the same voters owes no former leader anything; it votes at once and stands in its turn. A peer that says hello is asked at once.

--- a/src/control/RaftCodec.cpp
+++ b/src/control/RaftCodec.cpp
@@ -142,6 +142,7 @@
         message.synced = value["synced"].asUInt64();
         message.granted = value["granted"].asBool();
         message.empty = value["empty"].asBool();
+        message.leads = value["leads"].asBool();
         message.sentAt = { value["sentAt"].asInt64() };
         message.entries = entriesFrom(value["entries"]);
         message.voters = votersFrom(value["voters"]);
@@ -227,6 +228,7 @@
     putFlag(value, "verified", message.verified);
     putFlag(value, "granted", message.granted);
     putFlag(value, "empty", message.empty);
+    putFlag(value, "leads", message.leads);
     putFlag(value, "last", message.last);
     value["sentAt"] = static_cast<Json::Int64>(message.sentAt.count);
     if (!message.entries.empty())
--- a/src/policy/Raft.cpp
+++ b/src/policy/Raft.cpp
@@ -140,6 +140,8 @@
         drawElectionTimeout(now);
         if (m_verified && isVoter())
             startPreVote(now);
+    } else {
+        electAtOnce(now);
     }
     return take();
 }
@@ -200,7 +202,32 @@
         return false;
     if (leads())
         return !isConfirmedLeader(now) && !majorityAnswered(now, m_options.electionLeast);
-    return now >= m_heardLeaderAt + m_options.electionLeast;
+    return isFreeOfFormerLeases() || now >= m_heardLeaderAt + m_options.electionLeast;
+}
+
+bool Raft::isFreeOfFormerLeases() const
+{
+    if (m_tookPart || !isVoter())
+        return false;
+    return std::all_of(voters().begin(), voters().end(),
+        [this](const RaftMember& voter) { return voter == m_self || m_notLeading.contains(voter.incarnation); });
+}
+
+void Raft::electAtOnce(Milliseconds now)
+{
+    const bool isDue = m_verified && isVoter() && m_role != RaftRole::Candidate && isFreeOfFormerLeases();
+    if (!isDue)
+        return;
+    // A round trip and a sync fit into one turn, so that two voters seldom stand at the same time.
+    const Milliseconds turn { std::max<std::int64_t>(m_options.heartbeat.count / 2, 1) };
+    const auto rank = std::count_if(
+        voters().begin(), voters().end(), [this](const RaftMember& voter) { return voter.address < m_self.address; });
+    if (!m_electAtOnceAt)
+        m_electAtOnceAt = now + turn * rank;
+    if (now < *m_electAtOnceAt)
+        return;
+    m_electAtOnceAt = now + turn * static_cast<std::int64_t>(voters().size());
+    startPreVote(now);
 }
 
 bool Raft::isUpToDate(const RaftMessage& message) const
@@ -268,6 +295,7 @@
     reply.granted = message.term == m_hard.term && isFree && isUpToDate(message);
     if (reply.granted && m_hard.votedFor.empty()) {
         m_hard.votedFor = message.from.incarnation;
+        m_tookPart = true;
         writeHardState();
         drawElectionTimeout(now);
     }
@@ -307,6 +335,7 @@
 {
     m_role = RaftRole::Leader;
     m_leader = m_self.address;
+    m_tookPart = true;
     m_leadingSince = now;
     m_heartbeatAt = now + m_options.heartbeat;
     m_progress.clear();
--- a/src/policy/Raft.h
+++ b/src/policy/Raft.h
@@ -125,10 +125,16 @@
     void sayHello(Milliseconds now);
     void receiveHello(const RaftMessage&);
     void receiveHelloReply(const RaftMessage&);
+    bool hasSameVoters(const std::vector<RaftMember>&) const;
     void checkVerified(Milliseconds now);
     void bootstrapIfAllEmpty();
 
     bool mayVote(Milliseconds now) const;
+    // Whether no lease of a leader can rest on an answer that this instance gave before it started. Then it need not
+    // wait for one to run out. See docs/DESIGN.md, "After a cold start".
+    bool isFreeOfFormerLeases() const;
+    // Brings the election forward while nobody leads after a cold start, the voters one after the other.
+    void electAtOnce(Milliseconds now);
     bool isUpToDate(const RaftMessage&) const;
     void startPreVote(Milliseconds now);
     void startElection(Milliseconds now);
@@ -201,6 +207,11 @@
 
     bool m_verified { false };
     std::set<std::string> m_helloed;
+    // Voters, by incarnation, that have said since this start that they do not lead and have the same voters.
+    std::set<std::string> m_notLeading;
+    // Since this start it has led, heard a leader or given its vote to another.
+    bool m_tookPart { false };
+    std::optional<Milliseconds> m_electAtOnceAt;
     // Leaders that peers have named.
     std::set<std::string> m_namedLeaders;
     std::map<std::string, RaftMessage> m_emptyPeers;
--- a/src/policy/RaftEvidence.cpp
+++ b/src/policy/RaftEvidence.cpp
@@ -100,10 +100,17 @@
     reply.empty = hasNoGroup();
     reply.granted = m_options.bootstrap && hasNoGroup();
     reply.data = m_leader;
+    reply.leads = leads();
+    reply.voters = voters();
     const auto known = m_evidence.find(message.from.incarnation);
     if (known != m_evidence.end())
         reply.evidence.push_back(known->second);
     send(std::move(reply));
+    // A peer that has just come up is asked at once, not with the next round.
+    if (!m_verified && isVoter(message.from) && !m_helloed.contains(message.from.address)) {
+        RaftMessage hello = make(RaftMessageKind::Hello, message.from.address);
+        send(std::move(hello));
+    }
 }
 
 void Raft::receiveHelloReply(const RaftMessage& message)
@@ -112,6 +119,11 @@
     if (message.logTerm != m_life)
         return;
     m_helloed.insert(message.from.address);
+    // Those who vote here vote there: otherwise a leader may stand among voters that this instance does not know yet.
+    if (!message.leads && hasSameVoters(message.voters))
+        m_notLeading.insert(message.from.incarnation);
+    else
+        m_notLeading.erase(message.from.incarnation);
     if (!message.data.empty() && message.data != m_self.address)
         m_namedLeaders.insert(message.data);
     if (message.empty)
@@ -120,6 +132,12 @@
         m_emptyPeers.erase(message.from.address);
 }
 
+bool Raft::hasSameVoters(const std::vector<RaftMember>& others) const
+{
+    return !others.empty() && others.size() == voters().size()
+        && std::all_of(others.begin(), others.end(), [this](const RaftMember& other) { return isVoter(other); });
+}
+
 void Raft::checkVerified(Milliseconds now)
 {
     if (m_verified)
--- a/src/policy/RaftMessages.h
+++ b/src/policy/RaftMessages.h
@@ -128,6 +128,8 @@
     bool granted { false };
     // HelloReply: the sender has no log.
     bool empty { false };
+    // HelloReply: the sender leads. `voters` are the voters that it knows of, so that an older peer's reply shows none.
+    bool leads { false };
     // Requests: the sender's clock. Replies: the same value again.
     Milliseconds sentAt {};
     std::vector<RaftEntry> entries;
--- a/src/policy/RaftReplication.cpp
+++ b/src/policy/RaftReplication.cpp
@@ -119,6 +119,7 @@
 {
     m_role = RaftRole::Follower;
     m_leader = message.from.address;
+    m_tookPart = true;
     m_heardLeaderAt = now;
     drawElectionTimeout(now);
 }
--- a/test/policy/RaftTest.cpp
+++ b/test/policy/RaftTest.cpp
@@ -569,3 +569,124 @@
         cluster.start(i);
     expectSpread(cluster, 5, 2);
 }
+
+namespace {
+
+// Five instances as the users' deployments run them.
+ClusterOptions promptGroup(std::uint64_t seed)
+{
+    return { .size = 5, .seed = seed, .maxDelay = 2, .maxSync = 12, .election = 400, .step = 2 };
+}
+
+// Stops all instances and starts them again one after the other, at most `spread` milliseconds apart from first to last.
+void restartAll(RaftCluster& cluster, std::int64_t spread)
+{
+    for (std::size_t node = 0; node < cluster.nodes.size(); ++node)
+        cluster.crash(node);
+    std::multimap<std::int64_t, std::size_t> starts;
+    for (std::size_t node = 0; node < cluster.nodes.size(); ++node)
+        starts.emplace(static_cast<std::int64_t>(cluster.random() % static_cast<std::uint64_t>(spread + 1)), node);
+    std::int64_t passed = 0;
+    for (const auto& [at, node] : starts) {
+        cluster.run(at - passed);
+        passed = at;
+        cluster.start(node);
+    }
+}
+
+} // namespace
+
+Test(Raft, electsWithinAQuarterOfASecondOnceAllHaveStartedAgain)
+{
+    constexpr std::int64_t goal = 250;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RaftCluster cluster(promptGroup(seed));
+        expectWhole(cluster);
+        commitMany(cluster, "a", 3);
+        restartAll(cluster, 200);
+        const Milliseconds from = cluster.now;
+        expectReached(cluster, "a leader", [&] { return cluster.leader() != nullptr; });
+        const std::int64_t took = (cluster.now - from).count;
+        cr_assert(took <= goal, "seed %lu: expected a leader within %ld ms, got %ld", static_cast<unsigned long>(seed),
+            static_cast<long>(goal), static_cast<long>(took));
+    }
+}
+
+// An instance that does not come back may hold a lease of before, so that the others wait until it must have run out.
+Test(Raft, electsNobodyAtOnceWhileAnInstanceIsMissing)
+{
+    RaftCluster cluster(promptGroup(3));
+    expectWhole(cluster);
+    const std::string former = cluster.leader()->leaderAddress();
+    const auto leader = leaderOf(cluster);
+    // It goes on, cut off, and believes that it leads until its lease has run out.
+    isolate(cluster, leader);
+    for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+        if (node == leader)
+            continue;
+        cluster.crash(node);
+        cluster.start(node);
+    }
+    cluster.run(cluster.options.election - cluster.options.step);
+    expectNoFaults(cluster);
+    const Raft* serving = cluster.leader();
+    cr_assert(!serving || serving->leaderAddress() == former, "expected no other leader before a lease of before has run out");
+}
+
+// The leader tells those that start again that it leads, and is cut off: its lease rests on what they answered before.
+Test(Raft, electsNobodyAtOnceBesideALeaderThatStillLeads)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        RaftCluster cluster(promptGroup(seed));
+        expectWhole(cluster);
+        const auto leader = leaderOf(cluster);
+        for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+            if (node == leader)
+                continue;
+            cluster.crash(node);
+            cluster.start(node);
+        }
+        constexpr std::int64_t twoWays = 10;
+        cluster.run(twoWays);
+        isolate(cluster, leader);
+        cluster.run(cluster.options.election * 2);
+        expectNoFaults(cluster);
+    }
+}
+
+// Restarts of some or all, at once or spread, with links cut and processes frozen at any moment: the cluster reports two
+// confirmed leaders, two leaders of a term, and what is lost.
+Test(Raft, electsNoTwoLeadersThroughRandomColdStarts, .timeout = 600)
+{
+    constexpr std::uint64_t schedules = 5'000;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        ClusterOptions options = promptGroup(seed);
+        options.maxDelay = seed % 2 == 0 ? 2 : 60;
+        options.loss = seed % 3 == 0 ? 0.05 : 0;
+        options.step = 5;
+        RaftCluster cluster(options);
+        expectWhole(cluster);
+        auto& random = cluster.random;
+        for (int round = 0; round < 4; ++round) {
+            commitMany(cluster, fmt::format("r{}", round), 1);
+            for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+                if (random() % 4 == 0)
+                    cluster.freeze(node, static_cast<std::int64_t>(random() % 900));
+                if (random() % 6 == 0)
+                    isolate(cluster, node);
+            }
+            const bool all = random() % 2 == 0;
+            for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+                if (!all && random() % 2 == 0)
+                    continue;
+                cluster.crash(node);
+                cluster.run(static_cast<std::int64_t>(random() % 120));
+                cluster.start(node);
+            }
+            cluster.run(static_cast<std::int64_t>(random() % 1'500));
+            expectNoFaults(cluster);
+            cluster.heal();
+        }
+        healAndCompare(cluster);
+    }
+}
--- a/test/support/RaftCluster.cpp
+++ b/test/support/RaftCluster.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    constexpr std::int64_t stepLength = 10;
-
     std::string joined(const std::vector<std::string>& lines)
     {
         std::string text;
@@ -69,6 +67,10 @@
     node.disk.life = random();
     RaftOptions raftOptions { .voters = options.voters,
         .bootstrap = options.seeds > 0 || index == 0,
+        .heartbeat = { options.election * 15 / 100 },
+        .electionLeast = { options.election },
+        .electionMost = { options.election * 2 },
+        .confirmWindow = { options.election * 80 / 100 },
         .keptEntries = options.keptEntries,
         .seed = random() };
     for (const auto& other : nodes) {
@@ -183,7 +185,7 @@
 
 void RaftCluster::step()
 {
-    now = now + Milliseconds { stepLength };
+    now = now + Milliseconds { options.step };
     while (!m_network.empty() && m_network.begin()->first <= now) {
         const auto first = m_network.begin();
         const Parcel parcel = std::move(first->second);
--- a/test/support/RaftCluster.h
+++ b/test/support/RaftCluster.h
@@ -24,6 +24,10 @@
     double duplication { 0 };
     std::int64_t maxDelay { 20 };
     std::int64_t maxSync { 15 };
+    // Least time without a leader before an election; the other times follow as in RaftReplicator.
+    std::int64_t election { 1'000 };
+    // Time that passes from one look at all instances to the next.
+    std::int64_t step { 10 };
     // Applied entries after which an instance makes a snapshot.
     std::uint64_t snapshotEvery { 40 };
     std::uint64_t keptEntries { 10 };
