RaftReplicator: give up a call that hangs since before its peer came up

Cause: one call at a time goes to each peer. One that was sent while the peer's machine had no power hangs for a second, and what the peer asks for when it is up waits behind it: its check against older copies, and with it the election. Change: a message from a peer whose call has hung for 150 ms ends that call and opens a new connection. Replicators tell when who leads has changed, for what waits for it.

--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -17,6 +17,8 @@
 
     constexpr Milliseconds tickPeriod { 20 };
     constexpr Milliseconds callTimeout { 1'000 };
+    // Far longer than a peer that is up takes to answer.
+    constexpr Milliseconds hangsAfter { 150 };
     constexpr std::size_t maxOutbox = 64;
     // Parts of the least election time; see RaftOptions.
     constexpr std::int64_t heartbeatPercent = 15;
@@ -214,8 +216,10 @@
     for (const auto& item : params["messages"]) {
         const auto message = raftMessageFromJson(item);
         const bool isMine = message.has_value() && message.assume_value().to == m_process.settings.advertise;
-        if (m_raft && isMine)
-            perform(m_raft->receive(message.assume_value(), Clock::now()));
+        if (!m_raft || !isMine)
+            continue;
+        noteAlive(message.assume_value().from.address);
+        perform(m_raft->receive(message.assume_value(), Clock::now()));
     }
 }
 
@@ -263,11 +267,8 @@
 void RaftReplicator::post(RaftMessage message)
 {
     PeerLink& link = m_links[message.to];
-    if (!link.client) {
-        const auto& routes = m_process.settings.controlRoutes;
-        const auto route = routes.find(message.to);
-        link.client = std::make_unique<RpcClient>(m_process.loop, route == routes.end() ? message.to : route->second);
-    }
+    if (!link.client)
+        connect(link, message.to);
     link.outbox.push_back(std::move(message));
     // The core sends again what matters.
     while (link.outbox.size() > maxOutbox)
@@ -275,6 +276,25 @@
     flush(link);
 }
 
+void RaftReplicator::connect(PeerLink& link, const std::string& peer)
+{
+    const auto& routes = m_process.settings.controlRoutes;
+    const auto route = routes.find(peer);
+    link.client = std::make_unique<RpcClient>(m_process.loop, route == routes.end() ? peer : route->second);
+}
+
+void RaftReplicator::noteAlive(const std::string& peer)
+{
+    const auto found = m_links.find(peer);
+    if (found == m_links.end() || !found->second.busy || Clock::now() < found->second.calledAt + hangsAfter)
+        return;
+    PeerLink& link = found->second;
+    ++link.givenUp;
+    link.busy = false;
+    connect(link, peer);
+    flush(link);
+}
+
 void RaftReplicator::flush(PeerLink& link)
 {
     if (link.busy || link.outbox.empty())
@@ -290,9 +310,10 @@
         link.outbox.pop_front();
     }
     link.busy = true;
+    link.calledAt = Clock::now();
     const std::weak_ptr<bool> alive = m_alive;
-    link.client->call(methodName, params, callTimeout, [this, alive, &link](const Result<Json::Value>&) {
-        if (alive.expired())
+    link.client->call(methodName, params, callTimeout, [this, alive, &link, givenUp = link.givenUp](const Result<Json::Value>&) {
+        if (alive.expired() || givenUp != link.givenUp)
             return;
         link.busy = false;
         flush(link);
@@ -377,7 +398,11 @@
 
 void RaftReplicator::noteLeadership()
 {
-    if (m_knownLeader == m_raft->leaderAddress())
+    const bool isConfirmed = isLeader();
+    const bool changed = m_knownLeader != m_raft->leaderAddress();
+    if (std::exchange(m_wasConfirmed, isConfirmed) != isConfirmed || changed)
+        leaderChanged();
+    if (!changed)
         return;
     m_knownLeader = m_raft->leaderAddress();
     if (m_raft->leads())
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -36,6 +36,9 @@
         std::unique_ptr<RpcClient> client;
         std::deque<RaftMessage> outbox;
         bool busy { false };
+        // When the call that is under way was made, and how many were given up before.
+        Milliseconds calledAt {};
+        std::uint64_t givenUp { 0 };
     };
     struct Proposal {
         std::uint64_t term { 0 };
@@ -49,6 +52,9 @@
     void storeFinished();
     void perform(RaftActions);
     void post(RaftMessage);
+    // A peer that speaks can be reached: a call to it that hangs since before it came up is given up.
+    void noteAlive(const std::string& peer);
+    void connect(PeerLink&, const std::string& peer);
     void flush(PeerLink&);
     void install(const RaftSnapshot&);
     void apply(const RaftEntry&);
@@ -73,6 +79,7 @@
     // Writes under way, with when they were handed to the store.
     std::deque<std::pair<std::uint64_t, Milliseconds>> m_unsynced;
     std::string m_knownLeader;
+    bool m_wasConfirmed { false };
     std::unique_ptr<EventLoop::Timer> m_wake;
     std::unique_ptr<EventLoop::Timer> m_timer;
     // Guards callbacks that outlive this object.
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace oleanderport {
 
@@ -31,6 +32,19 @@
     virtual std::string leaderAddress() const = 0;
 
     virtual const ControlState& state() const = 0;
+
+    // Calls back, from within other calls of this object, whenever isLeader() or leaderAddress() may have changed.
+    void onLeaderChange(std::function<void()> callback) { m_leaderChanged = std::move(callback); }
+
+protected:
+    void leaderChanged() const
+    {
+        if (m_leaderChanged)
+            m_leaderChanged();
+    }
+
+private:
+    std::function<void()> m_leaderChanged;
 };
 
 // The group when a data folder is set. Otherwise a single instance that keeps its state in memory, for trials. The
