ControlServer, ControlClient: serve a crowd of sessions in slices, hold calls while nobody leads

Cause: after a loss of power 291 processes open their sessions at the leader at once. Each answer carried all members (99 kB, 3.8 ms of a core to encode, beside other plays), to sidecars too, which connect to nobody; the leader's heartbeats waited behind 1.1 s of that at a share of 0.6; the voters elected another, which began with the same crowd, asked every 50 ms by each process. Ruled out: the mean load of control (0.05 of 0.6 cores). Change: opens and heartbeats are served in slices of 20 ms, opens first, so that the group's messages and timers have their turn; a call that would wait over 500 ms is told when to come again, by the time that calls take now; sidecars with streams get the view without members; calls that find no leader are held for up to 300 ms and go on as soon as one is known; clients follow a named leader at once, back off with jitter otherwise, and come again to the instance that put them off.

--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -2,6 +2,7 @@
 
 #include "control/Forward.h"
 #include "policy/ViewDelta.h"
+#include "policy/ViewScope.h"
 
 #include <fmt/format.h>
 
@@ -11,6 +12,9 @@
 
     constexpr Milliseconds tickPeriod { 100 };
     constexpr Milliseconds longestTickGap { 1'000 };
+    // An election takes less. Shorter than a process waits for one answer; see ControlClient.
+    constexpr Milliseconds longestHold { 300 };
+    constexpr std::size_t mostHeldCalls { 2'000 };
 
 } // namespace
 
@@ -18,7 +22,16 @@
     : m_process(loop, settings)
     , m_replicator(makeReplicator(m_process, ControlStateOptions {}))
     , m_operatorMethods(m_process, *m_replicator, m_timers)
+    , m_sessionCalls(loop, {})
 {
+    m_replicator->onLeaderChange([this] {
+        // Not within the replicator's own work.
+        if (!m_heldCalls.empty() && isLeaderKnown() && !m_release)
+            m_release = m_process.loop.once({}, [this] { releaseHeldCalls(Clock::now()); });
+    });
+    m_process.gauges.push_back([this] {
+        m_process.metrics.set("session_calls_waiting", static_cast<double>(m_sessionCalls.waiting() + m_heldCalls.size()));
+    });
     addSessionMethods();
     addClaimMethods();
     m_operatorMethods.add();
@@ -39,6 +52,8 @@
     m_process.events.record(EventKind::ProcessStopping);
     m_process.server->stopAccepting();
     m_timer.reset();
+    m_release.reset();
+    m_heldCalls.clear();
     done();
 }
 
@@ -55,12 +70,62 @@
     const EnvironmentRecord& environment = *state.environment(member->node.environment);
     if (environment.view.version == known.version)
         return response;
-    response.delta = viewDelta(environment, known);
+    const bool wantsMembers = needsMembers(member->node);
+    response.delta = viewDelta(environment, known, wantsMembers ? ViewPart::Whole : ViewPart::WithoutMembers);
     if (!response.delta)
-        response.view = environment.view;
+        response.view = wantsMembers ? environment.view : viewWithoutMembers(environment.view);
     return response;
 }
 
+void ControlServer::takeSessionCall(SessionCall call)
+{
+    if (!isLeaderKnown() && m_heldCalls.size() < mostHeldCalls) {
+        m_heldCalls.push_back({ .until = Clock::now() + longestHold, .call = std::move(call) });
+        return;
+    }
+    if (const auto refusal = refusalUnlessLeader(*m_replicator))
+        return call.refuse(*refusal);
+    const auto comeAgain = m_sessionCalls.admit(call.order, std::move(call.serve));
+    if (!comeAgain)
+        return;
+    m_process.metrics.add("session_calls_put_off_total");
+    call.refuse(Error { .code = ErrorCode::Unavailable,
+        .ran = Ran::No,
+        .step = "control.session",
+        .peer = m_process.settings.instance,
+        .message = fmt::format("{} calls wait before this one", m_sessionCalls.waiting()),
+        .retryAfter = *comeAgain });
+}
+
+void ControlServer::releaseHeldCalls(Milliseconds now)
+{
+    m_release.reset();
+    const bool isKnown = isLeaderKnown();
+    while (!m_heldCalls.empty() && (isKnown || m_heldCalls.front().until <= now)) {
+        SessionCall call = std::move(m_heldCalls.front().call);
+        m_heldCalls.pop_front();
+        const auto refusal = isKnown ? std::nullopt : refusalUnlessLeader(*m_replicator);
+        if (refusal)
+            call.refuse(*refusal);
+        else
+            takeSessionCall(std::move(call));
+    }
+}
+
+void ControlServer::open(const OpenSessionRequest& request, const Reply<SessionResponse>& reply)
+{
+    m_replicator->propose(request, [this, reply](const Result<ControlOutcome>& outcome) {
+        if (!outcome.has_value())
+            return reply(outcome.assume_error());
+        // Many are committed at the same moment, and each answer carries a view.
+        m_sessionCalls.resume([this, reply, id = std::get<SessionId>(outcome.assume_value())] {
+            m_timers.heard(id, Clock::now(), 0);
+            m_process.events.record(EventKind::SessionOpened, { .detail = fmt::format("{} incarnation {}", id.instance, id.incarnation) });
+            reply(sessionResponse(id, {}));
+        });
+    });
+}
+
 void ControlServer::heartbeat(const HeartbeatRequest& request, const Reply<SessionResponse>& reply)
 {
     if (const auto refusal = refusalUnlessLeader(*m_replicator))
@@ -83,17 +148,15 @@
 {
     m_process.rpc.addTyped<OpenSessionRequest, SessionResponse>(
         "openSession", [this](const OpenSessionRequest& request, Reply<SessionResponse> reply) {
-            m_replicator->propose(
-                request, forward<SessionId, SessionResponse>(std::move(reply), [this](const SessionId& id) {
-                    m_timers.heard(id, Clock::now(), 0);
-                    m_process.events.record(EventKind::SessionOpened,
-                        { .detail = fmt::format("{} incarnation {}", id.instance, id.incarnation) });
-                    return sessionResponse(id, {});
-                }));
+            takeSessionCall({ .order = PacedCalls::Order::First,
+                .serve = [this, request, reply] { open(request, reply); },
+                .refuse = [reply](const Error& error) { reply(error); } });
         });
     m_process.rpc.addTyped<HeartbeatRequest, SessionResponse>(
         "heartbeat", [this](const HeartbeatRequest& request, const Reply<SessionResponse>& reply) {
-            heartbeat(request, reply);
+            takeSessionCall({ .order = PacedCalls::Order::Later,
+                .serve = [this, request, reply] { heartbeat(request, reply); },
+                .refuse = [reply](const Error& error) { reply(error); } });
         });
     m_process.rpc.addTyped<HeartbeatRequest, Nothing>(
         "closeSession", [this](const HeartbeatRequest& request, Reply<Nothing> reply) {
@@ -129,6 +192,7 @@
     // After a freeze of this process the silence of the others proves nothing.
     const bool wasFrozen = now > m_lastTick + longestTickGap;
     m_lastTick = now;
+    releaseHeldCalls(now);
     if (wasFrozen || !m_replicator->isLeader()) {
         m_timers.clear();
         return;
--- a/src/control/ControlServer.h
+++ b/src/control/ControlServer.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "control/OperatorMethods.h"
+#include "control/PacedCalls.h"
 #include "control/Replicator.h"
 #include "control/SessionTimers.h"
 #include "policy/ViewDelta.h"
 #include "wire/Process.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -26,13 +28,30 @@
     Process& process() { return m_process; }
 
 private:
+    struct SessionCall {
+        PacedCalls::Order order { PacedCalls::Order::Later };
+        std::function<void()> serve;
+        std::function<void(const Error&)> refuse;
+    };
+    struct HeldCall {
+        Milliseconds until {};
+        SessionCall call;
+    };
+
     template <typename Response>
     using Reply = std::function<void(Result<Response>)>;
 
     void addSessionMethods();
     void addClaimMethods();
     SessionResponse sessionResponse(const SessionId&, const KnownView&) const;
+    void open(const OpenSessionRequest&, const Reply<SessionResponse>&);
     void heartbeat(const HeartbeatRequest&, const Reply<SessionResponse>&);
+    // Serves a session's call in its turn, where this instance leads. While no leader is known the call is held for a
+    // moment, since one is about to be: hundreds of processes that ask again and again would hold it up.
+    void takeSessionCall(SessionCall);
+    // Takes calls that were held up again, once a leader is known or their time is up.
+    void releaseHeldCalls(Milliseconds now);
+    bool isLeaderKnown() const { return m_replicator->isLeader() || !m_replicator->leaderAddress().empty(); }
     void tick();
 
     Process m_process;
@@ -40,6 +59,9 @@
     SessionTimers m_timers;
     OperatorMethods m_operatorMethods;
     HttpHandler m_httpHandler;
+    PacedCalls m_sessionCalls;
+    std::deque<HeldCall> m_heldCalls;
+    std::unique_ptr<EventLoop::Timer> m_release;
     std::unique_ptr<EventLoop::Timer> m_timer;
     Milliseconds m_lastTick {};
 };
--- a/src/policy/ViewDelta.cpp
+++ b/src/policy/ViewDelta.cpp
@@ -39,8 +39,7 @@
 
 } // namespace
 
-std::optional<ViewDelta> viewDelta(
-    const EnvironmentRecord& environment, const KnownView& known)
+std::optional<ViewDelta> viewDelta(const EnvironmentRecord& environment, const KnownView& known, ViewPart part)
 {
     const ClusterView& view = environment.view;
     const auto& changes = environment.viewChanges;
@@ -62,6 +61,8 @@
         delta.dataCentresOut = view.dataCentresOut;
     if (steps.catalogue)
         delta.catalogue = view.catalogue;
+    if (part == ViewPart::WithoutMembers)
+        return delta;
     delta.left.assign(steps.left.begin(), steps.left.end());
     for (const auto& member : view.members) {
         if (steps.joined.contains(member.id))
--- a/src/policy/ViewDelta.h
+++ b/src/policy/ViewDelta.h
@@ -14,11 +14,16 @@
     std::string configDigest;
 };
 
+// What of it a process is told; see policy/ViewScope.h.
+enum class ViewPart {
+    Whole,
+    WithoutMembers,
+};
+
 // What leads from the view that a process has to the current one. The configuration is part of it only when it is not
 // the one that the process has. Nothing when the steps since then are no longer kept, or when the process claims a
 // view that never was: then it needs the whole view.
-std::optional<ViewDelta> viewDelta(
-    const EnvironmentRecord&, const KnownView&);
+std::optional<ViewDelta> viewDelta(const EnvironmentRecord&, const KnownView&, ViewPart = ViewPart::Whole);
 
 // Brings a view to the version of the delta. False, with the view unchanged, when the delta starts from another one.
 bool applyDelta(ClusterView&, const ViewDelta&);
--- a/src/wire/ControlClient.cpp
+++ b/src/wire/ControlClient.cpp
@@ -1,12 +1,16 @@
 #include "wire/ControlClient.h"
 
+#include "policy/Backoff.h"
+#include "wire/Process.h"
+
 #include <algorithm>
 
 namespace oleanderport {
 
 namespace {
 
-    constexpr Milliseconds retryPause { 50 };
+    // Leaders that are followed without a pause, one naming the next.
+    constexpr int mostFollowed = 2;
 
 } // namespace
 
@@ -18,10 +22,14 @@
     RpcReply callback;
     std::unique_ptr<EventLoop::Timer> pause;
     bool ranUnknown { false };
+    // Attempts that failed, and leaders that were followed since the last pause.
+    int failures { 0 };
+    int followed { 0 };
 };
 
 ControlClient::ControlClient(EventLoop& loop, std::vector<std::string> peers)
     : m_loop(loop)
+    , m_random(makeRandomSeed())
     , m_peers(std::move(peers))
     , m_leader(m_peers.front())
     , m_alive(std::make_shared<bool>(true))
@@ -69,19 +77,33 @@
             return work->callback(std::move(answer));
         Error error = answer.assume_error();
         work->ranUnknown = work->ranUnknown || error.ran == Ran::Unknown;
-        follow(error, asked);
-        if (Clock::now() + retryPause >= work->giveUpAt) {
+        const Milliseconds pause = pauseAfter(*work, error, asked);
+        if (Clock::now() + pause >= work->giveUpAt) {
             error.code = ErrorCode::Unavailable;
             error.ran = work->ranUnknown ? Ran::Unknown : Ran::No;
             return work->callback(error);
         }
-        work->pause = m_loop.once(retryPause, [this, alive, work] {
+        work->pause = m_loop.once(pause, [this, alive, work] {
             if (!alive.expired())
                 attempt(work);
         });
     });
 }
 
+Milliseconds ControlClient::pauseAfter(Attempt& work, const Error& error, const std::string& asked)
+{
+    // It is there and has too much to do: another instance would only send us back.
+    if (error.retryAfter.count > 0)
+        return spreadPause(error.retryAfter, m_random());
+    const std::string before = m_leader;
+    follow(error, asked);
+    const bool isNamed = error.code == ErrorCode::NotLeader && m_leader == error.peer && m_leader != before;
+    if (isNamed && work.followed++ < mostFollowed)
+        return {};
+    work.followed = 0;
+    return backoffPause({}, work.failures++, m_random());
+}
+
 void ControlClient::follow(const Error& error, const std::string& asked)
 {
     if (m_leader != asked)
--- a/src/wire/ControlClient.h
+++ b/src/wire/ControlClient.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,11 @@
     void attempt(std::shared_ptr<Attempt>);
     void follow(const Error&, const std::string& asked);
 
+    // When to try again after this error.
+    Milliseconds pauseAfter(Attempt&, const Error&, const std::string& asked);
+
     EventLoop& m_loop;
+    std::mt19937_64 m_random;
     std::vector<std::string> m_peers;
     std::string m_leader;
     // The peer that was asked last.
--- /dev/null
+++ b/test/policy/ControlRestartTest.cpp
@@ -0,0 +1,37 @@
+#include "support/ControlRestart.h"
+
+#include <criterion/criterion.h>
+
+using namespace oleanderport;
+using namespace oleanderport::test;
+
+namespace {
+
+constexpr std::uint64_t seeds = 20;
+
+} // namespace
+
+// From the majority of control being up to the last of 291 sessions: the aim for the first served job is 1,000 ms.
+Test(ControlRestart, hundredsOfProcessesHaveTheirSessionsWithinASecond)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ControlRestart restart({ .seed = seed });
+        restart.runFor({ 10'000 });
+        cr_assert(restart.allOpenAt().has_value(), "seed %lu: %zu sessions are open after 10 s", static_cast<unsigned long>(seed), restart.openSessions());
+        const std::int64_t took = (*restart.allOpenAt() - restart.majorityUpAt()).count;
+        cr_assert(took <= 1'000, "seed %lu: expected all sessions within 1,000 ms, got %ld", static_cast<unsigned long>(seed), static_cast<long>(took));
+        cr_assert(restart.leaders() == 1, "seed %lu: expected one leader, got %zu", static_cast<unsigned long>(seed), restart.leaders());
+    }
+}
+
+// With half of the processor the crowd is more than the leader can serve at once. A leader that cannot answer its voters in
+// time is replaced, and the next one begins with the same crowd.
+Test(ControlRestart, aLeaderWithTooMuchToDoStaysTheLeader)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ControlRestart restart({ .seed = seed, .cpuPercent = 30 });
+        restart.runFor({ 20'000 });
+        cr_assert(restart.leaders() == 1, "seed %lu: expected the leader to stay, got %zu leaders", static_cast<unsigned long>(seed), restart.leaders());
+        cr_assert(restart.allOpenAt().has_value(), "seed %lu: %zu sessions are open after 20 s", static_cast<unsigned long>(seed), restart.openSessions());
+    }
+}
--- a/test/policy/ViewDeltaTest.cpp
+++ b/test/policy/ViewDeltaTest.cpp
@@ -1,6 +1,7 @@
 #include "policy/ViewDelta.h"
 
 #include "policy/ControlState.h"
+#include "policy/ViewScope.h"
 #include "wire/MessageCodec.h"
 
 #include <criterion/criterion.h>
@@ -152,3 +153,26 @@
     cr_assert(next && !next->catalogue);
     cr_assert(applyDelta(view, *next) && view.catalogue->version == 4);
 }
+
+// Otherwise control would send each of hundreds of sidecars the hundreds of others.
+Test(ViewDelta, aSidecarThatEntriesConnectToIsToldOfNoMembers)
+{
+    ControlState state({});
+    const auto open = [&state](Role role, const std::string& instance, const std::optional<std::string>& stream) {
+        cr_assert(state.apply({ .stampUnix = { 1 }, .change = OpenSessionRequest { .node = { .role = role, .instance = instance, .streamAddress = stream } } }).has_value());
+    };
+    open(Role::Entry, "entry", {});
+    const std::uint64_t known = state.view().version;
+    open(Role::Sidecar, "sidecar", "10.0.0.1:1");
+    cr_assert(state.apply({ .stampUnix = { 1 }, .change = DataCentreChange { .dataCentre = "dc", .out = true, .author = "a", .declared = true } }).has_value());
+    const EnvironmentRecord& environment = *state.environment(productionEnvironment);
+    const auto& members = environment.view.members;
+    cr_assert(needsMembers(members[0].node) && !needsMembers(members[1].node));
+    const ClusterView scoped = viewWithoutMembers(environment.view);
+    cr_assert(scoped.members.empty() && scoped.dataCentresOut.size() == 1 && scoped.version == environment.view.version);
+    const auto delta = viewDelta(environment, { .version = known }, ViewPart::WithoutMembers);
+    cr_assert(delta.has_value());
+    cr_assert(delta->joined.empty() && delta->left.empty());
+    cr_assert(delta->dataCentresOut && delta->dataCentresOut->size() == 1 && delta->version == environment.view.version,
+        "expected all else to be told");
+}
--- a/test/wire/ControlClientTest.cpp
+++ b/test/wire/ControlClientTest.cpp
@@ -23,6 +23,10 @@
         address = fmt::format("127.0.0.1:{}", server->port());
         methods.add("who", [this](const Json::Value&, const RpcReply& reply) {
             ++calls;
+            if (putsOff > 0) {
+                --putsOff;
+                return reply(Error { .code = ErrorCode::Unavailable, .ran = Ran::No, .step = "control", .retryAfter = { 20 } });
+            }
             if (leader.empty())
                 return reply(Json::Value(address));
             reply(Error { .code = ErrorCode::NotLeader, .ran = Ran::No, .step = "control", .peer = leader });
@@ -35,6 +39,8 @@
     // Empty when this instance leads.
     std::string leader;
     int calls { 0 };
+    // So many calls are told to come again.
+    int putsOff { 0 };
 };
 
 Result<Json::Value> ask(EventLoop& loop, ControlClient& client, Milliseconds timeout)
@@ -150,3 +156,16 @@
     cr_assert(answer.has_value());
     cr_assert(answer.assume_value() == grown.address);
 }
+
+Test(ControlClient, comesAgainToAnInstanceThatPutItOff)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    one.putsOff = 3;
+    ControlClient client(loop, { one.address, two.address });
+    const auto answer = ask(loop, client, { 10'000 });
+    cr_assert(answer.has_value());
+    cr_assert(answer.assume_value() == one.address);
+    cr_assert(one.calls == 4 && two.calls == 0, "expected no call to another instance, got %d and %d", one.calls, two.calls);
+}
