RpcServer, HttpServer, MessageStream, DispatchCodec: outlive a message that cannot be taken in

Cause: the method "raft" read params["messages"] of whatever came; jsoncpp throws where params is no object, and nothing caught it: one malformed message ended a control instance. The frames between entries and sidecars took every size as it was: a string of 2^40 bytes was allocated before its bytes were missed. A frame that could not be read was dropped, and orders or ends with it until a lease ran out. Change: what throws while a message is taken in is logged with the method, path or stream, answered as unknown (a method that had answered stays answered), and the process goes on; a stream is closed, on which both sides say again what they hold. Sizes above what the frame can hold and ends of no known kind are refused.

--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -213,6 +213,10 @@
 
 void RaftReplicator::receive(const Json::Value& params)
 {
+    if (!params.isObject() || !params["messages"].isArray()) {
+        return logError(LogLevel::Error,
+            { .code = ErrorCode::BadRequest, .ran = Ran::No, .step = "control.raft", .peer = {}, .message = "expected an object with an array \"messages\"" });
+    }
     for (const auto& item : params["messages"]) {
         const auto message = raftMessageFromJson(item);
         const bool isMine = message.has_value() && message.assume_value().to == m_process.settings.advertise;
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -105,8 +105,9 @@
 {
     const auto frame = decodeSidecarFrame(message);
     if (!frame.has_value()) {
+        // Ends may have been lost with it; the sidecar tells them again on a new stream.
         logError(LogLevel::Error, frame.assume_error());
-        return;
+        return disconnect(address, "a frame cannot be read");
     }
     Link& link = m_links.at(address);
     if (!link.heard && !frame.assume_value().sidecar.empty()) {
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -147,8 +147,11 @@
 void RunServer::received(std::uint64_t id, std::string_view message)
 {
     const auto frame = decodeEntryFrame(message);
-    if (!frame.has_value())
-        return logError(LogLevel::Error, frame.assume_error());
+    if (!frame.has_value()) {
+        // Orders may have been lost with it; on a new stream the entry says what it believes to be here.
+        logError(LogLevel::Error, frame.assume_error());
+        return closed(id);
+    }
     Stream& stream = m_streams.at(id);
     if (stream.entry.empty()) {
         stream.entry = frame.assume_value().entry;
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -4,14 +4,101 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 
+#include <algorithm>
 #include <sstream>
+#include <stdexcept>
 #include <streambuf>
 
 namespace oleanderport {
 
+namespace {
+
+    // Bytes of the frame that is being decoded.
+    thread_local std::size_t frameBytes = 0;
+
+    // A size that is larger than the whole frame is not a size. Without this check it would be allocated.
+    std::size_t checkedSize(cereal::size_type size, std::size_t leastBytesOfOne)
+    {
+        if (size > frameBytes / leastBytesOfOne)
+            throw std::length_error("a size is larger than its frame");
+        return static_cast<std::size_t>(size);
+    }
+
+} // namespace
+
+} // namespace oleanderport
+
+// In place of cereal's own, which take every size as it is. cereal finds them here.
+namespace cereal {
+
+template <typename Archive>
+void CEREAL_SAVE_FUNCTION_NAME(Archive& archive, const std::string& text)
+{
+    archive(make_size_tag(static_cast<size_type>(text.size())));
+    archive(binary_data(text.data(), text.size()));
+}
+
+template <typename Archive>
+void CEREAL_LOAD_FUNCTION_NAME(Archive& archive, std::string& text)
+{
+    size_type size = 0;
+    archive(make_size_tag(size));
+    text.resize(oleanderport::checkedSize(size, 1));
+    archive(binary_data(text.data(), text.size()));
+}
+
+template <typename Archive, typename T>
+void CEREAL_SAVE_FUNCTION_NAME(Archive& archive, const std::vector<T>& list)
+{
+    archive(make_size_tag(static_cast<size_type>(list.size())));
+    for (const auto& item : list)
+        archive(item);
+}
+
+template <typename Archive, typename T>
+void CEREAL_LOAD_FUNCTION_NAME(Archive& archive, std::vector<T>& list)
+{
+    // Each element begins with a number of at least so many bytes.
+    constexpr std::size_t leastBytes = sizeof(std::uint32_t);
+    size_type size = 0;
+    archive(make_size_tag(size));
+    list.resize(oleanderport::checkedSize(size, leastBytes));
+    for (auto& item : list)
+        archive(item);
+}
+
+} // namespace cereal
+
+namespace oleanderport {
+
+namespace {
+
+    constexpr NameTable<RunEndKind, 6> runEndKindNames { {
+        { RunEndKind::Done, "done" },
+        { RunEndKind::Failed, "failed" },
+        { RunEndKind::NotStarted, "not_started" },
+        { RunEndKind::NoRoom, "no_room" },
+        { RunEndKind::Stopped, "stopped" },
+        { RunEndKind::Stuck, "stuck" },
+    } };
+
+    constexpr NameTable<StartEvidence, 5> startEvidenceNames { {
+        { StartEvidence::NotOrdered, "not_ordered" },
+        { StartEvidence::Declined, "declined" },
+        { StartEvidence::Ordered, "ordered" },
+        { StartEvidence::Unanswered, "unanswered" },
+        { StartEvidence::Started, "started" },
+    } };
+
+    template <typename Enum, std::size_t size>
+    bool valueIsIn(const NameTable<Enum, size>& names, Enum value)
+    {
+        return std::any_of(names.begin(), names.end(), [value](const auto& item) { return item.value == value; });
+    }
+
+} // namespace
+
 // cereal finds these by argument-dependent lookup.
 template <typename Archive>
 void serialize(Archive& a, Milliseconds& m)
@@ -69,23 +156,6 @@
 
 namespace {
 
-    constexpr NameTable<RunEndKind, 6> runEndKindNames { {
-        { RunEndKind::Done, "done" },
-        { RunEndKind::Failed, "failed" },
-        { RunEndKind::NotStarted, "not_started" },
-        { RunEndKind::NoRoom, "no_room" },
-        { RunEndKind::Stopped, "stopped" },
-        { RunEndKind::Stuck, "stuck" },
-    } };
-
-    constexpr NameTable<StartEvidence, 5> startEvidenceNames { {
-        { StartEvidence::NotOrdered, "not_ordered" },
-        { StartEvidence::Declined, "declined" },
-        { StartEvidence::Ordered, "ordered" },
-        { StartEvidence::Unanswered, "unanswered" },
-        { StartEvidence::Started, "started" },
-    } };
-
     // Reads from memory that someone else owns, without a copy.
     class ViewBuffer final : public std::streambuf {
     public:
@@ -107,9 +177,15 @@
         return std::move(out).str();
     }
 
+    Error notAFrame()
+    {
+        return Error { .code = ErrorCode::BadRequest, .ran = Ran::No, .step = "stream.decode", .peer = {}, .message = "not a frame" };
+    }
+
     template <typename Frame>
     Result<Frame> decode(std::string_view bytes)
     {
+        frameBytes = bytes.size();
         try {
             ViewBuffer buffer(bytes);
             std::istream in(&buffer);
@@ -121,11 +197,7 @@
         } catch (const std::exception&) {
             // Told below like any other frame that cannot be read.
         }
-        return Error { .code = ErrorCode::BadRequest,
-            .ran = Ran::No,
-            .step = "stream.decode",
-            .peer = {},
-            .message = "not a frame" };
+        return notAFrame();
     }
 
 } // namespace
@@ -145,6 +217,17 @@
 
 Result<EntryFrame> decodeEntryFrame(std::string_view bytes) { return decode<EntryFrame>(bytes); }
 
-Result<SidecarFrame> decodeSidecarFrame(std::string_view bytes) { return decode<SidecarFrame>(bytes); }
+Result<SidecarFrame> decodeSidecarFrame(std::string_view bytes)
+{
+    auto frame = decode<SidecarFrame>(bytes);
+    if (!frame.has_value())
+        return frame;
+    const auto& ends = frame.assume_value().ends;
+    const bool areKnown = std::all_of(ends.begin(), ends.end(),
+        [](const RunEnd& end) { return valueIsIn(runEndKindNames, end.kind) && valueIsIn(startEvidenceNames, end.evidence); });
+    if (!areKnown)
+        return notAFrame();
+    return frame;
+}
 
 } // namespace oleanderport
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "wire/HttpServer.h"
 
+#include "base/Log.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -358,7 +360,14 @@
         if (state->receivingSince)
             state->receivingSince = Clock::now();
     });
-    server->m_handler(std::move(message), std::move(responder));
+    const std::string path = message.path;
+    const std::string peer = message.peer;
+    try {
+        server->m_handler(std::move(message), std::move(responder));
+    } catch (const std::exception& exception) {
+        // The responder has answered on its way out that the outcome is not known.
+        logError(LogLevel::Error, { .code = ErrorCode::Internal, .ran = Ran::Unknown, .step = "http.serve", .peer = peer, .message = fmt::format("{}: {}", path, exception.what()) });
+    }
 }
 
 Result<Endpoint> parseEndpoint(const std::string& address)
--- a/src/wire/MessageStream.cpp
+++ b/src/wire/MessageStream.cpp
@@ -1,5 +1,7 @@
 #include "wire/MessageStream.h"
 
+#include "base/Log.h"
+
 #include "wire/HttpServer.h"
 
 #include <event2/buffer.h>
@@ -99,7 +101,14 @@
         evbuffer_drain(input, headerBytes);
         std::string message(size, '\0');
         evbuffer_remove(input, message.data(), size);
-        callbacks.received(message);
+        try {
+            callbacks.received(message);
+        } catch (const std::exception& exception) {
+            logError(LogLevel::Error, { .code = ErrorCode::Internal, .ran = Ran::Unknown, .step = "stream.receive", .peer = {}, .message = exception.what() });
+            if (!alive.expired())
+                callbacks.closed("a message could not be taken in");
+            return;
+        }
     }
 }
 
--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -1,10 +1,13 @@
 #include "wire/Rpc.h"
 
+#include "base/Log.h"
+
 #include <fmt/format.h>
 #include <jsonrpccpp/client/batchcall.h>
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace oleanderport {
 
@@ -142,7 +145,19 @@
     const auto method = m_methods.find(call["method"].asString());
     if (method == m_methods.end())
         return reply(badCall("unknown method " + call["method"].asString()));
-    method->second(call["params"], std::move(reply));
+    // A method may have answered before it fails.
+    const RpcReply once = [reply = std::make_shared<RpcReply>(std::move(reply))](Result<Json::Value> result) {
+        if (const RpcReply first = std::exchange(*reply, nullptr))
+            first(std::move(result));
+    };
+    try {
+        method->second(call["params"], once);
+    } catch (const std::exception& exception) {
+        // It may have done a part of its work.
+        const Error error { .code = ErrorCode::Internal, .ran = Ran::Unknown, .step = "rpc." + method->first, .peer = {}, .message = exception.what() };
+        logError(LogLevel::Error, error);
+        once(error);
+    }
 }
 
 void RpcServer::witness(const Json::Value& call) const
--- a/test/wire/DispatchCodecTest.cpp
+++ b/test/wire/DispatchCodecTest.cpp
@@ -2,6 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <random>
+
+#include <sys/resource.h>
+
 using namespace oleanderport;
 
 namespace {
@@ -72,3 +76,45 @@
     }
     cr_assert(!decodeSidecarFrame("GET / HTTP/1.1\r\n\r\n").has_value());
 }
+
+namespace {
+
+std::int64_t peakKilobytes()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+} // namespace
+
+// A size field may hold any number. Decoding must not allocate by it.
+Test(DispatchCodec, takesNoMemoryForSizesThatAFrameCannotHold)
+{
+    constexpr std::uint64_t seeds = 100'000;
+    constexpr std::int64_t mostGrowth = 64 * 1'024;
+    const std::string frames[] = { encodeFrame(entryFrame()), encodeFrame(sidecarFrame()) };
+    const std::int64_t before = peakKilobytes();
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        std::string bytes = frames[seed % 2];
+        const std::size_t changes = 1 + random() % 4;
+        for (std::size_t i = 0; i < changes; ++i) {
+            // Bytes of all weights, so that sizes become a little and far too large.
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 4 == 0 ? random() : 1U << (random() % 8));
+        }
+        if (random() % 3 == 0)
+            bytes.resize(random() % (bytes.size() + 1));
+        static_cast<void>(decodeEntryFrame(bytes));
+        static_cast<void>(decodeSidecarFrame(bytes));
+    }
+    const std::int64_t growth = peakKilobytes() - before;
+    cr_assert(growth <= mostGrowth, "expected at most %ld kB more, got %ld", static_cast<long>(mostGrowth), static_cast<long>(growth));
+}
+
+Test(DispatchCodec, refusesAnEndOfNoKnownKind)
+{
+    SidecarFrame frame = sidecarFrame();
+    frame.ends[0].kind = static_cast<RunEndKind>(17);
+    cr_assert(!decodeSidecarFrame(encodeFrame(frame)).has_value());
+}
--- a/test/wire/HttpServerTest.cpp
+++ b/test/wire/HttpServerTest.cpp
@@ -19,6 +19,8 @@
             [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
                 ++handled;
                 last = request;
+                if (request.path == "/throw")
+                    throw std::runtime_error("a handler that fails");
                 if (request.path == "/hold") {
                     held = responder;
                     return;
@@ -55,6 +57,15 @@
 
 } // namespace
 
+Test(HttpServer, goesOnWhenAHandlerThrows)
+{
+    EchoServer server(options());
+    const auto connection = server.connect();
+    connection->send("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(runUntil(server.loop, [&connection] { return countOf(connection->received(), "504") == 1; }), "expected an answer that does not say that nothing ran");
+    server.expectServing();
+}
+
 Test(HttpServer, servesPipelinedRequestsInOrder)
 {
     EchoServer echo(options());
--- a/test/wire/MessageStreamTest.cpp
+++ b/test/wire/MessageStreamTest.cpp
@@ -76,3 +76,18 @@
         loop, address, { .received = [](std::string_view) {}, .closed = [&closed](const char*) { closed = true; } });
     cr_assert(runUntil(loop, [&closed] { return closed; }));
 }
+
+Test(MessageStream, closesWhenAMessageCannotBeTakenIn)
+{
+    EventLoop loop;
+    std::unique_ptr<MessageStream> accepted;
+    bool closed = false;
+    const auto listener = StreamListener::listen(loop, "127.0.0.1:0", [&](int descriptor) {
+        accepted = std::make_unique<MessageStream>(loop, descriptor,
+            MessageStream::Callbacks { .received = [](std::string_view) { throw std::runtime_error("a message that cannot be taken in"); },
+                .closed = [&closed](const char*) { closed = true; } });
+    }).assume_value();
+    const auto stream = MessageStream::connect(loop, fmt::format("127.0.0.1:{}", listener->port()), { .received = [](std::string_view) {}, .closed = [](const char*) {} });
+    stream->send("hello");
+    cr_assert(runUntil(loop, [&closed] { return closed; }));
+}
--- a/test/wire/RpcTest.cpp
+++ b/test/wire/RpcTest.cpp
@@ -58,6 +58,24 @@
 
 } // namespace
 
+Test(Rpc, aMethodThatThrowsIsAnsweredAndTheProcessGoesOn)
+{
+    RpcPair pair;
+    addEcho(pair.methods);
+    // As jsoncpp does when a value of another type is read as an object.
+    pair.methods.add("reads", [](const Json::Value& params, const RpcReply& reply) { reply(params["messages"]); });
+    pair.methods.add("answersFirst", [](const Json::Value& params, const RpcReply& reply) {
+        reply(Json::Value(1));
+        throw std::runtime_error(params.toStyledString());
+    });
+    const auto answer = pair.call("reads", Json::Value(5));
+    cr_assert(!answer.has_value());
+    cr_assert(answer.assume_error().code == ErrorCode::Internal && answer.assume_error().ran == Ran::Unknown);
+    const auto first = pair.call("answersFirst", Json::Value(5));
+    cr_assert(first.has_value() && first.assume_value() == Json::Value(1), "expected the answer that was given, once");
+    cr_assert(pair.call("echo", Json::Value("x")).has_value());
+}
+
 Test(Rpc, returnsTheResult)
 {
     RpcPair pair;
