Raft: elect at once also when disks were lost with the power, tell learners at once

The two instances that do not vote said hello only after 800 ms without a leader, and half of the processes asked them: they knew the leader at 36.79. Change: an empty folder that answers at a voter's address counts for the former incarnation, for a minority of the voters; an instance that follows nobody says hello from its start; a leader answers a newcomer at once.

--- a/src/policy/Raft.cpp
+++ b/src/policy/Raft.cpp
@@ -114,7 +114,8 @@
 
 RaftActions Raft::tick(Milliseconds now)
 {
-    const bool seeksGroup = !leads() && now >= m_heardLeaderAt + m_options.electionMost;
+    // A leader does not know of instances that do not vote, until they speak.
+    const bool seeksGroup = !leads() && (!m_tookPart || now >= m_heardLeaderAt + m_options.electionMost);
     if (hasNoGroup() || !m_verified || seeksGroup) {
         if (now >= m_heartbeatAt) {
             m_heartbeatAt = now + m_options.heartbeat;
@@ -153,7 +154,7 @@
     mergeEvidence(message.evidence);
     if (m_actions.stale)
         return take();
-    meet(message.from);
+    meet(message.from, now);
     switch (message.kind) {
     case RaftMessageKind::Hello:
         receiveHello(message);
@@ -209,8 +210,16 @@
 {
     if (m_tookPart || !isVoter())
         return false;
-    return std::all_of(voters().begin(), voters().end(),
-        [this](const RaftMember& voter) { return voter == m_self || m_notLeading.contains(voter.incarnation); });
+    std::size_t replaced = 0;
+    for (const auto& voter : voters()) {
+        if (voter == m_self || m_notLeading.contains(voter.incarnation))
+            continue;
+        if (!m_replaced.contains(voter.address))
+            return false;
+        ++replaced;
+    }
+    // More lost folders could hide a later set of voters, of which a majority of these held a copy.
+    return replaced <= (voters().size() - 1) / 2;
 }
 
 void Raft::electAtOnce(Milliseconds now)
--- a/src/policy/Raft.h
+++ b/src/policy/Raft.h
@@ -172,7 +172,7 @@
     // The voter to take out when there is one too many.
     std::optional<RaftMember> surplusVoter(Milliseconds now) const;
     // A leader carries the log to every instance that speaks to it.
-    void meet(const RaftMember&);
+    void meet(const RaftMember&, Milliseconds now);
     bool majorityAnswered(Milliseconds now, Milliseconds window) const;
 
     RaftOptions m_options;
@@ -209,6 +209,8 @@
     std::set<std::string> m_helloed;
     // Voters, by incarnation, that have said since this start that they do not lead and have the same voters.
     std::set<std::string> m_notLeading;
+    // Addresses of voters at which another incarnation has answered since this start: the former one is no more.
+    std::set<std::string> m_replaced;
     // Since this start it has led, heard a leader or given its vote to another.
     bool m_tookPart { false };
     std::optional<Milliseconds> m_electAtOnceAt;
--- a/src/policy/RaftEvidence.cpp
+++ b/src/policy/RaftEvidence.cpp
@@ -124,8 +124,10 @@
         m_notLeading.insert(message.from.incarnation);
     else
         m_notLeading.erase(message.from.incarnation);
-    if (!message.data.empty() && message.data != m_self.address)
-        m_namedLeaders.insert(message.data);
+    if (!message.leads && message.empty && !isVoter(message.from))
+        m_replaced.insert(message.from.address);
+    if (!message.data.empty() && message.data != m_self.address && m_namedLeaders.insert(message.data).second)
+        send(make(RaftMessageKind::Hello, message.data));
     if (message.empty)
         m_emptyPeers[message.from.address] = message;
     else
--- a/src/policy/RaftReplication.cpp
+++ b/src/policy/RaftReplication.cpp
@@ -312,11 +312,13 @@
     return leads() && m_commit >= m_termStart && majorityAnswered(now, m_options.confirmWindow);
 }
 
-void Raft::meet(const RaftMember& other)
+void Raft::meet(const RaftMember& other, Milliseconds now)
 {
     if (!leads() || other.address == m_self.address || m_progress.contains(other.address))
         return;
     m_progress[other.address].next = m_log.lastIndex() + 1;
+    // It waits to hear who leads.
+    sendAppend(other.address, now, true);
 }
 
 std::size_t Raft::votersIn(const std::string& dataCentre) const
--- a/test/policy/RaftTest.cpp
+++ b/test/policy/RaftTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 using namespace oleanderport;
 using namespace oleanderport::test;
@@ -612,6 +613,46 @@
     }
 }
 
+Test(Raft, electsWithinAQuarterOfASecondWhenADiskWasLostWithThePower)
+{
+    constexpr std::int64_t goal = 250;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        RaftCluster cluster(promptGroup(seed));
+        expectWhole(cluster);
+        commitMany(cluster, "a", 3);
+        cluster.loseDisk(seed % 5);
+        restartAll(cluster, 200);
+        const Milliseconds from = cluster.now;
+        expectReached(cluster, "a leader", [&] { return cluster.leader() != nullptr; });
+        const std::int64_t took = (cluster.now - from).count;
+        cr_assert(took <= goal, "seed %lu: expected a leader within %ld ms, got %ld", static_cast<unsigned long>(seed),
+            static_cast<long>(goal), static_cast<long>(took));
+    }
+}
+
+// Processes ask the instances that they are told of, which need not vote.
+Test(Raft, anInstanceThatDoesNotVoteKnowsTheLeaderAtOnceAfterAColdStart)
+{
+    constexpr std::int64_t goal = 100;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        ClusterOptions options = promptGroup(seed);
+        options.size = 7;
+        options.seeds = 3;
+        options.voters = 5;
+        RaftCluster cluster(options);
+        expectReached(cluster, "five voters and learners that follow", [&] {
+            const Raft* leader = cluster.leader();
+            return leader && leader->committedVoters().size() == 5
+                && std::all_of(cluster.nodes.begin(), cluster.nodes.end(), [](const auto& node) { return !node.raft->leaderAddress().empty(); });
+        });
+        restartAll(cluster, 200);
+        expectReached(cluster, "a leader", [&] { return cluster.leader() != nullptr; });
+        cluster.run(goal);
+        for (const auto& node : cluster.nodes)
+            cr_assert(!node.raft->leaderAddress().empty(), "seed %lu: %s does not know the leader", static_cast<unsigned long>(seed), node.address.c_str());
+    }
+}
+
 // An instance that does not come back may hold a lease of before, so that the others wait until it must have run out.
 Test(Raft, electsNobodyAtOnceWhileAnInstanceIsMissing)
 {
@@ -676,16 +717,22 @@
                     isolate(cluster, node);
             }
             const bool all = random() % 2 == 0;
+            bool diskLost = false;
             for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
                 if (!all && random() % 2 == 0)
                     continue;
-                cluster.crash(node);
+                // One disk at the most between two moments at which all hold the same.
+                if (random() % 8 == 0 && !std::exchange(diskLost, true))
+                    cluster.loseDisk(node);
+                else
+                    cluster.crash(node);
                 cluster.run(static_cast<std::int64_t>(random() % 120));
                 cluster.start(node);
             }
             cluster.run(static_cast<std::int64_t>(random() % 1'500));
             expectNoFaults(cluster);
             cluster.heal();
+            expectWhole(cluster);
         }
         healAndCompare(cluster);
     }
