SidecarFrame: describe a minion once a stream, then only its room

Change: the whole state goes first on a stream and when the minion reports another one; otherwise what is used and whether runs are taken. Measured: a report is at most half as long (test).

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -268,17 +268,8 @@
     link.aliveAt = now;
     link.clock = std::max(link.clock, frame.clock);
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
-    if (frame.state) {
-        const bool sameRoom = link.state.accepting == frame.state->accepting
-            && link.state.capacity.cpuMillis == frame.state->capacity.cpuMillis && link.state.service == frame.state->service;
-        if (!sameRoom)
-            m_cores.clear();
-        link.state = *frame.state;
-        if (!link.known && link.state.capacity.cpuMillis > 0) {
-            link.known = true;
-            healthOf(link.state.service).add(healthId(sidecar), expectedSlots(link.state.capacity));
-        }
-    }
+    if (frame.state)
+        takeState(sidecar, link, *frame.state);
     if (freeAt(link).cpuMillis >= link.wantedCpuMillis)
         link.wantedCpuMillis = 0;
     for (const auto& end : frame.ends)
@@ -286,6 +277,25 @@
     return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || wantsEcho(link, now);
 }
 
+void JobDispatcher::takeState(const std::string& sidecar, Link& link, const MinionState& told)
+{
+    MinionState state = told;
+    if (!told.isWhole) {
+        state = link.state;
+        state.used = told.used;
+        state.accepting = told.accepting;
+    }
+    const bool sameRoom = link.state.accepting == state.accepting && link.state.capacity.cpuMillis == state.capacity.cpuMillis
+        && link.state.service == state.service;
+    if (!sameRoom)
+        m_cores.clear();
+    link.state = std::move(state);
+    if (!link.known && link.state.capacity.cpuMillis > 0) {
+        link.known = true;
+        healthOf(link.state.service).add(healthId(sidecar), expectedSlots(link.state.capacity));
+    }
+}
+
 std::int64_t JobDispatcher::expectedSlots(const TaskNeeds& capacity) const
 {
     return std::max<std::int64_t>(capacity.cpuMillis / std::max<std::int64_t>(m_meanCpu, 1), 1);
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -264,6 +264,7 @@
 
     SessionId healthId(const std::string& sidecar) const { return { .instance = sidecar, .incarnation = 0 }; }
     MinionHealth& healthOf(const std::string& service) { return m_health.try_emplace(service, MinionHealthOptions {}).first->second; }
+    void takeState(const std::string& sidecar, Link&, const MinionState&);
     // Whether runs for the service may be sent there.
     bool takesRuns(const Link&, const std::string& service) const;
     // How long the stream to a sidecar may be silent.
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -41,6 +41,7 @@
     entry.lastEnd = std::max(entry.lastEnd, frame.endsSeen);
     entry.connected = true;
     entry.greeted = false;
+    entry.hasWholeState = false;
     entry.stateGap = frame.stateGap;
     entry.framesSeen = 1;
     entry.sentEnd = 0;
@@ -210,8 +211,12 @@
         m_strays.clear();
     }
     const bool changed = !sameLife || report.leaving != m_report.leaving || !m_reachable;
+    const bool sameMinion = sameLife && report.service == m_report.service && report.rack == m_report.rack
+        && report.labels == m_report.labels && fitsInto(report.capacity, m_report.capacity) && fitsInto(m_report.capacity, report.capacity);
     m_report = report;
     m_reachable = true;
+    if (!sameMinion)
+        markMinionChanged();
     if (report.leaving)
         endQueued(now);
     if (changed)
@@ -667,6 +672,13 @@
         entry.stateChanged = true;
 }
 
+void RunTable::markMinionChanged()
+{
+    for (auto& [name, entry] : m_entries)
+        entry.hasWholeState = false;
+    markStateChanged();
+}
+
 Milliseconds RunTable::heartbeatOf(const Entry& entry) const
 {
     return entry.runs > 0 ? m_options.heartbeat : m_options.idleHeartbeat;
@@ -692,6 +704,8 @@
         if (!current)
             current = state(now);
         SidecarFrame frame { .sidecar = {}, .clock = now, .framesSeen = entry.framesSeen, .state = current, .ends = {} };
+        frame.state->isWhole = !entry.hasWholeState;
+        entry.hasWholeState = true;
         if (!entry.greeted)
             frame.sidecar = m_options.life;
         for (const auto& each : entry.unseenEnds) {
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -249,6 +249,8 @@
         std::size_t runs { 0 };
         bool greeted { false };
         bool stateChanged { true };
+        // The whole state was sent on the present stream, and only `used` and `accepting` may differ since.
+        bool hasWholeState { false };
         Milliseconds stateGap {};
         // It wants to hear once so much of a processor is free, and since when; see EntryFrame.
         std::int64_t wantedCpuMillis { 0 };
@@ -312,6 +314,8 @@
     MinionState state(Milliseconds now) const;
     TaskNeeds queuedNeeds() const;
     void markStateChanged();
+    // What entries know of the minion itself is no longer true.
+    void markMinionChanged();
 
     RunTableOptions m_options;
     Milliseconds m_startedAt;
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -145,7 +145,9 @@
 template <typename Archive>
 void serialize(Archive& a, MinionState& m)
 {
-    a(m.service, m.dataCentre, m.rack, m.labels, m.capacity, m.used, m.accepting);
+    a(m.isWhole, m.used, m.accepting);
+    if (m.isWhole)
+        a(m.service, m.dataCentre, m.rack, m.labels, m.capacity);
 }
 
 template <typename Archive>
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -116,6 +116,8 @@
 
 // A minion as its sidecar knows it.
 struct MinionState {
+    // False where only `used` and `accepting` are told; the rest is as it was told before on the same stream.
+    bool isWhole { true };
     std::string service;
     std::string dataCentre;
     std::string rack;
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -545,3 +545,20 @@
     const auto second = table.runs.act(table.now + Milliseconds { 10 });
     cr_assert(second.frames.size() == 1 && second.frames[0].entry != told, "expected the other entry to hear once the first has not taken the room");
 }
+
+// Hundreds of entries hear of hundreds of minions several times a second.
+Test(RunTable, describesTheMinionOnceAStreamAndWhenItIsAnotherOne)
+{
+    Table table;
+    const auto stateAfter = [&table](Milliseconds span) { return *table.after(span).frames.at(0).frame.state; };
+    cr_assert(!stateAfter({ 500 }).isWhole);
+    MinionReport larger = Table::report();
+    larger.sequence = 2;
+    larger.capacity.cpuMillis = 8'000;
+    cr_assert(table.runs.reported(larger, table.now));
+    const MinionState told = stateAfter({ 500 });
+    cr_assert(told.isWhole && told.capacity.cpuMillis == 8'000 && told.service == "service");
+    cr_assert(!stateAfter({ 500 }).isWhole);
+    table.runs.opened({ .entry = entryLife }, table.now);
+    cr_assert(table.runs.act(table.now).frames.at(0).frame.state->isWhole, "expected the whole state first on a new stream");
+}
--- a/test/wire/DispatchCodecTest.cpp
+++ b/test/wire/DispatchCodecTest.cpp
@@ -58,6 +58,20 @@
     cr_assert(sidecar.assume_value().ends[0].kind == RunEndKind::Stuck);
 }
 
+Test(DispatchCodec, tellsOfRoomInAFractionOfTheWholeState)
+{
+    SidecarFrame frame = sidecarFrame();
+    frame.sidecar.clear();
+    frame.ends.clear();
+    const std::size_t whole = encodeFrame(frame).size();
+    frame.state->isWhole = false;
+    const std::string bytes = encodeFrame(frame);
+    cr_assert(bytes.size() * 2 <= whole, "expected half of %zu bytes at most, got %zu", whole, bytes.size());
+    const auto read = decodeSidecarFrame(bytes);
+    cr_assert(read.has_value());
+    cr_assert(!read.assume_value().state->isWhole && read.assume_value().state->used.cpuMillis == 4 && read.assume_value().state->accepting);
+}
+
 Test(DispatchCodec, refusesWhatIsCutShortOrTooLong)
 {
     const std::string bytes = encodeFrame(entryFrame());
