ControlServer: send a document to those who need it, encoded once

Change: such sidecars are told the version and the data centres that are out; the catalogue travels as one text that the leader encodes once a version. Tests: ViewDelta.

--- a/include/oleanderport/Messages.h
+++ b/include/oleanderport/Messages.h
@@ -301,6 +301,9 @@
     // steps from the receiver's to the current one are no longer kept.
     std::optional<ViewDelta> delta;
     std::optional<ClusterView> view;
+    // The catalogue of queues that belongs to the delta or view, as JSON. It may be large, and is the same for all: control
+    // encodes it once, and leaves it out of the other two.
+    std::optional<std::string> catalogueText;
 };
 
 // An entry claims a job before any of its tasks may start.
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -57,7 +57,16 @@
     done();
 }
 
-SessionResponse ControlServer::sessionResponse(const SessionId& id, const KnownView& known) const
+const std::string& ControlServer::textOf(const QueueCatalogue& catalogue)
+{
+    if (m_catalogueText.empty() || m_catalogueVersion != catalogue.version) {
+        m_catalogueText = writeJson(toJson(catalogue));
+        m_catalogueVersion = catalogue.version;
+    }
+    return m_catalogueText;
+}
+
+SessionResponse ControlServer::sessionResponse(const SessionId& id, const KnownView& known)
 {
     const ControlState& state = m_replicator->state();
     const Member* member = state.member(id);
@@ -70,10 +79,14 @@
     const EnvironmentRecord& environment = *state.environment(member->node.environment);
     if (environment.view.version == known.version)
         return response;
-    const bool wantsMembers = needsMembers(member->node);
-    response.delta = viewDelta(environment, known, wantsMembers ? ViewPart::Whole : ViewPart::WithoutMembers);
+    const ViewPart part = viewPartFor(member->node);
+    response.delta = viewDelta(environment, known, part);
     if (!response.delta)
-        response.view = wantsMembers ? environment.view : viewWithoutMembers(environment.view);
+        response.view = viewPartOf(environment.view, part);
+    auto& catalogue = response.delta ? response.delta->catalogue : response.view->catalogue;
+    if (catalogue)
+        response.catalogueText = textOf(*catalogue);
+    catalogue.reset();
     return response;
 }
 
--- a/src/control/ControlServer.h
+++ b/src/control/ControlServer.h
@@ -43,7 +43,8 @@
 
     void addSessionMethods();
     void addClaimMethods();
-    SessionResponse sessionResponse(const SessionId&, const KnownView&) const;
+    SessionResponse sessionResponse(const SessionId&, const KnownView&);
+    const std::string& textOf(const QueueCatalogue&);
     void open(const OpenSessionRequest&, const Reply<SessionResponse>&);
     void heartbeat(const HeartbeatRequest&, const Reply<SessionResponse>&);
     // Serves a session's call in its turn, where this instance leads. While no leader is known the call is held for a
@@ -59,6 +60,9 @@
     SessionTimers m_timers;
     OperatorMethods m_operatorMethods;
     HttpHandler m_httpHandler;
+    // The catalogue of this version as JSON.
+    std::uint64_t m_catalogueVersion { 0 };
+    std::string m_catalogueText;
     PacedCalls m_sessionCalls;
     std::deque<HeldCall> m_heldCalls;
     std::unique_ptr<EventLoop::Timer> m_release;
--- a/src/policy/ViewDelta.cpp
+++ b/src/policy/ViewDelta.cpp
@@ -55,14 +55,14 @@
             take(steps, change);
     }
     ViewDelta delta { .fromVersion = known.version, .version = view.version };
-    if (view.config.version != known.configVersion || view.config.digest != known.configDigest)
-        delta.config = view.config;
     if (steps.dataCentres)
         delta.dataCentresOut = view.dataCentresOut;
+    if (part == ViewPart::DataCentresOut)
+        return delta;
+    if (view.config.version != known.configVersion || view.config.digest != known.configDigest)
+        delta.config = view.config;
     if (steps.catalogue)
         delta.catalogue = view.catalogue;
-    if (part == ViewPart::WithoutMembers)
-        return delta;
     delta.left.assign(steps.left.begin(), steps.left.end());
     for (const auto& member : view.members) {
         if (steps.joined.contains(member.id))
--- a/src/policy/ViewDelta.h
+++ b/src/policy/ViewDelta.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oleanderport/Messages.h"
+#include "policy/ViewScope.h"
 #include "wire/ControlRecords.h"
 
 #include <optional>
@@ -14,12 +15,6 @@
     std::string configDigest;
 };
 
-// What of it a process is told; see policy/ViewScope.h.
-enum class ViewPart {
-    Whole,
-    WithoutMembers,
-};
-
 // What leads from the view that a process has to the current one. The configuration is part of it only when it is not
 // the one that the process has. Nothing when the steps since then are no longer kept, or when the process claims a
 // view that never was: then it needs the whole view.
--- a/src/policy/ViewScope.h
+++ b/src/policy/ViewScope.h
@@ -2,20 +2,28 @@
 
 #include "oleanderport/Messages.h"
 
-// What part of the view a process needs. Answers a start of the whole deployment: if each of N processes is told of each
-// other, control sends N times N members.
+// What part of the view a process needs. Answers a start of the whole deployment, and a document of thousands of queues: if
+// each of N processes is told of each other, control sends N times N members, and every document N times.
 namespace oleanderport {
 
-// A sidecar that accepts streams is connected to by entries, and connects to nobody.
-inline bool needsMembers(const NodeInfo& node) { return node.role != Role::Sidecar || !node.streamAddress; }
+enum class ViewPart {
+    Whole,
+    // The version and the data centres that are out.
+    DataCentresOut,
+};
 
-inline ClusterView viewWithoutMembers(const ClusterView& view)
+// A sidecar that accepts streams is connected to by entries, connects to nobody, and is told by each order what its queue
+// allows.
+inline ViewPart viewPartFor(const NodeInfo& node)
 {
-    return { .version = view.version,
-        .config = view.config,
-        .dataCentresOut = view.dataCentresOut,
-        .members = {},
-        .catalogue = view.catalogue };
+    return node.role == Role::Sidecar && node.streamAddress ? ViewPart::DataCentresOut : ViewPart::Whole;
+}
+
+inline ClusterView viewPartOf(const ClusterView& view, ViewPart part)
+{
+    if (part == ViewPart::Whole)
+        return view;
+    return { .version = view.version, .config = {}, .dataCentresOut = view.dataCentresOut, .members = {}, .catalogue = {} };
 }
 
 } // namespace oleanderport
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -128,8 +128,20 @@
         .configDigest = m_view.config.digest };
 }
 
-void ControlSession::takeView(const SessionResponse& response)
+void ControlSession::takeView(SessionResponse response)
 {
+    if (response.catalogueText) {
+        const auto text = parseJson(*response.catalogueText);
+        auto catalogue = text.has_value() ? fromJson<QueueCatalogue>(text.assume_value()) : text.assume_error();
+        if (!catalogue.has_value()) {
+            m_needsWholeView = true;
+            return logError(LogLevel::Error, catalogue.assume_error());
+        }
+        if (response.delta)
+            response.delta->catalogue = std::move(catalogue).assume_value();
+        else if (response.view)
+            response.view->catalogue = std::move(catalogue).assume_value();
+    }
     const std::uint64_t before = m_view.version;
     const std::uint64_t configBefore = m_view.config.version;
     if (response.view && response.view->version > before)
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -48,7 +48,7 @@
     void renew();
     void take(const SessionResponse&, Milliseconds sentAt);
     // Brings the view up to date. A view never goes back to an older version.
-    void takeView(const SessionResponse&);
+    void takeView(SessionResponse);
     HeartbeatRequest heartbeatRequest() const;
     void sessionEnded();
     // Answer of the "knownView" method: what this process has in force, for operators and tests.
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -454,6 +454,7 @@
         a("lease", m.lease);
         a("delta", m.delta);
         a("view", m.view);
+        a("catalogueText", m.catalogueText);
     }
 
     template <typename Archive>
@@ -848,6 +849,7 @@
 OLEANDERPORT_MESSAGE(CollectResponse)
 OLEANDERPORT_MESSAGE(OpenSessionRequest)
 OLEANDERPORT_MESSAGE(HeartbeatRequest)
+OLEANDERPORT_MESSAGE(QueueCatalogue)
 OLEANDERPORT_MESSAGE(SessionResponse)
 OLEANDERPORT_MESSAGE(ClusterView)
 OLEANDERPORT_MESSAGE(EnvironmentConfig)
--- a/test/policy/ViewDeltaTest.cpp
+++ b/test/policy/ViewDeltaTest.cpp
@@ -154,8 +154,8 @@
     cr_assert(applyDelta(view, *next) && view.catalogue->version == 4);
 }
 
-// Otherwise control would send each of hundreds of sidecars the hundreds of others.
-Test(ViewDelta, aSidecarThatEntriesConnectToIsToldOfNoMembers)
+// Otherwise control would send each of hundreds of sidecars the hundreds of others, and every document.
+Test(ViewDelta, aSidecarThatEntriesConnectToIsToldOfDataCentresOnly)
 {
     ControlState state({});
     const auto open = [&state](Role role, const std::string& instance, const std::optional<std::string>& stream) {
@@ -165,14 +165,15 @@
     const std::uint64_t known = state.view().version;
     open(Role::Sidecar, "sidecar", "10.0.0.1:1");
     cr_assert(state.apply({ .stampUnix = { 1 }, .change = DataCentreChange { .dataCentre = "dc", .out = true, .author = "a", .declared = true } }).has_value());
+    cr_assert(state.apply({ .stampUnix = { 1 }, .change = PublishCatalogue { .catalogue = { .version = 3, .queues = { { .name = "q" } } }, .source = "text" } }).has_value());
     const EnvironmentRecord& environment = *state.environment(productionEnvironment);
     const auto& members = environment.view.members;
-    cr_assert(needsMembers(members[0].node) && !needsMembers(members[1].node));
-    const ClusterView scoped = viewWithoutMembers(environment.view);
-    cr_assert(scoped.members.empty() && scoped.dataCentresOut.size() == 1 && scoped.version == environment.view.version);
-    const auto delta = viewDelta(environment, { .version = known }, ViewPart::WithoutMembers);
+    cr_assert(viewPartFor(members[0].node) == ViewPart::Whole && viewPartFor(members[1].node) == ViewPart::DataCentresOut);
+    const ClusterView part = viewPartOf(environment.view, ViewPart::DataCentresOut);
+    cr_assert(part.members.empty() && !part.catalogue && part.dataCentresOut.size() == 1 && part.version == environment.view.version);
+    const auto delta = viewDelta(environment, { .version = known }, ViewPart::DataCentresOut);
     cr_assert(delta.has_value());
-    cr_assert(delta->joined.empty() && delta->left.empty());
+    cr_assert(delta->joined.empty() && delta->left.empty() && !delta->catalogue && !delta->config);
     cr_assert(delta->dataCentresOut && delta->dataCentresOut->size() == 1 && delta->version == environment.view.version,
-        "expected all else to be told");
+        "expected the data centres and the version to be told");
 }
--- a/test/support/ControlRestart.cpp
+++ b/test/support/ControlRestart.cpp
@@ -262,7 +262,7 @@
     const NodeInfo node { .role = client.isSidecar ? Role::Sidecar : Role::Entry,
         .streamAddress = client.isSidecar ? std::optional<std::string>("address") : std::nullopt };
     // Members of before the loss are in the view until their instances open their sessions anew.
-    return needsMembers(node) || !m_options.scopedViews ? m_clients.size() : 0;
+    return viewPartFor(node) == ViewPart::Whole || !m_options.scopedViews ? m_clients.size() : 0;
 }
 
 void ControlRestart::answer(std::size_t index, const Call& call, Answer answer)
