Shutdown: spend one grace, and no long call to control

Change: the server goes by the end of the grace that its front began; a session is closed within 500 ms, or left to run out.

--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -192,12 +192,17 @@
 }
 
 void EntryServer::shutDown(std::function<void()> done)
+{
+    shutDownBy(Clock::now() + m_process.settings.shutdownGrace, std::move(done));
+}
+
+void EntryServer::shutDownBy(Milliseconds by, std::function<void()> done)
 {
     m_process.events.record(EventKind::ProcessStopping);
     // Connections are accepted until the end: sidecars bring the last results, other entries ask for joined jobs.
     m_jobs.beginShutDown();
     m_shutDownDone = std::move(done);
-    m_shutDownBy = Clock::now() + m_process.settings.shutdownGrace;
+    m_shutDownBy = by;
 }
 
 void EntryServer::reconfigure(const Settings& settings)
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -18,6 +18,8 @@
 
     Result<void> start() override;
     void shutDown(std::function<void()> done) override;
+    // The same, with what is left of a grace that has begun before.
+    void shutDownBy(Milliseconds by, std::function<void()> done);
     void reconfigure(const Settings&) override;
 
     Process& process() { return m_process; }
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -4,11 +4,15 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace oleanderport {
 
 namespace {
 
     constexpr std::int64_t refreshesPerHeartbeat = 10;
+    // A session that is not closed runs out. What stops waits no longer than this for control to hear of it.
+    constexpr Milliseconds longestClose { 500 };
 
 } // namespace
 
@@ -182,7 +186,7 @@
         return done();
     const HeartbeatRequest request = heartbeatRequest();
     m_id.reset();
-    m_client.callTyped<Nothing>(ControlClient::Lane::Session, "closeSession", request, m_process.settings.controlTimeout,
+    m_client.callTyped<Nothing>(ControlClient::Lane::Session, "closeSession", request, std::min(m_process.settings.controlTimeout, longestClose),
         [done = std::move(done)](const Result<Nothing>&) { done(); });
 }
 
