OperatorMethods, RaftReplicator: no log entry for what changes nothing, large messages in turn

Change: a confirmed leader answers a catalogue that is no newer than the one in force from its state, and lets resends of one under way wait for its outcome; large messages are encoded for one peer a round of the loop.

--- a/src/control/OperatorMethods.cpp
+++ b/src/control/OperatorMethods.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace oleanderport {
 
@@ -229,13 +230,32 @@
 
 void OperatorMethods::publishCatalogue(const PublishCatalogue& request, const Reply<CataloguePublished>& reply)
 {
-    m_replicator.propose(request,
-        forward<CataloguePublished, CataloguePublished>(reply, [this](const CataloguePublished& published) {
-            if (published.changed)
-                m_process.events.record(
-                    EventKind::ConfigurationApplied, { .detail = fmt::format("queues version {}", published.version) });
-            return published;
-        }));
+    if (const auto refusal = refusalUnlessLeader(m_replicator))
+        return reply(*refusal);
+    // A catalogue may be large, and is sent again by operators that heard no answer. What changes nothing needs no entry of the
+    // log: a confirmed leader has applied all that was accepted.
+    const ClusterView& view = m_replicator.state().view();
+    if (view.catalogue && view.catalogue->version >= request.catalogue.version)
+        return reply(CataloguePublished { .version = view.catalogue->version, .changed = false, .viewVersion = view.version });
+    const std::uint64_t version = request.catalogue.version;
+    auto& waiting = m_publishing[version];
+    waiting.push_back(reply);
+    if (waiting.size() > 1)
+        return;
+    m_replicator.propose(request, [this, version](const Result<ControlOutcome>& outcome) {
+        const auto replies = std::exchange(m_publishing[version], {});
+        m_publishing.erase(version);
+        if (!outcome.has_value()) {
+            for (const auto& each : replies)
+                each(outcome.assume_error());
+            return;
+        }
+        const auto& published = std::get<CataloguePublished>(outcome.assume_value());
+        if (published.changed)
+            m_process.events.record(EventKind::ConfigurationApplied, { .detail = fmt::format("queues version {}", published.version) });
+        for (const auto& each : replies)
+            each(published);
+    });
 }
 
 Result<std::string> OperatorMethods::catalogueSource() const
--- a/src/control/OperatorMethods.h
+++ b/src/control/OperatorMethods.h
@@ -5,6 +5,9 @@
 #include "wire/OperatorMessages.h"
 #include "wire/Process.h"
 
+#include <map>
+#include <vector>
+
 namespace oleanderport {
 
 // The methods by which operators read and change documents and data centres. Every argument must outlive the process's
@@ -43,6 +46,8 @@
     Process& m_process;
     Replicator& m_replicator;
     const SessionTimers& m_timers;
+    // Who waits for the catalogue of this version to be committed.
+    std::map<std::uint64_t, std::vector<Reply<CataloguePublished>>> m_publishing;
 };
 
 } // namespace oleanderport
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -28,6 +28,8 @@
     // A message may grow in JSON, and a call carries more than entries.
     constexpr std::int64_t bodyShare = 8;
     constexpr std::size_t maxMessageBytes = 1'048'576;
+    // A message of this size takes milliseconds to encode.
+    constexpr std::size_t largeMessageBytes = 65'536;
     constexpr const char* methodName = "raft";
 
     [[noreturn]] void stopProcess(const Error& error)
@@ -273,13 +275,37 @@
     PeerLink& link = m_links[message.to];
     if (!link.client)
         connect(link, message.to);
+    const std::string peer = message.to;
+    const bool isLarge = sizeOf(message) >= largeMessageBytes;
     link.outbox.push_back(std::move(message));
     // The core sends again what matters.
     while (link.outbox.size() > maxOutbox)
         link.outbox.pop_front();
+    if (isLarge || std::find(m_largeFor.begin(), m_largeFor.end(), peer) != m_largeFor.end())
+        return flushLater(peer);
     flush(link);
 }
 
+void RaftReplicator::flushLater(const std::string& peer)
+{
+    if (std::find(m_largeFor.begin(), m_largeFor.end(), peer) == m_largeFor.end())
+        m_largeFor.push_back(peer);
+    if (!m_nextLarge)
+        m_nextLarge = m_process.loop.once({}, [this] { flushNext(); });
+}
+
+void RaftReplicator::flushNext()
+{
+    m_nextLarge.reset();
+    if (m_largeFor.empty())
+        return;
+    const std::string peer = m_largeFor.front();
+    m_largeFor.pop_front();
+    flush(m_links.at(peer));
+    if (!m_largeFor.empty())
+        m_nextLarge = m_process.loop.once({}, [this] { flushNext(); });
+}
+
 void RaftReplicator::connect(PeerLink& link, const std::string& peer)
 {
     const auto& routes = m_process.settings.controlRoutes;
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -56,6 +56,9 @@
     void noteAlive(const std::string& peer);
     void connect(PeerLink&, const std::string& peer);
     void flush(PeerLink&);
+    // Encodes a large message for one peer a round of the loop, so that it does not hold up the leader's heartbeats.
+    void flushLater(const std::string& peer);
+    void flushNext();
     void install(const RaftSnapshot&);
     void apply(const RaftEntry&);
     void compactIfDue();
@@ -75,6 +78,9 @@
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Raft> m_raft;
     std::map<std::string, PeerLink> m_links;
+    // Peers for which a large message waits, in their turn.
+    std::deque<std::string> m_largeFor;
+    std::unique_ptr<EventLoop::Timer> m_nextLarge;
     std::map<std::uint64_t, Proposal> m_proposals;
     // Writes under way, with when they were handed to the store.
     std::deque<std::pair<std::uint64_t, Milliseconds>> m_unsynced;
