--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -25,6 +25,8 @@
     constexpr std::int64_t confirmPercent = 80;
     constexpr std::int64_t wholePercent = 100;
     constexpr std::uint64_t snapshotEvery = 1'000;
+    // What is applied again after a start holds up the leader's first heartbeats.
+    constexpr std::size_t snapshotEveryBytes = 2 * 1'048'576;
     // A message may grow in JSON, and a call carries more than entries.
     constexpr std::int64_t bodyShare = 8;
     constexpr std::size_t maxMessageBytes = 1'048'576;
@@ -358,11 +360,13 @@
     m_state = std::move(state).assume_value();
     m_applied = snapshot.index;
     m_snapshotIndex = snapshot.index;
+    m_bytesSinceSnapshot = 0;
 }
 
 void RaftReplicator::apply(const RaftEntry& entry)
 {
     m_applied = entry.index;
+    m_bytesSinceSnapshot += entry.data.size();
     if (entry.kind == RaftEntryKind::Configuration) {
         std::string members;
         const RaftMember& self = m_store->stored().self;
@@ -395,9 +399,10 @@
 
 void RaftReplicator::compactIfDue()
 {
-    if (m_applied < m_snapshotIndex + snapshotEvery)
+    if (m_applied < m_snapshotIndex + snapshotEvery && m_bytesSinceSnapshot < snapshotEveryBytes)
         return;
     m_snapshotIndex = m_applied;
+    m_bytesSinceSnapshot = 0;
     perform(m_raft->compact(m_applied, encodeState(m_state)));
 }
 
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -74,6 +74,8 @@
     ControlState m_state;
     std::uint64_t m_applied { 0 };
     std::uint64_t m_snapshotIndex { 0 };
+    // Of the entries that were applied since the snapshot.
+    std::size_t m_bytesSinceSnapshot { 0 };
     std::shared_ptr<Completions> m_completions;
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Raft> m_raft;
--- a/src/policy/Raft.h
+++ b/src/policy/Raft.h
@@ -34,6 +34,8 @@
     std::size_t maxBytesPerMessage { 1'048'576 };
     // Entries kept before a snapshot, so that an instance a little behind needs no snapshot.
     std::uint64_t keptEntries { 500 };
+    // Bytes of those at the most: they are held in memory and on disk, and read again at each start.
+    std::size_t keptBytes { 4 * 1'048'576 };
     std::uint64_t seed { 0 };
 };
 
--- a/src/policy/RaftReplication.cpp
+++ b/src/policy/RaftReplication.cpp
@@ -283,7 +283,13 @@
         .term = *m_log.termAt(index),
         .voters = m_log.votersAt(index),
         .data = std::move(data) };
-    const std::uint64_t firstKept = index > m_options.keptEntries ? index - m_options.keptEntries + 1 : 1;
+    std::uint64_t firstKept = std::max(index > m_options.keptEntries ? index - m_options.keptEntries + 1 : 1, m_log.firstIndex());
+    std::size_t bytes = 0;
+    for (std::uint64_t kept = index; kept >= firstKept; --kept) {
+        bytes += m_log.at(kept).data.size();
+        if (bytes > m_options.keptBytes)
+            firstKept = kept + 1;
+    }
     m_log.compact(snapshot, firstKept);
     write({ .snapshot = std::move(snapshot), .firstKept = firstKept });
     return take();
--- a/test/policy/RaftTest.cpp
+++ b/test/policy/RaftTest.cpp
@@ -737,3 +737,21 @@
         healAndCompare(cluster);
     }
 }
+
+// A document of thousands of queues is an entry of most of a megabyte; hundreds of them fill a disk.
+Test(Raft, keepsNoMoreBytesBeforeASnapshotThanItMay)
+{
+    constexpr std::size_t most = 2'000;
+    RaftCluster cluster({ .seed = 5, .snapshotEvery = 10, .keptEntries = 1'000, .keptBytes = most });
+    expectWhole(cluster);
+    commitMany(cluster, std::string(500, 'x'), 60);
+    healAndCompare(cluster);
+    for (const auto& node : cluster.nodes) {
+        const std::uint64_t snapshotIndex = node.disk.snapshot ? node.disk.snapshot->index : 0;
+        cr_assert(snapshotIndex > 0, "expected a snapshot of %s", node.address.c_str());
+        std::size_t bytes = 0;
+        for (const auto& entry : node.disk.entries)
+            bytes += entry.index <= snapshotIndex ? entry.data.size() : 0;
+        cr_assert(bytes <= most, "%s keeps %zu bytes before its snapshot, expected at most %zu", node.address.c_str(), bytes, most);
+    }
+}
--- a/test/support/RaftCluster.cpp
+++ b/test/support/RaftCluster.cpp
@@ -72,6 +72,7 @@
         .electionMost = { options.election * 2 },
         .confirmWindow = { options.election * 80 / 100 },
         .keptEntries = options.keptEntries,
+        .keptBytes = options.keptBytes,
         .seed = random() };
     for (const auto& other : nodes) {
         if (options.seeds == 0 || raftOptions.peers.size() < options.seeds)
--- a/test/support/RaftCluster.h
+++ b/test/support/RaftCluster.h
@@ -31,6 +31,7 @@
     // Applied entries after which an instance makes a snapshot.
     std::uint64_t snapshotEvery { 40 };
     std::uint64_t keptEntries { 10 };
+    std::size_t keptBytes { 4 * 1'048'576 };
 };
 
 // Control instances with an in-memory network and disks that keep only what was synced, on a virtual clock. Breaches
