RaftReplicator: carry large messages on a connection of their own

Change: messages of 64 KiB and more have a connection of their own to each peer; only a call that still waits for its connection is given up.

--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -17,7 +17,7 @@
 
     constexpr Milliseconds tickPeriod { 20 };
     constexpr Milliseconds callTimeout { 1'000 };
-    // Far longer than a peer that is up takes to answer.
+    // Far longer than a peer that is up takes to accept a connection.
     constexpr Milliseconds hangsAfter { 150 };
     constexpr std::size_t maxOutbox = 64;
     // Parts of the least election time; see RaftOptions.
@@ -274,16 +274,16 @@
 
 void RaftReplicator::post(RaftMessage message)
 {
-    PeerLink& link = m_links[message.to];
+    const bool isLarge = sizeOf(message) >= largeMessageBytes;
+    PeerLink& link = m_links[{ message.to, isLarge ? Lane::Bulk : Lane::Prompt }];
     if (!link.client)
         connect(link, message.to);
     const std::string peer = message.to;
-    const bool isLarge = sizeOf(message) >= largeMessageBytes;
     link.outbox.push_back(std::move(message));
     // The core sends again what matters.
     while (link.outbox.size() > maxOutbox)
         link.outbox.pop_front();
-    if (isLarge || std::find(m_largeFor.begin(), m_largeFor.end(), peer) != m_largeFor.end())
+    if (isLarge)
         return flushLater(peer);
     flush(link);
 }
@@ -303,7 +303,7 @@
         return;
     const std::string peer = m_largeFor.front();
     m_largeFor.pop_front();
-    flush(m_links.at(peer));
+    flush(m_links.at({ peer, Lane::Bulk }));
     if (!m_largeFor.empty())
         m_nextLarge = m_process.loop.once({}, [this] { flushNext(); });
 }
@@ -317,14 +317,19 @@
 
 void RaftReplicator::noteAlive(const std::string& peer)
 {
-    const auto found = m_links.find(peer);
-    if (found == m_links.end() || !found->second.busy || Clock::now() < found->second.calledAt + hangsAfter)
-        return;
-    PeerLink& link = found->second;
-    ++link.givenUp;
-    link.busy = false;
-    connect(link, peer);
-    flush(link);
+    for (const Lane lane : { Lane::Prompt, Lane::Bulk }) {
+        const auto found = m_links.find({ peer, lane });
+        if (found == m_links.end())
+            continue;
+        PeerLink& link = found->second;
+        const bool hangs = link.busy && link.client->isConnecting() && Clock::now() >= link.calledAt + hangsAfter;
+        if (!hangs)
+            continue;
+        ++link.givenUp;
+        link.busy = false;
+        connect(link, peer);
+        flush(link);
+    }
 }
 
 void RaftReplicator::flush(PeerLink& link)
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -31,6 +31,12 @@
     const ControlState& state() const override { return m_state; }
 
 private:
+    // Large messages go on a connection of their own, so that no heartbeat waits behind one.
+    enum class Lane {
+        Prompt,
+        Bulk,
+    };
+    using LinkKey = std::pair<std::string, Lane>;
     // Messages to one peer. One call is under way at a time; what is due meanwhile goes with the next.
     struct PeerLink {
         std::unique_ptr<RpcClient> client;
@@ -52,7 +58,7 @@
     void storeFinished();
     void perform(RaftActions);
     void post(RaftMessage);
-    // A peer that speaks can be reached: a call to it that hangs since before it came up is given up.
+    // A peer that speaks can be reached: a connection to it that hangs since before it came up is made anew.
     void noteAlive(const std::string& peer);
     void connect(PeerLink&, const std::string& peer);
     void flush(PeerLink&);
@@ -79,7 +85,7 @@
     std::shared_ptr<Completions> m_completions;
     std::unique_ptr<LogStore> m_store;
     std::unique_ptr<Raft> m_raft;
-    std::map<std::string, PeerLink> m_links;
+    std::map<LinkKey, PeerLink> m_links;
     // Peers for which a large message waits, in their turn.
     std::deque<std::string> m_largeFor;
     std::unique_ptr<EventLoop::Timer> m_nextLarge;
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -90,6 +90,11 @@
         evhttp_connection_free(m_connection);
 }
 
+bool HttpConnection::isConnecting() const
+{
+    return !m_pending.empty() && m_pending.front()->request && !m_pending.front()->isHandedOver;
+}
+
 void HttpConnection::call(const HttpCall& message, HttpCallback callback)
 {
     if (!m_connection) {
--- a/src/wire/HttpClient.h
+++ b/src/wire/HttpClient.h
@@ -55,6 +55,9 @@
     HttpConnection& operator=(const HttpConnection&) = delete;
 
     void call(const HttpCall&, HttpCallback);
+    // A call waits for a connection: nothing of it has left this process.
+    bool isConnecting() const;
+
     const std::string& address() const { return m_address; }
 
 private:
--- a/src/wire/Rpc.h
+++ b/src/wire/Rpc.h
@@ -90,6 +90,7 @@
     }
 
     const std::string& address() const { return m_connection.address(); }
+    bool isConnecting() const { return m_connection.isConnecting(); }
 
 private:
     LogicalClock& m_clock;
