RunTable: send an unanswered start again under the same run

Cause: a start without an answer was stopped, and its task started elsewhere once a stop was answered and a list had settled it. With half of the orders unanswered that takes three answers, and the room waited for them.

Ruled out: more lists alone (the stop stays unanswered), a shorter time-out alone (the task still begins again elsewhere).

Change: the minion takes a second order for the same run as one, so the order is sent again: eight times at once, then with a growing pause, and only while what permitted it holds. From the first unanswered order on only an answered stop proves that nothing started.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -44,6 +44,8 @@
         { .name = "overload", .sidecars = 7 },
         { .name = "burst", .burstPerSecond = 110 },
         { .name = "orders lost", .delayedOrders = 0.05 },
+        { .name = "half of orders lost", .duration = { 10'000 }, .delayedOrders = 0.5 },
+        { .name = "most orders lost", .duration = { 10'000 }, .delayedOrders = 0.7 },
         { .name = "slow minions", .slowMinions = 2 },
         { .name = "failing minions", .failingMinions = 2 },
         { .name = "large, ordinary", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 875, .duration = { 4'000 } },
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -249,6 +249,15 @@
         && now < m_permittedUntil;
 }
 
+bool RunTable::mayStillStart(const RunName& name, Milliseconds now) const
+{
+    const auto found = m_byMinionName.find(name);
+    if (found == m_byMinionName.end() || !mayStart(now))
+        return false;
+    const Run& run = m_runs.at(found->second);
+    return run.state == State::Starting && !isOver(found->second, run, now);
+}
+
 bool RunTable::isStale(const Entry& entry, Milliseconds now) const { return now > entry.echo + m_options.entryLease; }
 
 void RunTable::startAnswered(const RunName& name, StartAnswer answer, Milliseconds now)
@@ -269,16 +278,18 @@
         }
         return;
     }
-    if (answer == StartAnswer::Unknown) {
-        run.startUnanswered = true;
-        if (run.evidence == StartEvidence::Ordered)
-            run.evidence = StartEvidence::Unanswered;
-        // Only a stop that is answered makes the order harmless.
-        stop(run, RunEndKind::Stopped);
-        return;
-    }
+    if (answer == StartAnswer::Unknown)
+        return startUnanswered(run, now);
     if (run.evidence == StartEvidence::Started)
         return;
+    if (run.unansweredStarts > 0) {
+        // This order did nothing, but a former one may yet be carried out: only a stop that is answered makes it harmless.
+        if (wanted && answer == StartAnswer::NoRoom)
+            run.resendAt = now + m_options.startRetry;
+        else
+            stop(run, RunEndKind::Stopped);
+        return;
+    }
     run.evidence = StartEvidence::Declined;
     if (!wanted || answer == StartAnswer::Refused || answer == StartAnswer::Unhealthy)
         return end(key, RunEndKind::Stopped, now);
@@ -290,6 +301,39 @@
     run.notBefore = now + (answer == StartAnswer::Superseded ? Milliseconds {} : m_options.startRetry);
 }
 
+// The minion takes a second order for the same run as one, whichever of them it carries out first. So the order is sent again rather than stopped: a
+// stop and the list that settles it need two answers, and the task then starts from the beginning elsewhere.
+void RunTable::startUnanswered(Run& run, Milliseconds now)
+{
+    ++run.unansweredStarts;
+    if (run.evidence == StartEvidence::Ordered)
+        run.evidence = StartEvidence::Unanswered;
+    if (run.state == State::Starting)
+        run.resendAt = now + resendGap(run);
+}
+
+Milliseconds RunTable::resendGap(const Run& run) const
+{
+    Milliseconds gap {};
+    for (int i = m_options.promptResends; i < run.unansweredStarts && gap < m_options.longestResendGap; ++i)
+        gap = gap.count == 0 ? m_options.firstResendGap : gap + gap;
+    return std::min(gap, m_options.longestResendGap);
+}
+
+void RunTable::resendStarts(RunActions& actions, Milliseconds now)
+{
+    for (const auto& [name, key] : m_byMinionName) {
+        Run& run = m_runs.at(key);
+        if (run.state != State::Starting || !run.resendAt || now < *run.resendAt)
+            continue;
+        // What permitted the first order may have run out since.
+        if (mayStart(now))
+            orderStart(run, actions, now);
+        else
+            stop(run, RunEndKind::Stopped);
+    }
+}
+
 void RunTable::noteStarted(Run& run) { run.evidence = StartEvidence::Started; }
 
 void RunTable::stopAnswered(const RunName& name, bool answered, Milliseconds now)
@@ -399,6 +443,7 @@
 {
     m_openLists = std::max(m_openLists - 1, 0);
     m_listedAt = now;
+    m_listLostAt = now;
     if (now <= m_leaseMayEndAt)
         return;
     // The minion has let everything lapse by now, or is no more.
@@ -415,7 +460,7 @@
         return;
     Run& run = found->second;
     const RunEndKind kind = provesNotStarted(run.evidence) ? RunEndKind::NotStarted : whenStarted;
-    if (run.startUnanswered)
+    if (run.unansweredStarts > 0)
         m_settledStarts.push_back({ .run = run.minionName, .evidence = run.evidence });
     const bool atMinion = m_byMinionName.erase(run.minionName) > 0;
     if (atMinion)
@@ -529,6 +574,7 @@
     for (const auto& key : ended)
         end(key, RunEndKind::Stopped, now);
     startQueued(actions, now);
+    resendStarts(actions, now);
     sendStops(actions, now);
     listRuns(actions, now);
     offerRoom(now);
@@ -576,16 +622,22 @@
     last = { .run = run.minionName.run, .at = now };
     run.state = State::Starting;
     run.evidence = StartEvidence::Ordered;
-    run.startUnanswered = false;
-    run.startedAt = now;
+    run.unansweredStarts = 0;
     run.listedAt = {};
     run.percent = 0;
     addNeeds(m_used, run.order.needs, 1);
     m_byMinionName.emplace(run.minionName, key);
+    orderStart(run, actions, now);
+    markStateChanged();
+}
+
+void RunTable::orderStart(Run& run, RunActions& actions, Milliseconds now)
+{
+    run.resendAt.reset();
+    run.startedAt = now;
     noteLeaseGiven(now);
     actions.starts.push_back(
         { .run = run.minionName, .payload = run.order.payload, .lease = m_options.minionLease });
-    markStateChanged();
 }
 
 void RunTable::noteLeaseGiven(Milliseconds now)
@@ -618,16 +670,21 @@
         && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_strays.empty() || m_endsForgotten < m_endsSeen);
 }
 
-std::optional<Milliseconds> RunTable::nextListAt() const
+bool RunTable::areListsDoubtful(Milliseconds now) const { return m_listLostAt && now <= *m_listLostAt + m_options.listsDoubtfulFor; }
+
+std::optional<Milliseconds> RunTable::nextListAt(Milliseconds now) const
 {
-    if (!needsList() || m_openLists > 1)
+    const bool doubtful = areListsDoubtful(now);
+    if (!needsList() || m_openLists >= (doubtful ? m_options.mostDoubtfulLists : 2))
         return std::nullopt;
-    return m_openLists == 0 ? m_listedAt + m_options.listGap : m_listAskedAt + m_options.secondListAfter;
+    if (m_openLists == 0)
+        return m_listedAt + m_options.listGap;
+    return m_listAskedAt + (doubtful ? m_options.doubtfulListAfter : m_options.secondListAfter);
 }
 
 void RunTable::listRuns(RunActions& actions, Milliseconds now)
 {
-    const auto due = nextListAt();
+    const auto due = nextListAt(now);
     if (!due || now < *due)
         return;
     ++m_openLists;
@@ -637,7 +694,7 @@
     ListRuns list { .lease = std::nullopt, .endsSeen = m_endsSeen, .wait = {} };
     if (stopping < static_cast<std::ptrdiff_t>(m_byMinionName.size())) {
         list.lease = m_options.minionLease;
-        list.wait = stopping > 0 ? m_options.listGap : m_options.listWait;
+        list.wait = stopping > 0 || areListsDoubtful(now) ? m_options.listGap : m_options.listWait;
         noteLeaseGiven(now);
     }
     actions.list = list;
@@ -725,7 +782,7 @@
 {
     std::optional<Milliseconds> due;
     const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
-    if (const auto list = nextListAt())
+    if (const auto list = nextListAt(now))
         at(*list);
     for (const auto& [name, entry] : m_entries) {
         if (entry.connected && entry.stateChanged)
@@ -738,6 +795,8 @@
     for (const auto& [key, run] : m_runs) {
         if (run.state == State::Queued && run.notBefore > now)
             at(run.notBefore);
+        if (run.state == State::Starting && run.resendAt)
+            at(*run.resendAt);
         if (run.state == State::Stopping && !run.stopAnsweredAt)
             at(dueAt(run.stopOrder));
         else if (run.state != State::Stopping)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -122,6 +122,10 @@
     // A second list is asked for once the first has not been answered for this long: when its answer is lost, ends are
     // learned from the second.
     Milliseconds secondListAfter { 30 };
+    // For this long after a list without an answer, lists wait only `listGap` for an end, and so many may be open: what is lost is asked for sooner.
+    Milliseconds listsDoubtfulFor { 500 };
+    int mostDoubtfulLists { 4 };
+    Milliseconds doubtfulListAfter { 10 };
     // Least time between two lists, so that ends are gathered.
     Milliseconds listGap { 6 };
     // A stop without an answer is sent again after this time; one that is known not to be answered, this long after it was sent.
@@ -138,6 +142,10 @@
     Milliseconds offerFor { 5 };
     // Wait before a run is tried again at a minion that had no room or was unhealthy.
     Milliseconds startRetry { 40 };
+    // An order without an answer is sent again at once so many times, then with a pause that doubles up to the longest.
+    int promptResends { 8 };
+    Milliseconds firstResendGap { 20 };
+    Milliseconds longestResendGap { 160 };
     // A run is stuck once it is expected to take this many times its estimate, and `stuckLeast` at least.
     std::int64_t stuckFactor { 4 };
     Milliseconds stuckLeast { 300 };
@@ -173,6 +181,9 @@
     // Nothing further is taken.
     void beginLeaving() { m_leaving = true; }
 
+    // Whether what permitted an order to start this run still holds. An order may have waited since, or its process been paused.
+    bool mayStillStart(const RunName&, Milliseconds now) const;
+
     // What to do now. Call after any of the above.
     RunActions act(Milliseconds now);
     // When act() has to be called again at the latest; nothing while nothing is due.
@@ -224,8 +235,10 @@
         Milliseconds listedAt {};
         int percent { 0 };
         StartEvidence evidence { StartEvidence::NotOrdered };
-        // The order got no answer in time.
-        bool startUnanswered { false };
+        // Orders for this run that got no answer in time. Each may still be carried out, until a stop is answered.
+        int unansweredStarts { 0 };
+        // When the order is sent again.
+        std::optional<Milliseconds> resendAt;
         // Of a run that is being stopped: Stopped or Stuck, if it had started.
         RunEndKind endAs { RunEndKind::Stopped };
         StopOrder stopOrder;
@@ -289,6 +302,11 @@
     static Milliseconds projectedRun(const Run&);
     void startQueued(RunActions&, Milliseconds now);
     void start(const RunKey&, Run&, RunActions&, Milliseconds now);
+    // Orders the start of a run that the minion has not confirmed, under its name there.
+    void orderStart(Run&, RunActions&, Milliseconds now);
+    void resendStarts(RunActions&, Milliseconds now);
+    Milliseconds resendGap(const Run&) const;
+    void startUnanswered(Run&, Milliseconds now);
     bool fits(const TaskNeeds&) const;
     // Whether a task fits beside what runs and what waits.
     bool fitsAtOnce(const TaskNeeds&) const;
@@ -301,7 +319,9 @@
     void sendFrames(RunActions&, Milliseconds now);
     bool needsList() const;
     // When the next list may be asked for; nothing while none is needed.
-    std::optional<Milliseconds> nextListAt() const;
+    std::optional<Milliseconds> nextListAt(Milliseconds now) const;
+    // A list went unanswered lately.
+    bool areListsDoubtful(Milliseconds now) const;
     void takeListedRuns(const RunList&, Milliseconds askedAt, Milliseconds now);
     // Whether the run has ended or never began, by a list that does not show it as running.
     bool isGone(const Run&, bool listIsWhole, Milliseconds askedAt) const;
@@ -329,6 +349,8 @@
     Milliseconds m_leaseMayEndAt {};
     std::uint64_t m_endsSeen { 0 };
     std::uint64_t m_endsForgotten { 0 };
+    // When a list that was not answered was given up last.
+    std::optional<Milliseconds> m_listLostAt;
     // Lists that are not answered yet, and when the last one was asked for.
     int m_openLists { 0 };
     Milliseconds m_listAskedAt {};
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -34,6 +34,9 @@
     // as ended.
     void minionLeaves(std::function<void()> confirm);
 
+    // Whether what permitted the order to start this run still holds, at the moment at which the order is sent.
+    bool mayStillStart(const RunName& run) const { return m_runs.mayStillStart(run, Clock::now()); }
+
     // Rises with each life of this sidecar; nothing before control has given it a session.
     std::optional<std::uint64_t> fencingToken() const { return m_fencingToken; }
     Process& process() { return m_process; }
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -60,6 +60,45 @@
     assertStoppedEachOnceOrAgain(deployment.minion, 3);
 }
 
+// Every second order is carried out after its sender has given it up, and its answer is lost.
+Test(PlatformPath, startsATaskOnceThoughOrdersForItAreNotAnswered)
+{
+    int orders = 0;
+    bool isLosing = false;
+    PlatformDeployment deployment({ .delayOf = [&orders, &isLosing](PlatformMinion::Call) {
+        return PlatformMinion::CallDelay { .carryOut = { isLosing && orders++ % 2 == 0 ? 300 : 0 } };
+    } });
+    deployment.becomeReady();
+    isLosing = true;
+    const std::string answer
+        = deployment.ask(deployment.front, "POST /a/x", R"({"spec":"text","bestEffort":true,"steps":[{"count":20,"cpu":100,"memMb":1,"estimatedMs":400}]})");
+    cr_assert(hasStatus(answer, 200), "got %s", answer.c_str());
+    deployment.pass({ 400 });
+    const std::set<std::string> tasks(deployment.minion.started.begin(), deployment.minion.started.end());
+    cr_assert(tasks.size() == 20 && deployment.minion.started.size() == 20, "expected 20 tasks to start once each, %zu tasks made %zu starts",
+        tasks.size(), deployment.minion.started.size());
+}
+
+// Starts that wait for a connection are checked again when it is their turn.
+Test(PlatformPath, sendsNoStartThatWaitedOnceItsCallerHasGone)
+{
+    bool isSilent = false;
+    PlatformDeployment deployment({ .runTime = [](const std::string& spec) { return Milliseconds { spec == "long" ? 3'000 : 20 }; },
+        .delayOf = [&isSilent](PlatformMinion::Call call) { return PlatformMinion::CallDelay { .answer = { isSilent && call == PlatformMinion::Call::Start ? 5'000 : 0 } }; } });
+    deployment.becomeReady();
+    isSilent = true;
+    RawConnection& client = deployment.send(deployment.front, "POST /a/x",
+        R"({"spec":"long","bestEffort":true,"steps":[{"count":100,"cpu":100,"memMb":1,"estimatedMs":3000}]})");
+    cr_assert(runUntil(deployment.loop, [&deployment] { return !deployment.minion.started.empty(); }));
+    client.close();
+    cr_assert(runUntil(deployment.loop, [&deployment] { return !deployment.minion.stopped.empty(); }));
+    const std::size_t started = deployment.minion.started.size();
+    cr_assert(started < 100, "expected starts to wait for a connection, all were sent");
+    deployment.pass({ 300 });
+    cr_assert(deployment.minion.started.size() == started, "expected no start once the first stop was ordered, got %zu",
+        deployment.minion.started.size() - started);
+}
+
 // The whole deployment is paused while the answers to its stops arrive.
 Test(PlatformPath, stopsAgainWhatWasNotSeenToStop)
 {
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -288,6 +288,27 @@
         shares.inObjective, shares.late);
 }
 
+// Minions leave half of their orders unanswered for ten seconds of ordinary load, and carry them out two to twelve seconds late.
+Test(JobDispatcher, servesOnWhileHalfOfTheOrdersAreNotAnswered)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        DispatchModel model({ .sidecars = 11, .seed = seed });
+        model.runFor({ 3'000 });
+        DispatchLoad load(model, 3, seed);
+        const Milliseconds from = model.now();
+        const Milliseconds until = from + Milliseconds { 10'000 };
+        load.offer(140, from, { 10'000 });
+        model.delayOrders(0.5);
+        model.at(until, [&model] { model.delayOrders(0); });
+        model.runFor({ 25'000 });
+        assertNothingRanTwice(model);
+        const ServedShares shares = servedShares(model, from, until);
+        cr_assert(shares.open == 0, "%zu jobs got no end", shares.open);
+        cr_assert(shares.inObjective + shares.late >= 0.9, "seed %llu: expected nine tenths served, got %.3f in objective, %.3f late, %.3f refused",
+            static_cast<unsigned long long>(seed), shares.inObjective, shares.late, shares.refused);
+    }
+}
+
 Test(JobDispatcher, runsNoTaskTwiceThroughRandomFaults)
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -29,7 +29,7 @@
     Milliseconds delay { 1 };
     // Between a sidecar and its minion.
     Milliseconds localDelay { 0 };
-    // How long an order to a minion waits for its answer, as in the adapter.
+    // Longest that an order to a minion waits for its answer, as in the adapter.
     Milliseconds orderTimeout { 35 };
     std::uint64_t seed { 1 };
     JobDispatcherOptions dispatcher;
