Soak: judge recovery by jobs that have ended, and show them

A job still under way at the close counted as not served, the span after the recovery time was 3.7 s, and the line did not say what had become of the job.

Change: the run goes on for 6 s more, callers then begin no further job, and those under way are waited for, so each is judged by its end. The bound (a quarter) and the recovery time (12 s) stay. A violation names every attempt, each run tells jobs asked and served after the recovery time and the longest stall of the soak itself.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -79,8 +79,9 @@
 
 void Callers::sendNext(Caller& caller)
 {
-    if (m_stopped)
+    if (m_stopped || m_beginsNoMore)
         return;
+    ++m_underWay;
     m_jobs.push_back(makeJob());
     send(caller, m_jobs.back(), m_random.below(m_entries.size()));
 }
@@ -120,6 +121,7 @@
         caller.timer = m_loop.once(resendAfter, [this, &caller, &job, next] { send(caller, job, next); });
         return;
     }
+    --m_underWay;
     caller.timer = m_loop.once({ m_random.below(longestPause.count) }, [this, &caller] { sendNext(caller); });
 }
 
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -27,6 +27,10 @@
     Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers);
 
     void start();
+    // Begins no further job; those under way go on.
+    void beginNoMore() { m_beginsNoMore = true; }
+    // Jobs that have no end yet.
+    std::size_t underWay() const { return m_underWay; }
     // Sends nothing further and closes every channel.
     void stop();
 
@@ -50,6 +54,8 @@
     std::list<JobRecord> m_jobs;
     std::vector<Caller> m_callers;
     std::int64_t m_estimatePercent;
+    std::size_t m_underWay { 0 };
+    bool m_beginsNoMore { false };
     bool m_stopped { false };
 };
 
--- a/soak/Judge.cpp
+++ b/soak/Judge.cpp
@@ -306,18 +306,19 @@
 
         void checkRecovery()
         {
-            int asked = 0;
-            int served = 0;
-            for (const auto& job : m_record.jobs) {
-                const bool late = !job.attempts.empty() && job.attempts.front().sent > m_record.healed + m_bounds.recovery;
-                if (!late || job.queue != steadyQueue)
-                    continue;
-                ++asked;
-                served += job.attempts.back().status == statusOk ? 1 : 0;
-            }
+            const std::vector<const JobRecord*> jobs = jobsAfterRecovery(m_record, m_bounds);
+            const auto served = std::count_if(jobs.begin(), jobs.end(), [](const JobRecord* job) { return isServed(*job); });
             // A quarter, as the users' platform has it.
-            if (asked == 0 || served * 4 < asked)
-                add("recovery", fmt::format("{} of {} jobs served after the recovery time", served, asked));
+            if (!jobs.empty() && served * 4 >= static_cast<std::ptrdiff_t>(jobs.size()))
+                return;
+            std::string detail = fmt::format("{} of {} jobs served after the recovery time, from {} ms to {} ms", served, jobs.size(),
+                (m_record.healed + m_bounds.recovery).count, m_record.finished.count);
+            for (const JobRecord* job : jobs) {
+                for (const auto& attempt : job->attempts)
+                    detail += fmt::format("; {} at {} from {} ms to {}: status {}", job->id, attempt.entry, attempt.sent.count,
+                        attempt.ended ? fmt::format("{} ms", attempt.ended->count) : "the end", attempt.status);
+            }
+            add("recovery", detail);
         }
 
         const Record& m_record;
@@ -328,6 +329,18 @@
 
 } // namespace
 
+std::vector<const JobRecord*> jobsAfterRecovery(const Record& record, const Bounds& bounds)
+{
+    std::vector<const JobRecord*> jobs;
+    for (const auto& job : record.jobs) {
+        if (!job.attempts.empty() && job.attempts.front().sent > record.healed + bounds.recovery && job.queue == steadyQueue)
+            jobs.push_back(&job);
+    }
+    return jobs;
+}
+
+bool isServed(const JobRecord& job) { return !job.attempts.empty() && job.attempts.back().status == statusOk; }
+
 std::vector<Violation> judge(const Record& record, const Bounds& bounds) { return Judge(record, bounds).verdict(); }
 
 } // namespace oleanderport::soak
--- a/soak/Judge.h
+++ b/soak/Judge.h
@@ -29,6 +29,11 @@
     std::string detail;
 };
 
+// Jobs of the steady queue that were first sent after the time by which service has to be back.
+std::vector<const JobRecord*> jobsAfterRecovery(const Record&, const Bounds&);
+// Its last attempt was answered with 200.
+bool isServed(const JobRecord&);
+
 // Checks a run against the promises of docs/SOAK.md. Pure: the same record has the same verdict.
 std::vector<Violation> judge(const Record&, const Bounds&);
 
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -8,6 +8,7 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -23,6 +24,8 @@
 constexpr Milliseconds lookPeriod { 20 };
 // Longest wait until a new deployment serves its first job. No verdict on the product depends on it.
 constexpr Milliseconds patience { 60'000 };
+// Three attempts of four seconds, and the time between them.
+constexpr Milliseconds longestJob { 15'000 };
 
 struct SoakOptions {
     std::filesystem::path build;
@@ -46,7 +49,10 @@
 
     Record run()
     {
-        const auto looking = m_loop.every(lookPeriod, [this] { m_deployment.look(); });
+        const auto looking = m_loop.every(lookPeriod, [this] {
+            noteStall();
+            m_deployment.look();
+        });
         m_deployment.startAll();
         m_operator.putConfig([this] { m_firstCallers.start(); });
         runUntil([this] { return servesAJob(); });
@@ -55,6 +61,11 @@
         m_operator.start();
         playFaults();
         runFor(m_plan.length);
+        // Every job that was begun is judged by its end.
+        m_callers.beginNoMore();
+        const Milliseconds limit = Clock::now() + longestJob;
+        while (m_callers.underWay() > 0 && Clock::now() < limit)
+            runFor(lookPeriod);
         return finish();
     }
 
@@ -103,6 +114,15 @@
         }
     }
 
+    // This process does little, so a gap between two looks is the machine's.
+    void noteStall()
+    {
+        const Milliseconds now = Clock::now();
+        if (m_lookedAt.count > 0 && now - m_lookedAt > m_longestStall.lasted)
+            m_longestStall = { .at = m_lookedAt, .lasted = now - m_lookedAt };
+        m_lookedAt = now;
+    }
+
     void playFaults()
     {
         const Milliseconds begin = Clock::now();
@@ -135,6 +155,7 @@
         record.faults = m_deployment.faults();
         record.endedByThemselves = m_deployment.endedByThemselves();
         record.healed = m_healed;
+        record.longestStall = m_longestStall;
         for (const auto& fault : record.faults)
             record.healed = std::max(record.healed, fault.until);
         record.finished = Clock::now();
@@ -150,6 +171,8 @@
     Callers m_firstCallers;
     std::vector<std::unique_ptr<EventLoop::Timer>> m_timers;
     Milliseconds m_healed {};
+    Milliseconds m_lookedAt {};
+    Stall m_longestStall;
 };
 
 std::string describe(const Plan& plan)
@@ -172,8 +195,11 @@
         refused += status == 503 || status == 429 ? 1 : 0;
         resent += job.attempts.size() > 1 ? 1 : 0;
     }
-    return fmt::format("{} jobs, {} served, {} refused, {} sent again, {} runs, {} orders, {} reads, {} faults", record.jobs.size(), served,
-        refused, resent, record.runs.size(), record.orders.size(), record.reads.size(), record.faults.size());
+    const auto late = jobsAfterRecovery(record, {});
+    return fmt::format("{} jobs, {} served, {} refused, {} sent again, {} runs, {} orders, {} reads, {} faults; after recovery {} of {} served; longest stall of the soak {} ms, from {} ms", record.jobs.size(),
+        served, refused, resent, record.runs.size(), record.orders.size(), record.reads.size(), record.faults.size(),
+        std::count_if(late.begin(), late.end(), [](const JobRecord* job) { return isServed(*job); }), late.size(), record.longestStall.lasted.count,
+        record.longestStall.at.count);
 }
 
 // True when every promise was kept. The folder of a run that broke one stays.
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -32,7 +32,7 @@
     constexpr Milliseconds plannedFrom { 15'000 };
     constexpr Milliseconds plannedUntil { 22'000 };
     constexpr Milliseconds lastFaults { 32'000 };
-    constexpr Milliseconds length { 50'000 };
+    constexpr Milliseconds length { 56'000 };
     constexpr Milliseconds longestFault { 4'000 };
     constexpr Milliseconds outLasts { 8'000 };
     // Time between two losses of control instances: the former has caught up by then.
--- a/soak/Records.h
+++ b/soak/Records.h
@@ -98,6 +98,12 @@
     std::optional<Milliseconds> gone;
 };
 
+// Time for which the soak itself did nothing although it wanted to: the machine was busy or stood still.
+struct Stall {
+    Milliseconds at {};
+    Milliseconds lasted {};
+};
+
 struct Record {
     std::vector<JobRecord> jobs;
     std::vector<RunRecord> runs;
@@ -109,6 +115,8 @@
     // The end of the last fault, and of the whole run.
     Milliseconds healed {};
     Milliseconds finished {};
+    // For the reader; no promise depends on it.
+    Stall longestStall;
 };
 
 // Queues of the run. The optional one comes and goes with the versions of the configuration.
