RunTable, JobDispatcher: end a run in one place, put a task back in one

Cause: a run that is given back was ended as not started and its kind rewritten afterwards; a task went back to the queue in two places. Change: RunTable::conclude takes the kind, JobDispatcher::putBack is the one way back.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -340,10 +340,7 @@
     if (end.kind == RunEndKind::NoRoom) {
         ++job.givenBack;
         --job.runs;
-        task.state = TaskState::Waiting;
-        ++job.waiting;
-        m_queue.emplace(job.urgentAt, place.job);
-        return;
+        return putBack(place.job, job, task);
     }
     m_actions.failedRuns.push_back({ .run = end.run, .sidecar = sidecar, .kind = end.kind, .ranFor = end.ranFor, .evidence = end.evidence });
     if (end.kind == RunEndKind::Stuck)
@@ -360,9 +357,14 @@
         learnFromSlowRun(job, step, task, sidecar, end.ranFor);
     if (end.kind != RunEndKind::NotStarted)
         task.failedAt.push_back(sidecar);
+    putBack(place.job, job, task);
+}
+
+void JobDispatcher::putBack(std::uint64_t id, Job& job, Task& task)
+{
     task.state = TaskState::Waiting;
     ++job.waiting;
-    m_queue.emplace(job.urgentAt, place.job);
+    m_queue.emplace(job.urgentAt, id);
 }
 
 void JobDispatcher::learnRunTime(const Job& job, const DispatchStep& step, Milliseconds ranFor)
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -301,6 +301,8 @@
     void send(std::uint64_t id, Job&, std::uint32_t step, std::uint32_t index, const std::string& sidecar, Milliseconds now);
     void takeEnd(Link&, const std::string& sidecar, const RunEnd&, Milliseconds now);
     void runEnded(const std::string& sidecar, const TaskPlace&, const RunEnd&, Milliseconds now);
+    // The task waits for a minion again.
+    void putBack(std::uint64_t id, Job&, Task&);
     void learnRunTime(const Job&, const DispatchStep&, Milliseconds ranFor);
     // Learns from a run that was ended as stuck while it made progress.
     void learnFromSlowRun(const Job&, const DispatchStep&, Task&, const std::string& sidecar, Milliseconds projected);
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -133,7 +133,7 @@
     if (!isFresh || !mayStart(now) || order.endBy <= now)
         end(key, RunEndKind::Stopped, now);
     else if (!order.mayWait && !fitsAtOnce(order.needs))
-        giveBack(key, now);
+        conclude(key, RunEndKind::NoRoom, now);
     else
         stopOthers(key);
     markStateChanged();
@@ -148,12 +148,6 @@
     return free.cpuMillis >= 0 && free.memoryMb >= 0 && free.accelerators >= 0 && fits(needs);
 }
 
-void RunTable::giveBack(const RunKey& key, Milliseconds now)
-{
-    end(key, RunEndKind::NotStarted, now);
-    m_entries.at(key.first).unseenEnds.back().kind = RunEndKind::NoRoom;
-}
-
 void RunTable::offerRoom(Milliseconds now)
 {
     std::erase_if(m_offers, [now](const Offer& offer) { return offer.until <= now; });
@@ -456,10 +450,14 @@
 void RunTable::end(const RunKey& key, RunEndKind whenStarted, Milliseconds now)
 {
     const auto found = m_runs.find(key);
-    if (found == m_runs.end())
-        return;
-    Run& run = found->second;
-    const RunEndKind kind = provesNotStarted(run.evidence) ? RunEndKind::NotStarted : whenStarted;
+    if (found != m_runs.end())
+        conclude(key, provesNotStarted(found->second.evidence) ? RunEndKind::NotStarted : whenStarted, now);
+}
+
+void RunTable::conclude(const RunKey& key, RunEndKind kind, Milliseconds now)
+{
+    const auto found = m_runs.find(key);
+    const Run& run = found->second;
     if (run.unansweredStarts > 0)
         m_settledStarts.push_back({ .run = run.minionName, .evidence = run.evidence });
     const bool atMinion = m_byMinionName.erase(run.minionName) > 0;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -287,6 +287,8 @@
     void take(const std::string& entry, const RunOrder&, const OrderedTask&, bool isFresh, Milliseconds now);
     // Ends a run as not started when that is proven, otherwise as given.
     void end(const RunKey&, RunEndKind whenStarted, Milliseconds now);
+    // The run is over and its entry hears so.
+    void conclude(const RunKey&, RunEndKind, Milliseconds now);
     static void stop(Run&, RunEndKind);
     void stopOthers(const RunKey&);
     // The minion has answered the order, or lists the run or its end.
@@ -310,7 +312,6 @@
     bool fits(const TaskNeeds&) const;
     // Whether a task fits beside what runs and what waits.
     bool fitsAtOnce(const TaskNeeds&) const;
-    void giveBack(const RunKey&, Milliseconds now);
     // Tells entries that wait for room of what is free, those that have waited longest first.
     void offerRoom(Milliseconds now);
     void sendStops(RunActions&, Milliseconds now);
