RunTable: give no runs to a minion that answers nothing

Cause: sends an unanswered start again, and each order renews the lease of which the end must be waited for before the task may start elsewhere. A minion that had crashed without a report kept its tasks until the caller's time was over.

Change: once nothing was answered for 250 ms since a call went unanswered, the minion is silent: no starts, no repeated orders, entries hear that it takes nothing. The next answer or report ends that.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -207,6 +207,7 @@
     const bool changed = !sameLife || report.leaving != m_report.leaving || !m_reachable;
     const bool sameMinion = sameLife && report.service == m_report.service && report.rack == m_report.rack
         && report.labels == m_report.labels && fitsInto(report.capacity, m_report.capacity) && fitsInto(m_report.capacity, report.capacity);
+    m_unansweredSince.reset();
     m_report = report;
     m_reachable = true;
     if (!sameMinion)
@@ -239,10 +240,18 @@
 
 bool RunTable::mayStart(Milliseconds now) const
 {
-    return m_phase == Phase::Ready && m_reachable && !m_report.leaving && !m_leaving && m_inService
+    return m_phase == Phase::Ready && m_reachable && !isSilent(now) && !m_report.leaving && !m_leaving && m_inService
         && now < m_permittedUntil;
 }
 
+void RunTable::noteAnswer(bool answered, Milliseconds now)
+{
+    if (answered)
+        m_unansweredSince.reset();
+    else
+        m_unansweredSince = m_unansweredSince.value_or(now);
+}
+
 bool RunTable::mayStillStart(const RunName& name, Milliseconds now) const
 {
     const auto found = m_byMinionName.find(name);
@@ -256,6 +265,7 @@
 
 void RunTable::startAnswered(const RunName& name, StartAnswer answer, Milliseconds now)
 {
+    noteAnswer(answer != StartAnswer::Unknown, now);
     const auto found = m_byMinionName.find(name);
     if (found == m_byMinionName.end())
         return;
@@ -332,6 +342,7 @@
 
 void RunTable::stopAnswered(const RunName& name, bool answered, Milliseconds now)
 {
+    noteAnswer(answered, now);
     if (const auto stray = m_strays.find(name); stray != m_strays.end()) {
         stray->second.hasFailed = !answered;
         return;
@@ -361,6 +372,7 @@
         return;
     m_openLists = std::max(m_openLists - 1, 0);
     m_listedAt = now;
+    noteAnswer(true, now);
     m_reachable = true;
     m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
     for (const auto& ended : list.ended) {
@@ -438,6 +450,7 @@
     m_openLists = std::max(m_openLists - 1, 0);
     m_listedAt = now;
     m_listLostAt = now;
+    noteAnswer(false, now);
     if (now <= m_leaseMayEndAt)
         return;
     // The minion has let everything lapse by now, or is no more.
@@ -562,6 +575,8 @@
 RunActions RunTable::act(Milliseconds now)
 {
     RunActions actions;
+    if (std::exchange(m_wasSilent, isSilent(now)) != isSilent(now))
+        markStateChanged();
     answerForUnknownRuns(now);
     std::vector<RunKey> ended;
     for (auto& [key, run] : m_runs) {
@@ -780,6 +795,8 @@
 {
     std::optional<Milliseconds> due;
     const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
+    if (m_unansweredSince && !m_wasSilent)
+        at(*m_unansweredSince + m_options.silentAfter);
     if (const auto list = nextListAt(now))
         at(*list);
     for (const auto& [name, entry] : m_entries) {
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -142,6 +142,8 @@
     Milliseconds offerFor { 5 };
     // Wait before a run is tried again at a minion that had no room or was unhealthy.
     Milliseconds startRetry { 40 };
+    // A minion that has answered nothing for this long since a first call was not answered is silent: no run starts there, and orders are not sent again.
+    Milliseconds silentAfter { 250 };
     // An order without an answer is sent again at once so many times, then with a pause that doubles up to the longest.
     int promptResends { 8 };
     Milliseconds firstResendGap { 20 };
@@ -282,6 +284,9 @@
     void answerForUnknownRuns(Milliseconds now);
     static TaskKey taskOf(const RunName& run) { return { run.job, run.step, run.index }; }
     bool mayStart(Milliseconds now) const;
+    // A call to the minion was answered, or not in time.
+    void noteAnswer(bool answered, Milliseconds now);
+    bool isSilent(Milliseconds now) const { return m_unansweredSince && now >= *m_unansweredSince + m_options.silentAfter; }
     bool isStale(const Entry&, Milliseconds now) const;
     // `isFresh` tells that the order is no older than the entry's lease.
     void take(const std::string& entry, const RunOrder&, const OrderedTask&, bool isFresh, Milliseconds now);
@@ -350,6 +355,10 @@
     Milliseconds m_leaseMayEndAt {};
     std::uint64_t m_endsSeen { 0 };
     std::uint64_t m_endsForgotten { 0 };
+    // When a call was not answered, and none has been since.
+    std::optional<Milliseconds> m_unansweredSince;
+    // As entries were told.
+    bool m_wasSilent { false };
     // When a list that was not answered was given up last.
     std::optional<Milliseconds> m_listLostAt;
     // Lists that are not answered yet, and when the last one was asked for.
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -256,6 +256,45 @@
     cr_assert(resent <= 20, "expected at most 20 orders for one run within two seconds, got %zu", resent);
 }
 
+// As after a crash that nobody reports. The order must not renew the minion's lease for ever, or its task would never start elsewhere.
+Test(RunTable, givesUpOrdersToAMinionThatAnswersNothing)
+{
+    Table table;
+    const auto name = table.order("a").starts.at(0).run;
+    const Milliseconds until = table.now + Milliseconds { 1'500 };
+    std::vector<RunEnd> ends;
+    std::size_t late = 0;
+    bool isAccepting = true;
+    while (table.now < until && ends.empty()) {
+        const auto actions = table.after({ 40 });
+        const bool isLate = table.now >= until - Milliseconds { 1'100 };
+        late += isLate ? actions.starts.size() : 0;
+        for (const auto& item : actions.frames)
+            isAccepting = item.frame.state ? item.frame.state->accepting : isAccepting;
+        ends = endsOf(actions);
+        table.runs.startAnswered(name, StartAnswer::Unknown, table.now);
+        table.runs.stopAnswered(name, false, table.now);
+        table.runs.listFailed(table.now);
+    }
+    cr_assert(late == 0, "expected no order 400 ms after the first, got %zu", late);
+    cr_assert(!isAccepting, "expected entries to hear that the minion takes nothing");
+    cr_assert(ends.size() == 1 && ends[0].kind == RunEndKind::Stopped, "expected the run to end with the minion's lease, got %zu ends", ends.size());
+}
+
+Test(RunTable, takesRunsAgainOnceASilentMinionIsHeard)
+{
+    Table table;
+    for (int i = 0; i < 10; ++i) {
+        table.runs.listFailed(table.now);
+        table.after({ 40 });
+    }
+    cr_assert(table.order("a").starts.empty(), "expected no start while the minion is silent");
+    auto report = Table::report();
+    report.sequence = 2;
+    table.runs.reported(report, table.now);
+    cr_assert(table.order("b").starts.size() == 1, "expected a start after the minion's next report");
+}
+
 // An entry that hears "not started" may refuse the job, so it must be true.
 Test(RunTable, tellsARunAsStoppedWhenAnUnansweredStartWasCarriedOut)
 {
