ControlCodec: refuse a state whose members stand elsewhere

Cause: a state that reads well may name a member of another environment, or lack an environment. The next session of that instance then ended its former one in an environment that is not there, and the process with it (segmentation fault).

Change: decodeState() checks what later commands rely on, and fails with Storage naming the member.

--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace oleanderport {
 
 namespace {
@@ -80,6 +82,23 @@
         }
     }
 
+    // What later commands rely on and the types of the fields do not say.
+    Result<void> checkContent(const ControlContent& content)
+    {
+        for (const char* name : { productionEnvironment, trialEnvironment }) {
+            const auto named = [name](const EnvironmentRecord& environment) { return environment.name == name; };
+            if (std::count_if(content.environments.begin(), content.environments.end(), named) != 1)
+                return unreadable(fmt::format("expected one environment '{}'", name));
+        }
+        for (const auto& environment : content.environments) {
+            for (const auto& member : environment.view.members) {
+                if (member.node.environment != environment.name)
+                    return unreadable(fmt::format("member {} of environment '{}' stands in '{}'", member.id.instance, member.node.environment, environment.name));
+            }
+        }
+        return boost::outcome_v2::success();
+    }
+
 } // namespace
 
 std::string encodeCommand(const ControlCommand& command)
@@ -117,6 +136,7 @@
 {
     BOOST_OUTCOME_TRY(const auto value, parseVersioned(text));
     BOOST_OUTCOME_TRY(const auto content, readPart<ControlContent>(value["state"]));
+    BOOST_OUTCOME_TRYV(checkContent(content));
     return ControlState(options, content);
 }
 
--- a/test/support/PlatformDeployment.h
+++ b/test/support/PlatformDeployment.h
@@ -44,6 +44,7 @@
     std::string front { freeAddress() };
     std::string ready { freeAddress() };
     std::string reports { freeAddress() };
+    std::string sidecarStream { freeAddress() };
     ControlServer controlServer { loop, settingsOf(Role::Control, "control-1", control) };
     OperatorAdapter operators { controlServer };
     EntryServer entry { loop, settingsOf(Role::Entry, "entry-1", control) };
@@ -66,7 +67,7 @@
     Settings sidecarSettings() const
     {
         Settings settings = settingsOf(Role::Sidecar, "sidecar-1", control);
-        settings.streamListen = freeAddress();
+        settings.streamListen = sidecarStream;
         settings.streamAdvertise = settings.streamListen;
         return settings;
     }
