ControlClient: give a connect up after 150 ms and ask the next instance

Cause: one instance is asked for half of a call's time, 750 of 1,500 ms. To a machine without power that goes by without an answer, and the kernel repeats a connect only after a second, when the machine has long been back.

Ruled out: the election (70 ms), pacing, the size of the configuration.

Change: a call may have a time of its own for its connection; ControlClient uses 150 ms. Nothing of the call has left the process by then, so it is told as not run, and the next instance is asked.

--- a/src/wire/ControlClient.cpp
+++ b/src/wire/ControlClient.cpp
@@ -11,6 +11,8 @@
 
     // Leaders that are followed without a pause, one naming the next.
     constexpr int mostFollowed = 2;
+    // Several round trips between regions. An instance without power is passed over after it.
+    constexpr Milliseconds connectTimeout { 150 };
 
 } // namespace
 
@@ -41,12 +43,12 @@
     if (work.lane == Lane::Work) {
         auto& batcher = m_work[address];
         if (!batcher)
-            batcher = std::make_unique<RpcBatcher>(m_loop, address);
+            batcher = std::make_unique<RpcBatcher>(m_loop, address, connectTimeout);
         return batcher->call(work.method, work.params, timeout, std::move(callback));
     }
     auto& client = m_session[address];
     if (!client)
-        client = std::make_unique<RpcClient>(m_loop, address);
+        client = std::make_unique<RpcClient>(m_loop, address, connectTimeout);
     client->call(work.method, work.params, timeout, std::move(callback));
 }
 
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -21,6 +21,7 @@
     bool isHandedOver { false };
     std::optional<evhttp_request_error> error;
     std::unique_ptr<EventLoop::Timer> timer;
+    std::unique_ptr<EventLoop::Timer> connectTimer;
 
     static void failed(evhttp_request_error error, void* self) { static_cast<PendingCall*>(self)->error = error; }
 };
@@ -132,6 +133,12 @@
     const timeval timeout { static_cast<time_t>(message.timeout.count / millisecondsPerSecond),
         static_cast<suseconds_t>(message.timeout.count % millisecondsPerSecond * microsecondsPerMillisecond) };
     evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    if (message.connectTimeout.count > 0) {
+        next.connectTimer = m_loop.once(message.connectTimeout, [this, pending = &next] {
+            if (!pending->isHandedOver)
+                expire(pending);
+        });
+    }
     evhttp_make_request(m_connection, request, commandOf(message.method), message.path.c_str());
 }
 
@@ -164,7 +171,8 @@
             .ran = taken->isHandedOver ? Ran::Unknown : Ran::No,
             .step = "http.call",
             .peer = m_address,
-            .message = underWay ? "no whole answer in time" : "an earlier call took too long" });
+            .message = !underWay ? "an earlier call took too long" : taken->isHandedOver ? "no whole answer in time"
+                                                                                         : "no connection in time" });
 }
 
 void HttpConnection::finished(evhttp_request* request, void* data)
--- a/src/wire/HttpClient.h
+++ b/src/wire/HttpClient.h
@@ -31,6 +31,9 @@
     std::vector<HttpHeader> headers;
     // Host to name; the peer's address when empty.
     std::string host {};
+    // Longest that the connection may take to be made, from the moment at which this call is the first; zero for the whole timeout. A machine without
+    // power answers no connect, and when it is back the next one is only sent again after a second.
+    Milliseconds connectTimeout {};
 };
 
 struct HttpAnswer {
--- a/src/wire/Rpc.cpp
+++ b/src/wire/Rpc.cpp
@@ -166,9 +166,10 @@
         m_clock->witness(call[logicalMember].asUInt64());
 }
 
-RpcClient::RpcClient(EventLoop& loop, const std::string& address)
+RpcClient::RpcClient(EventLoop& loop, const std::string& address, Milliseconds connectTimeout)
     : m_clock(loop.logicalClock())
     , m_connection(loop, address)
+    , m_connectTimeout(connectTimeout)
 {
 }
 
@@ -179,7 +180,9 @@
     const HttpCall message { .method = HttpMethod::Post,
         .path = rpcPath,
         .body = stamped(batch.toString(true), m_clock.stamp()),
-        .timeout = timeout };
+        .timeout = timeout,
+        .headers = {},
+        .connectTimeout = m_connectTimeout };
     // The clock belongs to the loop, which outlives every call made on it.
     m_connection.call(
         message, [&clock = m_clock, peer = address(), callback = std::move(callback)](const Result<HttpAnswer>& answer) {
@@ -187,9 +190,10 @@
         });
 }
 
-RpcBatcher::RpcBatcher(EventLoop& loop, const std::string& address)
+RpcBatcher::RpcBatcher(EventLoop& loop, const std::string& address, Milliseconds connectTimeout)
     : m_clock(loop.logicalClock())
     , m_connection(loop, address)
+    , m_connectTimeout(connectTimeout)
     , m_alive(std::make_shared<bool>(true))
 {
 }
@@ -249,7 +253,9 @@
     const HttpCall http { .method = HttpMethod::Post,
         .path = rpcPath,
         .body = stamped(message.toString(false), m_clock.stamp()),
-        .timeout = timeout };
+        .timeout = timeout,
+        .headers = {},
+        .connectTimeout = m_connectTimeout };
     m_connection.call(http, [this, alive, batch](const Result<HttpAnswer>& answer) {
         if (!alive.expired())
             answered(*batch, answer);
--- a/src/wire/Rpc.h
+++ b/src/wire/Rpc.h
@@ -75,7 +75,8 @@
 // on from the peer's with every answer.
 class RpcClient {
 public:
-    RpcClient(EventLoop&, const std::string& address);
+    // Without `connectTimeout` a call may spend its whole time on the connection.
+    RpcClient(EventLoop&, const std::string& address, Milliseconds connectTimeout = {});
 
     void call(const std::string& method, const Json::Value& params, Milliseconds timeout, RpcReply);
 
@@ -95,6 +96,7 @@
 private:
     LogicalClock& m_clock;
     HttpConnection m_connection;
+    Milliseconds m_connectTimeout;
 };
 
 // Calls methods of one peer. Calls made while an exchange is under way are gathered and go together in the next one, so
@@ -103,7 +105,7 @@
 // timeout ends with Timeout (ran: no).
 class RpcBatcher {
 public:
-    RpcBatcher(EventLoop&, const std::string& address);
+    RpcBatcher(EventLoop&, const std::string& address, Milliseconds connectTimeout = {});
     ~RpcBatcher();
     RpcBatcher(const RpcBatcher&) = delete;
     RpcBatcher& operator=(const RpcBatcher&) = delete;
@@ -124,6 +126,7 @@
 
     LogicalClock& m_clock;
     HttpConnection m_connection;
+    Milliseconds m_connectTimeout;
     std::vector<Waiting> m_waiting;
     bool m_underWay { false };
     // Shared with exchanges under way, so that an answer knows when this object is gone.
--- a/test/wire/ControlClientTest.cpp
+++ b/test/wire/ControlClientTest.cpp
@@ -109,6 +109,19 @@
     cr_assert(ask(loop, client, { 3'000 }).has_value());
 }
 
+// As after a loss of power of which not every machine is back.
+Test(ControlClient, passesSoonOverAnInstanceWithoutPower)
+{
+    EventLoop loop;
+    const DeafPort dark;
+    Instance live(loop);
+    ControlClient client(loop, { dark.address(), live.address });
+    const Milliseconds began = Clock::now();
+    cr_assert(ask(loop, client, { 3'000 }).has_value());
+    const std::int64_t took = (Clock::now() - began).count;
+    cr_assert(took < 600, "expected the next instance to answer within 600 ms, took %ld", static_cast<long>(took));
+}
+
 Test(ControlClient, givesUpInTimeWhenInstancesNameEachOther)
 {
     EventLoop loop;
--- a/test/wire/HttpClientTest.cpp
+++ b/test/wire/HttpClientTest.cpp
@@ -320,6 +320,34 @@
     cr_assert(end.assume_error().ran == Ran::No, "got %s", describe(end.assume_error()).c_str());
 }
 
+Test(HttpClient, aConnectIsGivenUpBeforeTheCallWhenItHasATimeOfItsOwn)
+{
+    EventLoop loop;
+    const DeafPort peer;
+    HttpConnection connection(loop, peer.address());
+    HttpCall call = callWith("x", { 3'000 });
+    call.connectTimeout = { 60 };
+    const Milliseconds began = Clock::now();
+    const auto end = callNow(loop, connection, call);
+    cr_assert(!end.has_value() && end.assume_error().ran == Ran::No);
+    const std::int64_t took = (Clock::now() - began).count;
+    cr_assert(took < 1'000, "expected the connect to be given up after 60 ms, not with the call's 3,000 ms, took %ld", static_cast<long>(took));
+}
+
+// The time of its own is for the connection alone.
+Test(HttpClient, anAnswerMayTakeLongerThanTheConnect)
+{
+    EventLoop loop;
+    std::unique_ptr<EventLoop::Timer> later;
+    RawServer server(loop, [&loop, &later](RawConnection& peer) {
+        later = loop.once({ 150 }, [&peer] { peer.send(rawAnswer(2) + "{}"); });
+    });
+    HttpConnection connection(loop, server.address());
+    HttpCall call = callWith("x", { 3'000 });
+    call.connectTimeout = { 60 };
+    cr_assert(callNow(loop, connection, call).has_value());
+}
+
 Test(HttpClient, aCallThatExpiredBehindASlowOneNeverGoesOut)
 {
     EventLoop loop;
