MinionHealth: pause a minion whose runs end without a known outcome

A killed minion's sidecar still asked for work. Each start of a task that may have run before met "cannot connect" and ended as unknown, which paused nobody; the task went back there at once, two tasks some fifty times each within 20 ms, and spent the retry budget while the other sidecar was busy.

Change: an unknown outcome pauses the minion as a refusal does, 50 ms, doubling; only a known outcome ends the row.

It was not seen to fail without load.

--- a/src/policy/MinionHealth.cpp
+++ b/src/policy/MinionHealth.cpp
@@ -45,6 +45,11 @@
         return refused(minion, now);
     const bool good = outcome == TaskOutcome::Done;
     countRun(minion, good, ranFor, now);
+    // The minion or the way to it failed; a task that is tried again at once would fail there again.
+    if (outcome == TaskOutcome::Unknown)
+        refused(minion, now);
+    else
+        minion.refusals = 0;
     if (minion.ejectedUntil)
         return advanceProbation(minion, good, now);
     if (!good && failsMoreThanOthers(id, minion) && mayEject(now))
@@ -82,7 +87,6 @@
 void MinionHealth::countRun(Minion& minion, bool good, Milliseconds ranFor, Milliseconds now)
 {
     decay(minion, now);
-    minion.refusals = 0;
     minion.results += 1;
     if (!good) {
         minion.failures += 1;
--- a/src/policy/MinionHealth.h
+++ b/src/policy/MinionHealth.h
@@ -28,7 +28,7 @@
     Milliseconds longestEjection { 60'000 };
     // A minion whose mean run time is this many times the median of the others gets less work.
     double stragglerRatio { 2 };
-    // Pause after a minion refused a task; doubles with each refusal in a row up to the longest.
+    // Pause after a minion refused a task, or a run ended without a known outcome; doubles with each in a row up to the longest.
     Milliseconds refusalPause { 50 };
     Milliseconds longestRefusalPause { 2'000 };
 };
--- a/test/policy/MinionHealthTest.cpp
+++ b/test/policy/MinionHealthTest.cpp
@@ -162,6 +162,22 @@
     cr_assert(!health.allowance(minion(0), second + Milliseconds { 100 }).has_value());
 }
 
+// As when a minion is killed and connects to it fail at once: a task that may run again would use up its retries there within milliseconds.
+Test(MinionHealth, leavesOneWhoseRunsEndUnknownAloneForAGrowingPause)
+{
+    MinionHealth health({});
+    for (int i = 0; i < 2; ++i)
+        health.add(minion(i), 8);
+    health.record(minion(0), TaskOutcome::Unknown, {}, start);
+    cr_assert(health.allowance(minion(0), start + Milliseconds { 49 }) == 0);
+    cr_assert(!health.allowance(minion(1), start).has_value(), "expected the other minion to take work");
+    const Milliseconds second = start + Milliseconds { 50 };
+    cr_assert(!health.allowance(minion(0), second).has_value());
+    health.record(minion(0), TaskOutcome::Unknown, {}, second);
+    cr_assert(health.allowance(minion(0), second + Milliseconds { 99 }) == 0);
+    cr_assert(!health.allowance(minion(0), second + Milliseconds { 100 }).has_value());
+}
+
 Test(MinionHealth, ejectsAMinionOfWhichRunsAreStuckInARowWhateverItsRecord)
 {
     MinionHealth health({});
