Raft, replicator, entries: log and measure what decides whether a group keeps its quorum

Change: Raft::quorum() gives the voters heard and the losses borne; the replicator logs them when they change and every 2 s while nobody leads (control.quorum), and the reason of each membership change (control.membership). control_voters_heard, control_bearable_losses, control_ready_learners and control_contact_age_milliseconds are new. entry.job names the configuration version and the age of its confirmation. Membership moves to RaftMembership.cpp; no decision changes.

Result: Explain and Raft tests pass, with one new test each.

--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -34,6 +34,8 @@
     // Encoding a message of this size takes milliseconds.
     constexpr std::size_t largeMessageBytes = 65'536;
     constexpr const char* methodName = "raft";
+    // While no leader is known, the voters that are heard are logged once per period.
+    constexpr Milliseconds leaderlessLogPeriod { 2'000 };
 
     [[noreturn]] void stopProcess(const Error& error)
     {
@@ -49,12 +51,18 @@
         return bytes;
     }
 
-    // Number of voters that leaves a majority after the tolerated losses; 0 for a group of fixed size.
-    std::size_t votersFor(const Settings& settings)
+    std::string describe(const RaftMember& member)
     {
-        if (!settings.toleratedLosses)
-            return 0;
-        return static_cast<std::size_t>(std::max<std::int64_t>(*settings.toleratedLosses, 1) * 2 + 1);
+        constexpr std::size_t shownIncarnation = 8;
+        return fmt::format("{}/{}", member.address, member.incarnation.substr(0, shownIncarnation));
+    }
+
+    std::string describe(const std::vector<RaftMember>& members)
+    {
+        std::string text;
+        for (const auto& member : members)
+            text += (text.empty() ? "" : " ") + describe(member);
+        return text.empty() ? "none" : text;
     }
 
     std::size_t messageLimit(const Settings& settings)
@@ -121,7 +129,11 @@
     m_process.metrics.set("control_leads", m_raft->leads() ? 1 : 0);
     m_process.metrics.set("control_term", static_cast<double>(m_raft->term()));
     m_process.metrics.set("control_commit_index", static_cast<double>(m_raft->commitIndex()));
-    m_process.metrics.set("control_voters", static_cast<double>(m_raft->voters().size()));
+    const RaftQuorum quorum = m_raft->quorum(Clock::now());
+    m_process.metrics.set("control_voters", static_cast<double>(quorum.voters));
+    m_process.metrics.set("control_voters_heard", static_cast<double>(quorum.heard.size()));
+    m_process.metrics.set("control_bearable_losses", static_cast<double>(bearableLosses(quorum)));
+    m_process.metrics.set("control_ready_learners", static_cast<double>(quorum.readyLearners));
 }
 
 RaftReplicator::~RaftReplicator()
@@ -144,7 +156,10 @@
             .message = "control.peers does not contain this instance's own address" };
     }
     BOOST_OUTCOME_TRYV(open(false));
-    m_tickTimer = m_process.loop.every(tickPeriod, [this] { perform(m_raft->tick(Clock::now())); });
+    m_tickTimer = m_process.loop.every(tickPeriod, [this] {
+        perform(m_raft->tick(Clock::now()));
+        reportQuorum(Clock::now());
+    });
     return boost::outcome_v2::success();
 }
 
@@ -170,7 +185,7 @@
         installSnapshot(*stored.snapshot);
     const Milliseconds election = m_process.settings.election;
     const RaftOptions options { .peers = m_process.settings.controlPeers,
-        .targetVoters = votersFor(m_process.settings),
+        .targetVoters = targetVoters(m_process.settings.toleratedLosses),
         .bootstrap = m_process.settings.bootstrap,
         .heartbeat = { election.count * heartbeatPercent / wholePercent },
         .minElectionTimeout = election,
@@ -264,6 +279,11 @@
     }
     for (auto& message : actions.send)
         send(std::move(message));
+    if (actions.voterChange) {
+        log(LogLevel::Info, { .step = "control.membership", .peer = actions.voterChange->member.address },
+            fmt::format("{} voter {}: {}", actions.voterChange->adds ? "adding" : "removing", describe(actions.voterChange->member),
+                voterChangeReasonName(actions.voterChange->reason)));
+    }
     if (actions.install)
         installSnapshot(*actions.install);
     for (const auto& entry : actions.committed)
@@ -374,14 +394,10 @@
     m_applied = entry.index;
     m_bytesSinceSnapshot += entry.data.size();
     if (entry.kind == RaftEntryKind::Configuration) {
-        std::string members;
         const RaftMember& self = m_store->stored().self;
-        for (const auto& voter : entry.voters) {
-            members += fmt::format(" {}/{}", voter.address, voter.incarnation.substr(0, 8));
-            if (voter.address == self.address && voter.incarnation == self.incarnation)
-                m_process.events.record(EventKind::VoterAdmitted, { .detail = voter.incarnation });
-        }
-        log(LogLevel::Info, { .step = "control.membership" }, "voters:" + members);
+        if (std::find(entry.voters.begin(), entry.voters.end(), self) != entry.voters.end())
+            m_process.events.record(EventKind::VoterAdmitted, { .detail = self.incarnation });
+        log(LogLevel::Info, { .step = "control.membership" }, "voters: " + describe(entry.voters));
     }
     if (entry.kind != RaftEntryKind::Command)
         return;
@@ -437,6 +453,33 @@
     }
 }
 
+void RaftReplicator::reportQuorum(Milliseconds now)
+{
+    const bool hasLeader = m_raft->leads() || !m_raft->leaderAddress().empty();
+    if (hasLeader || !m_leaderlessSince) {
+        m_leaderlessSince = hasLeader ? std::nullopt : std::optional(now);
+        m_leaderlessLogAt = now + leaderlessLogPeriod;
+    } else if (now >= m_leaderlessLogAt) {
+        m_leaderlessLogAt = now + leaderlessLogPeriod;
+        const RaftQuorum quorum = m_raft->quorum(now);
+        log(LogLevel::Warning, { .step = "control.quorum" },
+            fmt::format("no leader for {} ms: {} of {} voters heard, {} needed; not heard: {}; this instance is {} voter",
+                (now - *m_leaderlessSince).count, quorum.heard.size(), quorum.voters, quorum.needed, describe(quorum.silent),
+                m_raft->isVoter() ? "a" : "no"));
+    }
+    if (!m_raft->leads()) {
+        m_reportedLosses.reset();
+        return;
+    }
+    const RaftQuorum quorum = m_raft->quorum(now);
+    const std::int64_t losses = bearableLosses(quorum);
+    if (std::exchange(m_reportedLosses, losses) == losses)
+        return;
+    log(losses > 0 ? LogLevel::Info : LogLevel::Warning, { .step = "control.quorum" },
+        fmt::format("{} of {} voters heard, further losses borne: {}; not heard: {}; learners ready: {}", quorum.heard.size(), quorum.voters,
+            losses, describe(quorum.silent), quorum.readyLearners));
+}
+
 void RaftReplicator::reportLeaderChange()
 {
     const bool isConfirmed = isLeader();
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -74,6 +74,8 @@
     void rejoin();
     void failLostProposals();
     void reportLeaderChange();
+    // Logs how many further losses the group bears when that changes, and which voters are missing while there is no leader.
+    void reportQuorum(Milliseconds now);
     // Records the durations of all writes up to this number, which are now synced.
     void recordSyncTimes(std::uint64_t number);
     void setGauges();
@@ -97,6 +99,10 @@
     std::deque<std::pair<std::uint64_t, Milliseconds>> m_pendingWrites;
     std::string m_knownLeader;
     bool m_wasConfirmed { false };
+    std::optional<Milliseconds> m_leaderlessSince;
+    Milliseconds m_leaderlessLogAt {};
+    // As logged last; absent while this instance does not lead.
+    std::optional<std::int64_t> m_reportedLosses;
     std::unique_ptr<EventLoop::Timer> m_completionWatch;
     std::unique_ptr<EventLoop::Timer> m_tickTimer;
     // Callbacks that outlive this object check it through a weak_ptr.
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -25,6 +25,7 @@
     Process& process() { return m_process; }
     DispatchService& dispatch() { return m_dispatch; }
     const ClusterView& view() const { return m_session.view(); }
+    const ControlSession& session() const { return m_session; }
 
 private:
     void addRpcMethods();
--- a/src/policy/Raft.cpp
+++ b/src/policy/Raft.cpp
@@ -151,6 +151,7 @@
 {
     if (!acceptSender(message))
         return takeActions();
+    m_lastHeard[message.from.incarnation] = now;
     mergeEvidence(message.evidence);
     if (m_actions.stale)
         return takeActions();
--- a/src/policy/Raft.h
+++ b/src/policy/Raft.h
@@ -40,6 +40,48 @@
     std::uint64_t seed { 0 };
 };
 
+// Why the leader adds or removes a voter.
+enum class VoterChangeReason {
+    // Removed: the instance at the voter's address has another data folder.
+    FolderReplaced,
+    // Removed: it has not answered for `replaceAfter`.
+    Unresponsive,
+    // Removed: there are more voters than the target.
+    Surplus,
+    // Added: there are fewer voters than the target.
+    BelowTarget,
+    // Added: an unresponsive voter is removed afterwards.
+    ReplacesUnresponsive,
+    // Added: a voter of the data centre with the most voters is removed afterwards.
+    ImprovesSpread,
+};
+
+std::string_view voterChangeReasonName(VoterChangeReason);
+
+// A change of one voter, started by the leader.
+struct VoterChange {
+    RaftMember member;
+    bool adds { false };
+    VoterChangeReason reason { VoterChangeReason::BelowTarget };
+};
+
+// The voters as one instance hears them.
+struct RaftQuorum {
+    std::size_t voters { 0 };
+    std::size_t needed { 0 };
+    // Voters from which a message arrived within the maximum election timeout, and the others.
+    std::vector<RaftMember> heard;
+    std::vector<RaftMember> silent;
+    // Leader only: learners that have caught up.
+    std::size_t readyLearners { 0 };
+};
+
+// How many further voters may be lost before there is no majority; negative when there is none.
+inline std::int64_t bearableLosses(const RaftQuorum& quorum)
+{
+    return static_cast<std::int64_t>(quorum.heard.size()) - static_cast<std::int64_t>(quorum.needed);
+}
+
 // Actions for the caller, in this order: queue the writes, send the messages, install the snapshot, apply the committed
 // entries.
 struct RaftActions {
@@ -50,8 +92,13 @@
     // The data folder is older than the state that its incarnation has acknowledged to peers. This incarnation must take no
     // further part in the group.
     bool stale { false };
+    // A membership change that was started; for logs.
+    std::optional<VoterChange> voterChange;
 };
 
+// Number of voters that leaves a majority after the tolerated losses; 0, a group of fixed size, when none are given.
+std::size_t targetVoters(std::optional<std::int64_t> toleratedLosses);
+
 // Raft consensus among control instances, without I/O: each call returns the actions for the caller. `now` never decreases.
 // Beyond the Raft paper it has pre-votes, a leader lease, non-voting learners, and evidence against stale data folders.
 class Raft {
@@ -81,6 +128,7 @@
     // Voters by the last committed configuration.
     const std::vector<RaftMember>& committedVoters() const { return m_log.votersAt(m_commitIndex); }
     bool isVoter() const { return isVoter(m_self); }
+    RaftQuorum quorum(Milliseconds now) const;
 
 private:
     enum class RaftRole {
@@ -169,11 +217,13 @@
     void advanceCommit();
     void commitUpTo(std::uint64_t index);
     void changeMembership(Milliseconds now);
-    // New set of voters when a membership change is due; nullopt otherwise.
-    std::optional<std::vector<RaftMember>> nextVoters(Milliseconds now) const;
+    // The membership change that is due, if any.
+    std::optional<VoterChange> nextVoterChange(Milliseconds now) const;
     // Learners (non-voting instances) that are reachable and have caught up; those in data centres with the fewest voters
     // come first.
     std::vector<RaftMember> readyLearners(Milliseconds now) const;
+    // Time since the voter last answered this leader.
+    Milliseconds silenceOf(const RaftMember& voter, Milliseconds now) const;
     bool isUnresponsive(const RaftMember& voter, Milliseconds now) const;
     std::size_t votersIn(const std::string& dataCentre) const;
     // Whether replacing a voter of the data centre with the most voters by the first ready learner would spread the voters
@@ -230,6 +280,8 @@
     std::set<std::string> m_reportedLeaders;
     std::map<std::string, RaftMessage> m_emptyPeers;
     std::map<std::string, RaftEvidence> m_evidence;
+    // Arrival of the last message of each incarnation.
+    std::map<std::string, Milliseconds> m_lastHeard;
     RaftSnapshot m_incomingSnapshot;
     RaftActions m_actions;
 };
--- a/src/policy/RaftReplication.cpp
+++ b/src/policy/RaftReplication.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// Replication of entries and snapshots from the leader to its peers, commit, and changes of membership.
+// Replication of entries and snapshots from the leader to its peers, and commit.
 namespace oleanderport {
 
 namespace {
@@ -327,105 +327,4 @@
     sendAppend(other.address, now, true);
 }
 
-std::size_t Raft::votersIn(const std::string& dataCentre) const
-{
-    return static_cast<std::size_t>(std::count_if(voters().begin(), voters().end(),
-        [&dataCentre](const RaftMember& voter) { return voter.dataCentre == dataCentre; }));
-}
-
-std::vector<RaftMember> Raft::readyLearners(Milliseconds now) const
-{
-    std::vector<RaftMember> ready;
-    for (const auto& [address, progress] : m_progress) {
-        const RaftMember member { .address = address, .incarnation = progress.incarnation, .dataCentre = progress.dataCentre };
-        const bool caughtUp = progress.matchIndex >= m_commitIndex && progress.matchIndex > 0;
-        const bool isReachable
-            = progress.lastAnsweredSentAt && now < *progress.lastAnsweredSentAt + m_options.leaderLease && progress.verified;
-        if (!member.incarnation.empty() && !isVoter(member) && caughtUp && isReachable)
-            ready.push_back(member);
-    }
-    std::stable_sort(ready.begin(), ready.end(), [this](const RaftMember& a, const RaftMember& b) {
-        return votersIn(a.dataCentre) < votersIn(b.dataCentre);
-    });
-    return ready;
-}
-
-bool Raft::isUnresponsive(const RaftMember& voter, Milliseconds now) const
-{
-    if (voter == m_self)
-        return false;
-    const auto found = m_progress.find(voter.address);
-    const bool isKnown = found != m_progress.end() && found->second.incarnation == voter.incarnation;
-    const Milliseconds lastAnsweredAt = isKnown && found->second.lastAnsweredSentAt ? *found->second.lastAnsweredSentAt : m_leadingSince;
-    return now >= std::max(lastAnsweredAt, m_leadingSince) + m_options.replaceAfter;
-}
-
-std::optional<RaftMember> Raft::surplusVoter(Milliseconds now) const
-{
-    std::optional<RaftMember> chosen;
-    for (const auto& voter : voters()) {
-        if (isUnresponsive(voter, now))
-            return voter;
-        if (voter != m_self && (!chosen || votersIn(voter.dataCentre) > votersIn(chosen->dataCentre)))
-            chosen = voter;
-    }
-    return chosen;
-}
-
-bool Raft::improvesSpread(const std::vector<RaftMember>& ready) const
-{
-    std::size_t largest = 0;
-    for (const auto& voter : voters())
-        largest = std::max(largest, votersIn(voter.dataCentre));
-    return !ready.empty() && votersIn(ready.front().dataCentre) + 2 <= largest;
-}
-
-std::optional<std::vector<RaftMember>> Raft::nextVoters(Milliseconds now) const
-{
-    const std::vector<RaftMember> ready = readyLearners(now);
-    std::vector<RaftMember> next = voters();
-    // The former incarnation at an address is removed in a separate change: two sets that differ by two members may have
-    // majorities without a common member.
-    for (const auto& learner : ready) {
-        const auto former = std::find_if(next.begin(), next.end(),
-            [&learner](const RaftMember& voter) { return voter.address == learner.address; });
-        if (former == next.end())
-            continue;
-        next.erase(former);
-        return next;
-    }
-    const auto& peers = m_options.peers;
-    const bool peersOnly = m_options.targetVoters == 0;
-    const std::size_t target = peersOnly ? peers.size() : m_options.targetVoters;
-    if (next.size() > target && !peersOnly) {
-        const auto surplus = surplusVoter(now);
-        if (!surplus)
-            return std::nullopt;
-        std::erase(next, *surplus);
-        return next;
-    }
-    const bool anyUnresponsive = std::any_of(
-        next.begin(), next.end(), [this, now](const RaftMember& voter) { return isUnresponsive(voter, now); });
-    // A new voter is added before another is removed, so that the group never shrinks.
-    if (next.size() >= target && (peersOnly || (!anyUnresponsive && !improvesSpread(ready))))
-        return std::nullopt;
-    for (const auto& learner : ready) {
-        if (peersOnly && std::find(peers.begin(), peers.end(), learner.address) == peers.end())
-            continue;
-        next.push_back(learner);
-        return next;
-    }
-    return std::nullopt;
-}
-
-void Raft::changeMembership(Milliseconds now)
-{
-    // One change at a time, and none before an entry of this term is committed.
-    const bool mayChange = m_log.configurationIndex() <= m_commitIndex && isConfirmedLeader(now);
-    if (!mayChange)
-        return;
-    if (auto next = nextVoters(now))
-        appendAsLeader({ RaftEntry { .kind = RaftEntryKind::Configuration, .data = {}, .voters = std::move(*next) } }, now);
-}
-
 } // namespace oleanderport
--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -64,6 +64,7 @@
 {
     m_process.metrics.set("view_version", static_cast<double>(m_view.version));
     m_process.metrics.set("catalogue_version", m_view.catalogue ? static_cast<double>(m_view.catalogue->version) : 0);
+    m_process.metrics.set("control_contact_age_milliseconds", static_cast<double>(contactAge().count));
     m_process.metrics.set("lease_left_milliseconds", static_cast<double>((m_leaseEnd - Clock::now()).count));
 }
 
@@ -139,6 +140,7 @@
 void ControlSession::applyResponse(const SessionResponse& response, Milliseconds sentAt)
 {
     const bool hadLease = hasLease();
+    m_lastContact = std::max(m_lastContact, sentAt);
     m_leaseEnd = response.lease.count > 0 ? sentAt + response.lease : Milliseconds {};
     if (hadLease != hasLease()) {
         m_process.events.record(hadLease ? EventKind::LeaseLost : EventKind::LeaseGranted,
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -41,6 +41,9 @@
     // No task may start at or after this time of Clock::now(). Counted from the time at which the request was sent.
     Milliseconds leaseEnd() const { return m_leaseEnd; }
     bool hasLease() const { return Clock::now() < m_leaseEnd; }
+    // Time since the sending of the latest request that control answered, which confirmed the view; since the start when
+    // there is none.
+    Milliseconds contactAge() const { return Clock::now() - m_lastContact; }
 
 private:
     void onHeartbeatTimer();
@@ -64,6 +67,7 @@
     // Set when a delta did not match the view, or a response could not be read.
     bool m_needsFullView { false };
     Milliseconds m_leaseEnd {};
+    Milliseconds m_lastContact { Clock::now() };
     bool m_requestInFlight { false };
     Milliseconds m_lastRefresh {};
     std::uint64_t m_generation { 0 };
--- a/test/platform/ExplainTest.cpp
+++ b/test/platform/ExplainTest.cpp
@@ -78,6 +78,19 @@
     assertContainsInOrder(saved.explain("refused"), { "step=entry.job", "request=refused", "refused after", "0 runs", "done in time", "answered 503, retry after" });
 }
 
+Test(Explain, namesTheConfigurationThatDecidedARequest)
+{
+    const SavedLog saved;
+    PlatformDeployment deployment;
+    deployment.becomeReady();
+    deployment.requestId = "served";
+    deployment.sendAndWait(deployment.front, "POST /a/x", testJob);
+    assertOneAnswerLine(saved.explain("served"), { "completed after", "configuration 7 confirmed ", " ms before", "answered 200" });
+    deployment.requestId = "unknown";
+    deployment.sendAndWait(deployment.front, "POST /b/y", testJob);
+    assertOneAnswerLine(saved.explain("unknown"), { "no_queue", "configuration 7 confirmed ", " ms before", "answered 404" });
+}
+
 Test(Explain, findsTheRunsThatFailed)
 {
     const SavedLog saved;
--- a/test/policy/RaftTest.cpp
+++ b/test/policy/RaftTest.cpp
@@ -555,6 +555,28 @@
     }
 }
 
+Test(Raft, reportsTheVotersThatAreHeardAndTheLossesBorne)
+{
+    RaftCluster cluster({ .size = 5, .seed = 1 });
+    expectAllVoters(cluster);
+    cluster.run(1'000);
+    const std::size_t leader = leaderOf(cluster);
+    cr_assert(bearableLosses(cluster.leader()->quorum(cluster.now)) == 2);
+    const std::size_t silent = (leader + 1) % 5;
+    cluster.crash(silent);
+    cluster.run(3'000);
+    const RaftQuorum quorum = cluster.leader()->quorum(cluster.now);
+    cr_assert(bearableLosses(quorum) == 1);
+    cr_assert(quorum.voters == 5 && quorum.needed == 3);
+    cr_assert(quorum.silent == std::vector<RaftMember> { cluster.nodes[silent].disk.self });
+    // Without a majority the remaining instances hear each other's hellos.
+    cluster.crash(leader);
+    cluster.crash((leader + 2) % 5);
+    cluster.run(6'000);
+    cr_assert(!cluster.leader());
+    cr_assert(bearableLosses(cluster.nodes[(leader + 3) % 5].raft->quorum(cluster.now)) == -1);
+}
+
 Test(Raft, doesNotBootstrapWithoutTheSeeds)
 {
     RaftCluster cluster(growingGroup(3));
