Raft: keep the tolerated losses bearable while earlier ones are being replaced

Cause: a removed voter kept its vote for 8 s of silence, while the next loss may follow 4 s after the start of its successor; 2N + 1 voters have room for N losses, not for N more during the repair. Instances with the whole log had no vote meanwhile. The class: a group that is slower to repair than the losses that it must bear may follow.

Change: the group grows to 4N + 1 voters. A voter is unresponsive after half of the new setting control.catch_up_s (4 s by default, on the platform its own bound). A silent voter is removed only from an even number or from more than the target, so no step lowers the losses borne and silent voters without successors stay.

Why it works: of 4N + 1 voters, N may be gone without successors and N more lost; the catch-up time ends with all places taken again.

Tests: RaftCluster configures instances that start later with peers that are in service, as a deployment does; an instance whose configured peers are all gone cannot find a group. SettingsPage also reads keys given in seconds.

--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -86,6 +86,7 @@
         section.number("tolerated_losses", losses, { 0, maxToleratedLosses });
         if (section.find("tolerated_losses"))
             settings.toleratedLosses = losses;
+        section.seconds("catch_up_s", settings.catchUp, timeRange);
         section.time("election_ms", settings.election, timeRange);
         section.time("verify_wait_ms", settings.verifyWait, timeRange);
         section.texts("data_centres", settings.declaredDataCentres);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -43,9 +43,11 @@
     Milliseconds heartbeat { 500 };
     // Timeout of a session's calls to control.
     Milliseconds controlTimeout { 3'000 };
-    // Number N of control instances that may fail at the same time. The group grows to 2N + 1 voters (at least 3) as
-    // further instances join through `controlPeers`. When unset, only the peers vote.
+    // Number N of control instances that may fail at the same time, also while N earlier ones are being replaced. The group
+    // grows to 4N + 1 voters (at least 5) as further instances join through `controlPeers`. When unset, only the peers vote.
     std::optional<std::int64_t> toleratedLosses;
+    // A lost control instance counts as replaced this long after its successor has started.
+    Milliseconds catchUp { 4'000 };
     // Minimum election timeout of the control group. Its other timeouts are derived from it.
     Milliseconds election { 1'000 };
     // How long a restarted control instance waits for evidence from all other voters before it takes part without it.
--- a/src/base/SettingsReload.cpp
+++ b/src/base/SettingsReload.cpp
@@ -54,6 +54,7 @@
         Key { "control.heartbeat_ms", &Settings::heartbeat, TakesEffect::AfterRestart },
         Key { "control.timeout_ms", &Settings::controlTimeout, TakesEffect::Immediately },
         Key { "control.tolerated_losses", &Settings::toleratedLosses, TakesEffect::AfterRestart },
+        Key { "control.catch_up_s", &Settings::catchUp, TakesEffect::AfterRestart },
         Key { "control.election_ms", &Settings::election, TakesEffect::AfterRestart },
         Key { "control.verify_wait_ms", &Settings::verifyWait, TakesEffect::AfterRestart },
         Key { "control.data_centres", &Settings::declaredDataCentres, TakesEffect::AfterRestart },
--- a/src/base/TomlReader.cpp
+++ b/src/base/TomlReader.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
+
 namespace oleanderport {
 
 TomlErrors::TomlErrors(std::string file)
@@ -80,6 +82,19 @@
     number(key, value.count, range);
 }
 
+void TomlSection::seconds(std::string_view key, Milliseconds& value, NumberRange range)
+{
+    constexpr double millisPerSecond = 1'000;
+    const toml::node* node = find(key);
+    if (!node)
+        return;
+    const auto number = node->value<double>();
+    const double millis = number.value_or(-1) * millisPerSecond;
+    if (!node->is_number() || !(millis >= static_cast<double>(range.min) && millis <= static_cast<double>(range.max)))
+        return addError(key, fmt::format("expected a number of seconds from {} to {}", static_cast<double>(range.min) / millisPerSecond, static_cast<double>(range.max) / millisPerSecond));
+    value = { static_cast<std::int64_t>(std::llround(millis)) };
+}
+
 void TomlSection::texts(std::string_view key, std::vector<std::string>& value)
 {
     const toml::node* node = find(key);
--- a/src/base/TomlReader.h
+++ b/src/base/TomlReader.h
@@ -40,6 +40,8 @@
     void text(std::string_view key, std::string& value);
     void number(std::string_view key, std::int64_t& value, NumberRange);
     void time(std::string_view key, Milliseconds& value, NumberRange);
+    // Reads a time in seconds, which may have a fraction. The range is in milliseconds.
+    void seconds(std::string_view key, Milliseconds& value, NumberRange);
     void flag(std::string_view key, bool& value);
     void texts(std::string_view key, std::vector<std::string>& value);
     // Reports an error when the key is absent.
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -186,6 +186,7 @@
     const Milliseconds election = m_process.settings.election;
     const RaftOptions options { .peers = m_process.settings.controlPeers,
         .targetVoters = targetVoters(m_process.settings.toleratedLosses),
+        .replaceAfter = std::max(Milliseconds { m_process.settings.catchUp.count / 2 }, election * 2),
         .bootstrap = m_process.settings.bootstrap,
         .heartbeat = { election.count * heartbeatPercent / wholePercent },
         .minElectionTimeout = election,
--- a/src/policy/Raft.h
+++ b/src/policy/Raft.h
@@ -16,7 +16,7 @@
     // Target number of voters; instances outside `peers` that follow the log are added up to it. 0: only the peers vote.
     std::size_t targetVoters { 0 };
     // A voter that has not answered for this long is replaced once another instance has caught up with the log.
-    Milliseconds replaceAfter { 8'000 };
+    Milliseconds replaceAfter { 2'000 };
     // Bootstrap a group once every peer is known to have an empty data folder.
     bool bootstrap { false };
     Milliseconds heartbeat { 150 };
@@ -96,7 +96,8 @@
     std::optional<VoterChange> voterChange;
 };
 
-// Number of voters that leaves a majority after the tolerated losses; 0, a group of fixed size, when none are given.
+// Number of voters that leaves a majority after the tolerated losses, also while earlier losses are still being replaced; 0, a
+// group of fixed size, when none are given.
 std::size_t targetVoters(std::optional<std::int64_t> toleratedLosses);
 
 // Raft consensus among control instances, without I/O: each call returns the actions for the caller. `now` never decreases.
@@ -224,15 +225,21 @@
     std::vector<RaftMember> readyLearners(Milliseconds now) const;
     // Time since the voter last answered this leader.
     Milliseconds silenceOf(const RaftMember& voter, Milliseconds now) const;
-    bool isUnresponsive(const RaftMember& voter, Milliseconds now) const;
+    // A voter that has not answered for `replaceAfter`.
+    std::optional<RaftMember> unresponsiveVoter(Milliseconds now) const;
+    // Number of voters that have not answered this leader within the leader lease.
+    std::size_t silentVoters(Milliseconds now) const;
     std::size_t votersIn(const std::string& dataCentre) const;
     // Whether replacing a voter of the data centre with the most voters by the first ready learner would spread the voters
     // more evenly.
     bool improvesSpread(const std::vector<RaftMember>& ready) const;
-    // The voter to remove when there is one too many: an unresponsive one, else one of the data centre with the most voters.
-    std::optional<RaftMember> surplusVoter(Milliseconds now) const;
+    // The voter to remove when there is one too many: one of the data centre with the most voters.
+    RaftMember surplusVoter() const;
+    // In a group of fixed size: the change that adds a peer without a vote.
+    std::optional<VoterChange> missingPeer(const std::vector<RaftMember>& ready) const;
     // Starts replication to an instance that sent a message; only a leader does so.
     void trackPeer(const RaftMember&, Milliseconds now);
+    static bool hasRecentlyAnswered(const Progress&, Milliseconds now, Milliseconds window);
     // Whether a majority of the voters has answered messages sent within the window.
     bool hasRecentMajority(Milliseconds now, Milliseconds window) const;
 
--- a/src/policy/RaftMembership.cpp
+++ b/src/policy/RaftMembership.cpp
@@ -26,7 +26,8 @@
 {
     if (!toleratedLosses)
         return 0;
-    return static_cast<std::size_t>(std::max<std::int64_t>(*toleratedLosses, 1) * 2 + 1);
+    // Twice the tolerated losses form the minority: as many again may be lost before the first have been replaced.
+    return static_cast<std::size_t>(std::max<std::int64_t>(*toleratedLosses, 1) * 4 + 1);
 }
 
 std::size_t Raft::votersIn(const std::string& dataCentre) const
@@ -41,8 +42,7 @@
     for (const auto& [address, progress] : m_progress) {
         const RaftMember member { .address = address, .incarnation = progress.incarnation, .dataCentre = progress.dataCentre };
         const bool caughtUp = progress.matchIndex >= m_commitIndex && progress.matchIndex > 0;
-        const bool isReachable
-            = progress.lastAnsweredSentAt && now < *progress.lastAnsweredSentAt + m_options.leaderLease && progress.verified;
+        const bool isReachable = progress.verified && hasRecentlyAnswered(progress, now, m_options.leaderLease);
         if (!member.incarnation.empty() && !isVoter(member) && caughtUp && isReachable)
             ready.push_back(member);
     }
@@ -62,21 +62,30 @@
     return now - std::max(lastAnsweredAt, m_leadingSince);
 }
 
-bool Raft::isUnresponsive(const RaftMember& voter, Milliseconds now) const
+std::optional<RaftMember> Raft::unresponsiveVoter(Milliseconds now) const
 {
-    return silenceOf(voter, now) >= m_options.replaceAfter;
+    const auto found = std::find_if(
+        voters().begin(), voters().end(), [this, now](const RaftMember& voter) { return silenceOf(voter, now) >= m_options.replaceAfter; });
+    return found == voters().end() ? std::nullopt : std::optional(*found);
 }
 
-std::optional<RaftMember> Raft::surplusVoter(Milliseconds now) const
+std::size_t Raft::silentVoters(Milliseconds now) const
+{
+    return static_cast<std::size_t>(std::count_if(voters().begin(), voters().end(), [this, now](const RaftMember& voter) {
+        const auto found = m_progress.find(voter.address);
+        const bool isKnown = found != m_progress.end() && found->second.incarnation == voter.incarnation;
+        return voter != m_self && !(isKnown && hasRecentlyAnswered(found->second, now, m_options.leaderLease));
+    }));
+}
+
+RaftMember Raft::surplusVoter() const
 {
     std::optional<RaftMember> chosen;
     for (const auto& voter : voters()) {
-        if (isUnresponsive(voter, now))
-            return voter;
         if (voter != m_self && (!chosen || votersIn(voter.dataCentre) > votersIn(chosen->dataCentre)))
             chosen = voter;
     }
-    return chosen;
+    return *chosen;
 }
 
 bool Raft::improvesSpread(const std::vector<RaftMember>& ready) const
@@ -98,32 +107,45 @@
         if (former != voters().end())
             return VoterChange { .member = *former, .adds = false, .reason = VoterChangeReason::FolderReplaced };
     }
-    const auto& peers = m_options.peers;
-    const bool peersOnly = m_options.targetVoters == 0;
-    const std::size_t target = peersOnly ? peers.size() : m_options.targetVoters;
-    if (voters().size() > target && !peersOnly) {
-        const auto surplus = surplusVoter(now);
-        if (!surplus)
-            return std::nullopt;
-        const auto reason = isUnresponsive(*surplus, now) ? VoterChangeReason::Unresponsive : VoterChangeReason::Surplus;
-        return VoterChange { .member = *surplus, .adds = false, .reason = reason };
-    }
-    const bool isBelowTarget = voters().size() < target;
-    const bool anyUnresponsive = std::any_of(
-        voters().begin(), voters().end(), [this, now](const RaftMember& voter) { return isUnresponsive(voter, now); });
-    // A new voter is added before another is removed, so that the group never shrinks.
-    if (!isBelowTarget && (peersOnly || (!anyUnresponsive && !improvesSpread(ready))))
+    if (m_options.targetVoters == 0)
+        return missingPeer(ready);
+    const bool isAboveTarget = voters().size() > m_options.targetVoters;
+    const bool isBelowTarget = voters().size() < m_options.targetVoters;
+    const bool isEven = voters().size() % 2 == 0;
+    const std::size_t silent = silentVoters(now);
+    const auto unresponsive = unresponsiveVoter(now);
+    // An even number of voters bears no more losses than the odd number below it. An odd number is not reduced, because the
+    // silent voter may only be cut off.
+    if (unresponsive && (isAboveTarget || isEven))
+        return VoterChange { .member = *unresponsive, .adds = false, .reason = VoterChangeReason::Unresponsive };
+    if (isAboveTarget && silent == 0)
+        return VoterChange { .member = surplusVoter(), .adds = false, .reason = VoterChangeReason::Surplus };
+    // With one more voter the number would be odd, and neither of the silent ones could be removed.
+    const bool mustRemoveFirst = isEven && silent > 1;
+    if (isAboveTarget || mustRemoveFirst || ready.empty())
         return std::nullopt;
-    const auto reason = isBelowTarget ? VoterChangeReason::BelowTarget
-        : anyUnresponsive             ? VoterChangeReason::ReplacesUnresponsive
-                                      : VoterChangeReason::ImprovesSpread;
-    for (const auto& learner : ready) {
-        if (!peersOnly || std::find(peers.begin(), peers.end(), learner.address) != peers.end())
-            return VoterChange { .member = learner, .adds = true, .reason = reason };
-    }
+    // A new voter is added before another is removed, so that the group never shrinks.
+    if (isBelowTarget)
+        return VoterChange { .member = ready.front(), .adds = true, .reason = VoterChangeReason::BelowTarget };
+    if (unresponsive)
+        return VoterChange { .member = ready.front(), .adds = true, .reason = VoterChangeReason::ReplacesUnresponsive };
+    if (improvesSpread(ready))
+        return VoterChange { .member = ready.front(), .adds = true, .reason = VoterChangeReason::ImprovesSpread };
     return std::nullopt;
 }
 
+std::optional<VoterChange> Raft::missingPeer(const std::vector<RaftMember>& ready) const
+{
+    const auto& peers = m_options.peers;
+    if (voters().size() >= peers.size())
+        return std::nullopt;
+    const auto found = std::find_if(ready.begin(), ready.end(),
+        [&peers](const RaftMember& learner) { return std::find(peers.begin(), peers.end(), learner.address) != peers.end(); });
+    if (found == ready.end())
+        return std::nullopt;
+    return VoterChange { .member = *found, .adds = true, .reason = VoterChangeReason::BelowTarget };
+}
+
 void Raft::changeMembership(Milliseconds now)
 {
     // One change at a time, and none before an entry of this term is committed.
--- a/src/policy/RaftReplication.cpp
+++ b/src/policy/RaftReplication.cpp
@@ -295,6 +295,11 @@
     return takeActions();
 }
 
+bool Raft::hasRecentlyAnswered(const Progress& progress, Milliseconds now, Milliseconds window)
+{
+    return progress.lastAnsweredSentAt && now < *progress.lastAnsweredSentAt + window;
+}
+
 bool Raft::hasRecentMajority(Milliseconds now, Milliseconds window) const
 {
     std::size_t count = 0;
@@ -306,8 +311,7 @@
         const auto found = m_progress.find(voter.address);
         if (found == m_progress.end() || found->second.incarnation != voter.incarnation)
             continue;
-        const Progress& progress = found->second;
-        if (progress.verified && progress.lastAnsweredSentAt && now < *progress.lastAnsweredSentAt + window)
+        if (found->second.verified && hasRecentlyAnswered(found->second, now, window))
             ++count;
     }
     return count >= majority();
--- a/test/base/SettingsPageTest.cpp
+++ b/test/base/SettingsPageTest.cpp
@@ -33,7 +33,7 @@
 {
     std::istringstream lines(contentOf(SOURCE_FOLDER "/src/base/Settings.cpp"));
     const std::regex function(R"(void read([A-Z][a-z]+)\()");
-    const std::regex read(R"(section\.(text|texts|number|time|flag)\("([a-z_]+)\")");
+    const std::regex read(R"(section\.(text|texts|number|time|seconds|flag)\("([a-z_]+)\")");
     std::string section;
     std::set<std::string> keys;
     for (std::string line; std::getline(lines, line);) {
--- a/test/base/SettingsTest.cpp
+++ b/test/base/SettingsTest.cpp
@@ -42,6 +42,14 @@
     expectError(good + "bootstrap = 1\n", "control.bootstrap: expected true or false");
 }
 
+Test(Settings, readsTheCatchUpTimeInSeconds)
+{
+    cr_assert(parseSettings(good + "catch_up_s = 6\n", "test.toml").assume_value().catchUp.count == 6'000);
+    cr_assert(parseSettings(good + "catch_up_s = 1.5\n", "test.toml").assume_value().catchUp.count == 1'500);
+    for (const char* value : { "0", "\"4\"", "nan", "3601" })
+        expectError(good + "catch_up_s = " + value + "\n", "control.catch_up_s: expected a number of seconds from 0.001 to 3600");
+}
+
 Test(Settings, readsRoutesToPeers)
 {
     const std::string routes = "routes = [\"127.0.0.1:7100=127.0.0.1:7200\"]\n";
--- a/test/policy/RaftReplacementTest.cpp
+++ b/test/policy/RaftReplacementTest.cpp
@@ -17,6 +17,7 @@
 // Within this time after a tolerated loss the remaining instances serve again.
 constexpr std::int64_t contactTime = 3'000;
 constexpr std::size_t maxReplacements = 3;
+constexpr std::ptrdiff_t configuredPeers = 3;
 
 struct GroupShape {
     std::size_t running { 5 };
@@ -39,7 +40,7 @@
     ReplacementGroup(const GroupShape& shape, std::uint64_t seed)
         : shape(shape)
         , cluster({ .size = shape.running + maxReplacements * static_cast<std::size_t>(shape.toleratedLosses),
-              .seeds = 3,
+              .seeds = static_cast<std::size_t>(configuredPeers),
               .voters = targetVoters(shape.toleratedLosses),
               .dataCentres = 3,
               .seed = seed,
@@ -103,17 +104,29 @@
     void replaceSome()
     {
         const auto lost = pickLosses();
+        removeForGood(lost);
+        cluster.run(successorDelay);
+        startSuccessors(lost.size());
+        cluster.run(catchUpTime);
+    }
+
+    void removeForGood(const std::vector<std::size_t>& lost)
+    {
         for (const std::size_t node : lost) {
             cluster.crash(node);
             std::erase(running, node);
         }
-        cluster.run(successorDelay);
-        for (std::size_t i = 0; i < lost.size(); ++i) {
+    }
+
+    void startSuccessors(std::size_t count)
+    {
+        // A new instance is configured with peers that are in service.
+        cluster.peers.assign(running.end() - std::min<std::ptrdiff_t>(configuredPeers, std::ssize(running)), running.end());
+        for (std::size_t i = 0; i < count; ++i) {
             const std::size_t successor = shape.running + m_replaced++;
             cluster.start(successor);
             running.push_back(successor);
         }
-        cluster.run(catchUpTime);
     }
 
     std::string describe() const
@@ -180,6 +193,23 @@
     });
 }
 
+Test(RaftReplacement, servesThroughALossOfPowerRightAfterAPlannedReplacement, .timeout = 600)
+{
+    constexpr std::uint64_t seeds = 10;
+    for (const GroupShape shape : { GroupShape { .running = 5, .toleratedLosses = 1 }, GroupShape { .running = 9, .toleratedLosses = 2 } }) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            ReplacementGroup group(shape, seed);
+            const auto replaced = group.pickLosses();
+            group.startSuccessors(replaced.size());
+            group.cluster.run(catchUpTime);
+            group.removeForGood(replaced);
+            for (const std::size_t node : group.pickLosses())
+                group.cluster.crash(node);
+            group.commit("meanwhile", contactTime, "a planned replacement and a loss of power");
+        }
+    }
+}
+
 Test(RaftReplacement, servesThroughTheLossOfADataCentreAfterAReplacement, .timeout = 600)
 {
     constexpr std::uint64_t seeds = 10;
@@ -231,3 +261,112 @@
             cluster.leader()->committedVoters().size());
     }
 }
+
+namespace {
+
+// Checks each change of the leader's voters against the instances that were up and connected to it within the last
+// `recently` milliseconds.
+class VoterChangeCheck {
+public:
+    explicit VoterChangeCheck(ReplacementGroup& group)
+        : m_group(group)
+        , m_lastUp(group.cluster.nodes.size())
+    {
+    }
+
+    void run(std::int64_t milliseconds)
+    {
+        m_group.cluster.runUntil(
+            [this] {
+                check();
+                return false;
+            },
+            milliseconds);
+        cr_assert(m_group.cluster.violations.empty(), "%s: %s", m_group.describe().c_str(),
+            m_group.cluster.violations.empty() ? "" : m_group.cluster.violations.front().c_str());
+    }
+
+private:
+    static constexpr std::int64_t recently = 500;
+
+    std::int64_t lossesBorne(const std::vector<RaftMember>& voters) const
+    {
+        const auto up = std::count_if(voters.begin(), voters.end(), [this](const RaftMember& voter) {
+            const auto node = static_cast<std::size_t>(std::stoul(voter.address.substr(voter.address.find('-') + 1)));
+            return m_group.cluster.nodes[node].disk.self == voter && m_group.cluster.now <= m_lastUp[node] + Milliseconds { recently };
+        });
+        return up - static_cast<std::int64_t>(voters.size() / 2 + 1);
+    }
+
+    void check()
+    {
+        RaftCluster& cluster = m_group.cluster;
+        const Raft* leader = cluster.leader();
+        const auto leaderNode = std::find_if(
+            cluster.nodes.begin(), cluster.nodes.end(), [leader](const RaftCluster::Node& node) { return leader && node.raft.get() == leader; });
+        for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+            const bool isCut = cluster.cuts.contains({ static_cast<std::size_t>(leaderNode - cluster.nodes.begin()), node });
+            if (cluster.nodes[node].raft && cluster.nodes[node].pausedUntil <= cluster.now && !isCut)
+                m_lastUp[node] = cluster.now;
+        }
+        if (!leader)
+            return m_voters.clear();
+        if (!m_voters.empty() && m_leader == leader && m_voters != leader->voters()) {
+            const std::int64_t before = lossesBorne(m_voters);
+            const std::int64_t after = lossesBorne(leader->voters());
+            cr_assert(after >= before, "%s: a change from %zu to %zu voters lowered the losses borne from %ld to %ld at %ld ms", m_group.describe().c_str(),
+                m_voters.size(), leader->voters().size(), static_cast<long>(before), static_cast<long>(after), static_cast<long>(cluster.now.count));
+        }
+        m_leader = leader;
+        m_voters = leader->voters();
+    }
+
+    ReplacementGroup& m_group;
+    std::vector<Milliseconds> m_lastUp;
+    const Raft* m_leader { nullptr };
+    std::vector<RaftMember> m_voters;
+};
+
+} // namespace
+
+Test(RaftReplacement, noChangeOfVotersLowersTheLossesBorne, .timeout = 600)
+{
+    forEachGroup([](ReplacementGroup& group) {
+        RaftCluster& cluster = group.cluster;
+        VoterChangeCheck check(group);
+        std::size_t replacements = 0;
+        for (int round = 0; round < 12; ++round) {
+            const auto chosen = group.pickLosses();
+            const auto draw = cluster.random() % 5;
+            const auto downTime = static_cast<std::int64_t>(cluster.random() % 6'000);
+            if (draw == 0 && replacements < maxReplacements) {
+                ++replacements;
+                group.removeForGood(chosen);
+                check.run(successorDelay);
+                group.startSuccessors(chosen.size());
+            } else if (draw == 1) {
+                for (const std::size_t node : chosen)
+                    cluster.loseDisk(node);
+                check.run(downTime);
+                for (const std::size_t node : chosen)
+                    cluster.start(node);
+            } else if (draw == 2) {
+                for (const std::size_t node : chosen)
+                    cluster.pause(node, downTime);
+            } else {
+                // A cut of one instance, or of as many as leave a majority of the running ones.
+                const std::size_t cutOff = draw == 3 ? 1 : (group.running.size() - 1) / 2;
+                for (std::size_t i = 0; i < cutOff; ++i) {
+                    for (std::size_t other = cutOff; other < group.running.size(); ++other) {
+                        cluster.cut(group.running[i], group.running[other]);
+                        cluster.cut(group.running[other], group.running[i]);
+                    }
+                }
+                check.run(downTime);
+                cluster.heal();
+            }
+            check.run(catchUpTime);
+        }
+        group.expectLeaderWithin(recoveryTime, "the last fault");
+    });
+}
--- a/test/support/RaftCluster.cpp
+++ b/test/support/RaftCluster.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace oleanderport::test {
 
@@ -38,6 +39,8 @@
         nodes[i].address = "node-" + std::to_string(i);
         nodes[i].disk.self = selfOf(i);
     }
+    peers.resize(options.seeds == 0 ? nodes.size() : options.seeds);
+    std::iota(peers.begin(), peers.end(), 0);
     for (std::size_t i = 0; i < nodes.size(); ++i)
         start(i);
 }
@@ -74,10 +77,8 @@
         .keptEntries = options.keptEntries,
         .keptBytes = options.keptBytes,
         .seed = random() };
-    for (const auto& other : nodes) {
-        if (options.seeds == 0 || raftOptions.peers.size() < options.seeds)
-            raftOptions.peers.push_back(other.address);
-    }
+    for (const std::size_t peer : peers)
+        raftOptions.peers.push_back(nodes[peer].address);
     node.applied.clear();
     node.appliedIndex = 0;
     if (node.disk.snapshot) {
--- a/test/support/RaftCluster.h
+++ b/test/support/RaftCluster.h
@@ -79,6 +79,8 @@
     bool allApplied(std::uint64_t index) const;
 
     std::vector<Node> nodes;
+    // Configured peers of the instances that start from now on.
+    std::vector<std::size_t> peers;
     Milliseconds now { 1'000'000 };
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::vector<std::string> violations;
