--- a/src/wire/ControlSession.cpp
+++ b/src/wire/ControlSession.cpp
@@ -45,6 +45,7 @@
     : m_process(process)
     , m_client(client)
     , m_callbacks(std::move(callbacks))
+    , m_grantedLease(process.settings.lease)
     , m_alive(std::make_shared<bool>(true))
 {
     m_process.rpc.add("knownView", [this](const Json::Value&, const RpcReply& reply) { reply(knownView()); });
@@ -141,6 +142,8 @@
 {
     const bool hadLease = hasLease();
     m_lastContact = std::max(m_lastContact, sentAt);
+    if (response.lease.count > 0)
+        m_grantedLease = response.lease;
     m_leaseEnd = response.lease.count > 0 ? sentAt + response.lease : Milliseconds {};
     if (hadLease != hasLease()) {
         m_process.events.record(hadLease ? EventKind::LeaseLost : EventKind::LeaseGranted,
--- a/src/wire/ControlSession.h
+++ b/src/wire/ControlSession.h
@@ -44,6 +44,8 @@
     // Time since the sending of the latest request that control answered, which confirmed the view; since the start when
     // there is none.
     Milliseconds contactAge() const { return Clock::now() - m_lastContact; }
+    // Whether control has not confirmed the view for the length of the last lease that it granted.
+    bool isViewUnconfirmed() const { return contactAge() >= m_grantedLease; }
 
 private:
     void onHeartbeatTimer();
@@ -67,6 +69,8 @@
     // Set when a delta did not match the view, or a response could not be read.
     bool m_needsFullView { false };
     Milliseconds m_leaseEnd {};
+    // Length of the last lease, also after it has ended.
+    Milliseconds m_grantedLease;
     Milliseconds m_lastContact { Clock::now() };
     bool m_requestInFlight { false };
     Milliseconds m_lastRefresh {};
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -1,3 +1,4 @@
+#include "support/FaultRelay.h"
 #include "support/PlatformDeployment.h"
 
 #include <criterion/criterion.h>
@@ -241,6 +242,33 @@
     cr_assert(hasStatus(deployment.sendAndWait(deployment.front, "GET /a/x"), 410));
 }
 
+Test(PlatformPath, refusesNewJobsOnceItsConfigurationIsUnconfirmedForTheLease)
+{
+    const auto portOf = [](const std::string& address) { return static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))); };
+    const std::string relayAddress = freeAddress();
+    PlatformDeployment deployment({}, relayAddress);
+    FaultRelay relay(deployment.loop, portOf(relayAddress), portOf(deployment.control));
+    cr_assert(relay.start().has_value());
+    deployment.becomeReady();
+    const Milliseconds lease = deployment.entry.process().settings.lease;
+    // The lease that control granted counts.
+    deployment.entry.process().settings.lease = { 100 };
+    relay.setFault({ .dropRequests = true });
+    deployment.runFor(lease - Milliseconds { 1'000 });
+    cr_assert(hasStatus(deployment.sendAndWait(deployment.front, "POST /a/before", testJob), 200));
+    deployment.runFor({ 1'500 });
+    deployment.minion.started.clear();
+    const Milliseconds sent = Clock::now();
+    const std::string answer = deployment.sendAndWait(deployment.front, "POST /a/after", testJob);
+    cr_assert(hasStatus(answer, 503) && answer.find("Retry-After:") != std::string::npos, "%s", answer.c_str());
+    cr_assert(Clock::now() - sent < Milliseconds { 500 }, "expected the refusal at once");
+    cr_assert(deployment.minion.started.empty());
+    cr_assert(hasStatus(deployment.sendAndWait(deployment.ready, "GET /readyz"), 503));
+    relay.setFault({});
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.entry.session().contactAge() < Milliseconds { 200 }; }));
+    cr_assert(hasStatus(deployment.sendAndWait(deployment.front, "POST /a/again", testJob), 200));
+}
+
 Test(PlatformPath, answersADeferredRequestWithinItsDeadline)
 {
     PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 600'000 }; } });
--- a/test/support/PlatformDeployment.h
+++ b/test/support/PlatformDeployment.h
@@ -41,13 +41,15 @@
 struct PlatformDeployment {
     EventLoop loop;
     std::string control { freeAddress() };
+    // Where the entry reaches control.
+    std::string entryControl;
     std::string front { freeAddress() };
     std::string ready { freeAddress() };
     std::string reportAddress { freeAddress() };
     std::string sidecarStream { freeAddress() };
     ControlServer controlServer { loop, testSettings(Role::Control, "control-1", control) };
     OperatorAdapter operators { controlServer };
-    EntryServer entry { loop, testSettings(Role::Entry, "entry-1", control) };
+    EntryServer entry { loop, testSettings(Role::Entry, "entry-1", entryControl) };
     Ingress ingress { entry, { .clientAddress = front, .readinessAddress = ready, .drainPeriod = { 200 } } };
     RunServer sidecar { loop, sidecarSettings() };
     MinionAdapter minionAdapter { sidecar, reportAddress };
@@ -56,8 +58,10 @@
     std::string requestId { "q1" };
     std::vector<std::unique_ptr<RawConnection>> clients;
 
-    explicit PlatformDeployment(PlatformMinion::Options options = {})
-        : minion(loop, std::move(options))
+    // `controlRelay`: address of a relay in front of control, for the entry alone; without a relay when empty.
+    explicit PlatformDeployment(PlatformMinion::Options options = {}, const std::string& controlRelay = {})
+        : entryControl(controlRelay.empty() ? control : controlRelay)
+        , minion(loop, std::move(options))
     {
         cr_assert(controlServer.start().has_value());
         cr_assert(entry.start().has_value() && ingress.start().has_value());
