RaftCodecTest: pass the number as a JSON value

The test took the value of parseJson("1"), which the strict reader refuses: undefined behaviour, a crash without NDEBUG. The number is now given as a value, and is refused as before; the other six texts are unchanged.

--- a/test/control/RaftCodecTest.cpp
+++ b/test/control/RaftCodecTest.cpp
@@ -47,7 +47,8 @@
 
 Test(RaftCodec, refusesWhatIsNoMessage)
 {
-    for (const char* text : { "1", "[]", "{}", R"({"kind":"append","term":-1})", R"({"kind":"other"})",
+    cr_assert(!raftMessageFromJson(Json::Value(1)).has_value(), "expected an error for a number");
+    for (const char* text : { "[]", "{}", R"({"kind":"append","term":-1})", R"({"kind":"other"})",
              R"({"kind":"append","entries":[{"kind":"x"}]})", R"({"kind":"append","from":3})" }) {
         const auto read = raftMessageFromJson(parseJson(text).assume_value());
         cr_assert(!read.has_value(), "expected an error for %s", text);
