--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -49,6 +49,12 @@
     return fmt::format("dc-{}", 1 + (std::stoi(numberOf(name)) - 1) % m_options.shape.dataCentres);
 }
 
+std::string Deployment::listenerKey(const std::string& name) const
+{
+    const int replacements = m_states.at(name).replacements;
+    return replacements == 0 ? name : fmt::format("{}/successor-{}", name, replacements);
+}
+
 std::uint16_t Deployment::port(const std::string& key)
 {
     const auto next = static_cast<std::uint16_t>(m_options.basePort + m_ports.size());
@@ -70,7 +76,7 @@
 
 std::string Deployment::address(const std::string& name)
 {
-    return relayAddress(roleOf(name) == "entry" ? name + "/front" : name);
+    return relayAddress(roleOf(name) == "entry" ? name + "/front" : listenerKey(name));
 }
 
 std::string Deployment::settingsText(const std::string& name)
@@ -78,11 +84,11 @@
     std::vector<std::string> controls;
     for (const auto& control : names("control")) {
         if (controls.size() < 3)
-            controls.push_back(fmt::format("\"{}\"", relayAddress(control)));
+            controls.push_back(fmt::format("\"{}\"", relayAddress(listenerKey(control))));
     }
     const std::string role = roleOf(name);
     std::string text = fmt::format("[process]\nrole = \"{}\"\ninstance = \"{}\"\nlisten = \"{}\"\nadvertise = \"{}\"\ndata_centre = \"{}\"\n",
-        role, name, localAddress(name), relayAddress(name), dataCentre(name));
+        role, name, localAddress(listenerKey(name)), relayAddress(listenerKey(name)), dataCentre(name));
     text += fmt::format("[shutdown]\ngrace_ms = {}\n[control]\npeers = [{}]\ntimeout_ms = 1500\n",
         m_reloads % 2 == 0 ? graceMs : reloadedGraceMs, fmt::join(controls, ", "));
     if (role == "sidecar")
@@ -149,6 +155,8 @@
         kill(fault.target, fault.duration);
         std::filesystem::remove_all(dataFolder(fault.target));
         return;
+    case FaultKind::Replace:
+        return replace(fault.target, fault.duration);
     case FaultKind::KillAllControl:
         for (const auto& name : names("control"))
             kill(name, fault.duration);
@@ -189,6 +197,19 @@
     m_faults.push_back({ .process = name, .kind = "kill", .from = now, .until = now + restartAfter });
 }
 
+void Deployment::replace(const std::string& name, Milliseconds successorAfter)
+{
+    kill(name, successorAfter);
+    std::filesystem::remove_all(dataFolder(name));
+    m_relays.at(listenerKey(name))->setFault({ .dropRequests = true, .dropAnswers = true });
+    ++m_states.at(name).replacements;
+    // Running processes read the new addresses when their files change.
+    for (const auto& [other, state] : m_states) {
+        if (roleOf(other) != "minion" && other != name)
+            writeSettings(other);
+    }
+}
+
 void Deployment::stop(const std::string& name)
 {
     ProcessState& state = m_states.at(name);
@@ -221,7 +242,9 @@
 void Deployment::setRelayFault(const std::string& name, const RelayFault& fault)
 {
     for (const auto& [key, relay] : m_relays) {
-        if (key == name || key.rfind(name + "/", 0) == 0)
+        // The address of an instance that was replaced stays silent.
+        const bool isFormer = roleOf(name) == "control" && key != listenerKey(name);
+        if (!isFormer && (key == name || key.rfind(name + "/", 0) == 0))
             relay->setFault(fault);
     }
 }
--- a/soak/Deployment.h
+++ b/soak/Deployment.h
@@ -62,11 +62,15 @@
         // Index in m_faults of the planned stop in progress.
         std::optional<std::size_t> stopFault;
         int incarnation { 0 };
+        // How often the instance was replaced by one at another address.
+        int replacements { 0 };
 
         // Killed, exited or stopping, and not restarted yet.
         bool isDown() const { return restartAt || stopFault; }
     };
 
+    // Key of the current listener of a control instance, entry or sidecar; a successor has another one.
+    std::string listenerKey(const std::string& name) const;
     std::uint16_t port(const std::string& key);
     std::string localAddress(const std::string& key);
     // Address of the relay in front of the listener with that key; starts the relay on first use.
@@ -75,6 +79,8 @@
     void writeSettings(const std::string& name);
     void start(const std::string& name);
     void kill(const std::string& name, Milliseconds restartAfter);
+    // Kills the instance for good and starts a successor at another address, with an empty data folder.
+    void replace(const std::string& name, Milliseconds successorAfter);
     void stop(const std::string& name);
     void reload(const std::string& name);
     void disturbConnections(const PlannedFault&, const RelayFault&);
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -23,6 +23,7 @@
 constexpr int exitViolation = 1;
 constexpr int exitError = 2;
 constexpr Milliseconds pollPeriod { 20 };
+constexpr int controlsWithReplacements = 5;
 // Limit until a new deployment serves its first job. No guarantee depends on it.
 constexpr Milliseconds startupTimeout { 60'000 };
 // Three attempts with the longest timeout of 4 s, and the resend delays between them.
@@ -136,8 +137,10 @@
 
     void injectFault(const PlannedFault& fault)
     {
-        if (fault.kind != FaultKind::EvacuateDataCentre)
-            return m_deployment.injectFault(fault);
+        if (fault.kind != FaultKind::EvacuateDataCentre) {
+            m_deployment.injectFault(fault);
+            return m_operator.setControls(controls());
+        }
         m_operator.changeDataCentre(fault.target, true);
         m_timers.push_back(m_loop.once(fault.duration, [this, &fault] { m_operator.changeDataCentre(fault.target, false); }));
     }
@@ -238,6 +241,10 @@
         Shape shape = makeShape(seed);
         if (arguments.count("sidecars") > 0)
             shape.sidecars = arguments["sidecars"].as<int>();
+        if (arguments.count("replacements") > 0) {
+            shape.replacements = arguments["replacements"].as<int>();
+            shape.controls = controlsWithReplacements;
+        }
         if (arguments.count("plan") > 0)
             fmt::print("seed {}: {}", seed, describe(makePlan(seed, shape)));
         else
@@ -260,6 +267,7 @@
             "folder", "Folder for logs and data", cxxopts::value<std::string>()->default_value("soak-runs"))(
             "base-port", "First of a few hundred ports", cxxopts::value<std::uint16_t>()->default_value("24000"))(
             "sidecars", "Number of sidecars, instead of the one drawn from the seed", cxxopts::value<int>())(
+            "replacements", "Number of control instances to replace; the deployment then has five", cxxopts::value<int>())(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
         const auto arguments = options.parse(argc, argv);
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -27,6 +27,9 @@
 public:
     Operator(EventLoop&, std::uint64_t seed, std::vector<ControlAddress>);
 
+    // Replaces the addresses of the instances; their number stays.
+    void setControls(std::vector<ControlAddress> controls) { m_controls = std::move(controls); }
+
     // Sends the next version. Calls back when it is acknowledged.
     void putConfig(std::function<void()> acknowledged = [] {});
     // Sends a configuration that is invalid.
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-    constexpr NameTable<FaultKind, 12> faultKindNames { {
+    constexpr NameTable<FaultKind, 13> faultKindNames { {
         { FaultKind::Kill, "kill" },
         { FaultKind::Wipe, "wipe" },
+        { FaultKind::Replace, "replace" },
         { FaultKind::KillAllControl, "kill-all-control" },
         { FaultKind::Pause, "freeze" },
         { FaultKind::Stop, "stop" },
@@ -34,6 +35,7 @@
     constexpr Milliseconds lastFaultsUntil { 32'000 };
     constexpr Milliseconds loadLength { 56'000 };
     constexpr Milliseconds maxFaultDuration { 4'000 };
+    constexpr Milliseconds maxReplacementDelay { 2'000 };
     constexpr Milliseconds evacuationDuration { 8'000 };
     // Time between two faults of control instances, in which the first one catches up.
     constexpr Milliseconds controlCatchUpTime { 5'000 };
@@ -44,13 +46,18 @@
     class PlanBuilder {
     public:
         PlanBuilder(std::uint64_t seed, const Shape& shape)
-            : m_random(seed)
+            : m_seed(seed)
+            , m_random(seed)
             , m_shape(shape)
         {
         }
 
         Plan plan()
         {
+            // Before all others, so that these give way. They have draws of their own, so that a plan without them stays the same.
+            RandomDraw replacements(~m_seed);
+            for (int i = 0; i < m_shape.replacements; ++i)
+                add(drawReplacement(replacements));
             drawFaults({ 500 }, firstFaultsUntil, 7);
             evacuateDataCentre(plannedFrom);
             drawPlannedOperations(plannedFrom, plannedUntil, 4);
@@ -62,6 +69,14 @@
         }
 
     private:
+        PlannedFault drawReplacement(RandomDraw& random) const
+        {
+            return { .at = random.between({ 500 }, lastFaultsUntil),
+                .kind = FaultKind::Replace,
+                .target = fmt::format("control-{}", 1 + random.below(m_shape.controls)),
+                .duration = random.between({ 500 }, maxReplacementDelay) };
+        }
+
         std::string drawProcess()
         {
             switch (m_random.below(4)) {
@@ -127,6 +142,7 @@
             m_faults.push_back(fault);
         }
 
+        std::uint64_t m_seed;
         RandomDraw m_random;
         Shape m_shape;
         std::vector<PlannedFault> m_faults;
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -15,6 +15,8 @@
     int sidecars { 4 };
     int dataCentres { 3 };
     int callers { 6 };
+    // Control instances that are replaced by new ones at other addresses; needs five control instances or more.
+    int replacements { 0 };
     // Minions delay calls, and pause repeatedly, for the whole run.
     bool lateMinions { false };
 };
@@ -24,6 +26,8 @@
     Kill,
     // SIGKILL of a control instance whose data folder is removed before it restarts.
     Wipe,
+    // SIGKILL of a control instance that never returns; a successor starts at another address after `duration`.
+    Replace,
     // SIGKILL of all control instances.
     KillAllControl,
     // SIGSTOP, then SIGCONT.
--- a/test/soak/PlanTest.cpp
+++ b/test/soak/PlanTest.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace oleanderport;
@@ -54,6 +55,27 @@
     cr_assert(kinds.size() == 12, "expected 12 fault kinds, got %zu", kinds.size());
 }
 
+Test(SoakPlan, replacesControlInstancesOneAtATimeBesideOtherFaults)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Shape shape = makeShape(seed);
+        shape.controls = 5;
+        shape.replacements = 2;
+        const Plan plan = makePlan(seed, shape);
+        const auto replaced = std::count_if(plan.faults.begin(), plan.faults.end(), [](const PlannedFault& fault) { return fault.kind == FaultKind::Replace; });
+        cr_assert(replaced >= 1, "seed %lu: expected a replacement:\n%s", static_cast<unsigned long>(seed), textOf(plan).c_str());
+        // The successor has 4 s to catch up before the next fault of a control instance.
+        Milliseconds caughtUp {};
+        for (const auto& fault : plan.faults) {
+            if (!isControl(fault))
+                continue;
+            cr_assert(fault.at > caughtUp, "seed %lu:\n%s", static_cast<unsigned long>(seed), textOf(plan).c_str());
+            if (fault.kind == FaultKind::Replace)
+                caughtUp = fault.at + fault.duration + Milliseconds { 4'000 };
+        }
+    }
+}
+
 Test(SoakPlan, endsWithAFaultFreeTimeLongerThanTheRecoveryTime)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
