ScenarioProcesses: close the runner's descriptors in child processes

Cause: in the soak, not in the product. fork() without exec flags left the relay's connections open in each process that was started later, so the entry never saw them close.

Change: a child closes all descriptors but its output before exec.

Runs of the soak and of scenarios see disconnects of callers that were hidden while a process had restarted before.

--- a/test/support/ScenarioProcesses.cpp
+++ b/test/support/ScenarioProcesses.cpp
@@ -22,6 +22,8 @@
         const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
+        // A connection of the runner that a child holds open would not be seen to close.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(arguments[0], arguments.data());
         _exit(execFailed);
     }
