--- a/test/support/ControlRestart.h
+++ b/test/support/ControlRestart.h
@@ -23,7 +23,7 @@
 
 struct ControlRestartOptions {
     std::size_t controls { 9 };
-    std::size_t voters { 5 };
+    std::size_t voters { 9 };
     std::size_t entries { 51 };
     std::size_t sidecars { 240 };
     std::uint64_t seed { 1 };
