Control: keep what can't be read back out of the log, and skip it where it stands

Callers saw: an operator's configuration with "priority": -1 got no answer, the one acknowledged before could not be read any more, and every job was refused once the leases had ended.

Cause: the codec writes any 64-bit number and reads only those from 0. The queue reader took any integer, and nothing between it and the log read the encoded change again. All instances committed it, failed to decode it when they applied it, and ended, after each restart again. The log line "control.decode: field 'priority'" names the field.

Change: every proposal decodes its text before it reaches the log and is refused (ran: no) when that fails. A committed command that no program of this version reads is skipped, logged and counted: no instance ever applied it, so their states stay equal. One of a newer version or kind still ends the process.

--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -67,6 +67,12 @@
         return part;
     }
 
+    template <std::size_t... indices>
+    bool isKnownKind(const std::string& kind, std::index_sequence<indices...>)
+    {
+        return ((kind == kindOf<std::variant_alternative_t<indices, Change>>) || ...);
+    }
+
     // Decodes the alternative of the variant that is named `kind`.
     template <std::size_t index = 0>
     Result<Change> decodeChange(const std::string& kind, const Json::Value& value)
@@ -124,6 +130,32 @@
     return ControlCommand { .stampUnix = { value["stampUnix"].asInt64() }, .change = std::move(change) };
 }
 
+Result<std::string> encodeForLog(const ControlCommand& command)
+{
+    std::string text = encodeCommand(command);
+    const auto read = decodeCommand(text);
+    if (!read.has_value()) {
+        return Error { .code = ErrorCode::BadRequest,
+            .ran = Ran::No,
+            .step = "control.propose",
+            .peer = {},
+            .message = "the change can't be stored: " + read.assume_error().message };
+    }
+    return text;
+}
+
+bool isFromNewerProgram(const std::string& text)
+{
+    const auto value = parseJson(text);
+    if (!value.has_value() || !value.assume_value().isObject())
+        return false;
+    const Json::Value& version = value.assume_value()["version"];
+    const Json::Value& kind = value.assume_value()["kind"];
+    if (!version.isInt() || version.asInt() != codecVersion)
+        return version.isIntegral();
+    return kind.isString() && !isKnownKind(kind.asString(), std::make_index_sequence<std::variant_size_v<Change>>());
+}
+
 std::string encodeState(const ControlState& state)
 {
     Json::Value value(Json::objectValue);
--- a/src/control/ControlCodec.h
+++ b/src/control/ControlCodec.h
@@ -11,6 +11,14 @@
 std::string encodeCommand(const ControlCommand&);
 Result<ControlCommand> decodeCommand(const std::string&);
 
+// Encodes a command for the log. Fails with BadRequest (ran: no) when decodeCommand() could not read the text: every instance
+// has to read what is committed.
+Result<std::string> encodeForLog(const ControlCommand&);
+
+// Whether a text that decodeCommand() refuses names a version or a kind of change that this program does not know. A newer
+// program wrote it and applies it. Any other refused text is applied by no program of this version.
+bool isFromNewerProgram(const std::string& text);
+
 // The decoded state gives the same results as the original for all later commands.
 std::string encodeState(const ControlState&);
 Result<ControlState> decodeState(const std::string&, const ControlStateOptions&);
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -216,8 +216,10 @@
             .peer = leaderAddress(),
             .message = "this instance is not the leader" });
     }
-    const ControlCommand command { .stampUnix = Clock::unixNow(), .change = std::move(change) };
-    RaftActions actions = m_raft->propose({ encodeCommand(command) }, Clock::now());
+    auto text = encodeForLog({ .stampUnix = Clock::unixNow(), .change = std::move(change) });
+    if (!text.has_value())
+        return done(text.assume_error());
+    RaftActions actions = m_raft->propose({ std::move(text).assume_value() }, Clock::now());
     m_proposals[m_raft->lastIndex()] = { .term = m_raft->term(), .done = std::move(done) };
     perform(std::move(actions));
 }
@@ -402,10 +404,7 @@
     }
     if (entry.kind != RaftEntryKind::Command)
         return;
-    const auto command = decodeCommand(entry.data);
-    if (!command.has_value())
-        stopProcess(command.assume_error());
-    const auto outcome = m_state.apply(command.assume_value());
+    const auto outcome = applyCommand(entry);
     const auto proposal = m_proposals.find(entry.index);
     if (proposal == m_proposals.end())
         return;
@@ -420,6 +419,22 @@
         .message = "another leader replaced the log entry of this change" });
 }
 
+Result<ControlOutcome> RaftReplicator::applyCommand(const RaftEntry& entry)
+{
+    const auto command = decodeCommand(entry.data);
+    if (command.has_value())
+        return m_state.apply(command.assume_value());
+    // Going on without a change that other instances apply would give this one another state.
+    if (isFromNewerProgram(entry.data))
+        stopProcess(command.assume_error());
+    m_process.metrics.add("control_unreadable_entries_total");
+    Error skipped = command.assume_error();
+    skipped.ran = Ran::No;
+    skipped.message = fmt::format("skipped log entry {} of term {}, {} bytes: {}", entry.index, entry.term, entry.data.size(), skipped.message);
+    logError(LogLevel::Error, skipped);
+    return skipped;
+}
+
 void RaftReplicator::compactIfDue()
 {
     if (m_applied < m_snapshotIndex + snapshotEveryEntries && m_bytesSinceSnapshot < snapshotEveryBytes)
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -70,6 +70,9 @@
     void flushNextLarge();
     void installSnapshot(const RaftSnapshot&);
     void apply(const RaftEntry&);
+    // Applies the command of an entry. An entry that no program of this version can read changes nothing, at any instance: it
+    // is skipped and logged. Ends the process when a newer program wrote the entry.
+    Result<ControlOutcome> applyCommand(const RaftEntry&);
     void compactIfDue();
     void rejoin();
     void failLostProposals();
--- a/test/control/ControlCodecTest.cpp
+++ b/test/control/ControlCodecTest.cpp
@@ -182,3 +182,33 @@
     cr_assert(refused(R"({"version":1,"stampUnix":1,"kind":"other","change":{},"state":{}})"));
     cr_assert(refused(R"({"version":1,"stampUnix":1,"kind":"claim","change":{}})"));
 }
+
+// What the codec writes and can't read back must not reach the log, whoever sends it (review case 1).
+Test(ControlCodec, encodesForTheLogOnlyWhatItReadsBack)
+{
+    const decltype(ControlCommand::change) unreadable[] {
+        OpenSessionRequest { .node = { .instance = "sidecar", .cpuMillis = -1 } },
+        ClaimRequest { .key = { .caller = "a", .job = "j" }, .deadlineUnix = { -1 } },
+        PublishCatalogue { .catalogue = { .version = 8, .queues = { { .name = "q", .stretchPercent = -100 } } } },
+        AcceptDocument { .config = { .teams = { { .name = "team", .weight = -2 } } } },
+    };
+    for (const auto& change : unreadable) {
+        const auto text = encodeForLog({ .stampUnix = { 1 }, .change = change });
+        cr_assert(!text.has_value() && text.assume_error().code == ErrorCode::BadRequest && text.assume_error().ran == Ran::No);
+    }
+    RandomCommands commands(13);
+    for (int i = 0; i < 500; ++i) {
+        const ControlCommand command = commands.next();
+        cr_assert(encodeForLog(command).assume_value() == encodeCommand(command));
+    }
+}
+
+// Skipping a change that a newer program applies would give this instance another state (issue #34).
+Test(ControlCodec, tellsUnreadableChangesFromThoseOfANewerProgram)
+{
+    cr_assert(isFromNewerProgram(R"({"version":2,"stampUnix":1,"kind":"claim","change":{}})"));
+    cr_assert(isFromNewerProgram(R"({"version":1,"stampUnix":1,"kind":"other","change":{}})"));
+    cr_assert(!isFromNewerProgram(R"({"version":1,"stampUnix":1,"kind":"claim","change":{}})"));
+    cr_assert(!isFromNewerProgram(R"({"version":"1","kind":"claim"})"));
+    cr_assert(!isFromNewerProgram("[]") && !isFromNewerProgram(""));
+}
--- a/test/control/RaftReplicatorTest.cpp
+++ b/test/control/RaftReplicatorTest.cpp
@@ -1,3 +1,5 @@
+#include "control/ControlCodec.h"
+#include "control/LogStore.h"
 #include "support/ControlGroup.h"
 
 #include <criterion/criterion.h>
@@ -83,3 +85,54 @@
     group.replicator(leader).propose(request, [&](const Result<ControlOutcome>& result) { outcome = result; });
     cr_assert(outcome->assume_error().code == ErrorCode::NotLeader && outcome->assume_error().ran == Ran::No);
 }
+
+namespace {
+
+// A change that the codec writes and can't read back.
+PublishCatalogue catalogueWithNegativePriority()
+{
+    return { .catalogue = { .version = 8, .queues = { { .name = "q", .host = "h", .pathPrefix = "/", .service = "s", .priority = -1, .timeLimit = { 1'500 } } } },
+        .source = "{}" };
+}
+
+// Appends the text as a command to the log of a stopped instance.
+void appendCommand(const std::string& folder, const std::string& text)
+{
+    const auto store = LogStore::open({ .folder = folder, .address = "127.0.0.1:1" }, [](const Result<std::uint64_t>& result) {
+        cr_assert(result.has_value());
+    });
+    cr_assert(store.has_value());
+    const RaftEntry& last = store.assume_value()->stored().entries.back();
+    store.assume_value()->write({ .number = 1,
+        .entries = { { .index = last.index + 1, .term = last.term, .kind = RaftEntryKind::Command, .data = text } } });
+}
+
+} // namespace
+
+// A committed change that no instance could read back ended every control instance, for good (review case 1).
+Test(RaftReplicator, refusesAChangeThatItCouldNotReadBack)
+{
+    ControlGroup group(3);
+    group.openSession("one");
+    std::optional<Result<ControlOutcome>> outcome;
+    group.replicator(group.leader().value()).propose(catalogueWithNegativePriority(), [&](const Result<ControlOutcome>& result) { outcome = result; });
+    group.runUntil("an outcome", [&] { return outcome.has_value(); });
+    cr_assert(!outcome->has_value() && outcome->assume_error().code == ErrorCode::BadRequest && outcome->assume_error().ran == Ran::No);
+    cr_assert(outcome->assume_error().message.find("priority") != std::string::npos, "got '%s'", outcome->assume_error().message.c_str());
+    group.openSession("two");
+    group.runUntil("all to apply", [&] { return group.memberCount(0) == 2 && group.memberCount(1) == 2 && group.memberCount(2) == 2; });
+}
+
+// An instance whose log holds an unreadable command ended again after each start (review case 1).
+Test(RaftReplicator, comesBackWithAnUnreadableCommandInItsLog)
+{
+    ControlGroup group(1);
+    group.openSession("one");
+    group.stop(0);
+    appendCommand(group.folderOf(0), encodeCommand({ .stampUnix = { 1 }, .change = catalogueWithNegativePriority() }));
+    appendCommand(group.folderOf(0), "no command at all");
+    group.start(0);
+    group.openSession("two");
+    cr_assert(group.memberCount(0) == 2, "expected 2 members, got %zu", group.memberCount(0));
+    cr_assert(!group.replicator(0).state().view().catalogue);
+}
--- a/test/platform/QueueConfigReaderTest.cpp
+++ b/test/platform/QueueConfigReaderTest.cpp
@@ -1,5 +1,7 @@
 #include "QueueConfigReader.h"
 
+#include "control/ControlCodec.h"
+
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
@@ -51,6 +53,46 @@
     }
 }
 
+namespace {
+
+std::string routeWith(const std::string& field, const std::string& value)
+{
+    std::string text = route("r1", "a");
+    const auto start = text.find("\"" + field + "\":");
+    const auto end = text.find_first_of(",}", start);
+    return text.replace(start, end - start, fmt::format(R"("{}":{})", field, value));
+}
+
+} // namespace
+
+// A config with a negative number was committed, and every control instance ended when it applied it (review case 1).
+Test(QueueConfigReader, refusesNumbersThatAreNone)
+{
+    for (const std::string field : { "priority", "maxAttempts", "stretch", "targetLatencyMs", "timeoutMs" }) {
+        for (const std::string value : { "-1", "-0.5", "-9223372036854775808", "-1e300", "\"2\"", "true", "[]", "{}" }) {
+            const auto read = readQueueConfig(config("7", routeWith(field, value)));
+            cr_assert(!read.has_value(), "expected a refusal of %s %s", field.c_str(), value.c_str());
+            cr_assert(read.assume_error().code == ErrorCode::BadSettings && read.assume_error().message.find(field) != std::string::npos);
+        }
+        if (field != "stretch")
+            cr_assert(!readQueueConfig(config("7", routeWith(field, "1.5"))).has_value(), "%s", field.c_str());
+    }
+}
+
+// A stretch whose percentage does not fit into 64 bits became a negative number on x86-64 (issue #34).
+Test(QueueConfigReader, whatItReadsCanBeStored)
+{
+    for (const std::string field : { "priority", "maxAttempts", "stretch", "targetLatencyMs", "timeoutMs" }) {
+        for (const std::string value : { "0", "1", "2147483648", "9223372036854775807", "9223372036854775808", "1e19", "1e300" }) {
+            const auto read = readQueueConfig(config("7", routeWith(field, value)));
+            cr_assert(read.has_value() == (field != "timeoutMs" || value != "0"), "%s %s", field.c_str(), value.c_str());
+            if (read.has_value())
+                cr_assert(encodeForLog({ .change = read.assume_value() }).has_value(), "%s %s", field.c_str(), value.c_str());
+        }
+    }
+    cr_assert(readQueueConfig(config("7", routeWith("stretch", "1e300"))).assume_value().catalogue.queues[0].stretchPercent == 100'000'000);
+}
+
 Test(QueueConfigReader, marksQueuesThatNeedAdvice)
 {
     std::string text = route("r1", "a");
