RunTable: bound every lease by the entry that has been silent longest

Cause: a sidecar goes by a silent entry for 700 ms, and its minion by the sidecar for 800 ms more. Each is below the 1,300 ms after which a caller submits a job again; the sum with drift, rounding and a stop, 1,586 ms, is not. The minion's lease is one for all its runs, so renewals for one entry prolonged the runs of another.

Change: a lease ends at a point in time, at most 1,150 ms after the last sign of life of any entry with a run at the minion, or after the first unanswered stop of a run. In calm it is 800 ms long as before.

--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -116,6 +116,7 @@
         section.text("stream_listen", settings.streamListen);
         settings.streamAdvertise = settings.streamListen;
         section.text("stream_advertise", settings.streamAdvertise);
+        section.time("resubmit_after_ms", settings.resubmitAfter, timeRange);
         section.reportUnknownKeys();
     }
 
--- a/src/base/SettingsReload.cpp
+++ b/src/base/SettingsReload.cpp
@@ -69,6 +69,7 @@
         Key { "sidecar.minion_timeout_ms", &Settings::minionTimeout, TakesEffect::Immediately },
         Key { "sidecar.stream_listen", &Settings::streamListen, TakesEffect::AfterRestart },
         Key { "sidecar.stream_advertise", &Settings::streamAdvertise, TakesEffect::AfterRestart },
+        Key { "sidecar.resubmit_after_ms", &Settings::resubmitAfter, TakesEffect::AfterRestart },
         Key { "shutdown.grace_ms", &Settings::shutdownGrace, TakesEffect::Immediately },
     };
 
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    // A minion's clock may be this much slower than the sidecar's.
-    constexpr std::int64_t clockDriftPercent = 2;
+    // A minion's clock shows at least this share of the time that has passed.
+    constexpr std::int64_t slowClockPercent = 98;
     // Covers the rounding to whole milliseconds on both sides.
     constexpr Milliseconds leaseRoundingMargin { 20 };
     // How long the numbers of earlier runs are kept. Delayed requests arrive within 12 s.
@@ -24,11 +24,17 @@
     // Longest real duration of a lease measured by a minion's clock.
     Milliseconds leaseWithDrift(Milliseconds lease)
     {
-        return lease + Milliseconds { lease.count * clockDriftPercent / wholePercent } + leaseRoundingMargin;
+        return Milliseconds { lease.count * wholePercent / slowClockPercent } + leaseRoundingMargin;
     }
 
 } // namespace
 
+Milliseconds maxAbandonedRunTime(const RunTableOptions& options)
+{
+    const Milliseconds drift = leaseWithDrift(options.minionLease) - options.minionLease;
+    return options.abandonedRunLimit + drift + options.minionStopTime;
+}
+
 RunTable::RunTable(RunTableOptions options, Milliseconds now)
     : m_options(std::move(options))
     , m_startedAt(now)
@@ -54,7 +60,7 @@
     for (auto& [key, run] : m_runs) {
         const bool isOwnedByEntry = key.first == frame.entry;
         if (isOwnedByEntry && std::find(known.begin(), known.end(), key.second) == known.end())
-            stop(run, RunEndKind::Stopped);
+            stop(run, RunEndKind::Stopped, now);
     }
     for (const auto& name : known) {
         const bool ended = std::any_of(entry.unseenEnds.begin(), entry.unseenEnds.end(),
@@ -116,7 +122,7 @@
         if (found->second.state == State::Queued)
             end(RunKey(found->first), RunEndKind::Stopped, now);
         else
-            stop(found->second, RunEndKind::Stopped);
+            stop(found->second, RunEndKind::Stopped, now);
     }
 }
 
@@ -136,7 +142,7 @@
     else if (!request.mayWait && !fitsAtOnce(request.needs))
         conclude(key, RunEndKind::NoRoom, now);
     else
-        stopOtherSubmissions(key);
+        stopOtherSubmissions(key, now);
     markStateChanged();
 }
 
@@ -174,12 +180,12 @@
 }
 
 // A resubmitted job has been abandoned where it ran before.
-void RunTable::stopOtherSubmissions(const RunKey& key)
+void RunTable::stopOtherSubmissions(const RunKey& key, Milliseconds now)
 {
     const TaskKey task = taskOf(key.second);
     for (auto& [other, run] : m_runs) {
         if (other != key && taskOf(other.second) == task && run.state != State::Queued)
-            stop(run, RunEndKind::Stopped);
+            stop(run, RunEndKind::Stopped, now);
     }
 }
 
@@ -198,7 +204,7 @@
     if (isLate)
         return false;
     if (!sameIncarnation) {
-        stopRunsOfFormerIncarnation();
+        stopRunsOfFormerIncarnation(now);
         m_phase = Phase::Clearing;
         m_endsSeen = 0;
         m_endsForgotten = 0;
@@ -225,7 +231,7 @@
     m_report.leaving = true;
     endQueued(now);
     for (auto& [key, run] : m_runs)
-        stop(run, RunEndKind::Stopped);
+        stop(run, RunEndKind::Stopped, now);
     markStateChanged();
 }
 
@@ -292,7 +298,7 @@
         if (wanted && answer == StartAnswer::NoRoom)
             run.resendAt = now + m_options.startRetryDelay;
         else
-            stop(run, RunEndKind::Stopped);
+            stop(run, RunEndKind::Stopped, now);
         return;
     }
     run.evidence = StartEvidence::Declined;
@@ -328,13 +334,13 @@
 {
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
-        if (run.state != State::Starting || !run.resendAt || now < *run.resendAt)
+        if (run.state != State::Starting || !run.resendAt || now < *run.resendAt || leaseEnd(now) <= now)
             continue;
         // The permission for the first request may have expired since.
         if (mayStart(now))
             requestStart(run, actions, now);
         else
-            stop(run, RunEndKind::Stopped);
+            stop(run, RunEndKind::Stopped, now);
     }
 }
 
@@ -487,7 +493,7 @@
     markStateChanged();
 }
 
-void RunTable::stop(Run& run, RunEndKind endAs)
+void RunTable::stop(Run& run, RunEndKind endAs, Milliseconds now)
 {
     if (run.state == State::Stopping)
         return;
@@ -497,6 +503,7 @@
         return;
     }
     run.state = State::Stopping;
+    run.stoppingSince = now;
     run.endAs = endAs;
     run.stopRequest = {};
     run.stopAnsweredAt.reset();
@@ -504,11 +511,11 @@
 
 // The runs of the previous incarnation ended with it. The new one may have carried out start requests before its report,
 // or may do so later.
-void RunTable::stopRunsOfFormerIncarnation()
+void RunTable::stopRunsOfFormerIncarnation(Milliseconds now)
 {
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
-        stop(run, RunEndKind::Stopped);
+        stop(run, RunEndKind::Stopped, now);
         run.stopRequest = {};
         run.stopAnsweredAt.reset();
     }
@@ -563,9 +570,9 @@
     if (run.state == State::Stopping || run.state == State::Queued)
         return;
     if (isOver(key, run, now))
-        stop(run, RunEndKind::Stopped);
+        stop(run, RunEndKind::Stopped, now);
     else if (isStuck(run, now))
-        stop(run, RunEndKind::Stuck);
+        stop(run, RunEndKind::Stuck, now);
 }
 
 bool RunTable::isOver(const RunKey& key, const Run& run, Milliseconds now) const
@@ -605,7 +612,7 @@
 
 void RunTable::startQueued(RunActions& actions, Milliseconds now)
 {
-    if (!mayStart(now) || queuedRuns() == 0)
+    if (!mayStart(now) || queuedRuns() == 0 || leaseEnd(now) <= now)
         return;
     std::vector<std::pair<const RunKey*, Run*>> queue;
     for (auto& [key, run] : m_runs) {
@@ -649,14 +656,30 @@
 {
     run.resendAt.reset();
     run.startedAt = now;
-    recordLeaseGranted(now);
-    actions.starts.push_back(
-        { .run = run.minionName, .payload = run.request.payload, .lease = m_options.minionLease });
+    const Milliseconds end = leaseEnd(now);
+    recordLeaseGranted(end);
+    actions.starts.push_back({ .run = run.minionName, .payload = run.request.payload, .leaseEnd = end });
 }
 
-void RunTable::recordLeaseGranted(Milliseconds now)
+// A lease applies to everything at the minion and can't be shortened, so the run that has to end first limits it for all.
+Milliseconds RunTable::leaseEnd(Milliseconds now) const
 {
-    m_leaseMayEndAt = std::max(m_leaseMayEndAt, now + leaseWithDrift(m_options.minionLease));
+    Milliseconds end = now + m_options.minionLease;
+    for (const auto& [name, key] : m_byMinionName) {
+        const Run& run = m_runs.at(key);
+        if (run.stopAnsweredAt)
+            continue;
+        end = std::min(end, m_entries.at(key.first).echo + m_options.abandonedRunLimit);
+        if (run.state == State::Stopping)
+            end = std::min(end, run.stoppingSince + m_options.abandonedRunLimit);
+    }
+    return end;
+}
+
+void RunTable::recordLeaseGranted(Milliseconds leaseEnd)
+{
+    const Milliseconds drift = leaseWithDrift(m_options.minionLease) - m_options.minionLease;
+    m_leaseMayEndAt = std::max(m_leaseMayEndAt, leaseEnd + drift);
 }
 
 void RunTable::sendStops(RunActions& actions, Milliseconds now)
@@ -705,11 +728,13 @@
     m_listAskedAt = now;
     const auto stopping = std::count_if(m_byMinionName.begin(), m_byMinionName.end(),
         [this](const auto& item) { return m_runs.at(item.second).state == State::Stopping; });
-    ListRuns list { .lease = std::nullopt, .endsSeen = m_endsSeen, .wait = {} };
+    ListRuns list { .leaseEnd = std::nullopt, .endsSeen = m_endsSeen, .wait = {} };
     if (stopping < static_cast<std::ptrdiff_t>(m_byMinionName.size())) {
-        list.lease = m_options.minionLease;
         list.wait = stopping > 0 || wasListLostRecently(now) ? m_options.minListInterval : m_options.listWait;
-        recordLeaseGranted(now);
+        if (const Milliseconds end = leaseEnd(now); end > now) {
+            list.leaseEnd = end;
+            recordLeaseGranted(end);
+        }
     }
     actions.list = list;
 }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -68,11 +68,12 @@
     bool isEndedWhole { true };
 };
 
-// Requests to the minion. `lease` is how long from now the minion may keep running without a renewal.
+// Requests to the minion. `leaseEnd` is until when, on the sidecar's clock, the minion may keep running without a renewal: a
+// point in time, so that a request that is sent late grants nothing more.
 struct StartRun {
     RunName run;
     std::string payload;
-    Milliseconds lease {};
+    Milliseconds leaseEnd {};
 };
 
 struct StopRun {
@@ -81,7 +82,7 @@
 
 struct ListRuns {
     // When set, renews the lease of every run at the minion.
-    std::optional<Milliseconds> lease;
+    std::optional<Milliseconds> leaseEnd;
     // Acknowledges ended runs up to this number; the minion forgets them.
     std::uint64_t endsSeen { 0 };
     // How long the minion may hold the answer back until a run ends.
@@ -112,11 +113,16 @@
     // Unique name of this sidecar's incarnation.
     std::string incarnation;
     std::string dataCentre;
-    // The runs of an entry are stopped after it has been silent for this long. Together with the minion's lease this
-    // bounds how long a run outlives its entry, which must be less than a caller waits before it resubmits.
+    // The runs of an entry are stopped after it has been silent for this long.
     Milliseconds entryLease { 700 };
-    // Lease granted to the minion with each start request and renewal. At most the minion's own limit.
+    // Longest lease granted to the minion with a start request or renewal. At most the minion's own limit.
     Milliseconds minionLease { 800 };
+    // No lease ends later than this after the last sign of life of any entry with runs at the minion, or after the first stop
+    // request for a run that the minion has not answered. Exceeds entryLease by the time that stopping a run may take, so that
+    // the runs of other entries do not end with it.
+    Milliseconds abandonedRunLimit { 1'150 };
+    // Time that the minion takes to end a run.
+    Milliseconds minionStopTime { 50 };
     // How long a list request may wait for a run to end. Several fit into one lease, so that a lost answer ends no run.
     Milliseconds listWait { 60 };
     // A second list is requested when the first has not been answered for this long, so that ends are still learned
@@ -156,6 +162,10 @@
     Milliseconds minStuckTime { 300 };
 };
 
+// Longest time for which a run may go on after its entry's last sign of life, or after its entry has given it up, whichever of
+// entry, sidecar and connections fail. It must be less than a caller waits before it submits a job again.
+Milliseconds maxAbandonedRunTime(const RunTableOptions&);
+
 // Schedules the runs of one minion for the best-effort jobs of all entries. A run starts only for an entry whose lease is
 // valid, and ends when that lease expires, the job's deadline passes or the entry requests it. The end of a run is
 // reported only once the minion can no longer be running it. Time is passed in and must not go backwards.
@@ -249,6 +259,8 @@
         RunEndKind endAs { RunEndKind::Stopped };
         StopRequest stopRequest;
         std::optional<Milliseconds> stopAnsweredAt;
+        // When it began to be stopped.
+        Milliseconds stoppingSince {};
     };
     struct LastRun {
         std::uint64_t run { 0 };
@@ -298,11 +310,11 @@
     void end(const RunKey&, RunEndKind whenStarted, Milliseconds now);
     // Removes the run and queues its end for the entry.
     void conclude(const RunKey&, RunEndKind, Milliseconds now);
-    static void stop(Run&, RunEndKind);
-    void stopOtherSubmissions(const RunKey&);
+    static void stop(Run&, RunEndKind, Milliseconds now);
+    void stopOtherSubmissions(const RunKey&, Milliseconds now);
     // Call when the minion has confirmed the start, or lists the run or its end.
     static void recordStarted(Run&);
-    void stopRunsOfFormerIncarnation();
+    void stopRunsOfFormerIncarnation(Milliseconds now);
     void endAllLive(Milliseconds now);
     void endQueued(Milliseconds now);
     void checkRun(const RunKey&, Run&, Milliseconds now) const;
@@ -335,8 +347,10 @@
     // Whether a list that does not show the run as running proves that it has ended or never started.
     bool hasEndedAtMinion(const Run&, bool listIsWhole, Milliseconds askedAt) const;
     void endRunsMissingFromList(bool listIsWhole, Milliseconds askedAt, Milliseconds now);
-    // Records that the minion may keep runs going until the lease granted now expires.
-    void recordLeaseGranted(Milliseconds now);
+    // Until when the minion may be granted a lease now. In the past when a run there has to end first.
+    Milliseconds leaseEnd(Milliseconds now) const;
+    // Records that the minion may keep runs going until this lease expires.
+    void recordLeaseGranted(Milliseconds leaseEnd);
     Milliseconds heartbeatOf(const Entry&) const;
     bool frameDue(const Entry&, Milliseconds now) const;
     MinionState state(Milliseconds now) const;
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -16,6 +16,11 @@
     // Maximum time that a leaving minion waits for its runs to stop. A minion stops a run within 50 ms on the users' platform; this
     // is twice that, plus the time for the answers.
     constexpr Milliseconds maxLeaveTime { 120 };
+    RunTableOptions runTableOptions(const Settings& settings)
+    {
+        return { .incarnation = makeIncarnationName(settings.instance), .dataCentre = settings.dataCentre };
+    }
+
     // A stream is closed beyond this, because its peer does not read.
     constexpr std::size_t maxUnsentBytes = 4 * 1024 * 1024;
 
@@ -35,7 +40,7 @@
                   },
               .ended = [this] { updatePermit(); },
               .leaseRenewed = [this] { updatePermit(); } })
-    , m_runs({ .incarnation = makeIncarnationName(settings.instance), .dataCentre = settings.dataCentre }, Clock::now())
+    , m_runs(runTableOptions(settings), Clock::now())
 {
     m_process.gaugeUpdaters.push_back([this] {
         m_process.metrics.set("runs_live", static_cast<double>(m_runs.liveRuns()));
@@ -45,6 +50,15 @@
 
 Result<void> RunServer::start()
 {
+    const Milliseconds bound = m_process.settings.resubmitAfter;
+    const Milliseconds longest = maxAbandonedRunTime(runTableOptions(m_process.settings));
+    if (longest >= bound) {
+        return Error { .code = ErrorCode::BadSettings,
+            .ran = Ran::No,
+            .step = "settings",
+            .peer = {},
+            .message = fmt::format("sidecar.resubmit_after_ms: expected more than {}, for which a run may outlive its entry, got {}", longest.count, bound.count) };
+    }
     BOOST_OUTCOME_TRYV(m_process.listen({}));
     BOOST_OUTCOME_TRY(m_listener,
         StreamListener::listen(
--- a/test/policy/RunTableModelTest.cpp
+++ b/test/policy/RunTableModelTest.cpp
@@ -108,11 +108,11 @@
         m_running.erase(found);
     }
 
-    RunList list(const ListRuns& asked, Milliseconds askedAt, Milliseconds now)
+    RunList list(const ListRuns& asked, Milliseconds now)
     {
         expire(now);
-        if (asked.lease)
-            m_leaseEnd = std::max(m_leaseEnd, askedAt + *asked.lease);
+        if (asked.leaseEnd)
+            m_leaseEnd = std::max(m_leaseEnd, *asked.leaseEnd);
         std::erase_if(m_ended, [&](const ListedEnd& each) { return each.number <= asked.endsSeen; });
         RunList list { .born = born(), .running = {}, .ended = m_ended };
         list.isEndedWhole = m_ended.size() <= mostEndsListed;
@@ -276,7 +276,7 @@
     {
         // The payload identifies the request, since one that the entry has abandoned may still be carried out.
         m_requests[item.run] = { taskOf(item.run), std::stoull(item.payload) };
-        const Milliseconds deadline = m_minion.clock(m_now) + item.lease;
+        const Milliseconds deadline = m_minion.clock(m_now) + (item.leaseEnd - m_now);
         call(
             requestTimeout, [this, item, deadline] { return m_minion.start(item.run, deadline, m_now); },
             [this, item](const std::optional<StartAnswer>& answer) { m_table.startAnswered(item.run, answer.value_or(StartAnswer::Unknown), m_now); });
@@ -297,7 +297,7 @@
     void list(const ListRuns& asked)
     {
         call(
-            asked.wait + listSlack, [this, asked, askedAt = m_now] { return m_minion.list(asked, askedAt, m_now); },
+            asked.wait + listSlack, [this, asked] { return m_minion.list(asked, m_now); },
             [this, asked, askedAt = m_now](const std::optional<RunList>& answer) {
                 if (answer)
                     m_table.listed(*answer, asked, askedAt, m_now);
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
+
 using namespace oleanderport;
 
 namespace {
@@ -19,7 +21,7 @@
         runs.permit({ 1'000'000 }, true);
         runs.reported(report(), now);
         const auto asked = runs.act(now).list;
-        cr_assert(asked && !asked->lease, "expected a list that renews nothing while the minion is not known to be empty");
+        cr_assert(asked && !asked->leaseEnd, "expected a list that renews nothing while the minion is not known to be empty");
         answer({}, {});
         runs.opened({ .entry = entryIncarnation }, now);
         runs.act(now);
@@ -87,7 +89,7 @@
     Table table;
     const auto actions = table.request("a");
     cr_assert(actions.starts.size() == 1);
-    cr_assert(actions.starts[0].lease.count > 0);
+    cr_assert(actions.starts[0].leaseEnd > table.now);
     const RunName name = actions.starts[0].run;
     table.runs.startAnswered(name, StartAnswer::Started, table.now);
     table.now = table.now + Milliseconds { 90 };
@@ -689,3 +691,107 @@
     table.runs.opened({ .entry = entryIncarnation }, table.now);
     cr_assert(table.runs.act(table.now).frames.at(0).frame.state->isWhole, "expected the whole state first on a new stream");
 }
+
+namespace {
+
+constexpr const char* otherEntry = "entry/2";
+// The shortest time after which a caller submits a job again, a minion's clock that is 2% slow, and the time of a stop.
+constexpr Milliseconds resubmitAfter { 1'300 };
+constexpr double slowClock = 1 / 0.98;
+constexpr Milliseconds stopTime { 50 };
+
+// When a minion may still run something at the latest, by the leases of these actions.
+Milliseconds latestEnd(const RunActions& actions, Milliseconds now)
+{
+    Milliseconds latest {};
+    const auto include = [&](Milliseconds leaseEnd) {
+        const auto realTime = static_cast<std::int64_t>(std::ceil(static_cast<double>((leaseEnd - now).count) * slowClock));
+        latest = std::max(latest, now + Milliseconds { realTime } + stopTime);
+    };
+    for (const auto& item : actions.starts)
+        include(item.leaseEnd);
+    if (actions.list && actions.list->leaseEnd)
+        include(*actions.list->leaseEnd);
+    return latest;
+}
+
+} // namespace
+
+// An entry and then a sidecar were lost, and a job that was submitted again ran beside its former runs (review case 3). The
+// minion also works for another entry, so its leases are renewed all the time, and it carries out no stop.
+Test(RunTable, noLeaseOutlivesASilentEntryForAsLongAsCallersWait)
+{
+    Table table;
+    table.runs.opened({ .entry = otherEntry }, table.now);
+    table.runs.received(otherEntry, { .echo = table.now }, table.now);
+    const RunName lost = table.request("a").starts.at(0).run;
+    table.runs.startAnswered(lost, StartAnswer::Started, table.now);
+    const Milliseconds silentSince = table.now;
+    const auto receive = [&](std::vector<RunRequest> requests) {
+        table.runs.received(otherEntry, { .echo = table.now, .requests = std::move(requests) }, table.now);
+    };
+    receive({ { .job = "b", .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 100, .memoryMb = 1, .runTime = { 60'000 } }, .endBy = { 1'000'000 } } });
+    const RunName kept = table.runs.act(table.now).starts.at(0).run;
+    table.runs.startAnswered(kept, StartAnswer::Started, table.now);
+    int renewals = 0;
+    while (table.now < silentSince + Milliseconds { 3'000 }) {
+        table.now = table.now + Milliseconds { 10 };
+        receive({});
+        const RunActions actions = table.runs.act(table.now);
+        cr_assert(latestEnd(actions, table.now) < silentSince + resubmitAfter, "a lease granted %lld ms after the entry's last sign of life may end %lld ms after it",
+            static_cast<long long>((table.now - silentSince).count), static_cast<long long>((latestEnd(actions, table.now) - silentSince).count));
+        renewals += actions.list && actions.list->leaseEnd ? 1 : 0;
+        if (actions.list)
+            table.answer({ { .run = lost, .percent = 50 }, { .run = kept, .percent = 50 } }, {});
+    }
+    cr_assert(renewals > 10, "expected the minion's lease to be renewed for the other entry, got %d renewals", renewals);
+}
+
+// The same for a caller that leaves a living entry: its runs are stopped, and the minion leaves the stops unanswered.
+Test(RunTable, noLeaseOutlivesAnUnansweredStopForAsLongAsCallersWait)
+{
+    Table table;
+    const RunName abandoned = table.request("a").starts.at(0).run;
+    table.runs.startAnswered(abandoned, StartAnswer::Started, table.now);
+    const RunName kept = table.request("b").starts.at(0).run;
+    table.runs.startAnswered(kept, StartAnswer::Started, table.now);
+    const Milliseconds leftAt = table.now;
+    table.runs.received(entryIncarnation, { .echo = table.now, .stops = { abandoned } }, table.now);
+    while (table.now < leftAt + Milliseconds { 3'000 }) {
+        const RunActions actions = table.after({ 10 });
+        cr_assert(latestEnd(actions, table.now) < leftAt + resubmitAfter);
+        if (actions.list)
+            table.answer({ { .run = abandoned, .percent = 50 }, { .run = kept, .percent = 50 } }, {});
+    }
+}
+
+// What a stopped run held back is granted again once the stop was answered.
+Test(RunTable, renewsInFullOnceTheRunsOfASilentEntryAreStopped)
+{
+    Table table;
+    table.runs.opened({ .entry = otherEntry }, table.now);
+    table.runs.received(otherEntry, { .echo = table.now }, table.now);
+    const RunName lost = table.request("a").starts.at(0).run;
+    table.runs.startAnswered(lost, StartAnswer::Started, table.now);
+    table.runs.received(otherEntry,
+        { .echo = table.now, .requests = { { .job = "b", .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 100, .memoryMb = 1 }, .endBy = { 1'000'000 } } } }, table.now);
+    const RunName kept = table.runs.act(table.now).starts.at(0).run;
+    table.runs.startAnswered(kept, StartAnswer::Started, table.now);
+    table.now = table.now + Milliseconds { 702 };
+    table.runs.received(otherEntry, { .echo = table.now }, table.now);
+    const auto stops = table.runs.act(table.now).stops;
+    cr_assert(stops.size() == 1 && stops[0].run == lost);
+    table.runs.stopAnswered(lost, true, table.now);
+    table.answer({ { .run = kept, .percent = 50 } }, {});
+    table.now = table.now + Milliseconds { 20 };
+    table.runs.received(otherEntry, { .echo = table.now }, table.now);
+    const auto list = table.runs.act(table.now).list;
+    cr_assert(list && list->leaseEnd == table.now + RunTableOptions {}.minionLease);
+}
+
+// The sum of all leases must stay below the time after which callers submit again; a changed figure must not break that (review
+// case 3).
+Test(RunTable, noRunOutlivesItsEntryForAsLongAsCallersWait)
+{
+    cr_assert(maxAbandonedRunTime({}) < resubmitAfter, "a run may outlive its entry by %lld ms", static_cast<long long>(maxAbandonedRunTime({}).count));
+}
--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -656,7 +656,6 @@
         };
     };
     for (const auto& item : actions.starts) {
-        const Milliseconds lateAt = m_now + item.lease;
         const auto reply = answerOnce(
             [this, number, name = item.run](StartAnswer answer) {
                 trace(name.job, "minion {} answers the start of task {} run {}: {}", number, name.index, name.run, startAnswerName(answer));
@@ -666,11 +665,10 @@
                 trace(name.job, "sidecar {} timed out on the start of task {} run {}", number, name.index, name.run);
                 m_sidecars[static_cast<std::size_t>(number)]->runs->startAnswered(name, StartAnswer::Unknown, m_now);
             });
-        sendRequest(number, [this, number, item, reply, lateAt](bool answer) {
-            const Milliseconds leaseEnd = m_busy ? lateAt : m_now + item.lease;
+        sendRequest(number, [this, number, item, reply](bool answer) {
             if (m_busy && drawPercent(m_busy->unhealthyPercent))
                 return reply(StartAnswer::Unhealthy);
-            const StartAnswer taken = m_now >= lateAt ? StartAnswer::Refused : start(number, item, leaseEnd);
+            const StartAnswer taken = m_now >= item.leaseEnd ? StartAnswer::Refused : start(number, item, item.leaseEnd);
             if (answer)
                 reply(taken);
         });
@@ -817,8 +815,8 @@
     callMinion(number, [this, number, list] {
         expireLease(number);
         Minion& minion = *m_minions[static_cast<std::size_t>(number)];
-        if (list.asked.lease)
-            minion.leaseEnd = std::max(minion.leaseEnd, list.askedAt + *list.asked.lease);
+        if (list.asked.leaseEnd)
+            minion.leaseEnd = std::max(minion.leaseEnd, *list.asked.leaseEnd);
         std::erase_if(minion.ends, [&list](const ListedEnd& end) { return end.number <= list.asked.endsSeen; });
         if (list.asked.wait.count == 0 || !minion.ends.empty())
             return answerList(number, list);
@@ -852,8 +850,8 @@
         Minion& minion = *m_minions[static_cast<std::size_t>(number)];
         if (!answer)
             return;
-        if (request.lease)
-            minion.leaseEnd = std::max(minion.leaseEnd, askedAt + *request.lease);
+        if (request.leaseEnd)
+            minion.leaseEnd = std::max(minion.leaseEnd, *request.leaseEnd);
         std::erase_if(minion.ends, [&request](const ListedEnd& end) { return end.number <= request.endsSeen; });
         *answered = true;
         const WaitingList list { .asked = request, .askedAt = askedAt, .open = {} };
