Sidecar: let the minion confirm which of its incarnations is there

Cause: the start time of a minion was taken for a number that only rises. A minion whose clock had been set back between two starts was acknowledged and ignored, and so were its lists of runs; those did not count as answered, so after two none was asked for. A late report of a former incarnation with a higher start time displaced the present one.

Change: a report of another start time, name or address is taken only once the minion itself has named that start time, in its answer to a call sent after the report came. Of two incarnations that do not overlap, the one that answers when the other is already known is the later one. A list of another incarnation counts as answered, and nothing starts until the matter is settled.

MalformedCalls sent its reports to a path that does not exist; it now sends them to the right one.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -196,14 +196,23 @@
         found->second.connected = false;
 }
 
+ReportStanding RunTable::standingOf(const MinionReport& report) const
+{
+    const bool isPresent = m_phase != Phase::Absent && report.born == m_report.born && report.name == m_report.name
+        && report.address == m_report.address;
+    if (!isPresent)
+        return ReportStanding::OtherIncarnation;
+    return report.sequence > m_report.sequence ? ReportStanding::Newer : ReportStanding::Late;
+}
+
 bool RunTable::reported(const MinionReport& report, Milliseconds now)
 {
-    const bool sameIncarnation = m_phase != Phase::Absent && report.born == m_report.born;
-    const bool isLate = m_phase != Phase::Absent
-        && (report.born < m_report.born || (sameIncarnation && report.sequence <= m_report.sequence));
-    if (isLate)
+    const ReportStanding standing = standingOf(report);
+    if (standing == ReportStanding::Late)
         return false;
+    const bool sameIncarnation = standing == ReportStanding::Newer;
     if (!sameIncarnation) {
+        m_incarnationSince = now;
         stopRunsOfFormerIncarnation(now);
         m_phase = Phase::Clearing;
         m_endsSeen = 0;
@@ -374,11 +383,17 @@
 
 void RunTable::listed(const RunList& list, const ListRuns& asked, Milliseconds askedAt, Milliseconds now)
 {
-    if (list.born != m_report.born)
-        return;
     m_openLists = std::max(m_openLists - 1, 0);
     m_listedAt = now;
     recordAnswer(true, now);
+    if (list.born != m_report.born) {
+        // Another incarnation is there, whose report has not arrived yet. Nothing starts until it has, or until the present one
+        // answers again. An answer to a request of before may be that of the former incarnation.
+        const bool isNews = askedAt > m_incarnationSince;
+        if (isNews && std::exchange(m_reachable, false))
+            markStateChanged();
+        return;
+    }
     m_reachable = true;
     m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
     for (const auto& ended : list.ended) {
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -12,8 +12,11 @@
 
 namespace oleanderport {
 
-// Self-description of a minion. `born` is the unix time of its start and identifies its incarnation.
+// Self-description of a minion. Name, address and `born`, the unix time of its start, identify its incarnation. They do not
+// order incarnations: the clock of the machine may have been set back between two starts.
 struct MinionReport {
+    std::string name;
+    std::string address;
     Milliseconds born {};
     // Increases with each report of one incarnation.
     std::uint64_t sequence { 0 };
@@ -25,6 +28,17 @@
     bool leaving { false };
 };
 
+// How a report relates to the incarnation that a RunTable works with.
+enum class ReportStanding {
+    // The same incarnation, later than all reports accepted.
+    Newer,
+    // The same incarnation, an earlier report that was delayed.
+    Late,
+    // Another incarnation, or the first one: a former one's report may have been delayed as well. Whether the minion is there
+    // now is known only from itself.
+    OtherIncarnation,
+};
+
 // A minion's answer to a start request.
 enum class StartAnswer {
     Started,
@@ -178,7 +192,9 @@
     void received(const std::string& entry, const EntryFrame&, Milliseconds now);
     void closed(const std::string& entry);
 
-    // Returns false when the report is older than an accepted one.
+    ReportStanding standingOf(const MinionReport&) const;
+    // Takes a report. One of another incarnation must have been confirmed by the minion itself since the present incarnation
+    // was taken. Returns false for a late one.
     bool reported(const MinionReport&, Milliseconds now);
     // The minion is shutting down: stops its runs and accepts no further ones.
     void minionLeaves(Milliseconds now);
@@ -366,6 +382,8 @@
     bool m_inService { true };
     Milliseconds m_permittedUntil {};
     MinionReport m_report;
+    // When the incarnation of m_report was taken.
+    Milliseconds m_incarnationSince {};
     bool m_reachable { false };
     // Latest time at which the minion may still be running something without a renewal.
     Milliseconds m_leaseMayEndAt {};
--- a/src/sidecar/MinionPort.h
+++ b/src/sidecar/MinionPort.h
@@ -12,6 +12,10 @@
 // the minion are never called. A start request that has to wait for a connection is sent only if RunServer::mayStillStart()
 // holds at that time.
 struct MinionPort {
+    // Asks the minion at the address of the report for its start time, on a new connection.
+    std::function<void(const MinionReport&, std::function<void(const Result<Milliseconds>& born)>)> identify;
+    // Directs the calls below to the minion of the report. Calls in flight to another one are dropped.
+    std::function<void(const MinionReport&)> select;
     std::function<void(const StartRun&, std::function<void(StartAnswer)>)> start;
     std::function<void(const StopRun&, std::function<void(bool answered)>)> stop;
     std::function<void(const ListRuns&, std::function<void(const Result<RunList>&)>)> list;
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -21,6 +21,10 @@
         return { .incarnation = makeIncarnationName(settings.instance), .dataCentre = settings.dataCentre };
     }
 
+    // A minion waits one second for the answer to a report.
+    constexpr int maxConfirmationAttempts = 3;
+    // Reports of other minions that are confirmed at the same time; each holds a connection.
+    constexpr int maxConfirmations = 4;
     // A stream is closed beyond this, because its peer does not read.
     constexpr std::size_t maxUnsentBytes = 4 * 1024 * 1024;
 
@@ -36,7 +40,7 @@
                       if (!m_fencingToken)
                           m_fencingToken = id.incarnation;
                       if (const auto report = std::exchange(m_pendingReport, std::nullopt))
-                          reported(*report);
+                          reported(*report, [](bool) {});
                   },
               .ended = [this] { updatePermit(); },
               .leaseRenewed = [this] { updatePermit(); } })
@@ -66,23 +70,67 @@
     return boost::outcome_v2::success();
 }
 
-bool RunServer::reported(const MinionReport& report)
+void RunServer::reported(const MinionReport& report, const std::function<void(bool taken)>& done)
 {
     if (!m_fencingToken) {
+        // Nothing is started before the session opens, so this report may be acknowledged now and confirmed then.
         m_pendingReport = report;
         openSession(report);
-        return true;
+        return done(true);
+    }
+    switch (m_runs.standingOf(report)) {
+    case ReportStanding::Newer:
+        take(report);
+        return done(true);
+    case ReportStanding::Late:
+        return done(true);
+    case ReportStanding::OtherIncarnation:
+        if (m_confirmations >= maxConfirmations) {
+            log(LogLevel::Warning, { .step = "minion.report", .peer = report.address },
+                fmt::format("report of minion {} not taken: {} others are being confirmed", report.name, m_confirmations));
+            return done(false);
+        }
+        ++m_confirmations;
+        confirm(report, 1, [this, done](bool taken) {
+            --m_confirmations;
+            done(taken);
+        });
+    }
+}
+
+void RunServer::confirm(const MinionReport& report, int attempt, const std::function<void(bool taken)>& done)
+{
+    m_minion.identify(report, [this, report, attempt, done, incarnations = m_incarnations](const Result<Milliseconds>& born) {
+        // One that was taken meanwhile may be the later of the two, so its minion has to be asked after that.
+        const bool isInconclusive = !born.has_value() || incarnations != m_incarnations;
+        if (isInconclusive && attempt < maxConfirmationAttempts)
+            return confirm(report, attempt + 1, done);
+        if (isInconclusive || born.assume_value() != report.born) {
+            m_process.metrics.add("minion_reports_unconfirmed_total");
+            log(LogLevel::Warning, { .step = "minion.report", .peer = report.address },
+                fmt::format("report of minion {} with start time {} not taken after {} attempts: {}", report.name, report.born.count, attempt,
+                    born.has_value() ? fmt::format("the minion there started at {}", born.assume_value().count) : born.assume_error().message));
+            return done(false);
+        }
+        if (m_runs.standingOf(report) != ReportStanding::Late)
+            take(report);
+        done(true);
+    });
+}
+
+void RunServer::take(const MinionReport& report)
+{
+    if (m_runs.standingOf(report) == ReportStanding::OtherIncarnation) {
+        ++m_incarnations;
+        m_minion.select(report);
     }
     openSession(report);
-    const bool isNewer = m_runs.reported(report, Clock::now());
-    if (!isNewer)
-        return false;
+    m_runs.reported(report, Clock::now());
     if (std::exchange(m_draining, report.leaving) != report.leaving)
         log(LogLevel::Info, { .step = "minion.drain" },
             fmt::format("report {}: {}; {} runs at the minion", report.sequence, report.leaving ? "the minion accepts no further runs" : "the minion accepts runs again",
                 m_runs.liveRuns()));
     run();
-    return true;
 }
 
 void RunServer::openSession(const MinionReport& report)
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -28,8 +28,9 @@
 
     // Sets the calls to the minion. Required before the first report.
     void setMinion(MinionPort port) { m_minion = std::move(port); }
-    // Processes a report of the minion. False when it is older than an accepted one.
-    bool reported(const MinionReport&);
+    // Processes a report of the minion. Calls back, at once or within a second, whether it may be acknowledged: false when the
+    // minion that it names is not known to be there.
+    void reported(const MinionReport&, const std::function<void(bool taken)>&);
     // The minion is shutting down. Calls back once it may exit: no run may continue after it was reported as ended.
     void minionLeaves(std::function<void()> confirm);
 
@@ -47,6 +48,9 @@
         std::string entry;
     };
 
+    // Asks whether the minion of a report is there, and takes the report if so.
+    void confirm(const MinionReport&, int attempt, const std::function<void(bool taken)>&);
+    void take(const MinionReport&);
     void accepted(int descriptor);
     void received(std::uint64_t id, std::string_view message);
     void closed(std::uint64_t id);
@@ -68,6 +72,9 @@
     // The newest report while there is no session yet.
     std::optional<MinionReport> m_pendingReport;
     std::string m_service;
+    // Reports that are being confirmed, and how many incarnations of the minion have been taken.
+    int m_confirmations { 0 };
+    std::uint64_t m_incarnations { 0 };
     // From the newest report.
     bool m_draining { false };
     std::unique_ptr<StreamListener> m_listener;
--- a/test/platform/MalformedCallsTest.cpp
+++ b/test/platform/MalformedCallsTest.cpp
@@ -34,10 +34,9 @@
     readMutated(testConfig, 1, [](const std::string& text) { static_cast<void>(readQueueConfig(text)); });
     readMutated(minionReport, 2, [](const std::string& text) {
         const auto body = parseJson(text);
-        std::string address;
         std::int64_t clock = 0;
         if (body.has_value())
-            static_cast<void>(readMinionReport(body.assume_value(), address, clock));
+            static_cast<void>(readMinionReport("i-1", body.assume_value(), clock));
     });
     readMutated(runList, 3, [](const std::string& text) {
         const auto body = parseJson(text);
@@ -60,7 +59,7 @@
         { deployment.ready, deployment.requestText("GET /readyz", "") },
         { deployment.control, deployment.requestText("POST /Config.Put", testConfig) },
         { deployment.control, deployment.requestText("POST /rpc", R"({"jsonrpc":"2.0","id":1,"method":"openSession","params":{"node":{"role":"entry","instance":"x"}}})") },
-        { deployment.reportAddress, deployment.requestText("POST /Members.Report/i-1", minionReport) },
+        { deployment.reportAddress, deployment.requestText("POST /Instances.Heartbeat/i-1", minionReport) },
         { deployment.sidecarStream, std::string("\x00\x00\x00\x40stream", 10) },
     };
     for (std::uint64_t i = 0; i < changedInputs(callsToPorts); ++i) {
--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -15,9 +15,8 @@
 
 std::optional<MinionReport> readReport(const std::string& text)
 {
-    std::string address;
     std::int64_t clock = 0;
-    return readMinionReport(parseJson(text).assume_value(), address, clock);
+    return readMinionReport("i-1", parseJson(text).assume_value(), clock);
 }
 
 std::string without(const std::string& field)
@@ -56,6 +55,7 @@
 {
     const auto report = readReport(wholeReport);
     cr_assert(report && report->service == "s" && report->born == Milliseconds { 1700 } && report->sequence == 4);
+    cr_assert(report->name == "i-1" && !report->address.empty());
     cr_assert(report->capacity.cpuMillis == 16000 && report->capacity.memoryMb == 32768);
     cr_assert(report->rack == "r1-3" && report->labels.size() == 2 && !report->leaving);
     cr_assert(readReport(with("state", "draining"))->leaving);
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -494,7 +494,26 @@
     cr_assert(table.runs.liveRuns() == 0);
     MinionReport late = Table::report();
     late.sequence = 99;
-    cr_assert(!table.runs.reported(late, table.now), "expected a report of the former incarnation to be rejected");
+    cr_assert(table.runs.standingOf(late) == ReportStanding::OtherIncarnation, "expected a report of the former incarnation to need a confirmation");
+    late = again;
+    cr_assert(table.runs.standingOf(late) == ReportStanding::Late && !table.runs.reported(late, table.now), "expected a late report to be rejected");
+}
+
+// Lists of another incarnation were not counted as answered, so after two of them none was asked for any more (review case 5).
+Test(RunTable, goesOnAskingWhenAnotherIncarnationAnswersAndStartsNothingThere)
+{
+    Table table;
+    const auto name = table.request("a").starts.at(0).run;
+    table.runs.startAnswered(name, StartAnswer::Started, table.now);
+    int lists = 0;
+    for (int i = 0; i < 20; ++i) {
+        if (const auto list = table.after({ 10 }).list) {
+            ++lists;
+            table.runs.listed({ .born = { 3 } }, *list, table.now, table.now);
+        }
+    }
+    cr_assert(lists > 5, "expected further lists, got %d", lists);
+    cr_assert(table.request("b").starts.empty(), "expected no start while another incarnation answers");
 }
 
 Test(RunTable, noRunIsReportedAsEndedThatTheNextIncarnationOfTheMinionListsAsRunning)
