Sidecar, ingress: take no work from a minion for an odd report

Tried here: a start time of 2^63-1, cpu -1, an unknown service, a sequence of 2^63-1, other labels, an address without a minion. No process ended.

Cause: a report was believed once its fields could be read.

One that describes the minion otherwise than its reports of the last 4 s is not taken (503): the description does not change within an incarnation, so what is reported all along is right. That a minion drains is heeded even from a late report.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -13,6 +13,8 @@
     constexpr std::int64_t thousandths = 1'000;
     // A service is considered absent once none of its sidecars sent anything for this long; several heartbeats.
     constexpr Milliseconds absentAfter { 2'000 };
+    // Longer chains and waits count as this one, so that percentages of them fit into 64 bits.
+    constexpr Milliseconds longestCountedChain { 1'000'000'000 };
     // Each placed task has a weight of 1/meanCpuShare in the mean CPU need.
     constexpr std::int64_t meanCpuShare = 50;
 
@@ -68,7 +70,7 @@
         ends.push_back(begin + (this->*estimate)(job.queue, step.needs));
         longest = std::max(longest, ends.back());
     }
-    return longest;
+    return std::min(longest, longestCountedChain);
 }
 
 std::uint64_t JobDispatcher::submit(const DispatchJob& spec, Milliseconds now)
@@ -158,7 +160,7 @@
 Milliseconds JobDispatcher::expectedWait(const Job& job, Milliseconds now) const
 {
     // Work in thousandths of a core times milliseconds.
-    std::int64_t ahead = 0;
+    double ahead = 0;
     for (const auto& [effectiveDeadline, id] : m_queue) {
         if (effectiveDeadline > job.effectiveDeadline)
             break;
@@ -169,11 +171,13 @@
             const TaskNeeds& needs = other.spec.steps[i].needs;
             const auto waiting = std::count_if(other.tasks[i].begin(), other.tasks[i].end(),
                 [](const Task& task) { return task.state == TaskState::Waiting; });
-            ahead += waiting * needs.cpuMillis * expectedRun(other.spec.queue, needs).count;
+            ahead += static_cast<double>(waiting) * static_cast<double>(needs.cpuMillis) * static_cast<double>(expectedRun(other.spec.queue, needs).count);
         }
     }
     const std::int64_t share = acceptingCpuMillis(job.spec.queue.service) / static_cast<std::int64_t>(m_options.entries);
-    return { share > 0 ? ahead / share : 0 };
+    if (share <= 0)
+        return {};
+    return { static_cast<std::int64_t>(std::min(ahead / static_cast<double>(share), static_cast<double>(longestCountedChain.count))) };
 }
 
 Milliseconds JobDispatcher::retryAfter(const Job& job, Milliseconds now)
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -196,20 +196,35 @@
         found->second.connected = false;
 }
 
-ReportStanding RunTable::standingOf(const MinionReport& report) const
+bool hasSameDescription(const MinionReport& a, const MinionReport& b)
+{
+    return a.service == b.service && a.rack == b.rack && a.labels == b.labels && fitsInto(a.capacity, b.capacity) && fitsInto(b.capacity, a.capacity);
+}
+
+ReportStanding RunTable::standingOf(const MinionReport& report, Milliseconds now) const
 {
     const bool isPresent = m_phase != Phase::Absent && report.born == m_report.born && report.name == m_report.name
         && report.address == m_report.address;
     if (!isPresent)
         return ReportStanding::OtherIncarnation;
+    if (!hasSameDescription(report, m_report) && now < m_reportedAt + m_options.descriptionHold)
+        return ReportStanding::Contradicting;
     return report.sequence > m_report.sequence ? ReportStanding::Newer : ReportStanding::Late;
 }
 
 bool RunTable::reported(const MinionReport& report, Milliseconds now)
 {
-    const ReportStanding standing = standingOf(report);
-    if (standing == ReportStanding::Late)
+    const ReportStanding standing = standingOf(report, now);
+    if (standing == ReportStanding::Contradicting)
         return false;
+    if (standing == ReportStanding::Late) {
+        // A minion that drains does not come back in this incarnation, so this holds whatever was reported since.
+        if (report.leaving && !std::exchange(m_report.leaving, true)) {
+            endQueued(now);
+            markStateChanged();
+        }
+        return false;
+    }
     const bool sameIncarnation = standing == ReportStanding::Newer;
     if (!sameIncarnation) {
         m_incarnationSince = now;
@@ -221,10 +236,10 @@
         m_orphans.clear();
     }
     const bool changed = !sameIncarnation || report.leaving != m_report.leaving || !m_reachable;
-    const bool sameMinion = sameIncarnation && report.service == m_report.service && report.rack == m_report.rack
-        && report.labels == m_report.labels && fitsInto(report.capacity, m_report.capacity) && fitsInto(m_report.capacity, report.capacity);
+    const bool sameMinion = sameIncarnation && hasSameDescription(report, m_report);
     m_unansweredSince.reset();
     m_report = report;
+    m_reportedAt = now;
     m_reachable = true;
     if (!sameMinion)
         markMinionChanged();
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -28,12 +28,17 @@
     bool leaving { false };
 };
 
+// Whether both name the same service, rack, labels and capacity. These don't change within an incarnation.
+bool hasSameDescription(const MinionReport&, const MinionReport&);
+
 // How a report relates to the incarnation that a RunTable works with.
 enum class ReportStanding {
     // The same incarnation, later than all reports accepted.
     Newer,
     // The same incarnation, an earlier report that was delayed.
     Late,
+    // The same incarnation, described otherwise than in a recent report: one of the two comes from another writer.
+    Contradicting,
     // Another incarnation, or the first one: a former one's report may have been delayed as well. Whether the minion is there
     // now is known only from itself.
     OtherIncarnation,
@@ -135,6 +140,9 @@
     // request for a run that the minion has not answered. Exceeds entryLease by the time that stopping a run may take, so that
     // the runs of other entries do not end with it.
     Milliseconds abandonedRunLimit { 1'150 };
+    // For this long after a report, none of the same incarnation is taken that describes the minion otherwise. Spans two periods of
+    // reports, so that what is reported all along prevails.
+    Milliseconds descriptionHold { 4'000 };
     // Time that the minion takes to end a run.
     Milliseconds minionStopTime { 50 };
     // How long a list request may wait for a run to end. Several fit into one lease, so that a lost answer ends no run.
@@ -192,8 +200,8 @@
     void received(const std::string& entry, const EntryFrame&, Milliseconds now);
     void closed(const std::string& entry);
 
-    ReportStanding standingOf(const MinionReport&) const;
-    // Takes a report. One of another incarnation must have been confirmed by the minion itself since the present incarnation
+    ReportStanding standingOf(const MinionReport&, Milliseconds now) const;
+    // Takes a report that is not contradicting. One of another incarnation must have been confirmed by the minion itself since the present incarnation
     // was taken. Returns false for a late one.
     bool reported(const MinionReport&, Milliseconds now);
     // The minion is shutting down: stops its runs and accepts no further ones.
@@ -382,6 +390,7 @@
     bool m_inService { true };
     Milliseconds m_permittedUntil {};
     MinionReport m_report;
+    Milliseconds m_reportedAt {};
     // When the incarnation of m_report was taken.
     Milliseconds m_incarnationSince {};
     bool m_reachable { false };
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -78,12 +78,17 @@
         openSession(report);
         return done(true);
     }
-    switch (m_runs.standingOf(report)) {
+    switch (m_runs.standingOf(report, Clock::now())) {
     case ReportStanding::Newer:
-        take(report);
-        return done(true);
     case ReportStanding::Late:
+        take(report);
         return done(true);
+    case ReportStanding::Contradicting:
+        m_process.metrics.add("minion_reports_contradicting_total");
+        log(LogLevel::Warning, { .step = "minion.report", .peer = report.address },
+            fmt::format("report {} of minion {} not taken: service {}, {} millicores and {} labels contradict its recent reports", report.sequence,
+                report.name, report.service, report.capacity.cpuMillis, report.labels.size()));
+        return done(false);
     case ReportStanding::OtherIncarnation:
         if (m_confirmations >= maxConfirmations) {
             log(LogLevel::Warning, { .step = "minion.report", .peer = report.address },
@@ -112,21 +117,22 @@
                     born.has_value() ? fmt::format("the minion there started at {}", born.assume_value().count) : born.assume_error().message));
             return done(false);
         }
-        if (m_runs.standingOf(report) != ReportStanding::Late)
-            take(report);
+        take(report);
         done(true);
     });
 }
 
 void RunServer::take(const MinionReport& report)
 {
-    if (m_runs.standingOf(report) == ReportStanding::OtherIncarnation) {
+    const Milliseconds now = Clock::now();
+    if (m_runs.standingOf(report, now) == ReportStanding::OtherIncarnation) {
         ++m_incarnations;
         m_minion.select(report);
     }
-    openSession(report);
-    m_runs.reported(report, Clock::now());
-    if (std::exchange(m_draining, report.leaving) != report.leaving)
+    const bool isNewer = m_runs.reported(report, now);
+    if (isNewer)
+        openSession(report);
+    if ((isNewer || report.leaving) && std::exchange(m_draining, report.leaving) != report.leaving)
         log(LogLevel::Info, { .step = "minion.drain" },
             fmt::format("report {}: {}; {} runs at the minion", report.sequence, report.leaving ? "the minion accepts no further runs" : "the minion accepts runs again",
                 m_runs.liveRuns()));
--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -70,6 +70,16 @@
     cr_assert(!readReport(with("address", "nowhere")));
     cr_assert(!readReport(with("capacity", 5)));
     cr_assert(!readReport("[]"));
+    for (const Json::Value& odd : { Json::Value(-1), Json::Value("1"), Json::Value(1.5), Json::Value(Json::arrayValue) }) {
+        for (const char* field : { "cpu", "memMb", "gpu" }) {
+            Json::Value capacity = parseJson(wholeReport).assume_value()["capacity"];
+            capacity[field] = odd;
+            cr_assert(!readReport(with("capacity", capacity)), "expected no report with %s %s", field, writeJson(odd).c_str());
+        }
+    }
+    cr_assert(!readReport(with("seq", -1)) && !readReport(with("seq", Json::Value(std::int64_t { 9'223'372'036'854'775'807 }))));
+    cr_assert(!readReport(with("labels", "a")) && !readReport(with("labels", parseJson("[\"a\",5]").assume_value())));
+    cr_assert(!readReport(with("address", "127.0.0.1:70000")) && !readReport(with("address", "127.0.0.1:0")) && !readReport(with("address", "127.0.0.1:-1")));
 }
 
 Test(MinionAdapter, readsAListOfRuns)
--- a/test/platform/MinionIncarnationsTest.cpp
+++ b/test/platform/MinionIncarnationsTest.cpp
@@ -88,3 +88,38 @@
         cr_assert(test.served("second") && test.present->started.size() == 3);
     }
 }
+
+// An odd report, under the minion's own name or another, left the minion without work until the sidecar or the minion started
+// again (issue #34, reports of other operators).
+Test(MinionIncarnations, oddReportsOfOtherWritersLeaveTheMinionAtWork)
+{
+    SuccessionTest test(presentBorn - Milliseconds { 2'400 });
+    const std::string whole = fmt::format(
+        R"({{"service":"s1","address":"{}","zone":"dc-a","state":"ready","capacity":{{"cpu":16000,"memMb":1000,"gpu":0}},"labels":["a","r1"],"clockMs":5,"seq":900,"born":{}}})",
+        test.minionAddress, presentBorn.count);
+    const auto with = [&whole](const std::string& from, const std::string& to) {
+        std::string text = whole;
+        const auto at = text.find(from);
+        cr_assert(at != std::string::npos, "no %s", from.c_str());
+        return text.replace(at, from.size(), to);
+    };
+    const std::string born = fmt::format(R"("born":{})", presentBorn.count);
+    const std::string odd[] { with(born, R"("born":9223372036854775807)"), with(born, R"("born":-1)"), with(born, R"("born":60000)"),
+        with(R"("cpu":16000)", R"("cpu":-1)"), with(R"("cpu":16000)", R"("cpu":9223372036854775807)"), with(R"("memMb":1000)", R"("memMb":1e300)"),
+        with(R"("service":"s1")", R"("service":"unknown")"), with(R"("seq":900)", R"("seq":9223372036854775807)"),
+        with(R"(["a","r1"])", R"(["b","r1"])"), with(R"(["a","r1"])", R"("a")"), with(R"("state":"ready")", R"("state":"odd")"),
+        with(test.minionAddress, "127.0.0.1:1"), with(test.minionAddress, "127.0.0.1:70000"), with(R"("gpu":0)", R"("gpu":)" + std::string(100'000, '[')) };
+    int jobs = 0;
+    for (const char* id : { "i-1", "i-9" }) {
+        for (const auto& body : odd) {
+            const std::string status = test.deployment.sendAndWait(test.deployment.reportAddress, std::string("POST /Instances.Heartbeat/") + id, body).substr(9, 3);
+            cr_assert(status == "400" || status == "503", "expected no acknowledgement of %.200s, got %s", body.c_str(), status.c_str());
+            cr_assert(test.served(fmt::format("job-{}", ++jobs)), "expected a job to be served after %.200s", body.c_str());
+        }
+    }
+    test.report("draining");
+    const auto started = test.present->started.size();
+    test.deployment.send(test.deployment.front, "POST /a/late", testJob);
+    test.deployment.runFor({ 300 });
+    cr_assert(test.present->started.size() == started, "expected no start at a minion that drains");
+}
