Minion adapter: grant leases by a clock that may have been slow since it was read

Cause: leases are named on the minion's clock, which was read from lists of runs alone. An idle minion is asked for none, and a clock that is 2% slow falls behind by 1.4 s in 70 s: orders were good for that much longer.

Change: a reading is kept with its time and converted for the slowest clock allowed; reports refresh it unless they were delayed or show more than the clock can have reached.

The two decisions are new functions with tests of their own.

--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -165,3 +165,23 @@
     for (const int status : { 201, 202, 204, 301, 307, 401, 403, 404, 408, 410, 500, 502, 504, 599 })
         cr_assert(readStartAnswer(status, R"({"reason":"old"})") == StartAnswer::Unknown, "status %d does not show that the run was not started", status);
 }
+
+// After 70 s without jobs the sidecar granted leases by an old reading of a minion's clock that is 2% slow: 1.4 s too long, so that
+// an order that was held up ran beside its successor (review case 2).
+Test(MinionAdapter, grantsNoMoreTimeByAnOldReadingOfASlowClock)
+{
+    const MinionClock clock { .reading = 5'000, .readAt = { 100'000 } };
+    cr_assert(earliestOnMinionClock(clock, { 100'800 }, { 100'000 }) == 5'800);
+    // 70 s later the minion's clock shows 68,600 ms more.
+    const std::int64_t end = earliestOnMinionClock(clock, { 170'800 }, { 170'000 });
+    cr_assert(end <= 5'000 + 68'600 + 800 && end > 5'000 + 68'600 + 790, "got %lld", static_cast<long long>(end));
+}
+
+Test(MinionAdapter, takesNoReadingOfAReportThatTheClockCanNotShow)
+{
+    const MinionClock clock { .reading = 5'000, .readAt = { 100'000 } };
+    cr_assert(mayFollow(clock, { .reading = 6'470, .readAt = { 101'500 } }));
+    cr_assert(!mayFollow(clock, { .reading = 4'999, .readAt = { 101'500 } }), "expected a delayed reading to be ignored");
+    cr_assert(!mayFollow(clock, { .reading = 6'531, .readAt = { 101'500 } }), "expected a reading from the future to be ignored");
+    cr_assert(!mayFollow(clock, { .reading = 9'223'372'036'854'775'807, .readAt = { 101'500 } }));
+}
