Entry: tell the dispatcher when the entry stops, so that every job is answered

Cause: the dispatcher, which knows what has begun and what can still be done, was not told of the end of the grace.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -142,6 +142,12 @@
     return found;
 }
 
+void DispatchService::finishBy(Milliseconds by)
+{
+    m_dispatcher.finishBy(by);
+    run();
+}
+
 void DispatchService::scheduleRun()
 {
     if (!m_scheduledRun)
--- a/src/entry/DispatchService.h
+++ b/src/entry/DispatchService.h
@@ -30,6 +30,8 @@
     void abandon(std::uint64_t submission);
     // False when this entry does not hold the job.
     bool cancel(const std::string& queue, const std::string& job);
+    // The entry is stopping: every job is answered by this time.
+    void finishBy(Milliseconds by);
 
     // Jobs of the queue for which no task has started.
     std::size_t pending(const std::string& queue) const { return m_dispatcher.pending(queue); }
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -73,8 +73,20 @@
     return std::min(longest, longestCountedChain);
 }
 
-std::uint64_t JobDispatcher::submit(const DispatchJob& spec, Milliseconds now)
+void JobDispatcher::finishBy(Milliseconds by)
 {
+    m_finishBy = by;
+    for (auto& [id, job] : m_jobs) {
+        job.spec.deadline = std::min(job.spec.deadline, by);
+        job.busyCutoff = std::min(job.busyCutoff, by);
+        job.idleCutoff = std::min(job.idleCutoff, by);
+    }
+}
+
+std::uint64_t JobDispatcher::submit(DispatchJob spec, Milliseconds now)
+{
+    if (m_finishBy)
+        spec.deadline = std::min(spec.deadline, *m_finishBy);
     detectPause(now);
     const std::uint64_t submission = ++m_lastId;
     const auto known = m_byName.find({ spec.queue.name, spec.name });
@@ -688,8 +700,11 @@
         else if (tooLate && !job.recalled)
             recall(id, job);
     }
-    for (const auto id : over)
-        giveUp(id, "the time of the job is over", "it can no longer be done in time", now);
+    for (const auto id : over) {
+        const bool isStopping = m_finishBy && m_jobs.at(id).spec.deadline == *m_finishBy;
+        giveUp(id, isStopping ? "this entry is stopping" : "the time of the job is over",
+            isStopping ? "this entry is stopping, and the job can't be done before" : "it can no longer be done in time", now);
+    }
 }
 
 Milliseconds JobDispatcher::streamTimeout(const Link& link) const
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -159,11 +159,14 @@
 
     // Submits a job. act() reports its end, also when it is refused. A submission with the name and queue of an unfinished
     // job joins that job: both submissions end alike.
-    std::uint64_t submit(const DispatchJob&, Milliseconds now);
+    std::uint64_t submit(DispatchJob, Milliseconds now);
     // The caller of this submission has disconnected. The job is stopped when no other submission waits for it.
     void abandon(std::uint64_t submission);
     // Stops the job and ends all its submissions as unfinished. False for an unknown job.
     bool cancel(const std::string& queue, const std::string& name);
+    // The entry is stopping: every job, also one submitted from now on, is answered by this time. One that has not begun is refused as
+    // soon as it can't be done by then.
+    void finishBy(Milliseconds by);
 
     // The stream to a sidecar is open; the next frame to it is its first.
     void connected(const std::string& sidecar, Milliseconds now);
@@ -339,6 +342,8 @@
     // Mean CPU need of the placed tasks, in thousandths of a core.
     std::int64_t m_meanCpu { 1'000 };
     Milliseconds m_lastCallAt {};
+    // Set while the entry stops.
+    std::optional<Milliseconds> m_finishBy;
     // Cache of acceptingCpuMillis(); cleared when a minion starts or stops accepting work.
     mutable std::map<std::string, std::int64_t> m_acceptingCpuMillis;
     DispatchActions m_actions;
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -171,6 +171,32 @@
     cr_assert(client.received().find(R"({"state":"completed"})") != std::string::npos, "got %s", client.received().c_str());
 }
 
+// An entry that stopped closed the connections of the jobs that it still held at the end of its grace, also of those that had never
+// started (review case 4, soak 321).
+Test(PlatformPath, answersEveryJobBeforeTheEndOfItsShutdownGrace)
+{
+    bool isLong = false;
+    PlatformDeployment deployment({ .runTime = [&isLong](const std::string&) { return Milliseconds { isLong ? 3'000 : 50 }; } });
+    deployment.becomeReady();
+    isLong = true;
+    const std::string wholeMinion = R"({"spec":"text","bestEffort":true,"steps":[{"count":1,"cpu":16000,"memMb":1,"estimatedMs":1500}]})";
+    std::vector<const RawConnection*> clients;
+    for (int i = 0; i < 3; ++i)
+        clients.push_back(&deployment.send(deployment.front, fmt::format("POST /a/job-{}", i), wholeMinion));
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 1; }));
+    deployment.entry.process().settings.shutdownGrace = { 1'000 };
+    bool stopped = false;
+    deployment.ingress.shutDown([&stopped] { stopped = true; });
+    cr_assert(runUntil(deployment.loop, [&stopped] { return stopped; }));
+    int refused = 0;
+    for (const RawConnection* client : clients) {
+        cr_assert(PlatformDeployment::isComplete(client->received()), "expected an answer to each job");
+        refused += hasStatus(client->received(), 503) ? 1 : 0;
+        cr_assert(hasStatus(client->received(), 503) || hasStatus(client->received(), 504), "got %s", client->received().c_str());
+    }
+    cr_assert(refused == 2, "expected the two jobs that did not start to be refused, got %d", refused);
+}
+
 Test(PlatformPath, acceptsNoNewJobAfterTheShutdownGrace)
 {
     bool hangs = false;
