--- a/test/platform/IngressTest.cpp
+++ b/test/platform/IngressTest.cpp
@@ -50,6 +50,16 @@
     }
 }
 
+// Sums and percentages of larger numbers would not fit into 64 bits (issue #34, odd entries).
+Test(Ingress, limitsTheNumbersOfAJob)
+{
+    const auto steps = stepsOf(R"({"bestEffort":true,"steps":[{"count":1,"cpu":9223372036854775807,"memMb":1e300,"estimatedMs":9223372036854775807}]})");
+    cr_assert(steps.has_value());
+    const TaskNeeds& needs = steps.assume_value()[0].needs;
+    constexpr std::int64_t limit = 1'000'000'000'000;
+    cr_assert(needs.cpuMillis == limit && needs.memoryMb == limit && needs.runTime.count == limit);
+}
+
 Test(Ingress, refusesMalformedJobs)
 {
     const char* const jobs[] = { "[]", "{}", R"({"bestEffort":true,"steps":[]})", R"({"bestEffort":true,"steps":[{}]})",
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -180,8 +180,10 @@
     deployment.becomeReady();
     isLong = true;
     const std::string wholeMinion = R"({"spec":"text","bestEffort":true,"steps":[{"count":1,"cpu":16000,"memMb":1,"estimatedMs":1500}]})";
+    constexpr int jobs = 3;
     std::vector<const RawConnection*> clients;
-    for (int i = 0; i < 3; ++i)
+    clients.reserve(jobs);
+    for (int i = 0; i < jobs; ++i)
         clients.push_back(&deployment.send(deployment.front, fmt::format("POST /a/job-{}", i), wholeMinion));
     cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 1; }));
     deployment.entry.process().settings.shutdownGrace = { 1'000 };
--- a/test/policy/JobDispatcherTest.cpp
+++ b/test/policy/JobDispatcherTest.cpp
@@ -66,6 +66,20 @@
     cr_assert(model.starts() == 0);
 }
 
+// An estimate near 2^63 must not overflow in the objective of its job and put it ahead of others (issue #34, odd entries).
+Test(JobDispatcher, aJobWithAHugeEstimateDoesNotOvertakeOthers)
+{
+    DispatchModel model({});
+    model.runFor(settle);
+    ModelQueue huge = lookupQueue();
+    huge.needs.runTime = { 1'000'000'000'000 };
+    const auto odd = model.submit(0, huge, "odd", patience);
+    const auto job = model.submit(0, lookupQueue(), "a", patience);
+    model.runFor({ 400 });
+    assertCompleted(model, job);
+    cr_assert(model.outcome(odd).kind == DispatchEndKind::Refused, "got %s", kindOf(model.outcome(odd)));
+}
+
 Test(JobDispatcher, failsAJobWhoseTaskFailsAsOftenAsItsQueueAllows)
 {
     DispatchModel model({});
