RunTable: pause before a start that no lease allows is considered again

While a run that has to end first limits all leases to the past, a start that is due again made the sidecar wake every 2 ms. Read in the code; it now waits as long as between two lists.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -867,7 +867,7 @@
         if (run.state == State::Queued && run.notBefore > now)
             at(run.notBefore);
         if (run.state == State::Starting && run.resendAt)
-            at(*run.resendAt);
+            at(std::max(*run.resendAt, now + m_options.minListInterval));
         if (run.state == State::Stopping && !run.stopAnsweredAt)
             at(dueAt(run.stopRequest));
         else if (run.state != State::Stopping)
