--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -201,8 +201,8 @@
     void closed(const std::string& entry);
 
     ReportStanding standingOf(const MinionReport&, Milliseconds now) const;
-    // Takes a report that is not contradicting. One of another incarnation must have been confirmed by the minion itself since the present incarnation
-    // was taken. Returns false for a late one.
+    // Takes a report. One of another incarnation must have been confirmed by the minion itself since the present incarnation
+    // was taken. Returns false for a late or contradicting one; of a late one only that the minion is leaving is heeded.
     bool reported(const MinionReport&, Milliseconds now);
     // The minion is shutting down: stops its runs and accepts no further ones.
     void minionLeaves(Milliseconds now);
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -21,7 +21,7 @@
         return { .incarnation = makeIncarnationName(settings.instance), .dataCentre = settings.dataCentre };
     }
 
-    // A minion waits one second for the answer to a report.
+    // All attempts together take less than the second that a minion waits for the answer to its report.
     constexpr int maxConfirmationAttempts = 3;
     // Reports of other minions that are confirmed at the same time; each holds a connection.
     constexpr int maxConfirmations = 4;
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -29,7 +29,7 @@
     // Sets the calls to the minion. Required before the first report.
     void setMinion(MinionPort port) { m_minion = std::move(port); }
     // Processes a report of the minion. Calls back, at once or within a second, whether it may be acknowledged: false when the
-    // minion that it names is not known to be there.
+    // minion that it names is not known to be there, or when it contradicts recent reports.
     void reported(const MinionReport&, const std::function<void(bool taken)>&);
     // The minion is shutting down. Calls back once it may exit: no run may continue after it was reported as ended.
     void minionLeaves(std::function<void()> confirm);
