RunTable: count the limit of an abandoned run from when its entry gave it up

What callers saw: nothing, their answers came; a task could have two runs at the same time. A caller whose channel to a live entry breaks submits the job again at another entry 1,300 ms later; its former run has to be over by then.

Cause: the lease of a minion is bounded until the stop of an abandoned run is answered, but the bound was counted from when the sidecar learned of the abandonment, and a silent entry that was heard again moved the bound of its stopped runs. Where the news is late (lost packets, a stream opened anew, an entry silent for a while) the caller's time already runs. Class: a time limit counted from the receipt of a message in place of the event.

Evidence: AbandonedRuns, four tests, all failed before: 1,736, 1,736, 1,946 and 1,486 ms after the caller left, against 1,300.

Change: each run that is being stopped keeps when it was abandoned, by the sidecar's own clock as its entry had last seen it: the echo that came with the stop, the last echo before a stream that no longer names the run, the last echo of a silent entry, or the run's deadline. The earliest holds and nothing moves it. The four tests pass, with the other 81 of the run table, its models and the dispatcher.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -60,7 +60,7 @@
     for (auto& [key, run] : m_runs) {
         const bool isOwnedByEntry = key.first == frame.entry;
         if (isOwnedByEntry && std::find(known.begin(), known.end(), key.second) == known.end())
-            stop(run, RunEndKind::Stopped, now);
+            stop(run, RunEndKind::Stopped, entry.echo);
     }
     for (const auto& name : known) {
         const bool ended = std::any_of(entry.unseenEnds.begin(), entry.unseenEnds.end(),
@@ -122,7 +122,7 @@
         if (found->second.state == State::Queued)
             end(RunKey(found->first), RunEndKind::Stopped, now);
         else
-            stop(found->second, RunEndKind::Stopped, now);
+            stop(found->second, RunEndKind::Stopped, std::min(frame.echo, now));
     }
 }
 
@@ -523,17 +523,19 @@
     markStateChanged();
 }
 
-void RunTable::stop(Run& run, RunEndKind endAs, Milliseconds now)
+void RunTable::stop(Run& run, RunEndKind endAs, Milliseconds abandonedAt)
 {
-    if (run.state == State::Stopping)
+    if (run.state == State::Stopping) {
+        run.abandonedAt = std::min(run.abandonedAt, abandonedAt);
         return;
+    }
     if (run.state == State::Queued) {
         // act() ends it as past its deadline.
         run.request.endBy = {};
         return;
     }
     run.state = State::Stopping;
-    run.stoppingSince = now;
+    run.abandonedAt = abandonedAt;
     run.endAs = endAs;
     run.stopRequest = {};
     run.stopAnsweredAt.reset();
@@ -600,7 +602,7 @@
     if (run.state == State::Stopping || run.state == State::Queued)
         return;
     if (isOver(key, run, now))
-        stop(run, RunEndKind::Stopped, now);
+        stop(run, RunEndKind::Stopped, overSince(key, run, now));
     else if (isStuck(run, now))
         stop(run, RunEndKind::Stuck, now);
 }
@@ -610,6 +612,12 @@
     return run.request.endBy <= now || isStale(m_entries.at(key.first), now);
 }
 
+Milliseconds RunTable::overSince(const RunKey& key, const Run& run, Milliseconds now) const
+{
+    const Entry& entry = m_entries.at(key.first);
+    return std::min(run.request.endBy, isStale(entry, now) ? entry.echo : now);
+}
+
 RunActions RunTable::act(Milliseconds now)
 {
     RunActions actions;
@@ -701,7 +709,7 @@
             continue;
         end = std::min(end, m_entries.at(key.first).echo + m_options.abandonedRunLimit);
         if (run.state == State::Stopping)
-            end = std::min(end, run.stoppingSince + m_options.abandonedRunLimit);
+            end = std::min(end, run.abandonedAt + m_options.abandonedRunLimit);
     }
     return end;
 }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -136,9 +136,9 @@
     Milliseconds entryLease { 700 };
     // Longest lease granted to the minion with a start request or renewal. At most the minion's own limit.
     Milliseconds minionLease { 800 };
-    // No lease ends later than this after the last sign of life of any entry with runs at the minion, or after the first stop
-    // request for a run that the minion has not answered. Exceeds entryLease by the time that stopping a run may take, so that
-    // the runs of other entries do not end with it.
+    // No lease ends later than this after the last sign of life of any entry with runs at the minion, or after a run there was
+    // abandoned, until the minion has answered its stop. Exceeds entryLease by the time that stopping a run may take, so that the
+    // runs of other entries do not end with it.
     Milliseconds abandonedRunLimit { 1'150 };
     // For this long after a report, none of the same incarnation is taken that describes the minion otherwise. Spans two periods of
     // reports, so that what is reported all along prevails.
@@ -283,8 +283,9 @@
         RunEndKind endAs { RunEndKind::Stopped };
         StopRequest stopRequest;
         std::optional<Milliseconds> stopAnsweredAt;
-        // When it began to be stopped.
-        Milliseconds stoppingSince {};
+        // Set while it is being stopped: a time at which its entry still wanted it, or when this table gave it up. Its caller has
+        // not left before.
+        Milliseconds abandonedAt {};
     };
     struct LastRun {
         std::uint64_t run { 0 };
@@ -334,7 +335,8 @@
     void end(const RunKey&, RunEndKind whenStarted, Milliseconds now);
     // Removes the run and queues its end for the entry.
     void conclude(const RunKey&, RunEndKind, Milliseconds now);
-    static void stop(Run&, RunEndKind, Milliseconds now);
+    // Begins to stop the run, which its caller may have left at `abandonedAt`. That can be long before now, when the news was late.
+    static void stop(Run&, RunEndKind, Milliseconds abandonedAt);
     void stopOtherSubmissions(const RunKey&, Milliseconds now);
     // Call when the minion has confirmed the start, or lists the run or its end.
     static void recordStarted(Run&);
@@ -342,6 +344,8 @@
     void endAllLive(Milliseconds now);
     void endQueued(Milliseconds now);
     void checkRun(const RunKey&, Run&, Milliseconds now) const;
+    // For a run whose deadline has passed or whose entry is silent: since when.
+    Milliseconds overSince(const RunKey&, const Run&, Milliseconds now) const;
     bool isStuck(const Run&, Milliseconds now) const;
     // Whether the run's deadline has passed or its entry's lease has expired.
     bool isOver(const RunKey&, const Run&, Milliseconds now) const;
