RunTable: let no lease prolong a run without an entry, and start no run of its task beside it

What callers saw: nothing; a run that belongs to no entry could go on beside another run of its task for as long as the minion had other work.

Cause: such a run is stopped as soon as the minion lists it, but while its stop was not answered, renewals for the runs of entries prolonged it without limit, and start() looked at the runs of entries alone. The minion's lease is one for all its runs, so a bound that leaves some of them out is none.

Evidence: RunsWithoutEntry::areNotProlongedByRenewalsForOtherRuns and ::noRunOfTheSameTaskStartsBesideThem failed before.

Change: no lease is granted while a run without an entry is listed whose stop is not answered; a task waits until no run of it is at the minion, whoever it belongs to.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -374,7 +374,8 @@
 {
     recordAnswer(answered, now);
     if (const auto orphan = m_orphans.find(name); orphan != m_orphans.end()) {
-        orphan->second.hasFailed = !answered;
+        orphan->second.stopRequest.hasFailed = !answered;
+        orphan->second.isStopAnswered = orphan->second.isStopAnswered || answered;
         return;
     }
     const auto found = m_byMinionName.find(name);
@@ -438,12 +439,12 @@
 
 void RunTable::takeListedRuns(const RunList& list, Milliseconds askedAt, Milliseconds now)
 {
-    std::map<RunName, StopRequest> orphans;
+    std::map<RunName, Orphan> orphans;
     for (const auto& item : list.running) {
         const auto found = m_byMinionName.find(item.run);
         if (found == m_byMinionName.end()) {
             const auto known = m_orphans.find(item.run);
-            orphans[item.run] = known == m_orphans.end() ? StopRequest {} : known->second;
+            orphans[item.run] = known == m_orphans.end() ? Orphan {} : known->second;
             continue;
         }
         Run& run = m_runs.at(found->second);
@@ -673,7 +674,8 @@
     const TaskKey task = taskOf(key.second);
     LastRun& last = m_lastRuns[task];
     const auto other = m_byMinionName.lower_bound({ .job = task.job, .step = task.step, .index = task.index });
-    if (other != m_byMinionName.end() && taskOf(other->first) == task)
+    const bool isAtMinion = other != m_byMinionName.end() && taskOf(other->first) == task;
+    if (isAtMinion || hasOrphanOf(task))
         return;
     run.minionName = key.second;
     run.minionName.submission = 0;
@@ -699,9 +701,23 @@
     actions.starts.push_back({ .run = run.minionName, .payload = run.request.payload, .leaseEnd = end });
 }
 
-// A lease applies to everything at the minion and can't be shortened, so the run that has to end first limits it for all.
+bool RunTable::hasUnstoppedOrphan() const
+{
+    return std::any_of(m_orphans.begin(), m_orphans.end(), [](const auto& item) { return !item.second.isStopAnswered; });
+}
+
+bool RunTable::hasOrphanOf(const TaskKey& task) const
+{
+    const auto found = m_orphans.lower_bound({ .job = task.job, .step = task.step, .index = task.index });
+    return found != m_orphans.end() && taskOf(found->first) == task;
+}
+
+// A lease applies to everything at the minion and can't be shortened, so the run that has to end first limits it for all. When a
+// run without an entry was abandoned is not known.
 Milliseconds RunTable::leaseEnd(Milliseconds now) const
 {
+    if (hasUnstoppedOrphan())
+        return now;
     Milliseconds end = now + m_options.minionLease;
     for (const auto& [name, key] : m_byMinionName) {
         const Run& run = m_runs.at(key);
@@ -731,10 +747,10 @@
         run.stopRequest = { .sentAt = now };
         actions.stops.push_back({ .run = name });
     }
-    for (auto& [name, request] : m_orphans) {
-        if (now < dueAt(request))
+    for (auto& [name, orphan] : m_orphans) {
+        if (now < dueAt(orphan.stopRequest))
             continue;
-        request = { .sentAt = now };
+        orphan.stopRequest = { .sentAt = now };
         actions.stops.push_back({ .run = name });
     }
 }
@@ -883,8 +899,8 @@
     }
     for (const auto& offer : m_offers)
         at(std::max(offer.until, now + Milliseconds { 1 }));
-    for (const auto& [name, request] : m_orphans)
-        at(std::max(dueAt(request), now + m_options.minListInterval));
+    for (const auto& [name, orphan] : m_orphans)
+        at(std::max(dueAt(orphan.stopRequest), now + m_options.minListInterval));
     const bool hasUnknown = std::any_of(
         m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.unknownRuns.empty(); });
     if (hasUnknown)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -262,6 +262,10 @@
         // The request is known to have failed.
         bool hasFailed { false };
     };
+    struct Orphan {
+        StopRequest stopRequest;
+        bool isStopAnswered { false };
+    };
     struct Run {
         State state { State::Queued };
         RunRequest request;
@@ -371,6 +375,9 @@
     // When the next list may be requested; empty while none is needed.
     std::optional<Milliseconds> nextListAt(Milliseconds now) const;
     bool wasListLostRecently(Milliseconds now) const;
+    // Whether a run without an entry, of which a stop has not been answered, is at the minion.
+    bool hasUnstoppedOrphan() const;
+    bool hasOrphanOf(const TaskKey&) const;
     void takeListedRuns(const RunList&, Milliseconds askedAt, Milliseconds now);
     // Whether a list that does not show the run as running proves that it has ended or never started.
     bool hasEndedAtMinion(const Run&, bool listIsWhole, Milliseconds askedAt) const;
@@ -417,8 +424,8 @@
     std::map<std::string, Entry> m_entries;
     std::map<RunKey, Run> m_runs;
     std::map<RunName, RunKey> m_byMinionName;
-    // Runs at the minion that belong to no entry, with the last stop request.
-    std::map<RunName, StopRequest> m_orphans;
+    // Runs at the minion that belong to no entry.
+    std::map<RunName, Orphan> m_orphans;
     std::map<TaskKey, LastRun> m_lastRuns;
     std::vector<SettledStart> m_settledStarts;
     std::vector<Offer> m_offers;
--- /dev/null
+++ b/test/policy/RunsWithoutEntryTest.cpp
@@ -0,0 +1,107 @@
+#include "policy/RunTable.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace oleanderport;
+
+// Guards against a second run of a task beside one that the minion goes on with although no entry owns it any more.
+
+namespace {
+
+constexpr Milliseconds firstBorn { 7 };
+constexpr const char* entryIncarnation = "entry/1";
+
+struct Table {
+    Milliseconds now { 50'000 };
+    RunTable runs { { .incarnation = "sidecar/1", .dataCentre = "dc" }, now };
+
+    Table()
+    {
+        runs.permit({ 1'000'000 }, true);
+        report(firstBorn);
+        runs.act(now);
+        list(firstBorn, {});
+        runs.opened({ .entry = entryIncarnation }, now);
+        runs.act(now);
+    }
+
+    void report(Milliseconds born)
+    {
+        runs.reported({ .born = born, .sequence = 1, .service = "service", .capacity = { .cpuMillis = 4'000, .memoryMb = 100 } }, now);
+    }
+
+    void list(Milliseconds born, std::vector<ListedRun> running, std::vector<ListedEnd> ended = {})
+    {
+        runs.listed({ .born = born, .running = std::move(running), .ended = std::move(ended) }, {}, now, now);
+    }
+
+    RunActions request(const char* job, std::uint64_t run = 1, std::uint64_t submission = 1)
+    {
+        runs.received(entryIncarnation,
+            { .echo = now,
+                .requests = { { .job = job, .submission = submission, .tasks = { { .index = 0, .run = run } }, .needs = { .cpuMillis = 100, .memoryMb = 1, .runTime = { 60'000 } }, .endBy = { 1'000'000 } } } },
+            now);
+        return runs.act(now);
+    }
+
+    RunActions after(Milliseconds span)
+    {
+        now = now + span;
+        runs.received(entryIncarnation, { .echo = now }, now);
+        return runs.act(now);
+    }
+};
+
+bool grantsLease(const RunActions& actions) { return !actions.starts.empty() || (actions.list && actions.list->leaseEnd); }
+
+bool stops(const RunActions& actions, const RunName& run)
+{
+    return std::any_of(actions.stops.begin(), actions.stops.end(), [&run](const StopRun& each) { return each.run == run; });
+}
+
+} // namespace
+
+Test(RunsWithoutEntry, areNotProlongedByRenewalsForOtherRuns)
+{
+    Table table;
+    const RunName kept = table.request("b").starts.at(0).run;
+    table.runs.startAnswered(kept, StartAnswer::Started, table.now);
+    const RunName stray { .job = "a", .run = 3 };
+    table.now = table.now + Milliseconds { 10 };
+    table.list(firstBorn, { { .run = kept, .percent = 5 }, { .run = stray, .percent = 5 } });
+    cr_assert(stops(table.runs.act(table.now), stray));
+    for (int i = 0; i < 50; ++i) {
+        const RunActions actions = table.after({ 20 });
+        cr_assert(!grantsLease(actions), "expected no lease while the stop of a run without entry is not answered");
+        if (actions.list)
+            table.list(firstBorn, { { .run = kept, .percent = 5 }, { .run = stray, .percent = 5 } });
+    }
+    table.runs.stopAnswered(stray, true, table.now);
+    bool renewed = false;
+    for (int i = 0; i < 5; ++i) {
+        const RunActions actions = table.after({ 20 });
+        renewed = renewed || grantsLease(actions);
+        if (actions.list)
+            table.list(firstBorn, { { .run = kept, .percent = 5 }, { .run = stray, .percent = 5 } });
+    }
+    cr_assert(renewed, "expected leases again once the stop was answered");
+}
+
+Test(RunsWithoutEntry, noRunOfTheSameTaskStartsBesideThem)
+{
+    Table table;
+    const RunName kept = table.request("b").starts.at(0).run;
+    table.runs.startAnswered(kept, StartAnswer::Started, table.now);
+    const RunName stray { .job = "a", .run = 3 };
+    table.now = table.now + Milliseconds { 10 };
+    table.list(firstBorn, { { .run = kept, .percent = 5 }, { .run = stray, .percent = 5 } });
+    table.runs.act(table.now);
+    table.runs.stopAnswered(stray, true, table.now);
+    cr_assert(table.request("a").starts.empty(), "expected no start beside a run of the same task");
+    table.now = table.now + Milliseconds { 60 };
+    table.list(firstBorn, { { .run = kept, .percent = 5 } });
+    const auto starts = table.after({ 10 }).starts;
+    cr_assert(starts.size() == 1 && starts[0].run.job == "a", "expected the start once the other run has ended");
+}
