Sidecar: log on which evidence a run was concluded and what bounded its lease

RunTable now collects this in a RunWitness and returns it with its actions; its decisions are unchanged. Series: `runs_without_entry`, `runs_without_entry_total`, `leases_granted_beside_runs_without_entry_total`, `leases_shortened_total`.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -59,8 +59,10 @@
     const std::vector<RunName>& known = frame.outstanding;
     for (auto& [key, run] : m_runs) {
         const bool isOwnedByEntry = key.first == frame.entry;
-        if (isOwnedByEntry && std::find(known.begin(), known.end(), key.second) == known.end())
+        if (isOwnedByEntry && std::find(known.begin(), known.end(), key.second) == known.end()) {
+            noteCause(run, StopCause::EntryForgot);
             stop(run, RunEndKind::Stopped, now);
+        }
     }
     for (const auto& name : known) {
         const bool ended = std::any_of(entry.unseenEnds.begin(), entry.unseenEnds.end(),
@@ -121,8 +123,10 @@
             continue;
         if (found->second.state == State::Queued)
             end(RunKey(found->first), RunEndKind::Stopped, now);
-        else
+        else {
+            noteCause(found->second, StopCause::EntryAsked);
             stop(found->second, RunEndKind::Stopped, now);
+        }
     }
 }
 
@@ -184,8 +188,10 @@
 {
     const TaskKey task = taskOf(key.second);
     for (auto& [other, run] : m_runs) {
-        if (other != key && taskOf(other.second) == task && run.state != State::Queued)
+        if (other != key && taskOf(other.second) == task && run.state != State::Queued) {
+            noteCause(run, StopCause::OtherSubmission);
             stop(run, RunEndKind::Stopped, now);
+        }
     }
 }
 
@@ -234,6 +240,7 @@
         m_endsForgotten = 0;
         m_openLists = 0;
         m_orphans.clear();
+        noteRunsWithoutEntry(true, now);
     }
     const bool changed = !sameIncarnation || report.leaving != m_report.leaving || !m_reachable;
     const bool sameMinion = sameIncarnation && hasSameDescription(report, m_report);
@@ -254,16 +261,19 @@
 {
     m_report.leaving = true;
     endQueued(now);
-    for (auto& [key, run] : m_runs)
+    for (auto& [key, run] : m_runs) {
+        noteCause(run, StopCause::MinionLeaves);
         stop(run, RunEndKind::Stopped, now);
+    }
     markStateChanged();
 }
 
 void RunTable::minionGone(Milliseconds now)
 {
-    endAllLive(now);
+    endAllLive(EndProof::MinionGone, now);
     endQueued(now);
     m_orphans.clear();
+    noteRunsWithoutEntry(true, now);
     m_phase = Phase::Absent;
     m_reachable = false;
     markStateChanged();
@@ -321,13 +331,17 @@
         // This request was declined, but an earlier one may still be carried out until a stop is answered.
         if (wanted && answer == StartAnswer::NoRoom)
             run.resendAt = now + m_options.startRetryDelay;
-        else
+        else {
+            noteCause(run, StopCause::StartDeclined);
             stop(run, RunEndKind::Stopped, now);
+        }
         return;
     }
     run.evidence = StartEvidence::Declined;
-    if (!wanted || answer == StartAnswer::Refused || answer == StartAnswer::Unhealthy)
+    if (!wanted || answer == StartAnswer::Refused || answer == StartAnswer::Unhealthy) {
+        noteEnd(key, EndProof::StartDeclined, now);
         return end(key, RunEndKind::Stopped, now);
+    }
     addNeeds(m_used, run.request.needs, -1);
     m_byMinionName.erase(found);
     if (answer == StartAnswer::Superseded)
@@ -363,8 +377,10 @@
         // The permission for the first request may have expired since.
         if (mayStart(now))
             requestStart(run, actions, now);
-        else
+        else {
+            noteCause(run, StopCause::NoPermission);
             stop(run, RunEndKind::Stopped, now);
+        }
     }
 }
 
@@ -373,6 +389,8 @@
 void RunTable::stopAnswered(const RunName& name, bool answered, Milliseconds now)
 {
     recordAnswer(answered, now);
+    if (answered)
+        m_witness.stopAnswered(name, now);
     if (const auto orphan = m_orphans.find(name); orphan != m_orphans.end()) {
         orphan->second.hasFailed = !answered;
         return;
@@ -402,6 +420,7 @@
     m_listedAt = now;
     recordAnswer(true, now);
     if (list.born != m_report.born) {
+        m_witness.otherIncarnationListed({ .listed = list.born, .taken = m_report.born, .runs = list.running.size() });
         // Another incarnation is there, whose report has not arrived yet. Nothing starts until it has, or until the present one
         // answers again. An answer to a request of before may be that of the former incarnation.
         const bool isNews = askedAt > m_incarnationSince;
@@ -420,6 +439,7 @@
         Run& run = m_runs.at(key);
         recordStarted(run);
         const RunEndKind early = run.state == State::Stopping ? run.endAs : RunEndKind::Stopped;
+        noteEnd(key, EndProof::ListedEnd, now);
         end(key,
             ended.kind == ListedEndKind::Done         ? RunEndKind::Done
                 : ended.kind == ListedEndKind::Failed ? RunEndKind::Failed
@@ -456,6 +476,7 @@
         run.confirmedAt = now;
     }
     m_orphans = std::move(orphans);
+    noteRunsWithoutEntry(list.isRunningWhole, now);
     endRunsMissingFromList(list.isRunningWhole && list.isEndedWhole, askedAt, now);
 }
 
@@ -477,8 +498,11 @@
             continue;
         gone.push_back(key);
     }
-    for (const auto& key : gone)
-        end(key, m_runs.at(key).endAs, now);
+    for (const auto& key : gone) {
+        const Run& run = m_runs.at(key);
+        noteEnd(key, run.state == State::Stopping ? EndProof::NotListedAfterStop : EndProof::MissingFromList, now);
+        end(key, run.endAs, now);
+    }
 }
 
 void RunTable::listFailed(Milliseconds now)
@@ -490,7 +514,7 @@
     if (now <= m_leaseMayEndAt)
         return;
     // All leases at the minion have expired by now, or the minion is gone.
-    endAllLive(now);
+    endAllLive(EndProof::LeasesOver, now);
     if (m_reachable)
         markStateChanged();
     m_reachable = false;
@@ -545,19 +569,22 @@
 {
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
+        noteCause(run, StopCause::FormerIncarnation);
         stop(run, RunEndKind::Stopped, now);
         run.stopRequest = {};
         run.stopAnsweredAt.reset();
     }
 }
 
-void RunTable::endAllLive(Milliseconds now)
+void RunTable::endAllLive(EndProof proof, Milliseconds now)
 {
     std::vector<RunKey> keys;
     for (const auto& [name, key] : m_byMinionName)
         keys.push_back(key);
-    for (const auto& key : keys)
+    for (const auto& key : keys) {
+        noteEnd(key, proof, now);
         end(key, RunEndKind::Stopped, now);
+    }
 }
 
 void RunTable::endQueued(Milliseconds now)
@@ -599,10 +626,13 @@
 {
     if (run.state == State::Stopping || run.state == State::Queued)
         return;
-    if (isOver(key, run, now))
+    if (isOver(key, run, now)) {
+        noteCause(run, run.request.endBy <= now ? StopCause::Deadline : StopCause::EntrySilent);
         stop(run, RunEndKind::Stopped, now);
-    else if (isStuck(run, now))
+    } else if (isStuck(run, now)) {
+        noteCause(run, StopCause::Stuck);
         stop(run, RunEndKind::Stuck, now);
+    }
 }
 
 bool RunTable::isOver(const RunKey& key, const Run& run, Milliseconds now) const
@@ -631,6 +661,7 @@
     offerRoom(now);
     sendFrames(actions, now);
     actions.settledStarts = std::exchange(m_settledStarts, {});
+    actions.testimony = m_witness.take();
     std::erase_if(m_entries, [this, now](const auto& item) {
         const Entry& entry = item.second;
         return !entry.connected && entry.runs == 0 && now > entry.echo + m_options.entryLease * 2;
@@ -688,6 +719,7 @@
     run.startedAt = now;
     const Milliseconds end = leaseEnd(now);
     recordLeaseGranted(end);
+    noteLease(end, now);
     actions.starts.push_back({ .run = run.minionName, .payload = run.request.payload, .leaseEnd = end });
 }
 
@@ -712,6 +744,64 @@
     m_leaseMayEndAt = std::max(m_leaseMayEndAt, leaseEnd + drift);
 }
 
+void RunTable::noteLease(Milliseconds end, Milliseconds now)
+{
+    const Milliseconds wholeEnd = now + m_options.minionLease;
+    m_witness.leaseGranted(end, wholeEnd, end < wholeEnd ? leaseBound() : std::nullopt, now);
+}
+
+std::optional<RunWitness::Bound> RunTable::leaseBound() const
+{
+    std::optional<RunWitness::Bound> bound;
+    Milliseconds earliest {};
+    for (const auto& [name, key] : m_byMinionName) {
+        const Run& run = m_runs.at(key);
+        if (run.stopAnsweredAt)
+            continue;
+        const bool isStopping = run.state == State::Stopping;
+        const Milliseconds heardAt = m_entries.at(key.first).echo;
+        const Milliseconds since = isStopping ? std::min(heardAt, run.stoppingSince) : heardAt;
+        if (bound && (earliest < since || (earliest == since && m_witness.boundBy() != name)))
+            continue;
+        earliest = since;
+        bound = { .run = name,
+            .entry = key.first,
+            .entryHeardAt = heardAt,
+            .cause = run.stopCause,
+            .stoppingSince = isStopping ? std::optional(run.stoppingSince) : std::nullopt };
+    }
+    return bound;
+}
+
+void RunTable::noteCause(Run& run, StopCause cause)
+{
+    if (run.state != State::Stopping && run.state != State::Queued)
+        run.stopCause = cause;
+}
+
+void RunTable::noteEnd(const RunKey& key, EndProof proof, Milliseconds now)
+{
+    const Run& run = m_runs.at(key);
+    const bool isStopping = run.state == State::Stopping;
+    m_witness.concluded({ .run = run.minionName,
+                            .entry = key.first,
+                            .proof = proof,
+                            .cause = run.stopCause,
+                            .stoppingFor = isStopping ? std::optional(now - run.stoppingSince) : std::nullopt,
+                            .stopAnsweredFor = run.stopAnsweredAt ? std::optional(now - *run.stopAnsweredAt) : std::nullopt,
+                            .entrySilentFor = now - m_entries.at(key.first).echo,
+                            .isMinionReplaced = run.startedAt < m_incarnationSince },
+        now);
+}
+
+void RunTable::noteRunsWithoutEntry(bool isWhole, Milliseconds now)
+{
+    std::set<RunName> names;
+    for (const auto& [name, request] : m_orphans)
+        names.insert(name);
+    m_witness.listedWithoutEntry(names, isWhole, now);
+}
+
 void RunTable::sendStops(RunActions& actions, Milliseconds now)
 {
     if (m_phase == Phase::Absent)
@@ -761,7 +851,9 @@
     ListRuns list { .leaseEnd = std::nullopt, .endsSeen = m_endsSeen, .wait = {} };
     if (stopping < static_cast<std::ptrdiff_t>(m_byMinionName.size())) {
         list.wait = stopping > 0 || wasListLostRecently(now) ? m_options.minListInterval : m_options.listWait;
-        if (const Milliseconds end = leaseEnd(now); end > now) {
+        const Milliseconds end = leaseEnd(now);
+        noteLease(end, now);
+        if (end > now) {
             list.leaseEnd = end;
             recordLeaseGranted(end);
         }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/RunWitness.h"
 #include "wire/DispatchMessages.h"
 
 #include <cstdint>
@@ -126,6 +127,7 @@
     std::vector<OutgoingFrame> frames;
     // For the log.
     std::vector<SettledStart> settledStarts;
+    RunTestimony testimony;
 };
 
 struct RunTableOptions {
@@ -230,6 +232,8 @@
     std::optional<Milliseconds> nextDue(Milliseconds now) const;
 
     std::size_t liveRuns() const { return m_byMinionName.size(); }
+    // Runs that the minion lists and that belong to no entry.
+    std::size_t runsWithoutEntry() const { return m_witness.runsWithoutEntry(); }
     std::size_t queuedRuns() const { return m_runs.size() - m_byMinionName.size(); }
     bool isReady() const { return m_phase == Phase::Ready; }
     // Whether no run is left and each connected entry has acknowledged the ends of its runs.
@@ -285,6 +289,7 @@
         std::optional<Milliseconds> stopAnsweredAt;
         // When it began to be stopped.
         Milliseconds stoppingSince {};
+        StopCause stopCause { StopCause::None };
     };
     struct LastRun {
         std::uint64_t run { 0 };
@@ -339,7 +344,7 @@
     // Call when the minion has confirmed the start, or lists the run or its end.
     static void recordStarted(Run&);
     void stopRunsOfFormerIncarnation(Milliseconds now);
-    void endAllLive(Milliseconds now);
+    void endAllLive(EndProof, Milliseconds now);
     void endQueued(Milliseconds now);
     void checkRun(const RunKey&, Run&, Milliseconds now) const;
     bool isStuck(const Run&, Milliseconds now) const;
@@ -375,6 +380,13 @@
     Milliseconds leaseEnd(Milliseconds now) const;
     // Records that the minion may keep runs going until this lease expires.
     void recordLeaseGranted(Milliseconds leaseEnd);
+    // For the log. noteCause() comes before stop(), noteEnd() before end().
+    static void noteCause(Run&, StopCause);
+    void noteEnd(const RunKey&, EndProof, Milliseconds now);
+    void noteLease(Milliseconds end, Milliseconds now);
+    void noteRunsWithoutEntry(bool isWhole, Milliseconds now);
+    // The run for which leaseEnd() is earliest; the one named last if several are.
+    std::optional<RunWitness::Bound> leaseBound() const;
     Milliseconds heartbeatOf(const Entry&) const;
     bool frameDue(const Entry&, Milliseconds now) const;
     MinionState state(Milliseconds now) const;
@@ -417,6 +429,7 @@
     std::map<RunName, StopRequest> m_orphans;
     std::map<TaskKey, LastRun> m_lastRuns;
     std::vector<SettledStart> m_settledStarts;
+    RunWitness m_witness;
     std::vector<Offer> m_offers;
     TaskNeeds m_used;
 };
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -28,6 +28,13 @@
     // A stream is closed beyond this, because its peer does not read.
     constexpr std::size_t maxUnsentBytes = 4 * 1024 * 1024;
 
+    template <typename Item>
+    void logAll(LogLevel level, std::string_view step, const std::vector<Item>& items)
+    {
+        for (const auto& item : items)
+            log(level, { .step = step, .task = item.run.index, .jobName = item.run.job }, describe(item));
+    }
+
 } // namespace
 
 RunServer::RunServer(EventLoop& loop, const Settings& settings)
@@ -47,6 +54,7 @@
     , m_runs(runTableOptions(settings), Clock::now())
 {
     m_process.gaugeUpdaters.push_back([this] {
+        m_process.metrics.set("runs_without_entry", static_cast<double>(m_runs.runsWithoutEntry()));
         m_process.metrics.set("runs_live", static_cast<double>(m_runs.liveRuns()));
         m_process.metrics.set("runs_queued", static_cast<double>(m_runs.queuedRuns()));
     });
@@ -280,6 +288,7 @@
         log(LogLevel::Info, { .step = "sidecar.start", .task = item.run.index, .jobName = item.run.job },
             fmt::format("run {} of step {}, whose start was not answered: {}", item.run.run, item.run.step, startEvidenceName(item.evidence)));
     }
+    report(actions.testimony);
     for (const auto& item : actions.frames) {
         const auto stream = std::find_if(m_streams.begin(), m_streams.end(),
             [&item](const auto& each) { return each.second.entry == item.entry; });
@@ -291,6 +300,21 @@
     }
 }
 
+void RunServer::report(const RunTestimony& testimony)
+{
+    if (testimony.newWithoutEntry > 0)
+        m_process.metrics.add("runs_without_entry_total", testimony.newWithoutEntry);
+    if (testimony.leasesShortened > 0)
+        m_process.metrics.add("leases_shortened_total", testimony.leasesShortened);
+    if (testimony.leasesBesideRunsWithoutEntry > 0)
+        m_process.metrics.add("leases_granted_beside_runs_without_entry_total", testimony.leasesBesideRunsWithoutEntry);
+    logAll(LogLevel::Info, "sidecar.stop", testimony.concluded);
+    logAll(LogLevel::Warning, "sidecar.orphan", testimony.withoutEntry);
+    logAll(LogLevel::Info, "sidecar.lease", testimony.shortened);
+    for (const auto& item : testimony.otherIncarnations)
+        log(LogLevel::Warning, { .step = "minion.list" }, describe(item));
+}
+
 void RunServer::armTimer()
 {
     const Milliseconds now = Clock::now();
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -58,6 +58,7 @@
     void updatePermit();
     void run();
     void perform(RunActions);
+    void report(const RunTestimony&);
     void armTimer();
     void finishShutDown();
     // True when the minion was allowed to exit by this call.
