--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/RunWitness.h"
 #include "wire/DispatchMessages.h"
 
 #include <cstdint>
@@ -126,6 +127,7 @@
     std::vector<OutgoingFrame> frames;
     // For the log.
     std::vector<SettledStart> settledStarts;
+    RunTestimony testimony;
 };
 
 struct RunTableOptions {
@@ -230,6 +232,8 @@
     std::optional<Milliseconds> nextDue(Milliseconds now) const;
 
     std::size_t liveRuns() const { return m_byMinionName.size(); }
+    // Runs that the minion lists and that belong to no entry.
+    std::size_t runsWithoutEntry() const { return m_witness.runsWithoutEntry(); }
     std::size_t queuedRuns() const { return m_runs.size() - m_byMinionName.size(); }
     bool isReady() const { return m_phase == Phase::Ready; }
     // Whether no run is left and each connected entry has acknowledged the ends of its runs.
@@ -290,6 +294,9 @@
         // Set while it is being stopped: a time at which its entry still wanted it, or when this table gave it up. Its caller has
         // not left before.
         Milliseconds abandonedAt {};
+        // When it began to be stopped.
+        Milliseconds stoppingSince {};
+        StopCause stopCause { StopCause::None };
     };
     struct LastRun {
         std::uint64_t run { 0 };
@@ -340,12 +347,12 @@
     // Removes the run and queues its end for the entry.
     void conclude(const RunKey&, RunEndKind, Milliseconds now);
     // Begins to stop the run, which its caller may have left at `abandonedAt`. That can be long before now, when the news was late.
-    static void stop(Run&, RunEndKind, Milliseconds abandonedAt);
+    static void stop(Run&, RunEndKind, Milliseconds abandonedAt, Milliseconds now);
     void stopOtherSubmissions(const RunKey&, Milliseconds now);
     // Call when the minion has confirmed the start, or lists the run or its end.
     static void recordStarted(Run&);
     void stopRunsOfFormerIncarnation(Milliseconds now);
-    void endAllLive(Milliseconds now);
+    void endAllLive(EndProof, Milliseconds now);
     void endQueued(Milliseconds now);
     void checkRun(const RunKey&, Run&, Milliseconds now) const;
     // For a run whose deadline has passed or whose entry is silent: since when.
@@ -386,6 +393,13 @@
     Milliseconds leaseEnd(Milliseconds now) const;
     // Records that the minion may keep runs going until this lease expires.
     void recordLeaseGranted(Milliseconds leaseEnd);
+    // For the log. noteCause() comes before stop(), noteEnd() before end().
+    static void noteCause(Run&, StopCause);
+    void noteEnd(const RunKey&, EndProof, Milliseconds now);
+    void noteLease(Milliseconds end, Milliseconds now);
+    void noteRunsWithoutEntry(bool isWhole, Milliseconds now);
+    // The run for which leaseEnd() is earliest; the one named last if several are.
+    std::optional<RunWitness::Bound> leaseBound() const;
     Milliseconds heartbeatOf(const Entry&) const;
     bool frameDue(const Entry&, Milliseconds now) const;
     MinionState state(Milliseconds now) const;
@@ -428,6 +442,7 @@
     std::map<RunName, Orphan> m_orphans;
     std::map<TaskKey, LastRun> m_lastRuns;
     std::vector<SettledStart> m_settledStarts;
+    RunWitness m_witness;
     std::vector<Offer> m_offers;
     TaskNeeds m_used;
 };
