RunTable: grant no lease by the clock of a former incarnation of the minion

What callers saw: nothing; a run at a minion that had started again could go on longer than any bound on leases allows for.

Cause: a lease ends at a time on the minion's clock, and each incarnation has a clock of its own that starts anew. Once a list showed another incarnation, lists went on to renew by the former one's clock, which the new one takes as the longest lease that it knows, 1,000 ms from arrival. And a run could count as ended when the leases of the former clock were over. Class: a time used with a clock that it was not read from.

Evidence: RunsWithoutEntry::noLeaseIsGrantedToAnIncarnationWhoseClockIsNotKnown and ::noRunCountsAsEndedBeforeTheLongestLeaseOfTheNextIncarnationIsOver failed before.

Change: no lease is granted while another incarnation answers than the one taken; when one is taken, the longest lease that a minion accepts counts as granted up to then.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -234,6 +234,8 @@
     const bool sameIncarnation = standing == ReportStanding::Newer;
     if (!sameIncarnation) {
         m_incarnationSince = now;
+        if (m_phase != Phase::Absent)
+            m_leaseMayEndAt = std::max(m_leaseMayEndAt, now + leaseWithDrift(m_options.longestMinionLease));
         stopRunsOfFormerIncarnation(now);
         m_phase = Phase::Clearing;
         m_endsSeen = 0;
@@ -877,8 +879,10 @@
     if (stopping < static_cast<std::ptrdiff_t>(m_byMinionName.size())) {
         list.wait = stopping > 0 || wasListLostRecently(now) ? m_options.minListInterval : m_options.listWait;
         const Milliseconds end = leaseEnd(now);
-        noteLease(end, now);
-        if (end > now) {
+        // A lease is a time on the clock of the incarnation that was taken, which may not be there.
+        if (m_reachable)
+            noteLease(end, now);
+        if (m_reachable && end > now) {
             list.leaseEnd = end;
             recordLeaseGranted(end);
         }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -138,6 +138,8 @@
     Milliseconds entryLease { 700 };
     // Longest lease granted to the minion with a start request or renewal. At most the minion's own limit.
     Milliseconds minionLease { 800 };
+    // Longest lease that a minion takes from any call. A call that names a time on the clock of a former incarnation grants this.
+    Milliseconds longestMinionLease { 1'000 };
     // No lease ends later than this after the last sign of life of any entry with runs at the minion, or after a run there was
     // abandoned, until the minion has answered its stop. Exceeds entryLease by the time that stopping a run may take, so that the
     // runs of other entries do not end with it.
--- a/test/policy/RunsWithoutEntryTest.cpp
+++ b/test/policy/RunsWithoutEntryTest.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Milliseconds firstBorn { 7 };
+constexpr Milliseconds secondBorn { 9 };
 constexpr const char* entryIncarnation = "entry/1";
 
 struct Table {
@@ -105,3 +106,37 @@
     const auto starts = table.after({ 10 }).starts;
     cr_assert(starts.size() == 1 && starts[0].run.job == "a", "expected the start once the other run has ended");
 }
+
+// The lease of an order is a time on the clock of the incarnation that it was meant for.
+Test(RunsWithoutEntry, noLeaseIsGrantedToAnIncarnationWhoseClockIsNotKnown)
+{
+    Table table;
+    const RunName run = table.request("b").starts.at(0).run;
+    table.runs.startAnswered(run, StartAnswer::Started, table.now);
+    cr_assert(table.after({ 10 }).list->leaseEnd);
+    table.list(secondBorn, {});
+    for (int i = 0; i < 20; ++i) {
+        const RunActions actions = table.after({ 20 });
+        cr_assert(!grantsLease(actions), "expected no lease while another incarnation answers");
+        if (actions.list)
+            table.list(secondBorn, {});
+    }
+}
+
+// Until the new incarnation was known, calls meant for the former one may have granted it the longest lease that a minion accepts.
+Test(RunsWithoutEntry, noRunCountsAsEndedBeforeTheLongestLeaseOfTheNextIncarnationIsOver)
+{
+    Table table;
+    const RunName run = table.request("b").starts.at(0).run;
+    table.runs.startAnswered(run, StartAnswer::Started, table.now);
+    table.after({ 10 });
+    table.report(secondBorn);
+    const Milliseconds takenAt = table.now;
+    const Milliseconds longest { 1'000 };
+    while (table.now < takenAt + longest) {
+        const RunActions actions = table.after({ 20 });
+        if (actions.list)
+            table.runs.listFailed(table.now);
+        cr_assert(table.runs.liveRuns() == 1, "the run counts as ended %lld ms after the new incarnation was taken", static_cast<long long>((table.now - takenAt).count));
+    }
+}
