--- a/test/platform/ExplainTest.cpp
+++ b/test/platform/ExplainTest.cpp
@@ -28,19 +28,22 @@
     SavedLog(const SavedLog&) = delete;
     SavedLog& operator=(const SavedLog&) = delete;
 
-    // The output of `oleanderport explain --request ID`.
-    std::string explain(const std::string& request) const
+    // The output of `oleanderport explain --request ID`, and of `--job NAME`.
+    std::string explain(const std::string& request) const { return linesOf(request, ""); }
+    std::string explainJob(const std::string& job) const { return linesOf("", job); }
+
+private:
+    std::string linesOf(const std::string& request, const std::string& job) const
     {
         std::vector<LogLine> lines;
         std::ifstream file(m_path);
         addLogLines(lines, file);
         std::string text;
-        for (const auto& line : linesAbout(lines, request, ""))
+        for (const auto& line : linesAbout(lines, request, job))
             text += line.text + "\n";
         return text;
     }
 
-private:
     std::string m_path;
 };
 
@@ -252,3 +255,60 @@
     assertContainsInOrder(explained, { "step=minion.start", "step=sidecar.start", "run 1 of step 0, whose start was not answered: started", "step=entry.job" });
     assertOneAnswerLine(explained, { "answered " });
 }
+
+Test(Explain, findsTheRunWhoseStopWasNotAnsweredAndThatShortenedTheLease)
+{
+    const SavedLog saved;
+    bool stopsWait = false;
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'500 }; },
+        .delayOf = [&stopsWait](PlatformMinion::Call call) { return PlatformMinion::CallDelay { .carryOut { stopsWait && call == PlatformMinion::Call::Stop ? 600 : 0 } }; } });
+    deployment.becomeReady();
+    deployment.requestId = "beside";
+    const RawConnection& beside = deployment.send(deployment.front, "POST /a/y", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    deployment.requestId = "left";
+    RawConnection& client = deployment.send(deployment.front, "POST /a/x", R"({"spec":"text","bestEffort":true,"steps":[{"count":1,"cpu":1000,"memMb":1,"estimatedMs":400}]})");
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 4; }));
+    stopsWait = true;
+    client.close();
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    stopsWait = false;
+    cr_assert(runUntil(deployment.loop, [&beside] { return PlatformDeployment::isComplete(beside.received()); }));
+    const std::string explained = saved.explainJob("x");
+    assertContainsInOrder(explained,
+        { "step=entry.job", "abandoned after", "step=sidecar.lease job=x task=0 message=\"lease shortened by", "by run 1 of step 0 of entry ", ": entry_asked\"",
+            "step=sidecar.stop job=x task=0 message=\"run 1 of step 0 of entry ", " concluded: listed_end; stopped ", ": entry_asked, stop ", "latest lease ends in " });
+    cr_assert(saved.explain("left") == explained);
+    cr_assert(saved.explainJob("y").find("step=sidecar.") == std::string::npos, "expected no line about the job whose runs ended as usual:\n%s", saved.explainJob("y").c_str());
+    const auto& metrics = deployment.sidecar.process().metrics;
+    cr_assert(metrics.counter("leases_shortened_total") > 0);
+    cr_assert(metrics.counter("runs_without_entry_total") == 0);
+}
+
+Test(Explain, findsTheRunThatBelongsToNoEntry)
+{
+    const SavedLog saved;
+    bool stopsWait = false;
+    PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 1'500 }; },
+        .delayOf = [&stopsWait](PlatformMinion::Call call) { return PlatformMinion::CallDelay { .carryOut { stopsWait && call == PlatformMinion::Call::Stop ? 300 : 0 } }; } });
+    deployment.becomeReady();
+    deployment.requestId = "beside";
+    const RawConnection& beside = deployment.send(deployment.front, "POST /a/y", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    stopsWait = true;
+    // A start request that is not of this sidecar's table.
+    HttpConnection other(deployment.loop, deployment.minion.address());
+    other.call({ .path = "/run-start",
+                   .body = fmt::format(R"({{"task":"x.0.0.0","runId":4,"spec":"text","deadlineMs":1000000000000,"fencingToken":{}}})",
+                       deployment.sidecar.fencingToken().value()),
+                   .timeout = { 1'000 },
+                   .headers = { { .name = "Oleanderport-Expected-Instance", .value = "i-1" } } },
+        [](const Result<HttpAnswer>&) {});
+    cr_assert(runUntil(deployment.loop, [&beside] { return PlatformDeployment::isComplete(beside.received()); }));
+    assertContainsInOrder(saved.explainJob("x"),
+        { "step=sidecar.orphan job=x task=0 message=\"minion lists a run without entry: run 4 of step 0, not among the latest runs concluded here\"",
+            "step=sidecar.orphan job=x task=0 message=\"run 4 of step 0 without entry gone after ", " ms, stop " });
+    const auto& metrics = deployment.sidecar.process().metrics;
+    cr_assert(metrics.counter("runs_without_entry_total") == 1);
+    cr_assert(metrics.counter("leases_granted_beside_runs_without_entry_total") > 0);
+}
