--- /dev/null
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -0,0 +1,970 @@
+#include "MinionAdapter.h"
+#include "policy/JobDispatcher.h"
+#include "policy/RunTable.h"
+
+#include "support/RandomDraw.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Several entries, sidecars and minions under a virtual clock with seeded faults. A caller submits its job again at another entry
+// 1,300 ms after its entry died or its channel broke. Two runs of one task that are live at the same time are a violation.
+//
+// One thing is left out because nobody could prevent it: an order of before that a new incarnation of a minion carries out before
+// any call that was sent to that incarnation has reached it.
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr Milliseconds beginning { 100'000 };
+constexpr Milliseconds ending { 112'000 };
+constexpr Milliseconds resubmitAfter { 1'300 };
+constexpr Milliseconds callTimeout { 35 };
+constexpr Milliseconds listSlack { 40 };
+constexpr Milliseconds identifyTimeout { 150 };
+constexpr int identifyAttempts = 3;
+constexpr Milliseconds reportPeriod { 500 };
+constexpr Milliseconds timerSlack { 2 };
+constexpr Milliseconds stopGrace { 50 };
+constexpr Milliseconds longestLease { 1'000 };
+constexpr std::int64_t thousandths = 1'000;
+constexpr std::int64_t wholePercent = 100;
+constexpr std::size_t entryCount = 3;
+constexpr std::size_t minionCount = 4;
+constexpr std::size_t callerCount = 7;
+constexpr std::int64_t minionRoom = 6;
+
+// What goes wrong in a play. Percentages are of the calls that stay unanswered; most of these are carried out late.
+struct Faults {
+    std::int64_t unansweredStarts { 1 };
+    std::int64_t unansweredStops { 1 };
+    std::int64_t unansweredLists { 1 };
+    // Callers break their channel to an entry that lives.
+    bool callersLeave { false };
+    // The stream to a sidecar stalls, or breaks and is opened again later, about when a caller leaves.
+    bool streamsStall { false };
+    bool streamsBreak { false };
+    bool minionsCrash { false };
+    bool entriesDie { false };
+    // A sidecar is killed or paused 0.3 to 0.7 s after an entry died.
+    bool sidecarsFollow { false };
+    bool sidecarsDie { false };
+    // A minion leaves all calls unanswered for a time.
+    bool minionsUnreachable { false };
+    // All paths to a sidecar are cut for a time.
+    bool sidecarsCutOff { false };
+};
+
+class Agenda {
+public:
+    void at(Milliseconds time, std::function<void()> event) { m_events.emplace(std::pair(time, ++m_last), std::move(event)); }
+
+    void runUntil(Milliseconds now)
+    {
+        while (!m_events.empty() && m_events.begin()->first.first <= now) {
+            const auto event = m_events.extract(m_events.begin());
+            event.mapped()();
+        }
+    }
+
+private:
+    std::map<std::pair<Milliseconds, std::uint64_t>, std::function<void()>> m_events;
+    std::uint64_t m_last { 0 };
+};
+
+// The sender of a call and when it was sent.
+struct CallOrigin {
+    std::size_t sidecar { 0 };
+    std::uint64_t sidecarIncarnation { 0 };
+    std::uint64_t token { 0 };
+    std::uint64_t minionIncarnation { 0 };
+    Milliseconds sentAt {};
+};
+
+struct LiveRun {
+    RunName run;
+    std::uint64_t id { 0 };
+    Milliseconds startedAt {};
+    CallOrigin by;
+};
+
+struct ListAnswer {
+    RunList list;
+    std::int64_t clock { 0 };
+};
+
+// A minion by the platform's documentation. Times of leases are on its own clock.
+struct Minion {
+    bool up { true };
+    std::uint64_t incarnation { 1 };
+    Milliseconds startedAt {};
+    std::int64_t slowThousandths { 0 };
+    std::uint64_t sequence { 0 };
+    std::uint64_t token { 0 };
+    // A call that was sent to this incarnation has arrived.
+    bool reached { false };
+    Milliseconds unreachableUntil {};
+    std::map<std::string, LiveRun> running;
+    std::map<std::string, std::uint64_t> lastRun;
+    std::vector<ListedEnd> ended;
+    std::uint64_t lastEnd { 0 };
+    std::int64_t leaseEnd { 0 };
+    std::string leaseFrom;
+
+    std::int64_t clock(Milliseconds now) const { return (now - startedAt).count * (thousandths - slowThousandths) / thousandths; }
+    Milliseconds born() const { return { 1'000'000 + startedAt.count }; }
+
+    void extendLease(std::int64_t until, Milliseconds now, const std::string& cause)
+    {
+        const std::int64_t end = std::min(until, clock(now) + longestLease.count);
+        if (end <= leaseEnd)
+            return;
+        leaseEnd = end;
+        leaseFrom = cause;
+    }
+
+    void finish(const std::string& job, std::uint64_t id, ListedEndKind kind)
+    {
+        const auto found = running.find(job);
+        if (found == running.end() || found->second.id != id)
+            return;
+        ended.push_back({ .number = ++lastEnd, .run = found->second.run, .kind = kind });
+        lastRun[job] = std::max(lastRun[job], found->second.run.run);
+        running.erase(found);
+    }
+
+    void expire(Milliseconds now)
+    {
+        while (clock(now) > leaseEnd && !running.empty())
+            finish(std::string(running.begin()->first), running.begin()->second.id, ListedEndKind::Stopped);
+    }
+};
+
+struct Sidecar {
+    bool up { true };
+    std::uint64_t incarnation { 0 };
+    std::uint64_t token { 0 };
+    Milliseconds frozenUntil {};
+    std::unique_ptr<RunTable> table;
+    bool dirty { true };
+    Milliseconds due {};
+    // Start time of the minion's incarnation that the sidecar works with.
+    Milliseconds selected {};
+    std::optional<platform::MinionClock> clock;
+    bool confirming { false };
+    // The stream that is current for an entry, by the entry's incarnation.
+    std::map<std::string, std::uint64_t> streams;
+    // What arrived while the process was frozen.
+    std::deque<std::function<void()>> inbox;
+};
+
+struct Entry {
+    bool up { true };
+    std::uint64_t incarnation { 0 };
+    std::string name;
+    std::unique_ptr<JobDispatcher> dispatcher;
+    bool dirty { true };
+    Milliseconds due {};
+    std::map<std::uint64_t, std::size_t> callerOf;
+};
+
+enum class Direction : std::size_t {
+    ToSidecar,
+    ToEntry,
+};
+
+struct Path {
+    // What is sent before this time arrives at it, in order.
+    std::array<Milliseconds, 2> heldUntil {};
+    // The entry's current stream; 0 for none.
+    std::uint64_t stream { 0 };
+};
+
+struct Stream {
+    std::size_t entry { 0 };
+    std::size_t sidecar { 0 };
+    std::uint64_t sidecarIncarnation { 0 };
+    std::string entryName;
+    bool isOpenAtSidecar { false };
+    // What is under way is lost.
+    bool isBroken { false };
+    std::array<Milliseconds, 2> lastArrival {};
+};
+
+struct Caller {
+    std::string job;
+    std::uint64_t jobs { 0 };
+    std::uint64_t attempt { 0 };
+    std::optional<std::size_t> entry;
+    std::uint64_t submission { 0 };
+    Milliseconds leftAt {};
+    bool waits { false };
+};
+
+class Model {
+public:
+    Model(const Faults& faults, std::uint64_t seed)
+        : m_faults(faults)
+        , m_draw(seed)
+        , m_seed(seed)
+    {
+    }
+
+    // The violations, each with the history of its job.
+    std::vector<std::string> violations()
+    {
+        for (std::size_t number = 0; number < minionCount; ++number) {
+            m_minions[number].startedAt = beginning - m_draw.between({ 0 }, { 20'000 });
+            m_minions[number].slowThousandths = m_draw.below<std::int64_t>(21);
+            startSidecar(number);
+            const Milliseconds first = beginning + m_draw.between({ 0 }, { 100 });
+            m_agenda.at(first, [this, number] { report(number); });
+        }
+        for (std::size_t number = 0; number < entryCount; ++number)
+            startEntry(number);
+        for (std::size_t number = 0; number < callerCount; ++number)
+            m_agenda.at(beginning + m_draw.between({ 300 }, { 900 }), [this, number] { submitNew(number); });
+        m_agenda.at(beginning + Milliseconds { 1'000 }, [this] { disturb(); });
+        for (; m_now < ending; m_now = m_now + Milliseconds { 1 })
+            step();
+        return m_violations;
+    }
+
+private:
+    void step()
+    {
+        for (auto& sidecar : m_sidecars) {
+            while (m_now >= sidecar.frozenUntil && !sidecar.inbox.empty()) {
+                const auto event = std::move(sidecar.inbox.front());
+                sidecar.inbox.pop_front();
+                event();
+            }
+        }
+        m_agenda.runUntil(m_now);
+        for (auto& minion : m_minions)
+            minion.expire(m_now);
+        for (std::size_t number = 0; number < minionCount; ++number)
+            actSidecar(number);
+        for (std::size_t number = 0; number < entryCount; ++number)
+            actEntry(number);
+    }
+
+    void note(const std::string& job, const std::string& text) { m_history[job].push_back(fmt::format("{} {}", (m_now - beginning).count, text)); }
+
+    // Callers
+
+    void submitNew(std::size_t number)
+    {
+        Caller& caller = m_callers[number];
+        caller.job = fmt::format("{}-{}", number, ++caller.jobs);
+        caller.entry.reset();
+        submit(number);
+    }
+
+    void submit(std::size_t number)
+    {
+        Caller& caller = m_callers[number];
+        std::vector<std::size_t> others;
+        for (std::size_t each = 0; each < entryCount; ++each) {
+            if (m_entries[each].up && caller.entry != each)
+                others.push_back(each);
+        }
+        if (others.empty()) {
+            m_agenda.at(m_now + Milliseconds { 100 }, [this, number] { submit(number); });
+            return;
+        }
+        caller.entry = others[m_draw.below(others.size())];
+        caller.waits = true;
+        const std::uint64_t attempt = ++caller.attempt;
+        Entry& entry = m_entries[*caller.entry];
+        note(caller.job, fmt::format("submitted at {}", entry.name));
+        caller.submission = entry.dispatcher->submit({ .name = caller.job,
+                                                         .payload = caller.job,
+                                                         .queue = { .name = "queue", .service = "service", .maxAttempts = 3, .latencyAllowance = { 20'000 } },
+                                                         .deadline = m_now + Milliseconds { 20'000 },
+                                                         .steps = { { .needs = { .cpuMillis = 1'000, .memoryMb = 1, .runTime = { 900 } } } } },
+            m_now);
+        entry.callerOf[caller.submission] = number;
+        entry.dirty = true;
+        if (m_faults.callersLeave && m_draw.oneIn(2))
+            m_agenda.at(m_now + m_draw.between({ 20 }, { 1'200 }), [this, number, attempt] { leave(number, attempt); });
+    }
+
+    void leave(std::size_t number, std::uint64_t attempt)
+    {
+        Caller& caller = m_callers[number];
+        if (!caller.waits || caller.attempt != attempt)
+            return;
+        disturbPathsOf(*caller.entry);
+        Entry& entry = m_entries[*caller.entry];
+        note(caller.job, fmt::format("its caller leaves {}", entry.name));
+        entry.callerOf.erase(caller.submission);
+        entry.dispatcher->abandon(caller.submission);
+        entry.dirty = true;
+        resubmitLater(number);
+    }
+
+    void resubmitLater(std::size_t number)
+    {
+        Caller& caller = m_callers[number];
+        caller.waits = false;
+        caller.leftAt = m_now;
+        m_agenda.at(m_now + resubmitAfter, [this, number, attempt = caller.attempt] {
+            if (m_callers[number].attempt == attempt)
+                submit(number);
+        });
+    }
+
+    void answered(std::size_t number, const DispatchEnd& end)
+    {
+        Caller& caller = m_callers[number];
+        note(caller.job, fmt::format("{} {}", dispatchEndKindName(end.kind), end.reason));
+        if (end.kind == DispatchEndKind::Unfinished)
+            return resubmitLater(number);
+        caller.waits = false;
+        m_agenda.at(m_now + m_draw.between({ 5 }, { 100 }), [this, number] { submitNew(number); });
+    }
+
+    // Faults
+
+    void disturbPathsOf(std::size_t entry)
+    {
+        for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar) {
+            if (m_faults.streamsStall && m_draw.oneIn(2))
+                hold(entry, sidecar, Direction::ToSidecar, m_draw.between({ 0 }, { 1'500 }));
+            if (m_faults.streamsStall && m_draw.oneIn(4))
+                hold(entry, sidecar, Direction::ToEntry, m_draw.between({ 0 }, { 1'500 }));
+            if (m_faults.streamsBreak && m_draw.oneIn(3))
+                breakStream(entry, sidecar);
+        }
+    }
+
+    void disturb()
+    {
+        m_agenda.at(m_now + m_draw.between({ 400 }, { 1'800 }), [this] { disturb(); });
+        const std::size_t entry = m_draw.below(entryCount);
+        const std::size_t sidecar = m_draw.below(minionCount);
+        if (m_faults.streamsStall)
+            hold(entry, sidecar, Direction::ToSidecar, m_draw.between({ 0 }, { 1'500 }));
+        if (m_faults.streamsBreak && m_draw.oneIn(2))
+            breakStream(entry, m_draw.below(minionCount));
+        if (m_faults.minionsCrash && m_draw.oneIn(2))
+            crashMinion(sidecar);
+        if (m_faults.minionsUnreachable && m_draw.oneIn(2))
+            m_minions[sidecar].unreachableUntil = m_now + m_draw.between({ 300 }, { 3'000 });
+        if (m_faults.sidecarsCutOff && m_draw.oneIn(2))
+            cutOff(sidecar, m_draw.between({ 200 }, { 3'000 }));
+        if (m_faults.entriesDie && m_draw.oneIn(2)) {
+            killEntry(entry);
+            for (std::size_t each = 0; m_faults.sidecarsFollow && each < minionCount; ++each) {
+                if (m_draw.oneIn(2))
+                    m_agenda.at(m_now + m_draw.between({ 300 }, { 700 }), [this, each] { killOrFreeze(each); });
+            }
+        }
+        if (m_faults.sidecarsDie && m_draw.oneIn(2))
+            killOrFreeze(sidecar);
+    }
+
+    void killOrFreeze(std::size_t number)
+    {
+        if (m_draw.oneIn(2))
+            return killSidecar(number);
+        Sidecar& sidecar = m_sidecars[number];
+        sidecar.frozenUntil = std::max(sidecar.frozenUntil, m_now + m_draw.between({ 100 }, { 3'000 }));
+    }
+
+    void cutOff(std::size_t sidecar, Milliseconds time)
+    {
+        // What was sent meanwhile arrives with a retransmission.
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
+            hold(entry, sidecar, Direction::ToSidecar, time + m_draw.between({ 0 }, { 1'500 }));
+            hold(entry, sidecar, Direction::ToEntry, time + m_draw.between({ 0 }, { 1'500 }));
+        }
+    }
+
+    // Streams
+
+    Path& path(std::size_t entry, std::size_t sidecar) { return m_paths[entry][sidecar]; }
+
+    void hold(std::size_t entry, std::size_t sidecar, Direction direction, Milliseconds time)
+    {
+        Milliseconds& until = path(entry, sidecar).heldUntil[static_cast<std::size_t>(direction)];
+        until = std::max(until, m_now + time);
+    }
+
+    void transmit(std::uint64_t id, Direction direction, const std::function<void()>& arrive)
+    {
+        Stream& stream = m_streams.at(id);
+        const auto way = static_cast<std::size_t>(direction);
+        const Milliseconds held = path(stream.entry, stream.sidecar).heldUntil[way];
+        stream.lastArrival[way] = std::max({ m_now + m_draw.between({ 1 }, { 4 }), stream.lastArrival[way], held });
+        m_agenda.at(stream.lastArrival[way], [this, id, arrive] {
+            if (!m_streams.at(id).isBroken)
+                arrive();
+        });
+    }
+
+    void breakStream(std::size_t entry, std::size_t sidecar)
+    {
+        const std::uint64_t id = path(entry, sidecar).stream;
+        if (id == 0)
+            return;
+        m_streams.at(id).isBroken = true;
+        closeAtEntry(id);
+        m_agenda.at(m_now + m_draw.between({ 0 }, { 1'500 }), [this, id] { closeAtSidecar(id); });
+    }
+
+    void closeAtEntry(std::uint64_t id)
+    {
+        const Stream& stream = m_streams.at(id);
+        Path& used = path(stream.entry, stream.sidecar);
+        Entry& entry = m_entries[stream.entry];
+        if (used.stream != id || entry.name != stream.entryName || !entry.up)
+            return;
+        used.stream = 0;
+        entry.dispatcher->disconnected(sidecarName(stream.sidecar));
+        entry.dirty = true;
+        connectLater(stream.entry, stream.sidecar);
+    }
+
+    void closeAtSidecar(std::uint64_t id)
+    {
+        const Stream& stream = m_streams.at(id);
+        atSidecar(stream.sidecar, stream.sidecarIncarnation, [this, id, name = stream.entryName, number = stream.sidecar] {
+            Sidecar& sidecar = m_sidecars[number];
+            const auto found = sidecar.streams.find(name);
+            if (found == sidecar.streams.end() || found->second != id)
+                return;
+            sidecar.streams.erase(found);
+            sidecar.table->closed(name);
+        });
+    }
+
+    void connectLater(std::size_t entry, std::size_t sidecar)
+    {
+        m_agenda.at(m_now + m_draw.between({ 50 }, { 150 }), [this, entry, sidecar, incarnation = m_entries[entry].incarnation] {
+            if (m_entries[entry].incarnation == incarnation && m_entries[entry].up)
+                connect(entry, sidecar);
+        });
+    }
+
+    void connect(std::size_t number, std::size_t sidecar)
+    {
+        Path& used = path(number, sidecar);
+        if (used.stream != 0)
+            return;
+        const bool isHeld = m_now < std::max(used.heldUntil[0], used.heldUntil[1]);
+        if (isHeld || !m_sidecars[sidecar].up)
+            return connectLater(number, sidecar);
+        used.stream = ++m_lastStream;
+        Entry& entry = m_entries[number];
+        m_streams[used.stream] = { .entry = number, .sidecar = sidecar, .sidecarIncarnation = m_sidecars[sidecar].incarnation, .entryName = entry.name };
+        entry.dispatcher->connected(sidecarName(sidecar), m_now);
+        entry.dirty = true;
+    }
+
+    // Entries
+
+    static std::string sidecarName(std::size_t number) { return fmt::format("sidecar-{}", number); }
+
+    void startEntry(std::size_t number)
+    {
+        Entry& entry = m_entries[number];
+        entry.up = true;
+        entry.name = fmt::format("entry-{}/{}", number, ++entry.incarnation);
+        entry.callerOf.clear();
+        entry.dispatcher = std::make_unique<JobDispatcher>(JobDispatcherOptions { .incarnation = entry.name,
+            .dataCentre = "dc",
+            .sidecars = minionCount,
+            .entries = entryCount,
+            .reservePercent = 0,
+            .startedAt = m_now,
+            .seed = m_draw.number() });
+        entry.dirty = true;
+        for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar)
+            connect(number, sidecar);
+    }
+
+    void killEntry(std::size_t number)
+    {
+        Entry& entry = m_entries[number];
+        if (!entry.up)
+            return;
+        for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar) {
+            const std::uint64_t id = std::exchange(path(number, sidecar).stream, 0);
+            if (id != 0)
+                transmit(id, Direction::ToSidecar, [this, id] { closeAtSidecar(id); });
+        }
+        entry.up = false;
+        entry.dispatcher.reset();
+        for (std::size_t caller = 0; caller < callerCount; ++caller) {
+            if (!m_callers[caller].waits || m_callers[caller].entry != number)
+                continue;
+            note(m_callers[caller].job, fmt::format("{} dies", entry.name));
+            resubmitLater(caller);
+        }
+        m_agenda.at(m_now + m_draw.between({ 500 }, { 3'000 }), [this, number] { startEntry(number); });
+    }
+
+    void actEntry(std::size_t number)
+    {
+        Entry& entry = m_entries[number];
+        if (!entry.up || (!entry.dirty && m_now < entry.due))
+            return;
+        entry.dirty = false;
+        const DispatchActions actions = entry.dispatcher->act(m_now);
+        for (const auto& item : actions.frames) {
+            const std::size_t sidecar = static_cast<std::size_t>(item.sidecar.back() - '0');
+            const std::uint64_t id = path(number, sidecar).stream;
+            for (const auto& run : item.frame.stops)
+                note(run.job, fmt::format("{} requests the stop of run {} at {}", entry.name, run.run, item.sidecar));
+            if (id != 0)
+                transmit(id, Direction::ToSidecar, [this, id, frame = item.frame] { frameArrived(id, frame); });
+        }
+        for (const auto& end : actions.ends) {
+            const auto found = entry.callerOf.find(end.submission);
+            if (found != entry.callerOf.end())
+                answered(found->second, end);
+        }
+        for (const auto& name : actions.reconnect) {
+            const std::uint64_t id = path(number, static_cast<std::size_t>(name.back() - '0')).stream;
+            if (id == 0)
+                continue;
+            if (m_draw.oneIn(2))
+                transmit(id, Direction::ToSidecar, [this, id] { closeAtSidecar(id); });
+            else
+                m_streams.at(id).isBroken = true;
+            closeAtEntry(id);
+        }
+        entry.due = entry.dispatcher->nextDue().value_or(m_now + Milliseconds { 100 });
+    }
+
+    void frameFromSidecarArrived(std::uint64_t id, const SidecarFrame& frame)
+    {
+        const Stream& stream = m_streams.at(id);
+        Entry& entry = m_entries[stream.entry];
+        if (!entry.up || entry.name != stream.entryName || path(stream.entry, stream.sidecar).stream != id)
+            return;
+        for (const auto& end : frame.ends)
+            note(end.run.job, fmt::format("{} hears from sidecar {} that run {} ended as {}", entry.name, stream.sidecar, end.run.run, runEndKindName(end.kind)));
+        entry.dispatcher->received(sidecarName(stream.sidecar), frame, m_now);
+        entry.dirty = true;
+    }
+
+    // Sidecars
+
+    // Carries out the event in this incarnation, once it is not frozen.
+    void atSidecar(std::size_t number, std::uint64_t incarnation, const std::function<void()>& event)
+    {
+        const auto guarded = [this, number, incarnation, event] {
+            Sidecar& sidecar = m_sidecars[number];
+            if (!sidecar.up || sidecar.incarnation != incarnation)
+                return;
+            event();
+            sidecar.dirty = true;
+        };
+        if (m_now < m_sidecars[number].frozenUntil)
+            m_sidecars[number].inbox.emplace_back(guarded);
+        else
+            guarded();
+    }
+
+    void startSidecar(std::size_t number)
+    {
+        Sidecar& sidecar = m_sidecars[number];
+        sidecar = { .incarnation = sidecar.incarnation + 1, .token = ++m_lastToken };
+        const std::string name = fmt::format("{}/{}", sidecarName(number), sidecar.incarnation);
+        sidecar.table = std::make_unique<RunTable>(RunTableOptions { .incarnation = name, .dataCentre = "dc" }, m_now);
+        sidecar.table->permit(ending * 2, true);
+    }
+
+    void killSidecar(std::size_t number)
+    {
+        Sidecar& sidecar = m_sidecars[number];
+        if (!sidecar.up)
+            return;
+        sidecar.up = false;
+        sidecar.table.reset();
+        sidecar.inbox.clear();
+        sidecar.frozenUntil = {};
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
+            const std::uint64_t id = path(entry, number).stream;
+            if (id != 0)
+                transmit(id, Direction::ToEntry, [this, id] { closeAtEntry(id); });
+        }
+        m_agenda.at(m_now + m_draw.between({ 50 }, { 1'500 }), [this, number] { startSidecar(number); });
+    }
+
+    void frameArrived(std::uint64_t id, const EntryFrame& frame)
+    {
+        const Stream& stream = m_streams.at(id);
+        atSidecar(stream.sidecar, stream.sidecarIncarnation, [this, id, frame] {
+            Stream& stream = m_streams.at(id);
+            Sidecar& sidecar = m_sidecars[stream.sidecar];
+            for (const auto& run : frame.stops)
+                note(run.job, fmt::format("sidecar {} receives the stop of run {}", stream.sidecar, run.run));
+            if (!std::exchange(stream.isOpenAtSidecar, true)) {
+                std::uint64_t& current = sidecar.streams[stream.entryName];
+                if (current > id)
+                    return;
+                current = id;
+                sidecar.table->opened(frame, m_now);
+                return;
+            }
+            const auto found = sidecar.streams.find(stream.entryName);
+            if (found != sidecar.streams.end() && found->second == id)
+                sidecar.table->received(stream.entryName, frame, m_now);
+        });
+    }
+
+    void actSidecar(std::size_t number)
+    {
+        Sidecar& sidecar = m_sidecars[number];
+        if (!sidecar.up || m_now < sidecar.frozenUntil || (!sidecar.dirty && m_now < sidecar.due))
+            return;
+        sidecar.dirty = false;
+        const RunActions actions = sidecar.table->act(m_now);
+        for (const auto& item : actions.starts)
+            start(number, item);
+        for (const auto& item : actions.stops)
+            stop(number, item.run);
+        if (actions.list)
+            list(number, *actions.list);
+        for (const auto& item : actions.frames) {
+            const auto found = sidecar.streams.find(item.entry);
+            if (found == sidecar.streams.end())
+                continue;
+            transmit(found->second, Direction::ToEntry, [this, id = found->second, frame = item.frame] { frameFromSidecarArrived(id, frame); });
+        }
+        const auto due = sidecar.table->nextDue(m_now);
+        sidecar.due = due ? std::max(*due, m_now) + timerSlack : m_now + Milliseconds { 1'000'000 };
+    }
+
+    // Calls of sidecars to their minions
+
+    std::int64_t onMinionClock(const Sidecar& sidecar, Milliseconds time) const
+    {
+        return sidecar.clock ? platform::earliestOnMinionClock(*sidecar.clock, time, m_now) : 0;
+    }
+
+    // Carries out the call, and answers it unless the answer is lost or late; then it answers nothing at the timeout.
+    template <typename CarryOut, typename Answer>
+    void call(std::size_t number, std::int64_t unansweredPercent, Milliseconds timeout, CarryOut carryOut, Answer answer)
+    {
+        const Sidecar& sidecar = m_sidecars[number];
+        const CallOrigin origin { .sidecar = number,
+            .sidecarIncarnation = sidecar.incarnation,
+            .token = sidecar.token,
+            .minionIncarnation = m_minions[number].incarnation,
+            .sentAt = m_now };
+        const bool isUnreachable = m_now < m_minions[number].unreachableUntil;
+        const bool isAnswered = !isUnreachable && m_draw.below(wholePercent) >= unansweredPercent;
+        const auto deliver = [this, number, origin, answer](const auto& result) {
+            atSidecar(number, origin.sidecarIncarnation, [answer, result] { answer(result); });
+        };
+        using Outcome = decltype(carryOut(origin));
+        m_agenda.at(m_now + timeout, [deliver, isAnswered, this, number, origin] {
+            const bool hasCrashed = !m_minions[number].up || m_minions[number].incarnation != origin.minionIncarnation;
+            if (!isAnswered || hasCrashed)
+                deliver(Outcome {});
+        });
+        Milliseconds arrival = m_now + m_draw.between({ 1 }, { 3 });
+        if (!isAnswered) {
+            if (m_draw.oneIn(10))
+                return;
+            if (!m_draw.oneIn(20) || isUnreachable)
+                arrival = m_now + m_draw.between({ 2'000 }, { 12'000 });
+        }
+        m_agenda.at(arrival, [this, number, origin, carryOut, deliver, isAnswered] {
+            Minion& minion = m_minions[number];
+            if (!minion.up)
+                return;
+            const bool isOfBefore = minion.incarnation != origin.minionIncarnation;
+            if (isOfBefore && !minion.reached)
+                return;
+            minion.reached = true;
+            if (origin.token < minion.token) {
+                // Refused, so known not to have been carried out; `deliver` has seen to the others.
+                if (isAnswered)
+                    deliver(Outcome {});
+                return;
+            }
+            minion.token = origin.token;
+            const Outcome outcome = carryOut(origin);
+            if (isAnswered && !isOfBefore)
+                deliver(outcome);
+        });
+    }
+
+    void start(std::size_t number, const StartRun& item)
+    {
+        const std::int64_t deadline = onMinionClock(m_sidecars[number], item.leaseEnd);
+        const Milliseconds selected = m_sidecars[number].selected;
+        note(item.run.job, fmt::format("sidecar {} requests start of run {}, lease until {}", number, item.run.run, (item.leaseEnd - beginning).count));
+        call(
+            number, m_faults.unansweredStarts, callTimeout,
+            [this, number, item, deadline](const CallOrigin& origin) { return std::optional(carryOutStart(number, item.run, deadline, origin)); },
+            [this, number, run = item.run, selected](const std::optional<StartAnswer>& answer) {
+                Sidecar& sidecar = m_sidecars[number];
+                if (sidecar.selected == selected)
+                    sidecar.table->startAnswered(run, answer.value_or(StartAnswer::Unknown), m_now);
+            });
+    }
+
+    StartAnswer carryOutStart(std::size_t number, const RunName& run, std::int64_t deadline, const CallOrigin& origin)
+    {
+        Minion& minion = m_minions[number];
+        minion.expire(m_now);
+        if (deadline <= minion.clock(m_now))
+            return StartAnswer::Refused;
+        minion.extendLease(deadline, m_now, fmt::format("a start sent at {}, arrived at {}", (origin.sentAt - beginning).count, (m_now - beginning).count));
+        const auto found = minion.running.find(run.job);
+        if (found != minion.running.end() && found->second.run == run)
+            return StartAnswer::Started;
+        if (found != minion.running.end() || run.run <= minion.lastRun[run.job])
+            return StartAnswer::Superseded;
+        if (static_cast<std::int64_t>(minion.running.size()) >= minionRoom)
+            return StartAnswer::NoRoom;
+        const LiveRun live { .run = run, .id = ++m_lastRunId, .startedAt = m_now, .by = origin };
+        note(run.job, fmt::format("minion {} (incarnation {}) starts run {}, sent at {}", number, minion.incarnation, run.run, (origin.sentAt - beginning).count));
+        checkOthers(number, live);
+        minion.running[run.job] = live;
+        m_agenda.at(m_now + m_draw.between({ 100 }, { 2'500 }), [this, number, live, incarnation = minion.incarnation] {
+            if (m_minions[number].incarnation == incarnation)
+                m_minions[number].finish(live.run.job, live.id, m_draw.oneIn(20) ? ListedEndKind::Failed : ListedEndKind::Done);
+        });
+        return StartAnswer::Started;
+    }
+
+    void checkOthers(std::size_t number, const LiveRun& started)
+    {
+        for (std::size_t each = 0; each < minionCount; ++each) {
+            Minion& minion = m_minions[each];
+            minion.expire(m_now);
+            const auto found = minion.running.find(started.run.job);
+            if (each == number || !minion.up || found == minion.running.end())
+                continue;
+            const LiveRun& other = found->second;
+            const Sidecar& sidecar = m_sidecars[each];
+            std::string text = fmt::format("seed {}: job {} has run {} at minion {} since {} (sent at {} to incarnation {}, now {}) and run {} at minion {} since {} (sent at {})\n",
+                m_seed, started.run.job, other.run.run, each, (other.startedAt - beginning).count, (other.by.sentAt - beginning).count, other.by.minionIncarnation,
+                minion.incarnation, started.run.run, number, (started.startedAt - beginning).count, (started.by.sentAt - beginning).count);
+            text += fmt::format("  minion {}: clock {} per mille slow, lease for another {} ms of it, from {}\n", each, minion.slowThousandths,
+                minion.leaseEnd - minion.clock(m_now), minion.leaseFrom);
+            if (sidecar.up)
+                text += fmt::format("  sidecar {} (incarnation {}): {} live runs, {}ready\n", each, sidecar.incarnation, sidecar.table->liveRuns(), sidecar.table->isReady() ? "" : "not ");
+            for (const auto& line : m_history[started.run.job])
+                text += "  " + line + "\n";
+            m_violations.push_back(text);
+        }
+    }
+
+    void stop(std::size_t number, const RunName& run)
+    {
+        const Milliseconds selected = m_sidecars[number].selected;
+        call(
+            number, m_faults.unansweredStops, callTimeout,
+            [this, number, run](const CallOrigin&) {
+                Minion& minion = m_minions[number];
+                minion.expire(m_now);
+                auto& last = minion.lastRun[run.job];
+                last = std::max(last, run.run);
+                const auto found = minion.running.find(run.job);
+                note(run.job, fmt::format("minion {} carries out a stop of run {}", number, run.run));
+                if (found != minion.running.end() && found->second.run.run <= run.run) {
+                    m_agenda.at(m_now + m_draw.between({ 0 }, stopGrace), [this, number, live = found->second, incarnation = minion.incarnation] {
+                        if (m_minions[number].incarnation == incarnation)
+                            m_minions[number].finish(live.run.job, live.id, ListedEndKind::Stopped);
+                    });
+                }
+                return std::optional(true);
+            },
+            [this, number, run, selected](const std::optional<bool>& answer) {
+                Sidecar& sidecar = m_sidecars[number];
+                if (sidecar.selected == selected)
+                    sidecar.table->stopAnswered(run, answer.has_value(), m_now);
+            });
+    }
+
+    ListAnswer carryOutList(std::size_t number, const ListRuns& asked, std::int64_t deadline, const CallOrigin& origin)
+    {
+        Minion& minion = m_minions[number];
+        minion.expire(m_now);
+        if (asked.leaseEnd)
+            minion.extendLease(deadline, m_now, fmt::format("a list sent at {}, arrived at {}", (origin.sentAt - beginning).count, (m_now - beginning).count));
+        std::erase_if(minion.ended, [&](const ListedEnd& each) { return each.number <= asked.endsSeen; });
+        ListAnswer answer { .list = { .born = minion.born(), .running = {}, .ended = minion.ended }, .clock = minion.clock(m_now) };
+        for (const auto& [job, live] : minion.running)
+            answer.list.running.push_back({ .run = live.run, .percent = 50 });
+        return answer;
+    }
+
+    void list(std::size_t number, const ListRuns& asked)
+    {
+        const Milliseconds selected = m_sidecars[number].selected;
+        const std::int64_t deadline = asked.leaseEnd ? onMinionClock(m_sidecars[number], *asked.leaseEnd) : 0;
+        call(
+            number, m_faults.unansweredLists, asked.wait + listSlack,
+            [this, number, asked, deadline](const CallOrigin& origin) { return std::optional(carryOutList(number, asked, deadline, origin)); },
+            [this, number, asked, askedAt = m_now, selected](const std::optional<ListAnswer>& answer) {
+                Sidecar& sidecar = m_sidecars[number];
+                if (sidecar.selected != selected)
+                    return;
+                if (!answer)
+                    return sidecar.table->listFailed(m_now);
+                if (answer->list.born == sidecar.selected)
+                    sidecar.clock = platform::MinionClock { .reading = answer->clock, .readAt = m_now };
+                sidecar.table->listed(answer->list, asked, askedAt, m_now);
+            });
+    }
+
+    // Minions
+
+    void crashMinion(std::size_t number)
+    {
+        Minion& minion = m_minions[number];
+        if (!minion.up)
+            return;
+        if (m_draw.oneIn(2))
+            cutOff(number, m_draw.between({ 200 }, { 2'500 }));
+        for (const auto& [job, live] : minion.running)
+            note(job, fmt::format("minion {} crashes with run {}", number, live.run.run));
+        minion.up = false;
+        m_agenda.at(m_now + m_draw.between({ 100 }, { 1'500 }), [this, number] {
+            Minion& again = m_minions[number];
+            again = { .incarnation = again.incarnation + 1, .startedAt = m_now, .slowThousandths = again.slowThousandths };
+            sendReport(number);
+        });
+    }
+
+    void report(std::size_t number)
+    {
+        m_agenda.at(m_now + reportPeriod, [this, number] { report(number); });
+        sendReport(number);
+    }
+
+    void sendReport(std::size_t number)
+    {
+        Minion& minion = m_minions[number];
+        if (!minion.up || !m_sidecars[number].up)
+            return;
+        const MinionReport report { .name = "minion", .address = "address", .born = minion.born(), .sequence = ++minion.sequence, .service = "service", .capacity = { .cpuMillis = minionRoom * 1'000, .memoryMb = 100 } };
+        m_agenda.at(m_now + m_draw.between({ 1 }, { 4 }), [this, number, report, clock = minion.clock(m_now), incarnation = m_sidecars[number].incarnation] {
+            atSidecar(number, incarnation, [this, number, report, clock] { takeReport(number, report, clock); });
+        });
+    }
+
+    void takeReport(std::size_t number, const MinionReport& report, std::int64_t clock)
+    {
+        Sidecar& sidecar = m_sidecars[number];
+        if (sidecar.table->standingOf(report, m_now) == ReportStanding::OtherIncarnation) {
+            if (!std::exchange(sidecar.confirming, true))
+                confirm(number, report, 1);
+            return;
+        }
+        sidecar.table->reported(report, m_now);
+        const platform::MinionClock reported { .reading = clock, .readAt = m_now };
+        if (sidecar.clock && platform::mayFollow(*sidecar.clock, reported))
+            sidecar.clock = reported;
+    }
+
+    void confirm(std::size_t number, const MinionReport& report, int attempt)
+    {
+        call(
+            number, m_faults.unansweredLists, identifyTimeout,
+            [this, number](const CallOrigin& origin) { return std::optional(carryOutList(number, {}, 0, origin)); },
+            [this, number, report, attempt](const std::optional<ListAnswer>& answer) {
+                Sidecar& sidecar = m_sidecars[number];
+                if (!answer && attempt < identifyAttempts)
+                    return confirm(number, report, attempt + 1);
+                sidecar.confirming = false;
+                if (!answer || answer->list.born != report.born)
+                    return;
+                if (sidecar.table->standingOf(report, m_now) == ReportStanding::OtherIncarnation) {
+                    sidecar.selected = report.born;
+                    sidecar.clock.reset();
+                }
+                sidecar.table->reported(report, m_now);
+                sidecar.clock = platform::MinionClock { .reading = answer->clock, .readAt = m_now };
+            });
+    }
+
+    Faults m_faults;
+    RandomDraw m_draw;
+    std::uint64_t m_seed { 0 };
+    Milliseconds m_now { beginning };
+    Agenda m_agenda;
+    std::array<Minion, minionCount> m_minions;
+    std::array<Sidecar, minionCount> m_sidecars;
+    std::array<Entry, entryCount> m_entries;
+    std::array<std::array<Path, minionCount>, entryCount> m_paths;
+    std::array<Caller, callerCount> m_callers;
+    std::map<std::uint64_t, Stream> m_streams;
+    std::uint64_t m_lastStream { 0 };
+    std::uint64_t m_lastToken { 0 };
+    std::uint64_t m_lastRunId { 0 };
+    std::map<std::string, std::vector<std::string>> m_history;
+    std::vector<std::string> m_violations;
+};
+
+void expectNoViolation(const Faults& faults)
+{
+    constexpr std::uint64_t seeds = 40;
+    std::vector<std::uint64_t> failed;
+    std::string first;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto violations = Model(faults, seed).violations();
+        if (violations.empty())
+            continue;
+        if (failed.empty())
+            first = violations[0];
+        failed.push_back(seed);
+    }
+    cr_assert(failed.empty(), "%zu of %llu seeds with two live runs of one task; the first: %s", failed.size(),
+        static_cast<unsigned long long>(seeds), first.c_str());
+}
+
+} // namespace
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenNothingFails) { expectNoViolation({}); }
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenTheStopOfACallerWhoLeftArrivesLate)
+{
+    expectNoViolation({ .unansweredStops = 90, .callersLeave = true, .streamsStall = true, .streamsBreak = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenMostOrdersAreCarriedOutLate)
+{
+    expectNoViolation({ .unansweredStarts = 60, .unansweredStops = 90, .unansweredLists = 40, .callersLeave = true, .entriesDie = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenARestartedMinionCarriesOutOrdersOfBefore)
+{
+    expectNoViolation({ .unansweredStarts = 80, .unansweredStops = 30, .unansweredLists = 20, .minionsCrash = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenSidecarsFailAfterAnEntryDied)
+{
+    expectNoViolation({ .unansweredStops = 60, .entriesDie = true, .sidecarsFollow = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenASidecarStartsAgain)
+{
+    expectNoViolation({ .unansweredStarts = 30, .unansweredStops = 90, .unansweredLists = 30, .callersLeave = true, .sidecarsDie = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenMinionsAndSidecarsCannotBeReached)
+{
+    expectNoViolation({ .unansweredStarts = 30, .unansweredStops = 50, .unansweredLists = 90, .callersLeave = true, .minionsUnreachable = true, .sidecarsCutOff = true });
+}
