Soak: faults of minions and of single paths

The soak's judge knows one-run, but the soak did not produce what runs of one task on two minions come from.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -20,15 +20,6 @@
 
     bool isRetryable(int status) { return status == 0 || status == 502 || status == 504; }
 
-    // The users' kinds of request: many short tasks, few long ones and pairs; and tasks that run longer than the time after
-    // which a job is resent.
-    struct JobKind {
-        int tasks;
-        int runTimeMs;
-        Milliseconds timeout;
-    };
-    constexpr JobKind jobKinds[] { { 8, 60, attemptTimeout }, { 4, 900, attemptTimeout }, { 2, 200, attemptTimeout },
-        { 2, 200, attemptTimeout }, { 2, 2'500, longAttemptTimeout } };
     // One job in this many uses the optional queue, or always fails.
     constexpr int optionalQueueOneIn = 6;
     constexpr int failingJobOneIn = 20;
@@ -38,11 +29,24 @@
 
 } // namespace
 
-Callers::Callers(EventLoop& loop, std::uint64_t seed, std::vector<EntryAddress> entries, int callers)
+std::vector<JobKind> usualJobKinds()
+{
+    return { { 8, 60, attemptTimeout }, { 4, 900, attemptTimeout }, { 2, 200, attemptTimeout }, { 2, 200, attemptTimeout },
+        { 2, 2'500, longAttemptTimeout } };
+}
+
+std::vector<JobKind> longJobKinds()
+{
+    return { { 8, 60, attemptTimeout }, { 4, 900, attemptTimeout }, { 2, 2'500, longAttemptTimeout }, { 1, 2'500, longAttemptTimeout },
+        { 1, 3'300, longAttemptTimeout } };
+}
+
+Callers::Callers(EventLoop& loop, std::uint64_t seed, std::vector<EntryAddress> entries, int callers, const std::vector<JobKind>& jobKinds)
     : m_loop(loop)
     , m_random(seed)
     , m_entries(std::move(entries))
     , m_callers(static_cast<std::size_t>(callers))
+    , m_jobKinds(jobKinds)
     , m_estimatePercent(m_random.oneIn(lowEstimatesOneIn) ? lowEstimatePercent : 100)
 {
     for (auto& caller : m_callers) {
@@ -66,7 +70,7 @@
 
 JobRecord Callers::makeJob()
 {
-    const JobKind& kind = jobKinds[m_random.below(std::size(jobKinds))];
+    const JobKind& kind = m_jobKinds[m_random.below(m_jobKinds.size())];
     const bool fails = m_random.oneIn(failingJobOneIn);
     JobRecord job { .id = fmt::format("{:016x}", m_random.number()),
         .queue = m_random.oneIn(optionalQueueOneIn) ? optionalQueue : steadyQueue,
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -20,11 +20,24 @@
     std::string address;
 };
 
+struct JobKind {
+    int tasks;
+    int runTimeMs;
+    // How long a caller waits for an answer.
+    Milliseconds timeout;
+};
+
+// The users' kinds of request: many short tasks, few long ones and pairs; and tasks that run longer than the time after
+// which a job is resent.
+std::vector<JobKind> usualJobKinds();
+// More of those that outlast a resend.
+std::vector<JobKind> longJobKinds();
+
 // Callers that send one job after the other over keep-alive connections. A job whose connection broke, that was answered
 // with 502 or 504 or that timed out is resent to an entry drawn at random.
 class Callers {
 public:
-    Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers);
+    Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers, const std::vector<JobKind>& = usualJobKinds());
 
     void start();
     // Sends no new jobs; those in flight continue, with their resends.
@@ -53,6 +66,7 @@
     std::vector<EntryAddress> m_entries;
     std::list<JobRecord> m_jobs;
     std::vector<Caller> m_callers;
+    std::vector<JobKind> m_jobKinds;
     std::int64_t m_estimatePercent;
     std::size_t m_inFlight { 0 };
     bool m_draining { false };
--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -1,5 +1,7 @@
 #include "Deployment.h"
 
+#include "support/RandomDraw.h"
+
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
@@ -18,6 +20,15 @@
     constexpr int graceMs = 5'000;
     constexpr int reloadedGraceMs = 4'900;
 
+    // After this time a process has taken over its signals.
+    constexpr Milliseconds signalsAfter { 1'000 };
+    // See soak/Minion.cpp.
+    constexpr int beginLateOrders = SIGUSR1;
+    constexpr int endLateOrders = SIGUSR2;
+    constexpr int crashOrStartAgain = SIGHUP;
+    // Minions' clocks are up to this many thousandths slow.
+    constexpr int maxSlowPerMille = 20;
+
     std::string numberOf(const std::string& name) { return name.substr(name.rfind('-') + 1); }
 
 } // namespace
@@ -123,14 +134,21 @@
     ProcessState& state = m_states.at(name);
     ++state.incarnation;
     state.restartAt.reset();
+    state.startedAt = Clock::now();
     const std::string role = roleOf(name);
     const std::string number = numberOf(name);
     if (role == "minion") {
         std::vector<std::string> command { m_options.build / "soak-minion", "--listen", localAddress(name), "--advertise", relayAddress(name), "--sidecar",
-            localAddress("sidecar-" + number + "/reports"), "--id", "i-" + number, "--zone", dataCentre(name), "--rack", "r-" + number,
+            reportsAddress(number), "--id", "i-" + number, "--zone", dataCentre(name), "--rack", "r-" + number,
             "--record", recordFile(name), "--life", std::to_string(state.incarnation) };
         if (m_options.shape.lateMinions)
             command.insert(command.end(), { "--late", std::to_string((m_options.seed << 32) + (std::stoull(number) << 16) + static_cast<std::uint64_t>(state.incarnation)) });
+        if (m_options.shape.minionFaults) {
+            RandomDraw random((m_options.seed << 16) + std::stoull(number));
+            // Every other clock keeps the time.
+            const int slow = random.oneIn(2) ? 1 + random.below(maxSlowPerMille) : 0;
+            command.insert(command.end(), { "--late-orders", std::to_string(random.number() + static_cast<std::uint64_t>(state.incarnation)), "--slow", std::to_string(slow) });
+        }
         m_processes.start(name, command);
         return;
     }
@@ -180,6 +198,22 @@
         return disturbConnections(fault, { .refuse = true });
     case FaultKind::Delay:
         return disturbConnections(fault, { .delay = fault.delay });
+    case FaultKind::LateOrders:
+        return delayOrders(fault);
+    case FaultKind::CrashBehindCut:
+        return crashBehindCut(fault);
+    case FaultKind::PathCut:
+        return disturbPath(fault, { .dropRequests = true, .dropAnswers = true });
+    case FaultKind::PathCutTowards:
+        return disturbPath(fault, { .dropRequests = true });
+    case FaultKind::PathCutFrom:
+        return disturbPath(fault, { .dropAnswers = true });
+    case FaultKind::PathHold:
+        return disturbPath(fault, { .holdRequestsUntil = Clock::now() + fault.duration, .holdAnswersUntil = Clock::now() + fault.duration });
+    case FaultKind::PathHoldTowards:
+        return disturbPath(fault, { .holdRequestsUntil = Clock::now() + fault.duration });
+    case FaultKind::PathHoldFrom:
+        return disturbPath(fault, { .holdAnswersUntil = Clock::now() + fault.duration });
     case FaultKind::EvacuateDataCentre:
         throw std::runtime_error("a deployment can't evacuate a data centre; the operator does");
     }
@@ -234,9 +268,72 @@
 void Deployment::disturbConnections(const PlannedFault& fault, const RelayFault& how)
 {
     setRelayFault(fault.target, how);
+    recordFault(fault);
+    m_timers.push_back(m_loop.once(fault.duration, [this, name = fault.target] { setRelayFault(name, {}); }));
+}
+
+void Deployment::recordFault(const PlannedFault& fault)
+{
     m_faults.push_back(
         { .process = fault.target, .kind = faultKindName(fault.kind), .from = Clock::now(), .until = Clock::now() + fault.duration });
-    m_timers.push_back(m_loop.once(fault.duration, [this, name = fault.target] { setRelayFault(name, {}); }));
+}
+
+void Deployment::disturbPath(const PlannedFault& fault, const RelayFault& how)
+{
+    const auto between = fault.target.find('>');
+    const std::string entry = fault.target.substr(0, between);
+    // An entry names itself in the first bytes of a stream.
+    FaultRelay& relay = *m_relays.at(fault.target.substr(between + 1) + "/stream");
+    relay.setClientFault(entry, how);
+    recordFault(fault);
+    m_timers.push_back(m_loop.once(fault.duration, [&relay, entry] { relay.setClientFault(entry, {}); }));
+}
+
+std::string Deployment::reportsAddress(const std::string& number)
+{
+    const std::string key = "sidecar-" + number + "/reports";
+    return m_options.shape.minionFaults ? relayAddress(key) : localAddress(key);
+}
+
+bool Deployment::takesSignals(const std::string& minion) const
+{
+    const ProcessState& state = m_states.at(minion);
+    return !state.isDown() && Clock::now() > state.startedAt + signalsAfter;
+}
+
+void Deployment::signalLater(const std::string& name, Milliseconds delay, int signalNumber)
+{
+    m_timers.push_back(m_loop.once(delay, [this, name, signalNumber, incarnation = m_states.at(name).incarnation] {
+        if (m_states.at(name).incarnation == incarnation)
+            m_processes.signal(name, signalNumber);
+    }));
+}
+
+void Deployment::delayOrders(const PlannedFault& fault)
+{
+    if (!takesSignals(fault.target))
+        return;
+    m_processes.signal(fault.target, beginLateOrders);
+    signalLater(fault.target, fault.duration, endLateOrders);
+    recordFault(fault);
+}
+
+void Deployment::setMinionCut(const std::string& minion, bool isCut)
+{
+    const RelayFault fault { .dropRequests = isCut, .dropAnswers = isCut };
+    setRelayFault(minion, fault);
+    setRelayFault("sidecar-" + numberOf(minion) + "/reports", fault);
+}
+
+void Deployment::crashBehindCut(const PlannedFault& fault)
+{
+    if (!takesSignals(fault.target))
+        return;
+    setMinionCut(fault.target, true);
+    signalLater(fault.target, fault.delay, crashOrStartAgain);
+    signalLater(fault.target, { (fault.delay + fault.duration).count / 2 }, crashOrStartAgain);
+    m_timers.push_back(m_loop.once(fault.duration, [this, name = fault.target] { setMinionCut(name, false); }));
+    recordFault(fault);
 }
 
 void Deployment::setRelayFault(const std::string& name, const RelayFault& fault)
@@ -300,7 +397,9 @@
         while (file >> event >> run.incarnation >> (event == "start" ? run.start.count : run.end.count) >> run.task >> run.number) {
             const std::string key = fmt::format("{} {} {}", run.incarnation, run.task, run.number);
             if (event == "start") {
-                file >> run.spec;
+                std::string order;
+                file >> run.spec >> order;
+                run.isOfFormer = order == "former";
                 const auto incarnation = m_incarnationEnds.find({ minion, run.incarnation });
                 run.end = incarnation == m_incarnationEnds.end() ? Clock::now() : incarnation->second;
                 run.how = "killed";
--- a/soak/Deployment.h
+++ b/soak/Deployment.h
@@ -62,6 +62,7 @@
         // Index in m_faults of the planned stop in progress.
         std::optional<std::size_t> stopFault;
         int incarnation { 0 };
+        Milliseconds startedAt {};
         // How often the instance was replaced by one at another address.
         int replacements { 0 };
 
@@ -85,6 +86,17 @@
     void reload(const std::string& name);
     void disturbConnections(const PlannedFault&, const RelayFault&);
     void setRelayFault(const std::string& name, const RelayFault&);
+    void disturbPath(const PlannedFault&, const RelayFault&);
+    // The minion's own sidecar reaches it at one address and is told at another.
+    void setMinionCut(const std::string& minion, bool isCut);
+    void delayOrders(const PlannedFault&);
+    void crashBehindCut(const PlannedFault&);
+    // Sends the signal after a delay, unless another process runs under that name then.
+    void signalLater(const std::string& name, Milliseconds delay, int signalNumber);
+    // Whether the stand-in has had time to take over signals, and isn't about to leave.
+    bool takesSignals(const std::string& minion) const;
+    std::string reportsAddress(const std::string& number);
+    void recordFault(const PlannedFault&);
     void handleExit(const std::string& name, ProcessState&);
     std::filesystem::path dataFolder(const std::string& name) const { return m_options.folder / (name + ".data"); }
     std::string recordFile(const std::string& minion) const { return m_options.folder / (minion + ".runs"); }
--- a/soak/Judge.cpp
+++ b/soak/Judge.cpp
@@ -31,6 +31,8 @@
         return parsed.assume_value()[name];
     }
 
+    const char* orderOf(const RunRecord& run) { return run.isOfFormer ? ", ordered before its minion started again" : ""; }
+
     // The state in an answer; empty when there is none.
     std::string stateIn(const std::string& body)
     {
@@ -107,7 +109,7 @@
                 for (std::size_t i = 1; i < runs.size(); ++i) {
                     const RunRecord& previous = *runs[i - 1];
                     if (runs[i]->start < previous.end)
-                        add("one-run", fmt::format("{}: run {} at {} from {} to {} ({}), run {} at {} from {}", task, previous.number, previous.minion, previous.start.count, previous.end.count, previous.how, runs[i]->number, runs[i]->minion, runs[i]->start.count));
+                        add("one-run", fmt::format("{}: run {} at {} from {} to {} ({}{}), run {} at {} from {}{}", task, previous.number, previous.minion, previous.start.count, previous.end.count, previous.how, orderOf(previous), runs[i]->number, runs[i]->minion, runs[i]->start.count, orderOf(*runs[i])));
                 }
             }
         }
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -44,7 +44,7 @@
         : m_plan(makePlan(seed, shape))
         , m_deployment(m_loop, { .build = options.build, .folder = options.folder, .basePort = options.basePort, .seed = seed, .shape = shape })
         , m_operator(m_loop, seed + 1, controls())
-        , m_callers(m_loop, seed + 2, entries(), shape.callers)
+        , m_callers(m_loop, seed + 2, entries(), shape.callers, shape.minionFaults ? longJobKinds() : usualJobKinds())
         , m_probeCallers(m_loop, seed + 3, entries(), 1)
     {
     }
@@ -245,6 +245,7 @@
             shape.replacements = arguments["replacements"].as<int>();
             shape.controls = controlsWithReplacements;
         }
+        shape.minionFaults = arguments.count("minion-faults") > 0;
         if (arguments.count("plan") > 0)
             fmt::print("seed {}: {}", seed, describe(makePlan(seed, shape)));
         else
@@ -268,6 +269,7 @@
             "base-port", "First of a few hundred ports", cxxopts::value<std::uint16_t>()->default_value("24000"))(
             "sidecars", "Number of sidecars, instead of the one drawn from the seed", cxxopts::value<int>())(
             "replacements", "Number of control instances to replace; the deployment then has five", cxxopts::value<int>())(
+            "minion-faults", "Also faults of minions and of single paths")(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
         const auto arguments = options.parse(argc, argv);
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -1,5 +1,6 @@
 // A stand-in minion of the users' platform as a process. Appends one line to its record file at the start and at the end
-// of each run: "start INCARNATION TIME TASK RUN SPEC" and "end INCARNATION TIME TASK RUN HOW".
+// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER" and "end INCARNATION TIME TASK RUN HOW". SIGUSR1 and SIGUSR2 begin and end a
+// time in which most calls are late; SIGHUP makes it crash within the process, and the next one starts it again.
 
 #include "support/PlatformMinion.h"
 #include "support/RandomDraw.h"
@@ -40,6 +41,11 @@
 constexpr Milliseconds minPauseInterval { 200 };
 constexpr Milliseconds maxPauseInterval { 2'000 };
 
+// While calls are late, all but one in promptOrderOneIn are carried out long after their caller has timed out. Some of the others
+// are carried out at once and answered late.
+constexpr int promptOrderOneIn = 10;
+constexpr int unansweredPromptOrderOneIn = 2;
+
 // Specs are "run=MS,..." or "fail=MS,...".
 bool isFailing(const std::string& spec) { return spec.rfind("fail=", 0) == 0; }
 Milliseconds runTimeOf(const std::string& spec) { return { std::stoll(spec.substr(spec.find('=') + 1)) }; }
@@ -83,6 +89,26 @@
     std::unique_ptr<EventLoop::Timer> m_pause;
 };
 
+// Draws the delays of the times in which most calls are late.
+class LateOrders {
+public:
+    explicit LateOrders(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    PlatformMinion::CallDelay delay()
+    {
+        const Milliseconds drawn = m_random.between(minVeryLateDelay, maxVeryLateDelay);
+        if (!m_random.oneIn(promptOrderOneIn))
+            return { .carryOut = drawn };
+        return { .answer = m_random.oneIn(unansweredPromptOrderOneIn) ? drawn : Milliseconds {} };
+    }
+
+private:
+    RandomDraw m_random;
+};
+
 // Each line is written with one unbuffered write, so that none is lost when the process is killed.
 class RunRecordFile {
 public:
@@ -113,6 +139,10 @@
     std::optional<CallDelays> callDelays;
     if (arguments.count("late") > 0)
         callDelays.emplace(loop, arguments["late"].as<std::uint64_t>());
+    const bool hasLateOrders = arguments.count("late-orders") > 0;
+    LateOrders lateOrders(hasLateOrders ? arguments["late-orders"].as<std::uint64_t>() : 0);
+    bool ordersAreLate = false;
+    bool isUp = true;
     PlatformMinion minion(loop,
         { .id = text("id"),
             .zone = text("zone"),
@@ -123,8 +153,11 @@
             .runTime = runTimeOf,
             .isFailing = isFailing,
             .room = room,
-            .delayOf = [&](PlatformMinion::Call call) { return callDelays ? callDelays->delayOf(call) : PlatformMinion::CallDelay {}; },
-            .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, started.spec); },
+            .slowPerMille = arguments["slow"].as<std::int64_t>(),
+            .hasClockOfIncarnation = hasLateOrders,
+            .delayOf = [&](PlatformMinion::Call call) { return ordersAreLate ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
+                                                                                                               : PlatformMinion::CallDelay {}; },
+            .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, started.spec + (started.isOfFormer ? " former" : " own")); },
             .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, how); } });
     const char* state = "ready";
     const auto report = [&] { minion.report(text("sidecar"), state); };
@@ -135,6 +168,15 @@
         report();
         leaving = loop.once(drainTime, [&] { minion.deregister(text("sidecar"), [&loop] { loop.stop(); }); });
     });
+    const auto onLate = loop.onSignal(SIGUSR1, [&ordersAreLate] { ordersAreLate = true; });
+    const auto onPrompt = loop.onSignal(SIGUSR2, [&ordersAreLate] { ordersAreLate = false; });
+    const auto onCrash = loop.onSignal(SIGHUP, [&] {
+        isUp = !isUp;
+        if (!isUp)
+            return minion.crash();
+        minion.startAgain(Clock::unixNow());
+        report();
+    });
     report();
     loop.run();
     // Runs end with the process.
@@ -153,6 +195,8 @@
             add(name, "see soak/Deployment.cpp", cxxopts::value<std::string>());
         add("life", "Incarnation of the minion, from 1", cxxopts::value<int>());
         add("late", "Delay calls at random, with this seed", cxxopts::value<std::uint64_t>());
+        add("late-orders", "Seed of the delays while most calls are late; the clock then starts with each incarnation", cxxopts::value<std::uint64_t>());
+        add("slow", "The clock is slow by this many thousandths", cxxopts::value<std::int64_t>()->default_value("0"));
         return run(options.parse(argc, argv));
     } catch (const std::exception& exception) {
         fmt::print(stderr, "soak-minion: {}\n", exception.what());
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr NameTable<FaultKind, 13> faultKindNames { {
+    constexpr NameTable<FaultKind, 21> faultKindNames { {
         { FaultKind::Kill, "kill" },
         { FaultKind::Wipe, "wipe" },
         { FaultKind::Replace, "replace" },
@@ -24,14 +24,24 @@
         { FaultKind::PartitionOutbound, "cut-from" },
         { FaultKind::Reset, "reset" },
         { FaultKind::Delay, "delay" },
+        { FaultKind::LateOrders, "late-orders" },
+        { FaultKind::CrashBehindCut, "crash-behind-cut" },
+        { FaultKind::PathCut, "path-cut" },
+        { FaultKind::PathCutTowards, "path-cut-towards" },
+        { FaultKind::PathCutFrom, "path-cut-from" },
+        { FaultKind::PathHold, "path-hold" },
+        { FaultKind::PathHoldTowards, "path-hold-towards" },
+        { FaultKind::PathHoldFrom, "path-hold-from" },
         { FaultKind::EvacuateDataCentre, "data-centre-out" },
     } };
 
     // A run has a span of faults, a span of planned operations alone, a span of both and an end without faults that is
     // longer than the recovery time. Planned operations are judged only when no unplanned fault came within the settle time.
+    constexpr Milliseconds firstFaultsFrom { 500 };
     constexpr Milliseconds firstFaultsUntil { 9'000 };
     constexpr Milliseconds plannedFrom { 15'000 };
     constexpr Milliseconds plannedUntil { 22'000 };
+    constexpr Milliseconds lastFaultsFrom { 22'500 };
     constexpr Milliseconds lastFaultsUntil { 32'000 };
     constexpr Milliseconds loadLength { 56'000 };
     constexpr Milliseconds maxFaultDuration { 4'000 };
@@ -42,6 +52,21 @@
     // Of each lateMinionsPeriod consecutive seeds, promptSeedsPerPeriod have minions without added delays.
     constexpr std::uint64_t lateMinionsPeriod = 5;
     constexpr std::uint64_t promptSeedsPerPeriod = 3;
+    // Odd, so that each seed has draws of its own.
+    constexpr std::uint64_t minionFaultsFactor = 0x9e3779b97f4a7c15;
+    // In each span of faults.
+    constexpr int lateOrdersPerSpan = 3;
+    constexpr int pathFaultsPerSpan = 5;
+    constexpr int callerResetsPerSpan = 4;
+    // A minion that is late crashes in two of three cases, while late calls wait there.
+    constexpr int steadyMinionOneIn = 3;
+    constexpr Milliseconds minLateOrders { 1'500 };
+    constexpr Milliseconds minCrashAfterLateOrders { 500 };
+    constexpr Milliseconds maxCrashAfterLateOrders { 6'000 };
+    constexpr Milliseconds minCut { 100 };
+    constexpr Milliseconds maxCut { 2'500 };
+    constexpr Milliseconds minCallerReset { 20 };
+    constexpr Milliseconds maxCallerReset { 200 };
 
     class PlanBuilder {
     public:
@@ -58,10 +83,15 @@
             RandomDraw replacements(~m_seed);
             for (int i = 0; i < m_shape.replacements; ++i)
                 add(drawReplacement(replacements));
-            drawFaults({ 500 }, firstFaultsUntil, 7);
+            if (m_shape.minionFaults) {
+                RandomDraw minions(m_seed * minionFaultsFactor);
+                drawMinionFaults(minions, firstFaultsFrom, firstFaultsUntil);
+                drawMinionFaults(minions, lastFaultsFrom, lastFaultsUntil);
+            }
+            drawFaults(firstFaultsFrom, firstFaultsUntil, 7);
             evacuateDataCentre(plannedFrom);
             drawPlannedOperations(plannedFrom, plannedUntil, 4);
-            drawFaults(plannedUntil + Milliseconds { 500 }, lastFaultsUntil, 8);
+            drawFaults(lastFaultsFrom, lastFaultsUntil, 8);
             drawPlannedOperations(plannedUntil, lastFaultsUntil - Milliseconds { 5'000 }, 3);
             evacuateDataCentre(lastFaultsUntil + maxFaultDuration + Milliseconds { 500 });
             std::sort(m_faults.begin(), m_faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
@@ -77,6 +107,38 @@
                 .duration = random.between({ 500 }, maxReplacementDelay) };
         }
 
+        void drawMinionFaults(RandomDraw& random, Milliseconds from, Milliseconds until)
+        {
+            for (int i = 0; i < lateOrdersPerSpan; ++i) {
+                const PlannedFault late { .at = random.between(from, until),
+                    .kind = FaultKind::LateOrders,
+                    .target = fmt::format("minion-{}", 1 + random.below(m_shape.sidecars)),
+                    .duration = random.between(minLateOrders, maxFaultDuration) };
+                PlannedFault crash { .at = late.at + random.between(minCrashAfterLateOrders, maxCrashAfterLateOrders),
+                    .kind = FaultKind::CrashBehindCut,
+                    .target = late.target,
+                    .duration = random.between(minCut, maxCut) };
+                crash.at = std::min(crash.at, until + maxFaultDuration - crash.duration);
+                crash.delay = random.between({ 0 }, crash.duration);
+                const bool crashes = !random.oneIn(steadyMinionOneIn);
+                if (add(late) && crashes)
+                    addCrash(crash);
+            }
+            constexpr FaultKind paths[] { FaultKind::PathCut, FaultKind::PathCutTowards, FaultKind::PathCutFrom, FaultKind::PathHold, FaultKind::PathHoldTowards, FaultKind::PathHoldFrom };
+            for (int i = 0; i < pathFaultsPerSpan; ++i) {
+                add({ .at = random.between(from, until),
+                    .kind = paths[random.below(std::size(paths))],
+                    .target = fmt::format("entry-{}>sidecar-{}", 1 + random.below(m_shape.entries), 1 + random.below(m_shape.sidecars)),
+                    .duration = random.between(minCut, maxFaultDuration) });
+            }
+            for (int i = 0; i < callerResetsPerSpan; ++i) {
+                add({ .at = random.between(from, until),
+                    .kind = FaultKind::Reset,
+                    .target = fmt::format("entry-{}/front", 1 + random.below(m_shape.entries)),
+                    .duration = random.between(minCallerReset, maxCallerReset) });
+            }
+        }
+
         std::string drawProcess()
         {
             switch (m_random.below(4)) {
@@ -128,8 +190,20 @@
             add({ .at = at, .kind = FaultKind::EvacuateDataCentre, .target = fmt::format("dc-{}", 1 + m_random.below(m_shape.dataCentres)), .duration = evacuationDuration });
         }
 
-        // Skips a fault that would take down a second control instance, or that overlaps another one of the same target.
-        void add(const PlannedFault& fault)
+        // A crash may overlap late orders of its minion, but no other crash.
+        void addCrash(const PlannedFault& crash)
+        {
+            const bool together = std::any_of(m_faults.begin(), m_faults.end(), [&crash](const PlannedFault& other) {
+                return other.kind == FaultKind::CrashBehindCut && other.target == crash.target && crash.at <= other.at + other.duration
+                    && other.at <= crash.at + crash.duration;
+            });
+            if (!together)
+                m_faults.push_back(crash);
+        }
+
+        // Skips a fault that would take down a second control instance, or that overlaps another one of the same target. Returns
+        // whether it was added.
+        bool add(const PlannedFault& fault)
         {
             const bool isControl = fault.target.rfind("control-", 0) == 0;
             for (const auto& other : m_faults) {
@@ -137,9 +211,10 @@
                 const Milliseconds gap = isControl && otherControl ? controlCatchUpTime : Milliseconds { 300 };
                 const bool together = fault.at <= other.at + other.duration + gap && other.at <= fault.at + fault.duration + gap;
                 if (together && (fault.target == other.target || (isControl && otherControl)))
-                    return;
+                    return false;
             }
             m_faults.push_back(fault);
+            return true;
         }
 
         std::uint64_t m_seed;
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -19,6 +19,8 @@
     int replacements { 0 };
     // Minions delay calls, and pause repeatedly, for the whole run.
     bool lateMinions { false };
+    // Faults of minions and of single paths beside the others; see docs/SOAK.md.
+    bool minionFaults { false };
 };
 
 enum class FaultKind {
@@ -46,6 +48,19 @@
     Reset,
     // The relay delays every byte.
     Delay,
+    // A minion leaves most calls unanswered and carries them out late.
+    LateOrders,
+    // A minion is cut off from its sidecar, crashes after `delay` and starts again behind the cut. Calls that wait there to be
+    // carried out late stay on the way.
+    CrashBehindCut,
+    // The path between one entry and one sidecar drops or holds the traffic, of both directions, towards the sidecar or from
+    // it. What is held arrives together in the end.
+    PathCut,
+    PathCutTowards,
+    PathCutFrom,
+    PathHold,
+    PathHoldTowards,
+    PathHoldFrom,
     // The operator evacuates a data centre and returns it to service after `duration`.
     EvacuateDataCentre,
 };
@@ -54,7 +69,7 @@
     // Relative to the start of the load.
     Milliseconds at {};
     FaultKind kind { FaultKind::Kill };
-    // Name of a process or of a data centre.
+    // Name of a process, of one of its listeners (PROCESS/LISTENER), of a path (ENTRY>SIDECAR) or of a data centre.
     std::string target;
     Milliseconds duration {};
     // How long each byte is delayed; drawn independently of the duration.
--- a/soak/Records.h
+++ b/soak/Records.h
@@ -22,6 +22,8 @@
     int incarnation { 1 };
     std::uint64_t number { 0 };
     std::string spec;
+    // The start was sent to a former incarnation of the minion and carried out by the next one.
+    bool isOfFormer { false };
     Milliseconds start {};
     // The run's end as the minion recorded it, or else the end of the minion's incarnation.
     Milliseconds end {};
--- a/test/platform/PlatformMinionTest.cpp
+++ b/test/platform/PlatformMinionTest.cpp
@@ -59,3 +59,60 @@
     cr_assert(runUntil(test.loop, [&test] { return test.startAnswer.has_value(); }));
     cr_assert(test.startAnswer->status == 200 && test.minion.running() == 0, "expected the run of 50 ms to have ended by then, %zu run", test.minion.running());
 }
+
+Test(PlatformMinion, carriesOutAnOrderOfItsFormerIncarnation)
+{
+    LateMinion test({ .carryOut = late });
+    const std::string address = test.minion.address();
+    LateMinion::call(test.stops, "/run-stop", test.stopAnswer);
+    cr_assert(runUntil(test.loop, [&test] { return test.stopAnswer.has_value(); }));
+    bool hasFailed = false;
+    test.starts.call({ .path = "/run-start",
+                         .body = R"({"task":"j.0.0.1","runId":1,"spec":"text","deadlineMs":9000000000000000,"fencingToken":1})",
+                         .timeout = testPatience,
+                         .headers = { { .name = "Oleanderport-Expected-Instance", .value = "i-1" } } },
+        [&hasFailed](const Result<HttpAnswer>& result) { hasFailed = !result.has_value(); });
+    const auto crash = test.loop.once({ late.count / 3 }, [&test] {
+        test.minion.crash();
+        test.minion.startAgain({ 1'800 });
+    });
+    // The stop is forgotten with the rest.
+    cr_assert(runUntil(test.loop, [&test] { return test.minion.running() == 1; }));
+    cr_assert(hasFailed && test.minion.address() == address);
+}
+
+Test(PlatformMinion, losesOrdersThatAreDueWhileItIsDown)
+{
+    LateMinion test({ .carryOut = late });
+    test.starts.call({ .path = "/run-start", .body = "{}", .timeout = testPatience }, [](const Result<HttpAnswer>&) {});
+    const auto crash = test.loop.once({ late.count / 3 }, [&test] { test.minion.crash(); });
+    bool isUp = false;
+    const auto again = test.loop.once(late * 2, [&] {
+        test.minion.startAgain({ 1'800 });
+        isUp = true;
+    });
+    cr_assert(runUntil(test.loop, [&isUp] { return isUp; }));
+    cr_assert(test.minion.started.empty());
+}
+
+Test(PlatformMinion, measuresLeasesOnASlowClock)
+{
+    EventLoop loop;
+    std::optional<Milliseconds> started;
+    std::optional<Milliseconds> lapsed;
+    PlatformMinion minion(loop,
+        { .runTime = [](const std::string&) { return testPatience; },
+            .longestLease = { 200 },
+            .slowPerMille = 500,
+            .hasClockOfIncarnation = true,
+            .onStart = [&](Milliseconds at, const PlatformMinion::Run&) { started = at; },
+            .onEnd = [&](Milliseconds at, const PlatformMinion::Run&, const char*) { lapsed = at; } });
+    HttpConnection starts(loop, minion.address());
+    std::optional<HttpAnswer> answer;
+    LateMinion::call(starts, "/run-start", answer);
+    cr_assert(runUntil(loop, [&lapsed] { return lapsed.has_value(); }));
+    // A clock at half the pace makes 200 ms last twice as long, less one millisecond that is not full.
+    const auto lasted = (*lapsed - *started).count;
+    cr_assert(lasted >= 398 && lasted <= 402, "the lease lasted %ld ms", static_cast<long>(lasted));
+    cr_assert(answer->body.find("\"clockMs\":") != std::string::npos && answer->body.size() < 40, "got %s", answer->body.c_str());
+}
--- a/test/soak/JudgeTest.cpp
+++ b/test/soak/JudgeTest.cpp
@@ -80,6 +80,16 @@
     run.assertBroken("one-run");
 }
 
+Test(SoakJudge, tellsARunThatWasOrderedBeforeItsMinionStartedAgain)
+{
+    GoodRun run;
+    run.addRun("a.0.0.0", "minion-2", { 1'099 }, { 1'105 }, "stopped");
+    run.record.runs.back().isOfFormer = true;
+    run.assertBroken("one-run");
+    const auto violations = judge(run.record, {});
+    cr_assert(violations.front().detail.find("ordered before its minion started again") != std::string::npos, "got %s", violations.front().detail.c_str());
+}
+
 Test(SoakJudge, allowsARunAfterThePreviousOneEnded)
 {
     GoodRun run;
--- a/test/soak/PlanTest.cpp
+++ b/test/soak/PlanTest.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 using namespace oleanderport;
@@ -102,3 +103,32 @@
         cr_assert(!makeShape(seed).lateMinions, "seed %lu", static_cast<unsigned long>(seed));
     cr_assert(makeShape(3).lateMinions);
 }
+
+Test(SoakPlan, drawsFaultsOfMinionsAndPathsBesideTheOthers)
+{
+    std::set<FaultKind> kinds;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Shape shape = makeShape(seed);
+        const Plan without = makePlan(seed, shape);
+        shape.minionFaults = true;
+        const Plan plan = makePlan(seed, shape);
+        cr_assert(textOf(plan) == textOf(makePlan(seed, shape)));
+        std::map<std::string, Milliseconds> crashEnds;
+        for (const auto& fault : plan.faults) {
+            kinds.insert(fault.kind);
+            cr_assert(fault.kind == FaultKind::EvacuateDataCentre || fault.at + fault.duration + Milliseconds { 13'000 } <= plan.length, "seed %lu:\n%s", static_cast<unsigned long>(seed), textOf(plan).c_str());
+            if (fault.kind != FaultKind::CrashBehindCut)
+                continue;
+            cr_assert(fault.delay < fault.duration);
+            cr_assert(!crashEnds.contains(fault.target) || crashEnds.at(fault.target) < fault.at, "seed %lu:\n%s", static_cast<unsigned long>(seed), textOf(plan).c_str());
+            crashEnds[fault.target] = fault.at + fault.duration;
+        }
+        // The others are drawn as before; some give way.
+        const auto isOfBefore = [&without](const PlannedFault& fault) {
+            return std::any_of(without.faults.begin(), without.faults.end(), [&fault](const PlannedFault& other) { return other.at == fault.at && other.kind == fault.kind && other.target == fault.target; });
+        };
+        const auto before = std::count_if(plan.faults.begin(), plan.faults.end(), isOfBefore);
+        cr_assert(before * 2 > static_cast<std::ptrdiff_t>(without.faults.size()), "seed %lu: %ld of %zu faults", static_cast<unsigned long>(seed), static_cast<long>(before), without.faults.size());
+    }
+    cr_assert(kinds.size() == 20, "expected 20 fault kinds, got %zu", kinds.size());
+}
--- a/test/support/FaultRelay.cpp
+++ b/test/support/FaultRelay.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <algorithm>
 #include <deque>
 
 namespace oleanderport {
@@ -12,6 +13,8 @@
 namespace {
 
     constexpr Milliseconds pumpPeriod { 2 };
+    // A client is known by the first bytes that it sends.
+    constexpr std::size_t openingBytes = 64;
 
     sockaddr_in localAddress(std::uint16_t port)
     {
@@ -30,6 +33,8 @@
         return bytes;
     }
 
+    bool drops(const RelayFault& fault) { return fault.dropRequests || fault.dropAnswers; }
+
     bool hasOutput(bufferevent* stream) { return evbuffer_get_length(bufferevent_get_output(stream)) > 0; }
 
 } // namespace
@@ -38,14 +43,16 @@
     // Bytes to deliver once they are due.
     struct Held {
         Milliseconds due {};
-        bool towardsTarget { false };
         std::string bytes;
     };
     FaultRelay* relay { nullptr };
     // Null for a repeated request, whose answer is dropped.
     bufferevent* client { nullptr };
     bufferevent* target { nullptr };
-    std::deque<Held> held;
+    std::deque<Held> heldRequests;
+    std::deque<Held> heldAnswers;
+    // First bytes of the client.
+    std::string opening;
     // One side has closed: remaining bytes are flushed, then both sides are closed.
     bool closing { false };
     // Bytes were dropped.
@@ -61,7 +68,15 @@
 
     bool isFlushed() const
     {
-        return held.empty() && (!client || !hasOutput(client)) && (!target || !hasOutput(target));
+        return heldRequests.empty() && heldAnswers.empty() && (!client || !hasOutput(client)) && (!target || !hasOutput(target));
+    }
+
+    static void deliver(std::deque<Held>& held, bufferevent* stream, Milliseconds now)
+    {
+        for (; !held.empty() && held.front().due <= now; held.pop_front()) {
+            if (stream)
+                bufferevent_write(stream, held.front().bytes.data(), held.front().bytes.size());
+        }
     }
 
     static void clientReadable(bufferevent*, void* self)
@@ -126,9 +141,28 @@
 void FaultRelay::setFault(const RelayFault& fault)
 {
     m_fault = fault;
-    const bool drops = fault.dropRequests || fault.dropAnswers;
-    std::erase_if(m_connections,
-        [&](const auto& connection) { return fault.refuse || (connection->lossy && !drops); });
+    std::erase_if(m_connections, [&](const auto& connection) { return fault.refuse || (connection->lossy && !drops(faultOf(*connection))); });
+}
+
+void FaultRelay::setClientFault(const std::string& client, const RelayFault& fault)
+{
+    m_clientFaults[client] = fault;
+    std::erase_if(m_connections, [&](const auto& connection) { return connection->lossy && !drops(faultOf(*connection)); });
+}
+
+RelayFault FaultRelay::faultOf(const Connection& connection) const
+{
+    RelayFault both = m_fault;
+    for (const auto& [client, fault] : m_clientFaults) {
+        if (connection.opening.find(client) == std::string::npos)
+            continue;
+        both.dropRequests = both.dropRequests || fault.dropRequests;
+        both.dropAnswers = both.dropAnswers || fault.dropAnswers;
+        both.delay = std::max(both.delay, fault.delay);
+        both.holdRequestsUntil = std::max(both.holdRequestsUntil, fault.holdRequestsUntil);
+        both.holdAnswersUntil = std::max(both.holdAnswersUntil, fault.holdAnswersUntil);
+    }
+    return both;
 }
 
 bufferevent* FaultRelay::connectToTarget()
@@ -162,13 +196,15 @@
 void FaultRelay::fromClient(Connection& connection)
 {
     std::string bytes = readAll(connection.client);
-    if (m_fault.dropRequests) {
+    connection.opening += bytes.substr(0, openingBytes - connection.opening.size());
+    const RelayFault fault = faultOf(connection);
+    if (fault.dropRequests) {
         connection.lossy = true;
         return;
     }
     if (m_fault.repeatAfter.count > 0)
         repeat(bytes);
-    connection.held.push_back({ .due = Clock::now() + m_fault.delay, .towardsTarget = true, .bytes = std::move(bytes) });
+    connection.heldRequests.push_back({ .due = std::max(Clock::now() + fault.delay, fault.holdRequestsUntil), .bytes = std::move(bytes) });
 }
 
 void FaultRelay::fromTarget(Connection& connection)
@@ -176,7 +212,8 @@
     std::string bytes = readAll(connection.target);
     if (!connection.client)
         return;
-    if (m_fault.dropAnswers) {
+    const RelayFault fault = faultOf(connection);
+    if (fault.dropAnswers) {
         connection.lossy = true;
         return;
     }
@@ -186,7 +223,7 @@
         connection.closing = true;
         return;
     }
-    connection.held.push_back({ .due = Clock::now() + m_fault.delay, .towardsTarget = false, .bytes = std::move(bytes) });
+    connection.heldAnswers.push_back({ .due = std::max(Clock::now() + fault.delay, fault.holdAnswersUntil), .bytes = std::move(bytes) });
 }
 
 void FaultRelay::repeat(const std::string& bytes)
@@ -198,8 +235,7 @@
     bufferevent_setcb(
         connection->target, &Connection::targetReadable, nullptr, &Connection::changed, connection.get());
     bufferevent_enable(connection->target, EV_READ | EV_WRITE);
-    connection->held.push_back(
-        { .due = Clock::now() + m_fault.repeatAfter, .towardsTarget = true, .bytes = bytes });
+    connection->heldRequests.push_back({ .due = Clock::now() + m_fault.repeatAfter, .bytes = bytes });
     m_connections.push_back(std::move(connection));
 }
 
@@ -207,17 +243,13 @@
 {
     const Milliseconds now = Clock::now();
     for (const auto& connection : m_connections) {
-        auto& held = connection->held;
-        while (!held.empty() && held.front().due <= now) {
-            bufferevent* stream = held.front().towardsTarget ? connection->target : connection->client;
-            if (stream)
-                bufferevent_write(stream, held.front().bytes.data(), held.front().bytes.size());
-            held.pop_front();
-        }
+        Connection::deliver(connection->heldRequests, connection->target, now);
+        Connection::deliver(connection->heldAnswers, connection->client, now);
     }
     // While both directions are dropped, neither side learns that the other has closed.
-    const bool cut = m_fault.dropRequests && m_fault.dropAnswers;
-    std::erase_if(m_connections, [cut](const auto& connection) {
+    std::erase_if(m_connections, [this](const auto& connection) {
+        const RelayFault fault = faultOf(*connection);
+        const bool cut = fault.dropRequests && fault.dropAnswers;
         return connection->closing && (connection->isFlushed()) && !(cut && connection->client);
     });
 }
--- a/test/support/FaultRelay.h
+++ b/test/support/FaultRelay.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,10 @@
     bool refuse { false };
     // Added latency in each direction.
     Milliseconds delay {};
+    // Bytes towards the target, or from it, are held until this time on Clock::now() and then delivered together, as those
+    // of lost packets that are sent again.
+    Milliseconds holdRequestsUntil {};
+    Milliseconds holdAnswersUntil {};
     // Number of next answers to drop; the connection of each is closed.
     std::int64_t swallowAnswers { 0 };
     // Sends every request to the target a second time over a separate connection, this much later, and drops the answer
@@ -42,6 +47,9 @@
 
     // Connections that have lost bytes are closed when the new fault no longer drops any.
     void setFault(const RelayFault&);
+    // For the connections of one client, known by a text within the first bytes that it sends. What the fault of all
+    // connections drops or holds stays so. `refuse`, `swallowAnswers` and `repeatAfter` don't apply.
+    void setClientFault(const std::string& client, const RelayFault&);
 
     // Numbers of answers dropped by `swallowAnswers` and of requests repeated by `repeatAfter`.
     std::int64_t swallowed() const { return m_swallowed; }
@@ -51,6 +59,8 @@
     struct Connection;
 
     void accepted(int descriptor);
+    // The faults of all connections and of the connection's client together.
+    RelayFault faultOf(const Connection&) const;
     void fromClient(Connection&);
     void fromTarget(Connection&);
     void repeat(const std::string& bytes);
@@ -62,6 +72,7 @@
     std::uint16_t m_targetPort;
     evconnlistener* m_listener { nullptr };
     RelayFault m_fault;
+    std::map<std::string, RelayFault> m_clientFaults;
     std::list<std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::int64_t m_swallowed { 0 };
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -13,9 +13,8 @@
     constexpr int statusConflict = 409;
     constexpr int statusWrongInstance = 421;
     // The minion's clock differs from the sidecar's by this offset.
-    constexpr std::int64_t clockOrigin = 12'345;
-
-    std::int64_t minionClock() { return Clock::now().count - clockOrigin; }
+    constexpr Milliseconds clockOrigin { 12'345 };
+    constexpr std::int64_t wholePerMille = 1'000;
 
     PlatformMinion::Call callOf(const std::string& path)
     {
@@ -29,15 +28,60 @@
 PlatformMinion::PlatformMinion(EventLoop& loop, Options options)
     : m_loop(loop)
     , m_options(std::move(options))
+    , m_clockOrigin(m_options.hasClockOfIncarnation ? Clock::now() : clockOrigin)
 {
-    auto listening = HttpServer::listen(loop,
-        { .address = m_options.listen, .maxBodyBytes = maxBodyBytes, .headers = { "Oleanderport-Expected-Instance" } },
+    listen(m_options.listen);
+}
+
+void PlatformMinion::listen(const std::string& address)
+{
+    auto listening = HttpServer::listen(m_loop,
+        { .address = address, .maxBodyBytes = maxBodyBytes, .headers = { "Oleanderport-Expected-Instance" } },
         [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) { serve(request, responder); });
     if (!listening.has_value())
         throw std::runtime_error(describe(listening.assume_error()));
     m_server = std::move(listening).assume_value();
 }
 
+void PlatformMinion::crash()
+{
+    m_options.listen = "127.0.0.1:" + std::to_string(m_server->port());
+    // Before the runs end, so that nobody learns of it.
+    m_server.reset();
+    m_reports.reset();
+    expire();
+    endAll("killed");
+    m_waiting.clear();
+    m_lastRun.clear();
+    m_ended.clear();
+    m_leaseTimer.reset();
+    m_leaseEnd = {};
+    m_fencingToken = 0;
+    m_lastEnd = 0;
+    m_sequence = 0;
+}
+
+void PlatformMinion::startAgain(Milliseconds born)
+{
+    m_options.born = born;
+    ++m_incarnation;
+    if (m_options.hasClockOfIncarnation)
+        m_clockOrigin = Clock::now();
+    listen(m_options.listen);
+}
+
+std::int64_t PlatformMinion::clockAt(Milliseconds time) const
+{
+    return (time - m_clockOrigin).count * (wholePerMille - m_options.slowPerMille) / wholePerMille;
+}
+
+Milliseconds PlatformMinion::timeOf(std::int64_t clock) const
+{
+    // Deadlines may be as far away as the type allows.
+    const std::int64_t rate = wholePerMille - m_options.slowPerMille;
+    return m_clockOrigin + Milliseconds { clock / rate * wholePerMille + clock % rate * wholePerMille / rate };
+}
+
 std::string PlatformMinion::address() const
 {
     return m_options.advertise.empty() ? "127.0.0.1:" + std::to_string(m_server->port()) : m_options.advertise;
@@ -52,6 +96,8 @@
 
 void PlatformMinion::report(const std::string& sidecar, const char* state)
 {
+    if (!m_server)
+        return;
     Json::Value body(Json::objectValue);
     body["service"] = m_options.service;
     body["address"] = address();
@@ -64,7 +110,7 @@
     body["capacity"]["memMb"] = 1'000;
     body["labels"].append("a");
     body["labels"].append(m_options.rack);
-    body["clockMs"] = static_cast<Json::Int64>(minionClock());
+    body["clockMs"] = static_cast<Json::Int64>(clockAt(Clock::now()));
     body["seq"] = ++m_sequence;
     body["born"] = static_cast<Json::Int64>(m_options.born.count);
     reports(sidecar).call({ .path = "/Instances.Heartbeat/" + m_options.id, .body = writeJson(body), .timeout = reportTimeout },
@@ -81,11 +127,13 @@
 {
     const CallDelay delay = m_options.delayOf(callOf(request.path));
     const Caller caller { .responder = responder, .answerDelay = delay.answer };
-    later(delay.carryOut, [this, request, caller] { carryOut(request, caller); });
+    later(delay.carryOut, [this, request, caller, incarnation = m_incarnation] { carryOut(request, caller, incarnation); });
 }
 
-void PlatformMinion::carryOut(const HttpRequest& request, const Caller& caller)
+void PlatformMinion::carryOut(const HttpRequest& request, const Caller& caller, int incarnation)
 {
+    if (!m_server)
+        return;
     expire();
     if (request.headers.front() != m_options.id)
         return answer(caller, statusWrongInstance, Json::Value(Json::objectValue));
@@ -96,7 +144,7 @@
     if (!reason && request.path == "/hold")
         return list(parameters, caller);
     if (!reason && request.path == "/run-start")
-        reason = start(parameters);
+        reason = start(parameters, incarnation != m_incarnation);
     if (!reason && request.path == "/run-stop")
         stop(parameters);
     Json::Value body(Json::objectValue);
@@ -107,7 +155,7 @@
 
 void PlatformMinion::answer(const Caller& caller, int status, Json::Value body)
 {
-    body["clockMs"] = static_cast<Json::Int64>(minionClock());
+    body["clockMs"] = static_cast<Json::Int64>(clockAt(Clock::now()));
     later(caller.answerDelay, [responder = caller.responder, status, text = writeJson(body)] { responder->reply({ .status = status, .body = text }); });
 }
 
@@ -129,10 +177,10 @@
     return static_cast<int>(std::min((now - start).count * whole / std::max<std::int64_t>(length.count, 1), whole - 1));
 }
 
-const char* PlatformMinion::start(const Json::Value& parameters)
+const char* PlatformMinion::start(const Json::Value& parameters, bool isOfFormer)
 {
-    Run run { .task = parameters["task"].asString(), .number = parameters["runId"].asUInt64(), .spec = parameters["spec"].asString() };
-    if (parameters["deadlineMs"].asInt64() <= minionClock())
+    Run run { .task = parameters["task"].asString(), .number = parameters["runId"].asUInt64(), .spec = parameters["spec"].asString(), .isOfFormer = isOfFormer };
+    if (parameters["deadlineMs"].asInt64() <= clockAt(Clock::now()))
         return "late";
     extendLease(parameters);
     const auto found = m_running.find(run.task);
@@ -173,8 +221,8 @@
     if (!parameters.isMember("deadlineMs"))
         return;
     const Milliseconds now = Clock::now();
-    const Milliseconds asked { parameters["deadlineMs"].asInt64() + clockOrigin };
-    m_leaseEnd = std::max(m_leaseEnd, std::min(asked, now + m_options.longestLease));
+    const Milliseconds asked = timeOf(std::min(parameters["deadlineMs"].asInt64(), clockAt(now) + m_options.longestLease.count));
+    m_leaseEnd = std::max(m_leaseEnd, asked);
     m_leaseTimer = m_loop.once(std::max(m_leaseEnd - now, Milliseconds {}), [this] { expire(); });
 }
 
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -23,6 +23,8 @@
         std::string task;
         std::uint64_t number { 0 };
         std::string spec;
+        // The start was sent to a former incarnation.
+        bool isOfFormer { false };
     };
 
     enum class Call {
@@ -55,6 +57,10 @@
         // Maximum number of concurrent tasks; further starts are refused.
         std::size_t room { 1'000 };
         Milliseconds longestLease { 1'000 };
+        // Its clock runs slow by this many thousandths.
+        std::int64_t slowPerMille { 0 };
+        // Its clock shows zero when an incarnation starts.
+        bool hasClockOfIncarnation { false };
         std::function<CallDelay(Call)> delayOf { [](Call) { return CallDelay {}; } };
         // Called when a run starts and when it has ended, with the time on Clock::now().
         std::function<void(Milliseconds, const Run&)> onStart { [](Milliseconds, const Run&) {} };
@@ -77,6 +83,11 @@
     // Runs end as failed while set.
     bool failing { false };
 
+    // A crash in which calls that wait to be carried out stay on the way: it closes its address and forgets everything.
+    void crash();
+    // Starts again under the same id and address. Calls of before that are due from then on are carried out by this incarnation.
+    void startAgain(Milliseconds born);
+
     // Ends every run.
     void endAll(const char* how, Milliseconds at = Clock::now());
 
@@ -101,13 +112,17 @@
         std::unique_ptr<EventLoop::Timer> timer;
     };
 
+    void listen(const std::string& address);
+    // The minion's clock at a time on Clock::now(), and the other way round.
+    std::int64_t clockAt(Milliseconds) const;
+    Milliseconds timeOf(std::int64_t clock) const;
     void serve(const HttpRequest&, const std::shared_ptr<HttpResponder>&);
-    void carryOut(const HttpRequest&, const Caller&);
+    void carryOut(const HttpRequest&, const Caller&, int incarnation);
     void answer(const Caller&, int status, Json::Value body);
     // Calls back immediately when the delay is zero.
     void later(Milliseconds delay, std::function<void()>);
     // The reason of the refusal, or null when the run was started or is running already.
-    const char* start(const Json::Value& parameters);
+    const char* start(const Json::Value& parameters, bool isOfFormer);
     void stop(const Json::Value& parameters);
     void list(const Json::Value& parameters, const Caller&);
     Json::Value lists() const;
@@ -120,7 +135,10 @@
 
     EventLoop& m_loop;
     Options m_options;
+    // Null while the minion is down.
     std::unique_ptr<HttpServer> m_server;
+    // Time on Clock::now() at which the minion's clock shows zero.
+    Milliseconds m_clockOrigin;
     std::unique_ptr<HttpConnection> m_reports;
     std::map<std::string, Work> m_running;
     // Highest run number of each task that was stopped or has ended; that run and lower ones are not started any more.
@@ -133,6 +151,8 @@
     std::uint64_t m_fencingToken { 0 };
     std::uint64_t m_lastEnd { 0 };
     int m_sequence { 0 };
+    // Counts this object's incarnations.
+    int m_incarnation { 1 };
 };
 
 } // namespace oleanderport
