Soak: late stops alone, and callers reset while orders are late

A lease that is renewed while stops stay unanswered needs times in which lists and starts pass and stops don't: half of the times of late calls concern all kinds of call, the others stops alone or starts and stops.

--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -14,6 +14,7 @@
 #include <fcntl.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <thread>
 #include <unistd.h>
 
@@ -41,6 +42,9 @@
 constexpr Milliseconds minPauseInterval { 200 };
 constexpr Milliseconds maxPauseInterval { 2'000 };
 
+// Each time of late calls concerns all kinds of call in every other case, else all but the renewals of leases, or stops alone.
+constexpr int allCallsOneIn = 2;
+constexpr int stopsAloneOneIn = 2;
 // While calls are late, all but one in promptOrderOneIn are carried out long after their caller has timed out. Some of the others
 // are carried out at once and answered late.
 constexpr int promptOrderOneIn = 10;
@@ -97,6 +101,21 @@
     {
     }
 
+    void begin()
+    {
+        const bool all = m_random.oneIn(allCallsOneIn);
+        const bool stopsAlone = m_random.oneIn(stopsAloneOneIn);
+        m_late = { PlatformMinion::Call::Stop };
+        if (all || !stopsAlone)
+            m_late.insert(PlatformMinion::Call::Start);
+        if (all)
+            m_late.insert(PlatformMinion::Call::List);
+    }
+
+    void end() { m_late.clear(); }
+
+    bool concern(PlatformMinion::Call call) const { return m_late.contains(call); }
+
     PlatformMinion::CallDelay delay()
     {
         const Milliseconds drawn = m_random.between(minVeryLateDelay, maxVeryLateDelay);
@@ -107,6 +126,7 @@
 
 private:
     RandomDraw m_random;
+    std::set<PlatformMinion::Call> m_late;
 };
 
 // Each line is written with one unbuffered write, so that none is lost when the process is killed.
@@ -141,7 +161,6 @@
         callDelays.emplace(loop, arguments["late"].as<std::uint64_t>());
     const bool hasLateOrders = arguments.count("late-orders") > 0;
     LateOrders lateOrders(hasLateOrders ? arguments["late-orders"].as<std::uint64_t>() : 0);
-    bool ordersAreLate = false;
     bool isUp = true;
     PlatformMinion minion(loop,
         { .id = text("id"),
@@ -155,8 +174,8 @@
             .room = room,
             .slowPerMille = arguments["slow"].as<std::int64_t>(),
             .hasClockOfIncarnation = hasLateOrders,
-            .delayOf = [&](PlatformMinion::Call call) { return ordersAreLate ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
-                                                                                                               : PlatformMinion::CallDelay {}; },
+            .delayOf = [&](PlatformMinion::Call call) { return lateOrders.concern(call) ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
+                                                                                                                          : PlatformMinion::CallDelay {}; },
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, started.spec + (started.isOfFormer ? " former" : " own")); },
             .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, how); } });
     const char* state = "ready";
@@ -168,8 +187,8 @@
         report();
         leaving = loop.once(drainTime, [&] { minion.deregister(text("sidecar"), [&loop] { loop.stop(); }); });
     });
-    const auto onLate = loop.onSignal(SIGUSR1, [&ordersAreLate] { ordersAreLate = true; });
-    const auto onPrompt = loop.onSignal(SIGUSR2, [&ordersAreLate] { ordersAreLate = false; });
+    const auto onLate = loop.onSignal(SIGUSR1, [&lateOrders] { lateOrders.begin(); });
+    const auto onPrompt = loop.onSignal(SIGUSR2, [&lateOrders] { lateOrders.end(); });
     const auto onCrash = loop.onSignal(SIGHUP, [&] {
         isUp = !isUp;
         if (!isUp)
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -57,7 +57,8 @@
     // In each span of faults.
     constexpr int lateOrdersPerSpan = 3;
     constexpr int pathFaultsPerSpan = 5;
-    constexpr int callerResetsPerSpan = 4;
+    // While a minion is late, so that stops of the jobs that their callers left are late too.
+    constexpr int callerResetsPerLateOrders = 2;
     // A minion that is late crashes in two of three cases, while late calls wait there.
     constexpr int steadyMinionOneIn = 3;
     constexpr Milliseconds minLateOrders { 1'500 };
@@ -123,6 +124,12 @@
                 const bool crashes = !random.oneIn(steadyMinionOneIn);
                 if (add(late) && crashes)
                     addCrash(crash);
+                for (int reset = 0; reset < callerResetsPerLateOrders; ++reset) {
+                    add({ .at = late.at + random.between({ 0 }, late.duration),
+                        .kind = FaultKind::Reset,
+                        .target = fmt::format("entry-{}/front", 1 + random.below(m_shape.entries)),
+                        .duration = random.between(minCallerReset, maxCallerReset) });
+                }
             }
             constexpr FaultKind paths[] { FaultKind::PathCut, FaultKind::PathCutTowards, FaultKind::PathCutFrom, FaultKind::PathHold, FaultKind::PathHoldTowards, FaultKind::PathHoldFrom };
             for (int i = 0; i < pathFaultsPerSpan; ++i) {
@@ -131,12 +138,6 @@
                     .target = fmt::format("entry-{}>sidecar-{}", 1 + random.below(m_shape.entries), 1 + random.below(m_shape.sidecars)),
                     .duration = random.between(minCut, maxFaultDuration) });
             }
-            for (int i = 0; i < callerResetsPerSpan; ++i) {
-                add({ .at = random.between(from, until),
-                    .kind = FaultKind::Reset,
-                    .target = fmt::format("entry-{}/front", 1 + random.below(m_shape.entries)),
-                    .duration = random.between(minCallerReset, maxCallerReset) });
-            }
         }
 
         std::string drawProcess()
