--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -70,7 +70,7 @@
         if (!ended && !m_runs.contains({ frame.entry, name }))
             entry.unknownRuns.push_back(name);
     }
-    applyStops(frame.entry, frame, now);
+    applyStops(frame.entry, frame, entry.echo, now);
 }
 
 // The request was lost with an earlier stream, or went to an earlier incarnation of this sidecar. Runs started by that
@@ -89,12 +89,13 @@
 void RunTable::received(const std::string& name, const EntryFrame& frame, Milliseconds now)
 {
     Entry& entry = m_entries[name];
+    const Milliseconds heardBefore = entry.echo;
     ++entry.framesSeen;
     if (frame.echo <= now)
         entry.echo = std::max(entry.echo, frame.echo);
     while (!entry.unseenEnds.empty() && entry.unseenEnds.front().number <= frame.endsSeen)
         entry.unseenEnds.pop_front();
-    applyStops(name, frame, now);
+    applyStops(name, frame, heardBefore, now);
     if (frame.wantedCpuMillis > 0) {
         if (entry.wantedCpuMillis == 0)
             entry.wantedSince = now;
@@ -115,7 +116,7 @@
     }
 }
 
-void RunTable::applyStops(const std::string& name, const EntryFrame& frame, Milliseconds now)
+void RunTable::applyStops(const std::string& name, const EntryFrame& frame, Milliseconds heardBefore, Milliseconds now)
 {
     for (const auto& run : frame.stops) {
         const auto found = m_runs.find({ name, run });
@@ -125,7 +126,7 @@
             end(RunKey(found->first), RunEndKind::Stopped, now);
         else {
             noteCause(found->second, StopCause::EntryAsked);
-            stop(found->second, RunEndKind::Stopped, std::min(frame.echo, now), now);
+            stop(found->second, RunEndKind::Stopped, heardBefore, now);
         }
     }
 }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -334,7 +334,9 @@
         Milliseconds until {};
     };
 
-    void applyStops(const std::string& entry, const EntryFrame&, Milliseconds now);
+    // `heardBefore` is the latest echo received before the frame. An entry that was paused may send newer ones with its stops, but not
+    // before these.
+    void applyStops(const std::string& entry, const EntryFrame&, Milliseconds heardBefore, Milliseconds now);
     void endUnknownRuns(Milliseconds now);
     static TaskKey taskOf(const RunName& run) { return { run.job, run.step, run.index }; }
     bool mayStart(Milliseconds now) const;
