RunTableEvidence: tell the bounding run from others of the same entry

The test of a shortened lease passed although the time since which a run is being stopped was ignored, since the run that came first by name was also the one stopped. It now stops the other run, and has the entry fall silent after that stop was answered.

--- a/test/policy/RunTableEvidenceTest.cpp
+++ b/test/policy/RunTableEvidenceTest.cpp
@@ -75,9 +75,9 @@
         act();
     }
 
-    RunActions askStop()
+    RunActions askStop(const RunName& run = taskRun)
     {
-        runs.received(entryIncarnation, { .echo = now, .stops = { taskRun } }, now);
+        runs.received(entryIncarnation, { .echo = now, .stops = { run } }, now);
         return act();
     }
 
@@ -240,26 +240,35 @@
     Table table;
     table.begin();
     table.begin("b");
+    const RunName second { .job = "b", .run = 1 };
     for (const std::int64_t span : { 400, 60, 60 }) {
         table.after({ span });
-        table.answer({ { .run = taskRun }, { .run = { .job = "b", .run = 1 } } }, {});
+        table.answer({ { .run = taskRun }, { .run = second } }, {});
     }
     table.act();
     cr_assert(table.seen.shortened.size() == 1, "got %zu", table.seen.shortened.size());
     cr_assert(table.seen.leasesShortened > 1);
     assertText(describe(table.seen.shortened[0]),
         "lease shortened by 50 ms to 750 ms by run 1 of step 0 of entry entry/1: entry last heard 400 ms before");
-    // The entry is heard again, and its stop of one of the two is not answered.
+    // The entry is heard again, and its stop of the second run is not answered.
     table.echo();
-    table.askStop();
+    table.askStop(second);
     for (int i = 0; i < 7; ++i) {
         table.after({ 60 });
         table.echo();
-        table.answer({ { .run = taskRun }, { .run = { .job = "b", .run = 1 } } }, {});
+        table.answer({ { .run = taskRun }, { .run = second } }, {});
     }
     cr_assert(table.seen.shortened.size() == 2, "got %zu", table.seen.shortened.size());
     cr_assert(table.seen.shortened[1].stoppingFor && table.seen.shortened[1].cause == StopCause::EntryAsked);
-    cr_assert(table.seen.shortened[1].run == taskRun);
+    cr_assert(table.seen.shortened[1].run == second);
+    // The stop is answered, and the entry falls silent.
+    table.runs.stopAnswered(second, true, table.now);
+    table.after({ 60 });
+    table.echo();
+    table.answer({ { .run = taskRun }, { .run = second } }, {});
+    table.after({ 400 });
+    cr_assert(table.seen.shortened.size() == 3, "got %zu", table.seen.shortened.size());
+    cr_assert(table.seen.shortened[2].run == taskRun && !table.seen.shortened[2].stoppingFor);
 }
 
 Test(RunTableEvidence, listOfAnotherIncarnationIsToldOnce)
