Soak: no stop gets through while stops are late

A stop is sent again every few tens of milliseconds, so one in ten that is carried out at once ends the run all the same. While not all kinds of call are late, those that are now are without exception.

--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -45,8 +45,8 @@
 // Each time of late calls concerns all kinds of call in every other case, else all but the renewals of leases, or stops alone.
 constexpr int allCallsOneIn = 2;
 constexpr int stopsAloneOneIn = 2;
-// While calls are late, all but one in promptOrderOneIn are carried out long after their caller has timed out. Some of the others
-// are carried out at once and answered late.
+// While calls of all kinds are late, all but one in promptOrderOneIn are carried out long after their caller has timed out. Some of the others
+// are carried out at once and answered late. Stops are repeated, so few of them would do.
 constexpr int promptOrderOneIn = 10;
 constexpr int unansweredPromptOrderOneIn = 2;
 
@@ -104,6 +104,7 @@
     void begin()
     {
         const bool all = m_random.oneIn(allCallsOneIn);
+        m_hasPromptCalls = all;
         const bool stopsAlone = m_random.oneIn(stopsAloneOneIn);
         m_late = { PlatformMinion::Call::Stop };
         if (all || !stopsAlone)
@@ -119,7 +120,7 @@
     PlatformMinion::CallDelay delay()
     {
         const Milliseconds drawn = m_random.between(minVeryLateDelay, maxVeryLateDelay);
-        if (!m_random.oneIn(promptOrderOneIn))
+        if (!m_hasPromptCalls || !m_random.oneIn(promptOrderOneIn))
             return { .carryOut = drawn };
         return { .answer = m_random.oneIn(unansweredPromptOrderOneIn) ? drawn : Milliseconds {} };
     }
@@ -127,6 +128,7 @@
 private:
     RandomDraw m_random;
     std::set<PlatformMinion::Call> m_late;
+    bool m_hasPromptCalls { false };
 };
 
 // Each line is written with one unbuffered write, so that none is lost when the process is killed.
