RunServer: raise the fencing token when the minion may be another incarnation

What callers saw: nothing; a task could have two runs at the same time after a minion had started again under its id.

Cause: an order that the minion left unanswered may be carried out seconds later, by then by its next incarnation. That one has the same id, knows of no stop and of no run number, and its clock shows an earlier time than the end of the order's lease, so nothing that holds back late orders holds there. The run was concluded long before, and the task may run elsewhere. Class: evidence of one incarnation (an answered stop, a passed lease) used for another.

Change: tokens of one session are raised before a minion is asked for its start time and when a list shows another one. Minions do nothing for a lower token, so once the next incarnation has answered a call with the raised one, no order of before is carried out. What an incarnation carries out before it was heard of stays possible.

--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -237,6 +237,8 @@
     // Runs that the minion lists and that belong to no entry.
     std::size_t runsWithoutEntry() const { return m_witness.runsWithoutEntry(); }
     std::size_t queuedRuns() const { return m_runs.size() - m_byMinionName.size(); }
+    // Whether this is the start time of the incarnation taken.
+    bool isPresent(Milliseconds born) const { return m_phase != Phase::Absent && m_report.born == born; }
     bool isReady() const { return m_phase == Phase::Ready; }
     // Whether no run is left and each connected entry has acknowledged the ends of its runs.
     bool isSettled() const;
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -21,6 +21,8 @@
         return { .incarnation = makeIncarnationName(settings.instance), .dataCentre = settings.dataCentre };
     }
 
+    // Fencing tokens of one incarnation of a sidecar. Those of the next one are all higher.
+    constexpr std::uint64_t tokensPerIncarnation = 1'000'000;
     // All attempts together take less than the second that a minion waits for the answer to its report.
     constexpr int maxConfirmationAttempts = 3;
     // Reports of other minions that are confirmed at the same time; each holds a connection.
@@ -44,8 +46,8 @@
           { .viewChanged = [this](const ClusterView&) { updatePermit(); },
               .opened =
                   [this](const SessionId& id) {
-                      if (!m_fencingToken)
-                          m_fencingToken = id.incarnation;
+                      if (!m_sessionIncarnation)
+                          m_sessionIncarnation = id.incarnation;
                       if (const auto report = std::exchange(m_pendingReport, std::nullopt))
                           reported(*report, [](bool) {});
                   },
@@ -80,7 +82,7 @@
 
 void RunServer::reported(const MinionReport& report, const std::function<void(bool taken)>& done)
 {
-    if (!m_fencingToken) {
+    if (!m_sessionIncarnation) {
         // Nothing is started before the session opens, so this report may be acknowledged now and confirmed then.
         m_pendingReport = report;
         openSession(report);
@@ -111,8 +113,24 @@
     }
 }
 
+std::optional<std::uint64_t> RunServer::fencingToken() const
+{
+    if (!m_sessionIncarnation)
+        return std::nullopt;
+    return *m_sessionIncarnation * tokensPerIncarnation + std::min(m_fenceRaises, tokensPerIncarnation - 1);
+}
+
+void RunServer::raiseFenceFor(Milliseconds born)
+{
+    const bool isOther = !m_runs.isPresent(born);
+    if (isOther && m_otherBorn != born)
+        ++m_fenceRaises;
+    m_otherBorn = isOther ? std::optional(born) : std::nullopt;
+}
+
 void RunServer::confirm(const MinionReport& report, int attempt, const std::function<void(bool taken)>& done)
 {
+    ++m_fenceRaises;
     m_minion.identify(report, [this, report, attempt, done, incarnations = m_incarnations](const Result<Milliseconds>& born) {
         // One that was taken meanwhile may be the later of the two, so its minion has to be asked after that.
         const bool isInconclusive = !born.has_value() || incarnations != m_incarnations;
@@ -272,9 +290,10 @@
     }
     if (actions.list) {
         m_minion.list(*actions.list, [this, asked = *actions.list, askedAt = Clock::now()](const Result<RunList>& list) {
-            if (list.has_value())
+            if (list.has_value()) {
+                raiseFenceFor(list.assume_value().born);
                 m_runs.listed(list.assume_value(), asked, askedAt, Clock::now());
-            else {
+            } else {
                 m_process.metrics.add("run_lists_failed_total");
                 m_runs.listFailed(Clock::now());
             }
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -37,8 +37,9 @@
     // Whether the run may still be started now, when its start request is sent.
     bool mayStillStart(const RunName& run) const { return m_runs.mayStillStart(run, Clock::now()); }
 
-    // Higher for each incarnation of this sidecar; nullopt until control has opened a session for it.
-    std::optional<std::uint64_t> fencingToken() const { return m_fencingToken; }
+    // Higher for each incarnation of this sidecar, and raised when the minion may be another incarnation, so that one that has
+    // answered a call with it carries out none of before. Empty until control has opened a session for this sidecar.
+    std::optional<std::uint64_t> fencingToken() const;
     Process& process() { return m_process; }
 
 private:
@@ -50,6 +51,8 @@
 
     // Asks whether the minion of a report is there, and takes the report if so.
     void confirm(const MinionReport&, int attempt, const std::function<void(bool taken)>&);
+    // Raises the fencing token when a list comes from another incarnation than the one taken.
+    void raiseFenceFor(Milliseconds born);
     void take(const MinionReport&);
     void accepted(int descriptor);
     void received(std::uint64_t id, std::string_view message);
@@ -69,7 +72,11 @@
     ControlSession m_session;
     RunTable m_runs;
     MinionPort m_minion;
-    std::optional<std::uint64_t> m_fencingToken;
+    // Incarnation of the first session.
+    std::optional<std::uint64_t> m_sessionIncarnation;
+    std::uint64_t m_fenceRaises { 0 };
+    // Start time in the latest list, if it is not that of the incarnation taken.
+    std::optional<Milliseconds> m_otherBorn;
     // The newest report while there is no session yet.
     std::optional<MinionReport> m_pendingReport;
     std::string m_service;
--- a/test/platform/ExplainTest.cpp
+++ b/test/platform/ExplainTest.cpp
@@ -310,5 +310,5 @@
             "step=sidecar.orphan job=x task=0 message=\"run 4 of step 0 without entry gone after ", " ms, stop " });
     const auto& metrics = deployment.sidecar.process().metrics;
     cr_assert(metrics.counter("runs_without_entry_total") == 1);
-    cr_assert(metrics.counter("leases_granted_beside_runs_without_entry_total") > 0);
+    cr_assert(metrics.counter("leases_granted_beside_runs_without_entry_total") == 0);
 }
--- a/test/platform/MinionIncarnationsTest.cpp
+++ b/test/platform/MinionIncarnationsTest.cpp
@@ -23,6 +23,8 @@
     PlatformDeployment deployment;
     std::unique_ptr<PlatformMinion> former;
     std::unique_ptr<PlatformMinion> present;
+    // With which calls to the former minion were sent.
+    std::uint64_t formerToken { 0 };
 
     // Nothing is sent to `deployment.minion`, which has an address of its own.
     explicit SuccessionTest(Milliseconds formerBorn)
@@ -32,6 +34,7 @@
         former->report(deployment.reportAddress);
         cr_assert(runUntil(deployment.loop, [this] { return deployment.entry.view().catalogue && deployment.entry.dispatch().sidecars() == 1 && deployment.sidecar.fencingToken(); }));
         cr_assert(served("first"));
+        formerToken = deployment.sidecar.fencingToken().value_or(0);
         former.reset();
         present = std::make_unique<PlatformMinion>(deployment.loop, minionOptions(presentBorn, minionAddress));
         report("ready");
@@ -125,3 +128,21 @@
     test.deployment.runFor({ 300 });
     cr_assert(test.present->started.size() == started, "expected no start at a minion that drains");
 }
+
+// An order without an answer may be carried out seconds later, by then by the next minion under the same id, which knows of no stop and
+// whose clock shows an earlier time than the end of the order's lease.
+Test(MinionIncarnations, aMinionCarriesOutNoOrderThatWasSentToItsFormerIncarnation)
+{
+    SuccessionTest test(presentBorn - Milliseconds { 2'400 });
+    const std::size_t before = test.present->started.size();
+    const std::string late = fmt::format(
+        R"({{"task":"late.0.0.0","runId":1,"spec":"x","deadlineMs":480000,"fencingToken":{}}})", test.formerToken);
+    HttpConnection connection(test.deployment.loop, test.minionAddress);
+    std::string answer;
+    connection.call({ .path = "/run-start", .body = late, .timeout = { 2'000 }, .headers = { { .name = "Oleanderport-Expected-Instance", .value = "i-1" } } },
+        [&answer](const Result<HttpAnswer>& got) { answer = got.has_value() ? got.assume_value().body : got.assume_error().message; });
+    cr_assert(runUntil(test.deployment.loop, [&answer] { return !answer.empty(); }));
+    cr_assert(answer.find("\"fence\"") != std::string::npos, "expected the order to be refused, got %s", answer.c_str());
+    cr_assert(test.present->started.size() == before);
+    cr_assert(test.served("second"), "expected a job to be served by the present minion");
+}
--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -70,8 +70,8 @@
     bool sidecarsCutOff { false };
     // All paths of an entry are cut, or it is paused, for a time. It learns afterwards that its callers have left.
     bool entriesCutOff { false };
-    // Whether sidecars take a higher fencing token for each incarnation of their minion. RunServer does not.
-    bool raisesToken { false };
+    // Whether sidecars take a higher fencing token for each incarnation of their minion, as RunServer does.
+    bool raisesToken { true };
 };
 
 // The sender of a call and when it was sent.
