RunTable: conclude by passed leases only once the longest lease is over

Cause: a minion that has started again unnoticed takes the end of a lease, a time on its former clock, as the longest lease that it knows.

Change: each grant counts as the longest lease, 1,041 ms on a slow clock. It delays the end of runs that are being stopped at a minion that does not answer by 204 ms. RunTable::reportsRunsAsEndedWhenTheMinionIsSilentBeyondItsLease expected the end 1,000 ms after the only grant; it now expects none by then and the end after 1,045 ms.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -732,7 +732,7 @@
     run.resendAt.reset();
     run.startedAt = now;
     const Milliseconds end = leaseEnd(now);
-    recordLeaseGranted(end);
+    recordLeaseGranted(now);
     noteLease(end, now);
     actions.starts.push_back({ .run = run.minionName, .payload = run.request.payload, .leaseEnd = end });
 }
@@ -766,11 +766,8 @@
     return end;
 }
 
-void RunTable::recordLeaseGranted(Milliseconds leaseEnd)
-{
-    const Milliseconds drift = leaseWithDrift(m_options.minionLease) - m_options.minionLease;
-    m_leaseMayEndAt = std::max(m_leaseMayEndAt, leaseEnd + drift);
-}
+// The minion may have started again unnoticed, and by its new clock any end of a lease is too far ahead.
+void RunTable::recordLeaseGranted(Milliseconds now) { m_leaseMayEndAt = now + leaseWithDrift(m_options.longestMinionLease); }
 
 void RunTable::noteLease(Milliseconds end, Milliseconds now)
 {
@@ -885,7 +882,7 @@
             noteLease(end, now);
         if (m_reachable && end > now) {
             list.leaseEnd = end;
-            recordLeaseGranted(end);
+            recordLeaseGranted(now);
         }
     }
     actions.list = list;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -397,8 +397,8 @@
     void endRunsMissingFromList(bool listIsWhole, Milliseconds askedAt, Milliseconds now);
     // Until when the minion may be granted a lease now. In the past when a run there has to end first.
     Milliseconds leaseEnd(Milliseconds now) const;
-    // Records that the minion may keep runs going until this lease expires.
-    void recordLeaseGranted(Milliseconds leaseEnd);
+    // Records that a lease is granted now.
+    void recordLeaseGranted(Milliseconds now);
     // For the log. noteCause() comes before stop(), noteEnd() before end().
     static void noteCause(Run&, StopCause);
     void noteEnd(const RunKey&, EndProof, Milliseconds now);
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -560,10 +560,14 @@
     table.runs.received(entryIncarnation, { .echo = table.now }, table.now);
     table.runs.listFailed(table.now);
     cr_assert(table.runs.liveRuns() == 1);
-    // The lease was not renewed, since no list was requested meanwhile.
+    // The lease was not renewed, since no list was requested meanwhile. If the minion has started again, it may hold the longest one.
     table.now = table.now + Milliseconds { 400 };
     table.runs.received(entryIncarnation, { .echo = table.now }, table.now);
     table.runs.listFailed(table.now);
+    cr_assert(table.runs.liveRuns() == 1);
+    table.now = table.now + Milliseconds { 45 };
+    table.runs.received(entryIncarnation, { .echo = table.now }, table.now);
+    table.runs.listFailed(table.now);
     cr_assert(table.runs.liveRuns() == 0);
 }
 
