ControlClient: find the leader beside the instances that are cut off from it

Cause: a process is configured with three control instances. The cut puts all three among the four of nine that have no majority. Each holds a session call for 300 to 400 ms and then names no leader, so every call of 1.5 s ends among these three. A log line names the last instance of a call alone, which read like one instance holding the call for 1.5 s.

Change: while a call is unanswered, the process asks other instances, one each 200 to 300 ms, who leads and who belongs to the group ("controlGroup", answered at once, never held). It learns the instances that it is not configured with. The call moves once another instance answers that it leads. The choice is policy/LeaderSearch; the edge is thin.

Why it is safe: only the query is sent beside a call, and it changes nothing. A call is at one instance at a time. One that moves has the standing of one that timed out, which was sent to the next instance before too, and its end says that it may have run. An instance leads by its own answer only, and its lease excludes another leader.

Why it makes no storm: the calls of a process share its queries, the delay has jitter, and learned instances are tried in random order.

--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -34,6 +34,7 @@
     });
     registerSessionMethods();
     registerClaimMethods();
+    registerGroupMethods();
     m_operatorMethods.registerMethods();
 }
 
@@ -195,6 +196,17 @@
         });
 }
 
+void ControlServer::registerGroupMethods()
+{
+    // Never held: callers use it to find the leader while another instance holds their call.
+    m_process.rpc.addTyped<Nothing, ControlGroupInfo>(
+        controlGroupMethod, [this](const Nothing&, const Reply<ControlGroupInfo>& reply) {
+            reply(ControlGroupInfo { .leads = m_replicator->isLeader(),
+                .leader = m_replicator->leaderAddress(),
+                .instances = m_replicator->instances() });
+        });
+}
+
 void ControlServer::registerClaimMethods()
 {
     m_process.rpc.addTyped<ClaimRequest, ClaimResponse>(
--- a/src/control/ControlServer.h
+++ b/src/control/ControlServer.h
@@ -44,6 +44,7 @@
 
     void registerSessionMethods();
     void registerClaimMethods();
+    void registerGroupMethods();
     SessionResponse sessionResponse(const SessionId&, const KnownView&);
     // The JSON is encoded once for each version and shared by all receivers.
     const std::string& catalogueJson(const QueueCatalogue&);
--- a/src/control/LocalReplicator.h
+++ b/src/control/LocalReplicator.h
@@ -12,6 +12,7 @@
     void propose(decltype(ControlCommand::change), Done) override;
     bool isLeader() const override { return true; }
     std::string leaderAddress() const override { return {}; }
+    std::vector<std::string> instances() const override { return {}; }
     const ControlState& state() const override { return m_state; }
 
 private:
--- a/src/control/RaftReplicator.cpp
+++ b/src/control/RaftReplicator.cpp
@@ -234,6 +234,16 @@
     return m_raft->leaderAddress();
 }
 
+std::vector<std::string> RaftReplicator::instances() const
+{
+    std::vector<std::string> addresses;
+    if (!m_raft)
+        return addresses;
+    for (const auto& voter : m_raft->voters())
+        addresses.push_back(voter.address);
+    return addresses;
+}
+
 void RaftReplicator::receive(const Json::Value& params)
 {
     if (!params.isObject() || !params["messages"].isArray()) {
--- a/src/control/RaftReplicator.h
+++ b/src/control/RaftReplicator.h
@@ -29,6 +29,7 @@
     void propose(decltype(ControlCommand::change), Done) override;
     bool isLeader() const override;
     std::string leaderAddress() const override;
+    std::vector<std::string> instances() const override;
     const ControlState& state() const override { return m_state; }
 
 private:
--- a/src/control/Replicator.h
+++ b/src/control/Replicator.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace oleanderport {
 
@@ -31,6 +32,9 @@
     // Address of the leader; empty if unknown.
     virtual std::string leaderAddress() const = 0;
 
+    // Addresses of the group's voters, by the newest configuration known here.
+    virtual std::vector<std::string> instances() const = 0;
+
     virtual const ControlState& state() const = 0;
 
     // The callback is called whenever isLeader() or leaderAddress() may have changed, from within other calls of this object.
--- a/src/wire/ControlClient.h
+++ b/src/wire/ControlClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/LeaderSearch.h"
 #include "wire/ControlMessages.h"
 #include "wire/Rpc.h"
 
@@ -12,8 +13,10 @@
 namespace oleanderport {
 
 // Finds the leader of the control group and calls it. A NotLeader error redirects the call to the leader that it names;
-// after an instance that does not answer, the next one is tried. Session calls and all other calls use separate
-// connections, so that a slow commit does not delay a lease renewal.
+// after an instance that does not answer, the next one is tried. While a call is unanswered, other instances are queried for
+// the leader, one after the other. Such a query changes nothing; the call itself is sent to one instance at a time, and moves
+// once another instance answers that it leads. Session calls and all other calls use separate connections, so that a slow
+// commit does not delay a lease renewal.
 class ControlClient {
 public:
     enum class Channel {
@@ -24,7 +27,7 @@
     ControlClient(EventLoop&, std::vector<std::string> peers);
 
     // Replaces the configured instances. Calls in flight are not affected.
-    void setPeers(std::vector<std::string> peers) { m_peers = std::move(peers); }
+    void setPeers(std::vector<std::string> peers) { m_search.setPeers(std::move(peers)); }
 
     void call(Channel, const std::string& method, const Json::Value& params, Milliseconds timeout, RpcReply);
 
@@ -42,20 +45,24 @@
 
     void send(const PendingCall&, const std::string& address, Milliseconds timeout, RpcReply);
     void attempt(std::shared_ptr<PendingCall>);
-    void selectLeader(const Error&, const std::string& address);
+    void onAnswer(const std::shared_ptr<PendingCall>&, const std::string& address, Result<Json::Value>);
+    // Queries one other instance after the search's delay, and so on until the attempt is over.
+    void scheduleQuery(const std::shared_ptr<PendingCall>&, const std::string& asked);
+    void query(const std::shared_ptr<PendingCall>&, const std::string& asked, const std::string& address);
+    // Sends the call to the instance, which answered that it leads, in place of the one that it was sent to.
+    void move(const std::shared_ptr<PendingCall>&, const std::string& leader);
 
     // Selects the instance for the next attempt and returns the delay before it.
     Milliseconds retryDelay(PendingCall&, const Error&, const std::string& address);
 
     EventLoop& m_loop;
     std::mt19937_64 m_random;
-    std::vector<std::string> m_peers;
-    std::string m_leader;
-    // The configured peer that was called last.
-    std::string m_lastPeer;
+    LeaderSearch m_search;
     std::map<std::string, std::unique_ptr<RpcClient>> m_session;
     // A claim waits for a synced commit; claims made in the meantime are batched.
     std::map<std::string, std::unique_ptr<RpcBatcher>> m_work;
+    // Queries don't wait behind a call that the instance holds.
+    std::map<std::string, std::unique_ptr<RpcClient>> m_queries;
     // Expires with this object; callbacks check it.
     std::shared_ptr<bool> m_alive;
 };
--- a/src/wire/ControlMessages.h
+++ b/src/wire/ControlMessages.h
@@ -3,6 +3,8 @@
 #include "oleanderport/Messages.h"
 
 #include <optional>
+#include <string>
+#include <vector>
 
 // Messages from operators to control, and between a minion and its sidecar.
 namespace oleanderport {
@@ -96,6 +98,19 @@
     std::string ownerAddress;
 };
 
+// RPC method that answers with ControlGroupInfo.
+inline constexpr const char* controlGroupMethod = "controlGroup";
+
+// What a control instance knows of its group. Answered at once, by every instance.
+struct ControlGroupInfo {
+    // Whether the answering instance is the leader and was recently confirmed by a majority.
+    bool leads { false };
+    // Address of the leader that a follower knows; empty if unknown.
+    std::string leader;
+    // Addresses of the voters, by the newest configuration known there.
+    std::vector<std::string> instances;
+};
+
 // Request or response without content.
 struct Nothing {
 };
--- a/src/wire/MessageCodec.cpp
+++ b/src/wire/MessageCodec.cpp
@@ -748,6 +748,14 @@
         a("ownerAddress", m.ownerAddress);
     }
 
+    template <typename Archive>
+    void fields(Archive& a, ControlGroupInfo& m)
+    {
+        a("leads", m.leads);
+        a("leader", m.leader);
+        a("instances", m.instances);
+    }
+
     template <typename Archive>
     void fields(Archive& a, Nothing&)
     {
@@ -886,6 +894,7 @@
 OLEANDERPORT_MESSAGE(ControlStatus)
 OLEANDERPORT_MESSAGE(AcceptDocument)
 OLEANDERPORT_MESSAGE(ControlContent)
+OLEANDERPORT_MESSAGE(ControlGroupInfo)
 OLEANDERPORT_MESSAGE(Nothing)
 OLEANDERPORT_MESSAGE(MinionAnnouncement)
 OLEANDERPORT_MESSAGE(MinionHeartbeat)
--- a/test/control/ControlServerTest.cpp
+++ b/test/control/ControlServerTest.cpp
@@ -8,6 +8,9 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <cstdlib>
+#include <filesystem>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -61,3 +64,33 @@
     cr_assert(encoded() - before <= 1, "expected the view to be encoded once for %d entries, got %llu times", entries,
         static_cast<unsigned long long>(encoded() - before));
 }
+
+// A caller whose call is held learns from the same instance which others it may ask.
+Test(ControlServer, reportsItsGroupAtOnceWhileItHoldsCallsWithoutALeader)
+{
+    EventLoop loop;
+    Settings settings = controlSettings();
+    std::string folder = (std::filesystem::temp_directory_path() / "control-server-XXXXXX").string();
+    cr_assert(mkdtemp(folder.data()));
+    settings.dataFolder = folder;
+    const std::string absent = freeAddress();
+    settings.controlPeers = { settings.listen, absent };
+    {
+        ControlServer server(loop, settings);
+        cr_assert(server.start().has_value());
+        RpcClient held(loop, settings.listen);
+        bool isOpenAnswered = false;
+        held.call("openSession", toJson(OpenSessionRequest { .node = { .role = Role::Entry, .instance = "entry", .dataCentre = "dc" } }), timeout,
+            [&isOpenAnswered](const Result<Json::Value>&) { isOpenAnswered = true; });
+        RpcClient client(loop, settings.listen);
+        std::optional<Result<ControlGroupInfo>> group;
+        client.callTyped<ControlGroupInfo>(controlGroupMethod, Nothing {}, timeout, [&](const Result<ControlGroupInfo>& answer) {
+            cr_assert(!isOpenAnswered, "expected the answer while the other call is held");
+            group = answer;
+        });
+        cr_assert(runUntil(loop, [&group] { return group.has_value(); }));
+        cr_assert(group->has_value(), "%s", describe(group->assume_error()).c_str());
+        cr_assert(!group->assume_value().leads && group->assume_value().leader.empty());
+    }
+    std::filesystem::remove_all(folder);
+}
--- a/test/control/OperatorMethodsTest.cpp
+++ b/test/control/OperatorMethodsTest.cpp
@@ -12,6 +12,7 @@
     void propose(decltype(ControlCommand::change) change, Done done) override { proposals.emplace_back(std::move(change), std::move(done)); }
     bool isLeader() const override { return leads; }
     std::string leaderAddress() const override { return "10.0.0.9:1"; }
+    std::vector<std::string> instances() const override { return { "10.0.0.9:1" }; }
     const ControlState& state() const override { return m_state; }
 
     void commitNext()
--- a/test/control/RaftReplicatorTest.cpp
+++ b/test/control/RaftReplicatorTest.cpp
@@ -34,6 +34,18 @@
     group.runUntil("the former leader to catch up", [&] { return group.memberCount(former) == 2; });
 }
 
+// Processes are configured with a few instances and learn the others from any of them.
+Test(RaftReplicator, anInstanceWithoutALeaderReportsTheWholeGroup)
+{
+    ControlGroup group(3);
+    group.openSession("one");
+    group.runUntil("all to apply", [&] { return group.memberCount(0) == 1 && group.memberCount(1) == 1 && group.memberCount(2) == 1; });
+    group.stop(1);
+    group.stop(2);
+    group.runUntil("no leader", [&] { return !group.leader() && group.replicator(0).leaderAddress().empty(); });
+    cr_assert(group.replicator(0).instances().size() == 3, "expected 3 instances, got %zu", group.replicator(0).instances().size());
+}
+
 Test(RaftReplicator, anEmptiedFolderIsRestoredByTheOthers)
 {
     ControlGroup group(3);
--- a/test/policy/ControlRestartTest.cpp
+++ b/test/policy/ControlRestartTest.cpp
@@ -36,3 +36,18 @@
         cr_assert(restart.allOpenAt().has_value(), "seed %lu: %zu sessions are open after 20 s", static_cast<unsigned long>(seed), restart.openSessions());
     }
 }
+
+// The search for a leader must not delay its election: while nobody leads, each process makes a few queries, not one per instance
+// and call.
+Test(ControlRestart, hundredsOfProcessesThatSearchForALeaderMakeFewQueries)
+{
+    constexpr std::size_t queriesPerProcess = 10;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const ControlRestartOptions options { .seed = seed };
+        ControlRestart restart(options);
+        restart.runFor({ 10'000 });
+        const std::size_t processes = options.entries + options.sidecars;
+        cr_assert(restart.queries() > 0 && restart.queries() <= queriesPerProcess * processes, "seed %lu: %zu queries by %zu processes",
+            static_cast<unsigned long>(seed), restart.queries(), processes);
+    }
+}
--- a/test/support/ControlRestart.cpp
+++ b/test/support/ControlRestart.cpp
@@ -45,7 +45,10 @@
         at(drawStart(), [this, i] { startControl(i); });
     }
     for (std::size_t i = 0; i < options.entries + options.sidecars; ++i) {
-        m_clients.push_back({ .isSidecar = i >= options.entries, .target = i % seeds, .lastSeed = i % seeds });
+        std::vector<std::string> peers;
+        for (std::size_t seed = 0; seed < seeds; ++seed)
+            peers.push_back(nameOf((i + seed) % seeds));
+        m_clients.push_back({ .isSidecar = i >= options.entries, .search = LeaderSearch(std::move(peers)) });
         at(drawStart(), [this, i] { beginCall(i); });
     }
 }
@@ -288,7 +291,8 @@
 {
     Client& client = m_clients[index];
     const Call call { .client = index, .number = ++client.number, .isOpen = !client.hasSession };
-    const std::size_t asked = client.target;
+    const std::size_t asked = indexOf(client.search.target());
+    scheduleQuery(index, asked);
     const Micros timeout = std::max<Micros>((client.giveUpAt - m_now) / 2, microsPerMilli);
     at(m_now + timeout, [this, index, asked, number = call.number] {
         if (m_clients[index].number == number)
@@ -309,6 +313,48 @@
     });
 }
 
+void ControlRestart::scheduleQuery(std::size_t index, std::size_t asked)
+{
+    if (!m_options.queries)
+        return;
+    const Micros delay = m_clients[index].search.queryDelay(m_random()).count * microsPerMilli;
+    at(m_now + delay, [this, index, asked, number = m_clients[index].number] {
+        if (m_clients[index].number != number)
+            return;
+        const std::string next = m_clients[index].search.nextQuery(nameOf(asked), now());
+        if (!next.empty())
+            query(index, indexOf(next));
+        scheduleQuery(index, asked);
+    });
+}
+
+void ControlRestart::query(std::size_t index, std::size_t queried)
+{
+    at(m_now + m_options.delay, [this, index, queried, number = m_clients[index].number] {
+        if (!m_controls[queried].raft)
+            return;
+        arrive(queried, [this, index, queried, number] {
+            Control& control = m_controls[queried];
+            ++m_queries;
+            spend(control, m_options.receiveCost + m_options.answerCost);
+            std::vector<std::string> group;
+            for (const auto& voter : control.raft->voters())
+                group.push_back(voter.address);
+            const auto leader = leaderKnownTo(queried);
+            at(control.busyUntil + m_options.delay, [this, index, queried, number, group, leader] {
+                Client& client = m_clients[index];
+                client.search.learn(group, m_random());
+                if (client.number != number || !leader || nameOf(*leader) == client.search.target())
+                    return;
+                if (*leader != queried)
+                    return query(index, *leader);
+                client.search.confirmed(nameOf(queried));
+                attempt(index);
+            });
+        });
+    });
+}
+
 void ControlRestart::answered(std::size_t index, std::size_t asked, const Answer& answer)
 {
     Client& client = m_clients[index];
@@ -332,10 +378,9 @@
 {
     Client& client = m_clients[index];
     ++client.number;
-    if (asked < seeds)
-        client.lastSeed = asked;
-    const bool follows = named && *named != asked && (asked < seeds || *named < seeds);
-    client.target = follows ? *named : (client.lastSeed + 1) % seeds;
+    const std::string before = client.search.target();
+    client.search.failed(nameOf(asked), named ? nameOf(*named) : std::string {});
+    const bool follows = named && client.search.target() == nameOf(*named) && client.search.target() != before;
     Milliseconds pause = fixedRetryDelay;
     if (m_options.backsOff) {
         const bool atOnce = follows && client.followed++ < maxFollowedRedirects;
--- a/test/support/ControlRestart.h
+++ b/test/support/ControlRestart.h
@@ -2,6 +2,7 @@
 
 #include "oleanderport/Messages.h"
 #include "policy/Backoff.h"
+#include "policy/LeaderSearch.h"
 #include "policy/Raft.h"
 #include "policy/ServingPace.h"
 
@@ -44,6 +45,8 @@
     bool backsOff { true };
     // Queue calls while no leader is known.
     bool holds { true };
+    // Query other instances while a call is unanswered.
+    bool queries { true };
 };
 
 // Simulates a deployment whose processes all start at nearly the same time after a power loss: the control group elects a
@@ -62,6 +65,8 @@
     std::size_t openSessions() const { return m_openSessions; }
     // Number of terms since the start in which an instance became leader.
     std::size_t leaders() const { return m_leaderTerms.size(); }
+    // Queries that instances answered.
+    std::size_t queries() const { return m_queries; }
 
 private:
     struct Client;
@@ -107,8 +112,7 @@
     struct Client {
         bool isSidecar { false };
         bool hasSession { false };
-        std::size_t target { 0 };
-        std::size_t lastSeed { 0 };
+        LeaderSearch search;
         std::uint64_t number { 0 };
         int failures { 0 };
         int followed { 0 };
@@ -141,6 +145,8 @@
     void answer(std::size_t control, const Call&, Answer);
     void beginCall(std::size_t client);
     void attempt(std::size_t client);
+    void scheduleQuery(std::size_t client, std::size_t asked);
+    void query(std::size_t client, std::size_t queried);
     void answered(std::size_t client, std::size_t asked, const Answer&);
     void failed(std::size_t client, std::size_t asked, std::optional<std::size_t> named);
     std::size_t membersFor(const Client&) const;
@@ -160,6 +166,7 @@
     Milliseconds m_majorityUpAt {};
     std::size_t m_votersUp { 0 };
     std::size_t m_openSessions { 0 };
+    std::size_t m_queries { 0 };
     // Sessions opened since the start, which is also the version of the view.
     std::size_t m_joined { 0 };
     std::optional<Milliseconds> m_allOpenAt;
--- a/test/wire/ControlClientTest.cpp
+++ b/test/wire/ControlClientTest.cpp
@@ -27,18 +27,39 @@
                 --refusals;
                 return reply(Error { .code = ErrorCode::Unavailable, .ran = Ran::No, .step = "control", .retryAfter = { 20 } });
             }
-            if (leader.empty())
+            if (holds) {
+                held.push_back(reply);
+                return;
+            }
+            if (leader.empty() && leads)
                 return reply(Json::Value(address));
             reply(Error { .code = ErrorCode::NotLeader, .ran = Ran::No, .step = "control", .peer = leader });
         });
+        methods.add("controlGroup", [this](const Json::Value&, const RpcReply& reply) {
+            ++queries;
+            Json::Value group;
+            group["leads"] = leader.empty() && leads;
+            group["leader"] = leader;
+            group["instances"] = Json::Value(Json::arrayValue);
+            for (const auto& instance : instances)
+                group["instances"].append(instance);
+            reply(group);
+        });
     }
 
     RpcServer methods;
     std::unique_ptr<HttpServer> server;
     std::string address;
-    // Empty when this instance leads.
+    // Empty when this instance leads, or when it knows no leader.
     std::string leader;
+    bool leads { true };
+    // Answers no call, as an instance that waits for a leader or whose answers are lost.
+    bool holds { false };
+    std::vector<RpcReply> held;
+    // The group as this instance reports it.
+    std::vector<std::string> instances;
     int calls { 0 };
+    int queries { 0 };
     // Number of further calls that are refused with a retry delay.
     int refusals { 0 };
 };
@@ -182,3 +203,64 @@
     cr_assert(answer.assume_value() == one.address);
     cr_assert(one.calls == 4 && two.calls == 0, "expected no call to another instance, got %d and %d", one.calls, two.calls);
 }
+
+// Control is cut in two, and all configured instances are in the part without a majority. They hold each call while they wait
+// for a leader.
+Test(ControlClient, findsTheLeaderBesideConfiguredInstancesThatAreCutOffFromIt)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    Instance follower(loop);
+    Instance leader(loop);
+    for (Instance* cut : { &one, &two }) {
+        cut->holds = true;
+        cut->leads = false;
+        cut->instances = { one.address, two.address, follower.address, leader.address };
+    }
+    follower.leader = leader.address;
+    ControlClient client(loop, { one.address, two.address });
+    const Milliseconds began = Clock::now();
+    const auto answer = ask(loop, client, { 3'000 });
+    cr_assert(answer.has_value(), "expected the leader to be found, got %s", describe(answer.assume_error()).c_str());
+    cr_assert(answer.assume_value() == leader.address);
+    const std::int64_t took = (Clock::now() - began).count;
+    cr_assert(took < 1'500, "expected the leader before the first call times out, took %ld ms", static_cast<long>(took));
+    cr_assert(leader.calls == 1, "expected one call at the leader, got %d", leader.calls);
+}
+
+Test(ControlClient, leavesAnInstanceThatHoldsItsCallOnceAnotherOneLeads)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    Instance three(loop);
+    one.holds = true;
+    one.leads = false;
+    two.holds = true;
+    two.leads = false;
+    ControlClient client(loop, { one.address, two.address, three.address });
+    const Milliseconds began = Clock::now();
+    const auto answer = ask(loop, client, { 6'000 });
+    cr_assert(answer.has_value() && answer.assume_value() == three.address);
+    const std::int64_t took = (Clock::now() - began).count;
+    cr_assert(took < 1'500, "expected the call to leave the instance before its timeout of 3,000 ms, took %ld", static_cast<long>(took));
+}
+
+// A call that changes state must not run at two instances because the leader is slow.
+Test(ControlClient, sendsACallToOneInstanceWhileItsLeaderIsSlow)
+{
+    EventLoop loop;
+    Instance one(loop);
+    Instance two(loop);
+    one.holds = true;
+    two.leader = one.address;
+    ControlClient client(loop, { one.address, two.address });
+    std::optional<Result<Json::Value>> end;
+    client.call(ControlClient::Channel::Batched, "who", {}, { 10'000 }, [&end](const Result<Json::Value>& answer) { end = answer; });
+    cr_assert(runUntil(loop, [&two] { return two.queries >= 3; }), "expected queries beside the call");
+    cr_assert(one.calls == 1 && two.calls == 0, "expected one call, got %d and %d", one.calls, two.calls);
+    one.held.front()(Json::Value("late"));
+    cr_assert(runUntil(loop, [&end] { return end.has_value(); }));
+    cr_assert(end->has_value() && end->assume_value() == "late");
+}
