RunTable: keep the silence of an entry whose run is being stopped for another reason

Change: the limit of a run that is being stopped counts from the last echo too once the entry is silent. AbandonedRuns:: noLeaseIsProlongedWhenTheSilentEntryOfAStuckRunIsHeardAgain failed before and passes.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -631,8 +631,14 @@
 
 void RunTable::checkRun(const RunKey& key, Run& run, Milliseconds now) const
 {
-    if (run.state == State::Stopping || run.state == State::Queued)
+    if (run.state == State::Queued)
         return;
+    if (run.state == State::Stopping) {
+        // The entry may be heard again before it says that it has given the run up.
+        if (isOver(key, run, now))
+            run.abandonedAt = std::min(run.abandonedAt, overSince(key, run, now));
+        return;
+    }
     if (isOver(key, run, now)) {
         noteCause(run, run.request.endBy <= now ? StopCause::Deadline : StopCause::EntrySilent);
         stop(run, RunEndKind::Stopped, overSince(key, run, now), now);
--- a/test/policy/AbandonedRunsTest.cpp
+++ b/test/policy/AbandonedRunsTest.cpp
@@ -18,17 +18,17 @@
 // A table with one run each of two entries. The minion lists both as running and leaves stop requests unanswered.
 class TwoOwners {
 public:
-    TwoOwners()
+    explicit TwoOwners(Milliseconds runTimeOfAbandoned = { 60'000 })
     {
         m_runs.permit({ 1'000'000 }, true);
         m_runs.reported(report(), m_now);
         m_runs.act(m_now);
         list({});
-        abandoned = startFor(owner, "a");
-        kept = startFor(otherOwner, "b");
+        abandoned = startFor(owner, "a", runTimeOfAbandoned);
+        kept = startFor(otherOwner, "b", { 60'000 });
     }
 
-    RunName startFor(const char* entry, const char* job)
+    RunName startFor(const char* entry, const char* job, Milliseconds runTime)
     {
         if (!m_isOpen[entry == owner ? 0 : 1]) {
             m_runs.opened({ .entry = entry }, m_now);
@@ -36,7 +36,7 @@
         }
         m_runs.received(entry,
             { .echo = m_now,
-                .requests = { { .job = job, .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 100, .memoryMb = 1, .runTime = { 60'000 } }, .endBy = { 1'000'000 } } } },
+                .requests = { { .job = job, .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 100, .memoryMb = 1, .runTime = runTime }, .endBy = { 1'000'000 } } } },
             m_now);
         const auto starts = m_runs.act(m_now).starts;
         cr_assert(starts.size() == 1, "expected one start of job %s, got %zu", job, starts.size());
@@ -148,5 +148,17 @@
     table.receive(owner, { .echo = leftAt + Milliseconds { 50 }, .stops = { table.abandoned } });
     table.receive(owner, { .echo = table.now() });
     table.pass({ 3'000 });
-    assertEndsBefore(table, leftAt + Milliseconds { 50 });
+    assertEndsBefore(table, leftAt);
+}
+
+Test(AbandonedRuns, noLeaseIsProlongedWhenTheSilentEntryOfAStuckRunIsHeardAgain)
+{
+    TwoOwners table({ 100 });
+    const Milliseconds silentSince = table.now();
+    table.pass({ 1'000 });
+    for (int i = 0; i < 30; ++i) {
+        table.receive(owner, { .echo = table.now() });
+        table.pass({ 100 });
+    }
+    assertEndsBefore(table, silentSince);
 }
