RunTable: count a former incarnation's lists and leases of former sidecars for what they are

A list of the incarnation taken that was asked for before another one answered counted as its return, and leases went on by its clock. A new sidecar reported runs that it does not know as ended after the lease that its predecessor meant to grant, not after the longest that a minion which had started again takes from it.

RunsWithoutEntry:: anOvertakenListDoesNotShowThatTheFormerIncarnationIsBack and ::aNewSidecarReportsNoUnknownRunAsEndedBeforeTheLongestLeaseIsOver failed before and pass.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -77,7 +77,7 @@
 // incarnation have ended once the minion was found empty or its lease has expired.
 void RunTable::endUnknownRuns(Milliseconds now)
 {
-    if (m_phase != Phase::Ready && now <= m_startedAt + leaseWithDrift(m_options.minionLease))
+    if (m_phase != Phase::Ready && now <= m_startedAt + leaseWithDrift(m_options.longestMinionLease))
         return;
     for (auto& [name, entry] : m_entries) {
         for (const auto& run : entry.unknownRuns)
@@ -428,11 +428,15 @@
         // Another incarnation is there, whose report has not arrived yet. Nothing starts until it has, or until the present one
         // answers again. An answer to a request of before may be that of the former incarnation.
         const bool isNews = askedAt > m_incarnationSince;
+        if (isNews)
+            m_otherSeenBy = std::max(m_otherSeenBy, askedAt);
         if (isNews && std::exchange(m_reachable, false))
             markStateChanged();
         return;
     }
-    m_reachable = true;
+    // One that was asked for before another incarnation answered does not show that the present one is back.
+    if (askedAt > m_otherSeenBy)
+        m_reachable = true;
     m_endsForgotten = std::max(m_endsForgotten, asked.endsSeen);
     for (const auto& ended : list.ended) {
         m_endsSeen = std::max(m_endsSeen, ended.number);
@@ -1005,7 +1009,7 @@
     const bool hasUnknown = std::any_of(
         m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.unknownRuns.empty(); });
     if (hasUnknown)
-        at(std::max(m_startedAt + leaseWithDrift(m_options.minionLease), now) + Milliseconds { 1 });
+        at(std::max(m_startedAt + leaseWithDrift(m_options.longestMinionLease), now) + Milliseconds { 1 });
     return due;
 }
 
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -425,6 +425,8 @@
     // When the incarnation of m_report was taken.
     Milliseconds m_incarnationSince {};
     bool m_reachable { false };
+    // When the newest list was requested that came from another incarnation than the one taken.
+    Milliseconds m_otherSeenBy { -1 };
     // Latest time at which the minion may still be running something without a renewal.
     Milliseconds m_leaseMayEndAt {};
     std::uint64_t m_endsSeen { 0 };
--- a/test/policy/RunsWithoutEntryTest.cpp
+++ b/test/policy/RunsWithoutEntryTest.cpp
@@ -140,3 +140,36 @@
         cr_assert(table.runs.liveRuns() == 1, "the run counts as ended %lld ms after the new incarnation was taken", static_cast<long long>((table.now - takenAt).count));
     }
 }
+
+Test(RunsWithoutEntry, anOvertakenListDoesNotShowThatTheFormerIncarnationIsBack)
+{
+    Table table;
+    const RunName run = table.request("b").starts.at(0).run;
+    table.runs.startAnswered(run, StartAnswer::Started, table.now);
+    const Milliseconds askedFirst = table.now + Milliseconds { 10 };
+    table.after({ 10 });
+    table.after({ 40 });
+    table.list(secondBorn, {});
+    table.now = table.now + Milliseconds { 5 };
+    table.runs.listed({ .born = firstBorn, .running = { { .run = run, .percent = 5 } } }, {}, askedFirst, table.now);
+    for (int i = 0; i < 5; ++i)
+        cr_assert(!grantsLease(table.after({ 20 })), "expected no lease by the clock of the former incarnation");
+    cr_assert(table.request("a").starts.empty());
+}
+
+// A former sidecar may have renewed the lease of a minion that had started again unnoticed.
+Test(RunsWithoutEntry, aNewSidecarReportsNoUnknownRunAsEndedBeforeTheLongestLeaseIsOver)
+{
+    const Milliseconds begin { 50'000 };
+    RunTable runs { { .incarnation = "sidecar/2", .dataCentre = "dc" }, begin };
+    runs.opened({ .entry = entryIncarnation, .outstanding = { { .job = "a", .run = 1 } } }, begin);
+    const auto ends = [&runs](Milliseconds now) {
+        runs.received(entryIncarnation, { .echo = now }, now);
+        std::size_t count = 0;
+        for (const auto& item : runs.act(now).frames)
+            count += item.frame.ends.size();
+        return count;
+    };
+    cr_assert(ends(begin + Milliseconds { 1'000 }) == 0, "the run may go on");
+    cr_assert(ends(begin + Milliseconds { 1'045 }) == 1, "expected the end of a run that can't go on");
+}
