RunDiagnostics: name what is collected for the log in the usual terms

RunWitness and its testimony become RunDiagnosticsCollector and RunDiagnostics. No behaviour changes.

--- a/src/policy/RunWitness.cpp
+++ b/src/policy/RunDiagnostics.cpp
@@ -1,4 +1,4 @@
-#include "policy/RunWitness.h"
+#include "policy/RunDiagnostics.h"
 
 #include "oleanderport/NameTable.h"
 
@@ -87,7 +87,7 @@
     return fmt::format("the minion lists {} runs with start time {}, the report taken has {}", item.runs, item.listed.count, item.taken.count);
 }
 
-void RunWitness::concluded(ConcludedRun item, Milliseconds now)
+void RunDiagnosticsCollector::concluded(ConcludedRun item, Milliseconds now)
 {
     m_conclusions.push_back({ .run = item.run, .at = now, .proof = item.proof });
     if (m_conclusions.size() > maxConclusions)
@@ -96,26 +96,26 @@
     if (!isUnproven && item.stoppingFor.value_or(Milliseconds {}) <= usualStopTime)
         return;
     item.leaseLeft = leaseLeft(now);
-    m_testimony.concluded.push_back(std::move(item));
+    m_collected.concluded.push_back(std::move(item));
 }
 
-void RunWitness::leaseGranted(Milliseconds end, Milliseconds wholeEnd, const std::optional<Bound>& bound, Milliseconds now)
+void RunDiagnosticsCollector::leaseGranted(Milliseconds end, Milliseconds wholeEnd, const std::optional<Bound>& bound, Milliseconds now)
 {
     if (end > now) {
         m_latestLeaseEnd = std::max(m_latestLeaseEnd.value_or(end), end);
         const bool isBeside = std::any_of(
             m_withoutEntry.begin(), m_withoutEntry.end(), [](const auto& item) { return !item.second.stopAnsweredAt; });
-        m_testimony.leasesBesideRunsWithoutEntry += isBeside ? 1 : 0;
+        m_collected.leasesBesideRunsWithoutEntry += isBeside ? 1 : 0;
     }
     if (!bound) {
         m_boundBy.reset();
         return;
     }
-    ++m_testimony.leasesShortened;
+    ++m_collected.leasesShortened;
     if (m_boundBy == bound->run)
         return;
     m_boundBy = bound->run;
-    m_testimony.shortened.push_back({ .run = bound->run,
+    m_collected.shortened.push_back({ .run = bound->run,
         .entry = bound->entry,
         .shortenedBy = wholeEnd - end,
         .left = end - now,
@@ -124,13 +124,13 @@
         .abandonedFor = bound->abandonedAt ? std::optional(now - *bound->abandonedAt) : std::nullopt });
 }
 
-void RunWitness::listedWithoutEntry(const std::set<RunName>& runs, bool isWhole, Milliseconds now)
+void RunDiagnosticsCollector::listedWithoutEntry(const std::set<RunName>& runs, bool isWhole, Milliseconds now)
 {
     std::erase_if(m_withoutEntry, [&](const auto& item) {
         const auto& [name, listed] = item;
         if (!isWhole || runs.contains(name))
             return false;
-        m_testimony.withoutEntry.push_back({ .run = name,
+        m_collected.withoutEntry.push_back({ .run = name,
             .goneAfter = now - listed.since,
             .stopAnsweredAfter = listed.stopAnsweredAt ? std::optional(*listed.stopAnsweredAt - listed.since) : std::nullopt });
         return true;
@@ -138,29 +138,29 @@
     for (const auto& name : runs) {
         if (!m_withoutEntry.emplace(name, Listed { .since = now }).second)
             continue;
-        ++m_testimony.newWithoutEntry;
+        ++m_collected.newWithoutEntry;
         RunWithoutEntry item { .run = name };
         const auto last = std::find_if(m_conclusions.rbegin(), m_conclusions.rend(), [&name](const Conclusion& each) { return each.run == name; });
         if (last != m_conclusions.rend())
             item.concluded = { now - last->at, last->proof };
-        m_testimony.withoutEntry.push_back(std::move(item));
+        m_collected.withoutEntry.push_back(std::move(item));
     }
 }
 
-void RunWitness::stopAnswered(const RunName& run, Milliseconds now)
+void RunDiagnosticsCollector::stopAnswered(const RunName& run, Milliseconds now)
 {
     const auto found = m_withoutEntry.find(run);
     if (found != m_withoutEntry.end() && !found->second.stopAnsweredAt)
         found->second.stopAnsweredAt = now;
 }
 
-void RunWitness::otherIncarnationListed(const OtherIncarnationListed& item)
+void RunDiagnosticsCollector::otherIncarnationListed(const OtherIncarnationListed& item)
 {
     if (std::exchange(m_otherBorn, item.listed) != item.listed)
-        m_testimony.otherIncarnations.push_back(item);
+        m_collected.otherIncarnations.push_back(item);
 }
 
-std::optional<Milliseconds> RunWitness::leaseLeft(Milliseconds now) const
+std::optional<Milliseconds> RunDiagnosticsCollector::leaseLeft(Milliseconds now) const
 {
     return m_latestLeaseEnd ? std::optional(*m_latestLeaseEnd - now) : std::nullopt;
 }
--- a/src/policy/RunWitness.h
+++ b/src/policy/RunDiagnostics.h
@@ -99,7 +99,7 @@
 };
 
 // For the log and the counters.
-struct RunTestimony {
+struct RunDiagnostics {
     std::vector<ConcludedRun> concluded;
     std::vector<RunWithoutEntry> withoutEntry;
     std::vector<ShortenedLease> shortened;
@@ -116,7 +116,7 @@
 std::string describe(const OtherIncarnationListed&);
 
 // Collects what tells afterwards why two runs of a task may have overlapped. Decides nothing.
-class RunWitness {
+class RunDiagnosticsCollector {
 public:
     // The run that limits a lease; see ShortenedLease.
     struct Bound {
@@ -140,7 +140,7 @@
     const std::optional<RunName>& boundBy() const { return m_boundBy; }
     std::optional<Milliseconds> leaseLeft(Milliseconds now) const;
     std::size_t runsWithoutEntry() const { return m_withoutEntry.size(); }
-    RunTestimony take() { return std::exchange(m_testimony, {}); }
+    RunDiagnostics take() { return std::exchange(m_collected, {}); }
 
 private:
     struct Listed {
@@ -153,7 +153,7 @@
         EndProof proof { EndProof::ListedEnd };
     };
 
-    RunTestimony m_testimony;
+    RunDiagnostics m_collected;
     std::map<RunName, Listed> m_withoutEntry;
     std::deque<Conclusion> m_conclusions;
     std::optional<RunName> m_boundBy;
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -393,7 +393,7 @@
 {
     recordAnswer(answered, now);
     if (answered)
-        m_witness.stopAnswered(name, now);
+        m_diagnostics.stopAnswered(name, now);
     if (const auto orphan = m_orphans.find(name); orphan != m_orphans.end()) {
         orphan->second.stopRequest.hasFailed = !answered;
         orphan->second.isStopAnswered = orphan->second.isStopAnswered || answered;
@@ -424,7 +424,7 @@
     m_listedAt = now;
     recordAnswer(true, now);
     if (list.born != m_report.born) {
-        m_witness.otherIncarnationListed({ .listed = list.born, .taken = m_report.born, .runs = list.running.size() });
+        m_diagnostics.otherIncarnationListed({ .listed = list.born, .taken = m_report.born, .runs = list.running.size() });
         // Another incarnation is there, whose report has not arrived yet. Nothing starts until it has, or until the present one
         // answers again. An answer to a request of before may be that of the former incarnation.
         const bool isNews = askedAt > m_incarnationSince;
@@ -684,7 +684,7 @@
     offerRoom(now);
     sendFrames(actions, now);
     actions.settledStarts = std::exchange(m_settledStarts, {});
-    actions.testimony = m_witness.take();
+    actions.diagnostics = m_diagnostics.take();
     std::erase_if(m_entries, [this, now](const auto& item) {
         const Entry& entry = item.second;
         return !entry.connected && entry.runs == 0 && now > entry.echo + m_options.entryLease * 2;
@@ -782,12 +782,12 @@
 void RunTable::noteLease(Milliseconds end, Milliseconds now)
 {
     const Milliseconds wholeEnd = now + m_options.minionLease;
-    m_witness.leaseGranted(end, wholeEnd, end < wholeEnd ? leaseBound() : std::nullopt, now);
+    m_diagnostics.leaseGranted(end, wholeEnd, end < wholeEnd ? leaseBound() : std::nullopt, now);
 }
 
-std::optional<RunWitness::Bound> RunTable::leaseBound() const
+std::optional<RunDiagnosticsCollector::Bound> RunTable::leaseBound() const
 {
-    std::optional<RunWitness::Bound> bound;
+    std::optional<RunDiagnosticsCollector::Bound> bound;
     Milliseconds earliest {};
     for (const auto& [name, key] : m_byMinionName) {
         const Run& run = m_runs.at(key);
@@ -796,7 +796,7 @@
         const bool isStopping = run.state == State::Stopping;
         const Milliseconds heardAt = m_entries.at(key.first).echo;
         const Milliseconds since = isStopping ? std::min(heardAt, run.abandonedAt) : heardAt;
-        if (bound && (earliest < since || (earliest == since && m_witness.boundBy() != name)))
+        if (bound && (earliest < since || (earliest == since && m_diagnostics.boundBy() != name)))
             continue;
         earliest = since;
         bound = { .run = name,
@@ -818,14 +818,14 @@
 {
     const Run& run = m_runs.at(key);
     const bool isStopping = run.state == State::Stopping;
-    m_witness.concluded({ .run = run.minionName,
-                            .entry = key.first,
-                            .proof = proof,
-                            .cause = run.stopCause,
-                            .stoppingFor = isStopping ? std::optional(now - run.stoppingSince) : std::nullopt,
-                            .stopAnsweredFor = run.stopAnsweredAt ? std::optional(now - *run.stopAnsweredAt) : std::nullopt,
-                            .entrySilentFor = now - m_entries.at(key.first).echo,
-                            .isMinionReplaced = run.startedAt < m_incarnationSince },
+    m_diagnostics.concluded({ .run = run.minionName,
+                                .entry = key.first,
+                                .proof = proof,
+                                .cause = run.stopCause,
+                                .stoppingFor = isStopping ? std::optional(now - run.stoppingSince) : std::nullopt,
+                                .stopAnsweredFor = run.stopAnsweredAt ? std::optional(now - *run.stopAnsweredAt) : std::nullopt,
+                                .entrySilentFor = now - m_entries.at(key.first).echo,
+                                .isMinionReplaced = run.startedAt < m_incarnationSince },
         now);
 }
 
@@ -834,7 +834,7 @@
     std::set<RunName> names;
     for (const auto& [name, request] : m_orphans)
         names.insert(name);
-    m_witness.listedWithoutEntry(names, isWhole, now);
+    m_diagnostics.listedWithoutEntry(names, isWhole, now);
 }
 
 void RunTable::sendStops(RunActions& actions, Milliseconds now)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "policy/RunWitness.h"
+#include "policy/RunDiagnostics.h"
 #include "wire/DispatchMessages.h"
 
 #include <cstdint>
@@ -127,7 +127,7 @@
     std::vector<OutgoingFrame> frames;
     // For the log.
     std::vector<SettledStart> settledStarts;
-    RunTestimony testimony;
+    RunDiagnostics diagnostics;
 };
 
 struct RunTableOptions {
@@ -235,7 +235,7 @@
 
     std::size_t liveRuns() const { return m_byMinionName.size(); }
     // Runs that the minion lists and that belong to no entry.
-    std::size_t runsWithoutEntry() const { return m_witness.runsWithoutEntry(); }
+    std::size_t runsWithoutEntry() const { return m_diagnostics.runsWithoutEntry(); }
     std::size_t queuedRuns() const { return m_runs.size() - m_byMinionName.size(); }
     // Whether this is the start time of the incarnation taken.
     bool isPresent(Milliseconds born) const { return m_phase != Phase::Absent && m_report.born == born; }
@@ -405,7 +405,7 @@
     void noteLease(Milliseconds end, Milliseconds now);
     void noteRunsWithoutEntry(bool isWhole, Milliseconds now);
     // The run for which leaseEnd() is earliest; the one named last if several are.
-    std::optional<RunWitness::Bound> leaseBound() const;
+    std::optional<RunDiagnosticsCollector::Bound> leaseBound() const;
     Milliseconds heartbeatOf(const Entry&) const;
     bool frameDue(const Entry&, Milliseconds now) const;
     MinionState state(Milliseconds now) const;
@@ -450,7 +450,7 @@
     std::map<RunName, Orphan> m_orphans;
     std::map<TaskKey, LastRun> m_lastRuns;
     std::vector<SettledStart> m_settledStarts;
-    RunWitness m_witness;
+    RunDiagnosticsCollector m_diagnostics;
     std::vector<Offer> m_offers;
     TaskNeeds m_used;
 };
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -307,7 +307,7 @@
         log(LogLevel::Info, { .step = "sidecar.start", .task = item.run.index, .jobName = item.run.job },
             fmt::format("run {} of step {}, whose start was not answered: {}", item.run.run, item.run.step, startEvidenceName(item.evidence)));
     }
-    report(actions.testimony);
+    report(actions.diagnostics);
     for (const auto& item : actions.frames) {
         const auto stream = std::find_if(m_streams.begin(), m_streams.end(),
             [&item](const auto& each) { return each.second.entry == item.entry; });
@@ -319,18 +319,18 @@
     }
 }
 
-void RunServer::report(const RunTestimony& testimony)
+void RunServer::report(const RunDiagnostics& diagnostics)
 {
-    if (testimony.newWithoutEntry > 0)
-        m_process.metrics.add("runs_without_entry_total", testimony.newWithoutEntry);
-    if (testimony.leasesShortened > 0)
-        m_process.metrics.add("leases_shortened_total", testimony.leasesShortened);
-    if (testimony.leasesBesideRunsWithoutEntry > 0)
-        m_process.metrics.add("leases_granted_beside_runs_without_entry_total", testimony.leasesBesideRunsWithoutEntry);
-    logAll(LogLevel::Info, "sidecar.stop", testimony.concluded);
-    logAll(LogLevel::Warning, "sidecar.orphan", testimony.withoutEntry);
-    logAll(LogLevel::Info, "sidecar.lease", testimony.shortened);
-    for (const auto& item : testimony.otherIncarnations)
+    if (diagnostics.newWithoutEntry > 0)
+        m_process.metrics.add("runs_without_entry_total", diagnostics.newWithoutEntry);
+    if (diagnostics.leasesShortened > 0)
+        m_process.metrics.add("leases_shortened_total", diagnostics.leasesShortened);
+    if (diagnostics.leasesBesideRunsWithoutEntry > 0)
+        m_process.metrics.add("leases_granted_beside_runs_without_entry_total", diagnostics.leasesBesideRunsWithoutEntry);
+    logAll(LogLevel::Info, "sidecar.stop", diagnostics.concluded);
+    logAll(LogLevel::Warning, "sidecar.orphan", diagnostics.withoutEntry);
+    logAll(LogLevel::Info, "sidecar.lease", diagnostics.shortened);
+    for (const auto& item : diagnostics.otherIncarnations)
         log(LogLevel::Warning, { .step = "minion.list" }, describe(item));
 }
 
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -61,7 +61,7 @@
     void updatePermit();
     void run();
     void perform(RunActions);
-    void report(const RunTestimony&);
+    void report(const RunDiagnostics&);
     void armTimer();
     void finishShutDown();
     // True when the minion was allowed to exit by this call.
--- a/test/policy/RunTableEvidenceTest.cpp
+++ b/test/policy/RunTableEvidenceTest.cpp
@@ -14,7 +14,7 @@
 struct Table {
     RunTable runs { { .incarnation = "sidecar/1", .dataCentre = "dc" }, start };
     Milliseconds now { start };
-    RunTestimony seen;
+    RunDiagnostics seen;
 
     Table()
     {
@@ -30,7 +30,7 @@
     RunActions act()
     {
         RunActions actions = runs.act(now);
-        RunTestimony& news = actions.testimony;
+        RunDiagnostics& news = actions.diagnostics;
         seen.concluded.insert(seen.concluded.end(), news.concluded.begin(), news.concluded.end());
         seen.withoutEntry.insert(seen.withoutEntry.end(), news.withoutEntry.begin(), news.withoutEntry.end());
         seen.shortened.insert(seen.shortened.end(), news.shortened.begin(), news.shortened.end());
