MinionIncarnations: let the late order's lease end far ahead of the minion's clock

The literal was below the clock of a machine that had been up for long, so the order was refused as late in place of as fenced. With the raise of the token taken out the order is now carried out and the test fails; with it the four tests of MinionIncarnations pass.

--- a/test/platform/MinionIncarnationsTest.cpp
+++ b/test/platform/MinionIncarnationsTest.cpp
@@ -136,7 +136,7 @@
     SuccessionTest test(presentBorn - Milliseconds { 2'400 });
     const std::size_t before = test.present->started.size();
     const std::string late = fmt::format(
-        R"({{"task":"late.0.0.0","runId":1,"spec":"x","deadlineMs":480000,"fencingToken":{}}})", test.formerToken);
+        R"({{"task":"late.0.0.0","runId":1,"spec":"x","deadlineMs":1000000000000,"fencingToken":{}}})", test.formerToken);
     HttpConnection connection(test.deployment.loop, test.minionAddress);
     std::string answer;
     connection.call({ .path = "/run-start", .body = late, .timeout = { 2'000 }, .headers = { { .name = "Oleanderport-Expected-Instance", .value = "i-1" } } },
