A late deregistration of a minion's former incarnation stops nothing

Callers whose tasks ran at a minion that had started again under its id lost them when the deregistration of its former incarnation arrived late: all three tasks of a job were stopped, the minion was out of use until its next report, and a job that found no other minion ended with 504 after 3,976 ms. Cause: MinionAdapter compared the id alone.

Not two runs at once: minionLeaves() only asks for stops, and minionGone() is called only when no run of an entry is left, so nothing was reported as ended without proof. A late report that says draining was answered with 503 and changed nothing before either; its test passes on the former code.

Now the present incarnation is taken to leave only if the deregistration names its start time, or names none while that incarnation has reported that it drains: a planned end follows a confirmed report that it drains. Any other one is answered, logged and counted, and concludes nothing, so the minion need not be asked: one that leaves in fact is shown by its lists and leases. The stand-in minion now names its start time, as the protocol has it.

LateNews::aLateDeregistrationOfAFormerIncarnationStopsNothing failed before for each of five bodies (3 stops of 3 tasks, the job not completed, the next one refused after 1,703 ms) and passes now. A body without a start time from a minion that drains is heeded as before (third test).

--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -183,8 +183,17 @@
     m_session.stop([this, node] { m_session.start(node); });
 }
 
-void RunServer::minionLeaves(std::function<void()> confirm)
+void RunServer::minionLeaves(std::optional<Milliseconds> born, std::function<void()> confirm)
 {
+    const bool isOfPresent = born ? m_runs.isPresent(*born) : m_draining;
+    if (!isOfPresent) {
+        m_process.metrics.add("minion_leaves_unconfirmed_total");
+        log(LogLevel::Warning, { .step = "minion.leave" },
+            fmt::format("nothing stopped: the minion that leaves {}; {} runs at the minion",
+                born ? fmt::format("started at {} and is not the present one", born->count) : "names no start time, and the present one has not reported that it drains",
+                m_runs.liveRuns()));
+        return confirm();
+    }
     m_leaveConfirmations.push_back(std::move(confirm));
     m_leaveDeadline = Clock::now() + maxLeaveTime;
     m_leaveTimer = m_process.loop.once(maxLeaveTime, [this] { run(); });
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -31,8 +31,10 @@
     // Processes a report of the minion. Calls back, at once or within a second, whether it may be acknowledged: false when the
     // minion that it names is not known to be there, or when it contradicts recent reports.
     void reported(const MinionReport&, const std::function<void(bool taken)>&);
-    // The minion is shutting down. Calls back once it may exit: no run may continue after it was reported as ended.
-    void minionLeaves(std::function<void()> confirm);
+    // The minion with this start time, or one that names none, is shutting down. Calls back once it may exit: no run may continue
+    // after it was reported as ended. Such news may be that of a former incarnation and late, so the present one is taken to leave
+    // only if it is named, or has reported that it drains. Else nothing is stopped.
+    void minionLeaves(std::optional<Milliseconds> born, std::function<void()> confirm);
 
     // Whether the run may still be started now, when its start request is sent.
     bool mayStillStart(const RunName& run) const { return m_runs.mayStillStart(run, Clock::now()); }
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -119,7 +119,9 @@
 
 void PlatformMinion::deregister(const std::string& sidecar, std::function<void()> done)
 {
-    reports(sidecar).call({ .path = "/Instances.Deregister/" + m_options.id, .body = "{}", .timeout = reportTimeout },
+    Json::Value body(Json::objectValue);
+    body["born"] = static_cast<Json::Int64>(m_options.born.count);
+    reports(sidecar).call({ .path = "/Instances.Deregister/" + m_options.id, .body = writeJson(body), .timeout = reportTimeout },
         [done = std::move(done)](const Result<HttpAnswer>&) { done(); });
 }
 
