A minion leaves once runs that belong to no entry have ended as well

A deregistration was confirmed at once when no run of an entry was left, while a run without an entry was still there whose stop had not been answered; the table forgot it. After the confirmation the minion exits at a time of its choice, and until then that run went on, up to its lease, beside any run of its task elsewhere. Cause: finishLeaving() counted runs of entries alone, and minionGone() cleared the others on the ground that the process had exited, which it has not before it is answered.

LateNews::aMinionLeavesOnceTheRunThatBelongsToNoEntryHasEnded: 1 run at the confirmation before, 0 now.

--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -210,7 +210,7 @@
     bool reported(const MinionReport&, Milliseconds now);
     // The minion is shutting down: stops its runs and accepts no further ones.
     void minionLeaves(Milliseconds now);
-    // The minion process has exited.
+    // Nothing runs at the minion any more, and it exits.
     void minionGone(Milliseconds now);
 
     void startAnswered(const RunName&, StartAnswer, Milliseconds now);
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -203,13 +203,14 @@
 
 bool RunServer::finishLeaving()
 {
-    const bool settled = m_runs.liveRuns() == 0;
+    const std::size_t running = m_runs.liveRuns() + m_runs.runsWithoutEntry();
+    const bool settled = running == 0;
     if (m_leaveConfirmations.empty() || (!settled && Clock::now() < m_leaveDeadline))
         return false;
     // Runs whose stop was not confirmed by the deadline end when their lease expires.
     if (settled)
         m_runs.minionGone(Clock::now());
-    log(LogLevel::Info, { .step = "minion.leave" }, fmt::format("the minion may exit; {} runs are not known to have ended", m_runs.liveRuns()));
+    log(LogLevel::Info, { .step = "minion.leave" }, fmt::format("the minion may exit; {} runs are not known to have ended", running));
     for (const auto& confirm : std::exchange(m_leaveConfirmations, {}))
         confirm();
     m_leaveTimer.reset();
--- a/test/platform/LateNewsTest.cpp
+++ b/test/platform/LateNewsTest.cpp
@@ -100,3 +100,30 @@
             test.deployment.minion.running(), body, test.deployment.minion.stopped.size());
     }
 }
+
+Test(LateNews, aMinionLeavesOnceTheRunThatBelongsToNoEntryHasEnded)
+{
+    bool areStopsLost = true;
+    PlatformMinion::Options options = RestartedMinionTest::options();
+    options.runTime = [](const std::string& spec) { return Milliseconds { spec == "stray" ? 20'000 : 300 }; };
+    options.delayOf = [&areStopsLost](PlatformMinion::Call call) {
+        return PlatformMinion::CallDelay { .carryOut = { areStopsLost && call == PlatformMinion::Call::Stop ? 60'000 : 0 } };
+    };
+    RestartedMinionTest test(std::move(options));
+    PlatformMinion& minion = test.deployment.minion;
+    RawConnection& client = test.beginJob();
+    const std::string stray = fmt::format(
+        R"({{"task":"stray.0.0.0","runId":1,"spec":"stray","deadlineMs":1000000000000,"fencingToken":{}}})", test.deployment.sidecar.fencingToken().value_or(0));
+    HttpConnection connection(test.deployment.loop, minion.address());
+    bool isStarted = false;
+    connection.call({ .path = "/run-start", .body = stray, .timeout = { 2'000 }, .headers = { { .name = "Oleanderport-Expected-Instance", .value = "i-1" } } },
+        [&isStarted](const Result<HttpAnswer>& answer) { isStarted = answer.has_value() && answer.assume_value().status == 200; });
+    cr_assert(runUntil(test.deployment.loop, [&isStarted] { return isStarted; }));
+    cr_assert(runUntil(test.deployment.loop, [&client] { return PlatformDeployment::isComplete(client.received()); }));
+    cr_assert(minion.running() == 1);
+    areStopsLost = false;
+    std::optional<std::size_t> running;
+    minion.deregister(test.deployment.reportAddress, [&] { running = minion.running(); });
+    cr_assert(runUntil(test.deployment.loop, [&running] { return running.has_value(); }));
+    cr_assert(*running == 0, "%zu runs when the deregistration was confirmed", *running);
+}
