Lists of runs are ordered by the minion's clock

Of two open lists the one asked for later may be made earlier and arrive later. RunTable took it for the newer, since it ordered lists by when they were asked for. Callers saw nothing false: no run was concluded while it ran, as each conclusion rests on a state that is no older than its own list's request. But a run whose end had been listed counted as one without an entry, which costs a stop and holds back leases and starts of its task until the next list, and counted one too many in runs_without_entry_total. And a run without an entry, shown by the newer list, was forgotten, with the bar on leases, until it was listed again.

Now a list counts if it was asked for after the newest one had arrived, or if it was made later by the minion's clock, which RunList carries; within one incarnation, since the clock starts anew with each. Ends count from every list, as before. A list that names no time is ordered as before.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -242,6 +242,7 @@
         m_endsSeen = 0;
         m_endsForgotten = 0;
         m_openLists = 0;
+        m_newestListMadeAt.reset();
         m_orphans.clear();
         noteRunsWithoutEntry(true, now);
     }
@@ -454,9 +455,11 @@
                                                       : early,
             now);
     }
-    if (askedAt < m_newestListAskedAt)
+    if (!isNewest(list, askedAt))
         return;
     m_newestListAskedAt = askedAt;
+    m_newestListMadeAt = list.madeAt;
+    m_newestListAt = now;
     takeListedRuns(list, askedAt, now);
     if (m_phase == Phase::Clearing && list.running.empty() && list.isRunningWhole) {
         m_phase = Phase::Ready;
@@ -464,6 +467,13 @@
     }
 }
 
+bool RunTable::isNewest(const RunList& list, Milliseconds askedAt) const
+{
+    if (askedAt >= m_newestListAt)
+        return true;
+    return list.madeAt && m_newestListMadeAt ? *list.madeAt > *m_newestListMadeAt : askedAt >= m_newestListAskedAt;
+}
+
 void RunTable::takeListedRuns(const RunList& list, Milliseconds askedAt, Milliseconds now)
 {
     std::map<RunName, Orphan> orphans;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -81,6 +81,8 @@
 // Running and ended runs as listed by a minion.
 struct RunList {
     Milliseconds born {};
+    // When the list was made, by the minion's clock, which starts anew with each incarnation.
+    std::optional<Milliseconds> madeAt;
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
     // False when the list may be incomplete. A run's absence from it proves nothing then.
@@ -391,6 +393,8 @@
     // Whether a run without an entry, of which a stop has not been answered, is at the minion.
     bool hasUnstoppedOrphan() const;
     bool hasOrphanOf(const TaskKey&) const;
+    // Whether the list shows a later state than the newest one taken. One that was asked for later may have been made earlier.
+    bool isNewest(const RunList&, Milliseconds askedAt) const;
     void takeListedRuns(const RunList&, Milliseconds askedAt, Milliseconds now);
     // Whether a list that does not show the run as running proves that it has ended or never started.
     bool hasEndedAtMinion(const Run&, bool listIsWhole, Milliseconds askedAt) const;
@@ -440,8 +444,10 @@
     // List requests in flight, and when the last one was sent.
     int m_openLists { 0 };
     Milliseconds m_listAskedAt {};
-    // Request time of the newest accepted list. Answers may arrive out of order.
+    // When the newest accepted list was requested, was made by the minion's clock, and arrived. Answers may arrive out of order.
     Milliseconds m_newestListAskedAt {};
+    std::optional<Milliseconds> m_newestListMadeAt;
+    Milliseconds m_newestListAt {};
     Milliseconds m_listedAt {};
     std::map<std::string, Entry> m_entries;
     std::map<RunKey, Run> m_runs;
