--- a/test/policy/RunTableModelTest.cpp
+++ b/test/policy/RunTableModelTest.cpp
@@ -114,7 +114,7 @@
         if (asked.leaseEnd)
             m_leaseEnd = std::max(m_leaseEnd, *asked.leaseEnd);
         std::erase_if(m_ended, [&](const ListedEnd& each) { return each.number <= asked.endsSeen; });
-        RunList list { .born = born(), .running = {}, .ended = m_ended };
+        RunList list { .born = born(), .madeAt = clock(now), .running = {}, .ended = m_ended };
         list.isEndedWhole = m_ended.size() <= mostEndsListed;
         list.ended.resize(std::min(list.ended.size(), mostEndsListed));
         for (const auto& [task, run] : m_running)
--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -911,7 +911,7 @@
                 return true;
             if (m_now < each.until && (minion.ended.empty() || minion.ended.back().number <= each.endsSeen))
                 return false;
-            ListAnswer answer { .list = { .born = minion.born(), .running = {}, .ended = minion.ended }, .clock = minion.clock(m_now) };
+            ListAnswer answer { .list = { .born = minion.born(), .madeAt = Milliseconds { minion.clock(m_now) }, .running = {}, .ended = minion.ended }, .clock = minion.clock(m_now) };
             for (const auto& [job, live] : minion.running)
                 answer.list.running.push_back({ .run = live.run, .percent = 50 });
             m_agenda.at(m_now + m_draw.between({ 1 }, { 3 }), [reply = each.reply, answer] { reply(answer); });
