--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -183,8 +183,17 @@
     m_session.stop([this, node] { m_session.start(node); });
 }
 
-void RunServer::minionLeaves(std::function<void()> confirm)
+void RunServer::minionLeaves(std::optional<Milliseconds> born, std::function<void()> confirm)
 {
+    const bool isOfPresent = born ? m_runs.isPresent(*born) : m_draining;
+    if (!isOfPresent) {
+        m_process.metrics.add("minion_leaves_unconfirmed_total");
+        log(LogLevel::Warning, { .step = "minion.leave" },
+            fmt::format("nothing stopped: the minion that leaves {}; {} runs at the minion",
+                born ? fmt::format("started at {} and is not the present one", born->count) : "names no start time, and the present one has not reported that it drains",
+                m_runs.liveRuns()));
+        return confirm();
+    }
     m_leaveConfirmations.push_back(std::move(confirm));
     m_leaveDeadline = Clock::now() + maxLeaveTime;
     m_leaveTimer = m_process.loop.once(maxLeaveTime, [this] { run(); });
@@ -194,13 +203,14 @@
 
 bool RunServer::finishLeaving()
 {
-    const bool settled = m_runs.liveRuns() == 0;
+    const std::size_t running = m_runs.liveRuns() + m_runs.runsWithoutEntry();
+    const bool settled = running == 0;
     if (m_leaveConfirmations.empty() || (!settled && Clock::now() < m_leaveDeadline))
         return false;
     // Runs whose stop was not confirmed by the deadline end when their lease expires.
     if (settled)
         m_runs.minionGone(Clock::now());
-    log(LogLevel::Info, { .step = "minion.leave" }, fmt::format("the minion may exit; {} runs are not known to have ended", m_runs.liveRuns()));
+    log(LogLevel::Info, { .step = "minion.leave" }, fmt::format("the minion may exit; {} runs are not known to have ended", running));
     for (const auto& confirm : std::exchange(m_leaveConfirmations, {}))
         confirm();
     m_leaveTimer.reset();
