Entry: send back no clock that is newer than unread news of callers

A run whose caller had left could go on for more than the 1,300 ms after which the caller submits its job again, and two runs of the task were possible, when its entry was slow or paused and its stop was not answered.

Cause: the echo of a sidecar's clock says that callers were still there at that time, and the sidecar counts 1,150 ms from the last one before the stop. An entry read its sidecars' frames amid a round of its event loop and sent their clocks back at the end of it, while a break that had arrived since the round began was read in the next.

EntryNews (JobDispatcher and RunTable under a virtual clock, the entry's rounds modelled, stops unanswered, other runs renewing the lease), before: the run may go on until 1,305, 1,383 and 1,461 ms after the break with rounds of 100, 200 and 300 ms, and until 1,317, 1,477 and 1,717 ms with the entry paused for 100, 300 and 600 ms amid a round. After: below 1,300 in all.

Now the loop knows until when all sockets have been read: the begin of the last round that read all that were ready. A clock received later is kept until the next one. libevent reads at most 32 sockets a round at first, so the loop has it grow to 512, and a round with as many events or more does not count as whole.

Cost: an echo is older by up to a round.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -158,7 +158,7 @@
 {
     m_scheduledRun.reset();
     // A reply or a lost stream may request a further round.
-    if (!m_round.run([&] { perform(m_dispatcher.act(Clock::now(), std::exchange(fromTimer, false))); }))
+    if (!m_round.run([&] { perform(m_dispatcher.act(Clock::now(), std::exchange(fromTimer, false), m_process.loop.readUntil())); }))
         return;
     armTimer();
 }
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -152,8 +152,9 @@
 
 bool JobDispatcher::acceptsRuns(const Link& link, const std::string& service) const
 {
-    return link.connected && link.handshakeDone && link.known && link.state.accepting && link.state.service == service
-        && !m_dataCentresOut.contains(link.state.dataCentre);
+    // A request without an echo is refused as stale.
+    return link.connected && link.handshakeDone && link.echoableClock.count > 0 && link.known && link.state.accepting
+        && link.state.service == service && !m_dataCentresOut.contains(link.state.dataCentre);
 }
 
 std::int64_t JobDispatcher::acceptingCpuMillis(const std::string& service) const
@@ -274,6 +275,8 @@
         if (frame.sidecar != link.incarnation) {
             link.incarnation = frame.sidecar;
             link.clock = {};
+            link.echoableClock = {};
+            link.laterClocks.clear();
             link.endsSeen = 0;
             link.endsAcknowledged = 0;
         }
@@ -282,7 +285,10 @@
     }
     link.lastReceivedAt = now;
     link.lastActiveAt = now;
-    link.clock = std::max(link.clock, frame.clock);
+    if (frame.clock > link.clock) {
+        link.clock = frame.clock;
+        link.laterClocks.push_back({ .clock = frame.clock, .receivedAt = now });
+    }
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
     if (frame.state)
         applyState(sidecar, link, *frame.state);
@@ -290,7 +296,7 @@
         link.wantedCpuMillis = 0;
     for (const auto& end : frame.ends)
         applyEnd(link, sidecar, end, now);
-    return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || needsEcho(link, now);
+    return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || needsEcho(link, link.clock, now);
 }
 
 void JobDispatcher::applyState(const std::string& sidecar, Link& link, const MinionState& reported)
@@ -722,10 +728,24 @@
     }
 }
 
-bool JobDispatcher::needsEcho(const Link& link, Milliseconds now) const
+bool JobDispatcher::needsEcho(const Link& link, Milliseconds clock, Milliseconds now) const
 {
     return link.handshakeDone && now >= link.sentAt + m_options.minEchoInterval
-        && ((!link.outstanding.empty() && link.clock > link.lastEcho) || link.endsAcknowledged < link.endsSeen);
+        && ((!link.outstanding.empty() && clock > link.lastEcho) || link.endsAcknowledged < link.endsSeen);
+}
+
+void JobDispatcher::releaseClocks(Milliseconds callersHeardUntil)
+{
+    for (auto& [name, link] : m_links) {
+        if (link.echoableClock.count == 0 && !link.laterClocks.empty())
+            m_acceptingCpuMillis.clear();
+        std::erase_if(link.laterClocks, [&link = link, callersHeardUntil](const ClockReading& each) {
+            if (each.receivedAt > callersHeardUntil)
+                return false;
+            link.echoableClock = each.clock;
+            return true;
+        });
+    }
 }
 
 void JobDispatcher::flush(Milliseconds now)
@@ -733,22 +753,23 @@
     for (auto& [name, link] : m_links) {
         if (!link.connected)
             continue;
-        if (!link.hasNext && !needsEcho(link, now))
+        if (!link.hasNext && !needsEcho(link, link.echoableClock, now))
             continue;
-        link.next.echo = link.clock;
+        link.next.echo = link.echoableClock;
         link.next.endsSeen = link.endsSeen;
         m_actions.frames.push_back({ .sidecar = name, .frame = std::exchange(link.next, {}) });
         link.hasNext = false;
-        link.lastEcho = link.clock;
+        link.lastEcho = link.echoableClock;
         link.endsAcknowledged = link.endsSeen;
         link.sentAt = now;
         ++link.framesSent;
     }
 }
 
-DispatchActions JobDispatcher::act(Milliseconds now, bool allFramesRead)
+DispatchActions JobDispatcher::act(Milliseconds now, bool allFramesRead, std::optional<Milliseconds> callersHeardUntil)
 {
     detectPause(now);
+    releaseClocks(callersHeardUntil.value_or(now));
     if (allFramesRead)
         checkLinks(now);
     checkJobs(now);
@@ -775,6 +796,8 @@
             at(link.lastActiveAt + streamTimeout(link) + Milliseconds { 1 });
         if (link.connected && link.handshakeDone && link.endsAcknowledged < link.endsSeen)
             at(link.sentAt + m_options.minEchoInterval);
+        if (link.connected && link.handshakeDone && !link.outstanding.empty() && !link.laterClocks.empty())
+            at(std::max(link.sentAt + m_options.minEchoInterval, m_lastCallAt + Milliseconds { 1 }));
     }
     return due;
 }
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -179,7 +179,9 @@
 
     // `allFramesRead`: every frame that has arrived was passed to received(). Otherwise a stream may look idle only because
     // the entry is busy, so timeouts are not checked.
-    DispatchActions act(Milliseconds now, bool allFramesRead = true);
+    // `callersHeardUntil`: each caller that had disconnected before this time was passed to abandon(); unset when all were. An echo
+    // promises a sidecar that callers were still there, so no clock that was received later is sent back.
+    DispatchActions act(Milliseconds now, bool allFramesRead = true, std::optional<Milliseconds> callersHeardUntil = std::nullopt);
     std::optional<Milliseconds> nextDue() const;
 
     // Jobs of a queue for which no task has started.
@@ -239,6 +241,10 @@
         std::uint64_t frame { 0 };
         TaskNeeds needs;
     };
+    struct ClockReading {
+        Milliseconds clock {};
+        Milliseconds receivedAt {};
+    };
     struct Link {
         bool connected { false };
         // The first frame of the stream was sent and answered.
@@ -246,7 +252,9 @@
         bool known { false };
         std::string incarnation;
         Milliseconds clock {};
-        // Value of `clock` last sent back to the sidecar.
+        // Latest clock that may be sent back, those received after it, and the one last sent back.
+        Milliseconds echoableClock {};
+        std::vector<ClockReading> laterClocks;
         Milliseconds lastEcho {};
         Milliseconds lastReceivedAt {};
         // When the current stream was opened or last received a frame.
@@ -290,7 +298,9 @@
     bool waitsForEndedJob(const Job&) const;
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
     std::int64_t acceptingCpuMillis(const std::string& service) const;
-    bool needsEcho(const Link&, Milliseconds now) const;
+    bool needsEcho(const Link&, Milliseconds clock, Milliseconds now) const;
+    // Lets clocks that were received until then be sent back.
+    void releaseClocks(Milliseconds callersHeardUntil);
     void place(Milliseconds now);
     std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
     // Free capacity by the last report, less what was sent since.
--- a/src/wire/EventLoop.h
+++ b/src/wire/EventLoop.h
@@ -28,6 +28,13 @@
     void run();
     void stop();
 
+    // One round: waits for ready sockets and due timers, reads each socket once, then calls the timers.
+    void runOnce();
+
+    // Each socket that was ready before this time has been read. In a timer this is the begin of its round, unless more sockets were
+    // ready than one round reads.
+    Milliseconds readUntil() const { return m_readUntil; }
+
     // Calls back once after the delay, or every period. Destroying the returned object cancels the timer.
     std::unique_ptr<Timer> once(Milliseconds delay, std::function<void()>);
     std::unique_ptr<Timer> every(Milliseconds period, std::function<void()>);
@@ -44,7 +51,16 @@
     LogicalClock& logicalClock() { return m_logicalClock; }
 
 private:
+    class EventTimer;
+
+    // Call when every socket that was found ready in this round has been read.
+    void socketsRead();
+
     event_base* m_base;
+    Milliseconds m_roundBeganAt {};
+    Milliseconds m_readUntil {};
+    // Sockets that one round reads at least.
+    int m_socketsPerRound;
     LogicalClock m_logicalClock;
 };
 
--- a/test/support/RawPeer.h
+++ b/test/support/RawPeer.h
@@ -36,7 +36,7 @@
     while (!condition()) {
         if (Clock::now() > giveUpAt)
             return false;
-        event_base_loop(loop.base(), EVLOOP_ONCE);
+        loop.runOnce();
     }
     return true;
 }
