Soak: near misses of two runs of one task

The soak told only pairs that overlapped, so a margin that had become thin was not seen before it was gone. Minions record when the order that they carried out had arrived, and each run of the soak closes with how many runs followed an earlier one of their task, at the same minion, at another, after a resubmission or by an order of before the minion started again, how the earlier one had ended, and the smallest time between, also to the arrival of the order.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -398,7 +398,7 @@
             const std::string key = fmt::format("{} {} {}", run.incarnation, run.task, run.number);
             if (event == "start") {
                 std::string order;
-                file >> run.spec >> order;
+                file >> run.spec >> order >> run.ordered.count;
                 run.isOfFormer = order == "former";
                 const auto incarnation = m_incarnationEnds.find({ minion, run.incarnation });
                 run.end = incarnation == m_incarnationEnds.end() ? Clock::now() : incarnation->second;
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -4,6 +4,7 @@
 #include "Callers.h"
 #include "Deployment.h"
 #include "Judge.h"
+#include "NearMisses.h"
 #include "Operator.h"
 
 #include <cxxopts.hpp>
@@ -219,6 +220,8 @@
     fmt::print("seed {}: {}: {}\n", seed, violations.empty() ? "kept" : "BROKEN", summary(record));
     for (const auto& violation : violations)
         fmt::print("  {}: {}\n", violation.guarantee, violation.detail);
+    const NearMisses misses = nearMisses(record);
+    fmt::print("{}\n{}", describe(misses), tableOf(seed, misses));
     if (violations.empty() && !options.keep)
         std::filesystem::remove_all(own.folder);
     if (!violations.empty())
--- a/soak/Records.h
+++ b/soak/Records.h
@@ -24,6 +24,8 @@
     std::string spec;
     // The start was sent to a former incarnation of the minion and carried out by the next one.
     bool isOfFormer { false };
+    // When the start that was carried out had arrived at the minion.
+    Milliseconds ordered {};
     Milliseconds start {};
     // The run's end as the minion recorded it, or else the end of the minion's incarnation.
     Milliseconds end {};
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -126,7 +126,7 @@
 void PlatformMinion::serve(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
 {
     const CallDelay delay = m_options.delayOf(callOf(request.path));
-    const Caller caller { .responder = responder, .answerDelay = delay.answer };
+    const Caller caller { .responder = responder, .answerDelay = delay.answer, .arrival = Clock::now() };
     later(delay.carryOut, [this, request, caller, incarnation = m_incarnation] { carryOut(request, caller, incarnation); });
 }
 
@@ -144,7 +144,7 @@
     if (!reason && request.path == "/hold")
         return list(parameters, caller);
     if (!reason && request.path == "/run-start")
-        reason = start(parameters, incarnation != m_incarnation);
+        reason = start(parameters, caller.arrival, incarnation != m_incarnation);
     if (!reason && request.path == "/run-stop")
         stop(parameters);
     Json::Value body(Json::objectValue);
@@ -177,9 +177,9 @@
     return static_cast<int>(std::min((now - start).count * whole / std::max<std::int64_t>(length.count, 1), whole - 1));
 }
 
-const char* PlatformMinion::start(const Json::Value& parameters, bool isOfFormer)
+const char* PlatformMinion::start(const Json::Value& parameters, Milliseconds ordered, bool isOfFormer)
 {
-    Run run { .task = parameters["task"].asString(), .number = parameters["runId"].asUInt64(), .spec = parameters["spec"].asString(), .isOfFormer = isOfFormer };
+    Run run { .task = parameters["task"].asString(), .number = parameters["runId"].asUInt64(), .spec = parameters["spec"].asString(), .isOfFormer = isOfFormer, .ordered = ordered };
     if (parameters["deadlineMs"].asInt64() <= clockAt(Clock::now()))
         return "late";
     extendLease(parameters);
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -25,6 +25,8 @@
         std::string spec;
         // The start was sent to a former incarnation.
         bool isOfFormer { false };
+        // Arrival of the start request that was carried out.
+        Milliseconds ordered {};
     };
 
     enum class Call {
@@ -106,6 +108,7 @@
     struct Caller {
         std::shared_ptr<HttpResponder> responder;
         Milliseconds answerDelay {};
+        Milliseconds arrival {};
     };
     struct Waiting {
         Caller caller;
@@ -122,7 +125,7 @@
     // Calls back immediately when the delay is zero.
     void later(Milliseconds delay, std::function<void()>);
     // The reason of the refusal, or null when the run was started or is running already.
-    const char* start(const Json::Value& parameters, bool isOfFormer);
+    const char* start(const Json::Value& parameters, Milliseconds ordered, bool isOfFormer);
     void stop(const Json::Value& parameters);
     void list(const Json::Value& parameters, const Caller&);
     Json::Value lists() const;
