Soak: slow entries, and news of a reset that comes late to the entry

They come while a minion's calls are late, with draws of their own, so plans of seeds without the option stay the same. The plan now prints the delays of faults, without which it could not be read whether a minion's cut was over when a run began.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -20,6 +20,10 @@
     constexpr int graceMs = 5'000;
     constexpr int reloadedGraceMs = 4'900;
 
+    // A slow process runs for a tenth of the time.
+    constexpr Milliseconds slowStopped { 90 };
+    constexpr Milliseconds slowRunning { 10 };
+
     // After this time a process has taken over its signals.
     constexpr Milliseconds signalsAfter { 1'000 };
     // See soak/Minion.cpp.
@@ -196,6 +200,11 @@
         return disturbConnections(fault, { .dropAnswers = true });
     case FaultKind::Reset:
         return disturbConnections(fault, { .refuse = true });
+    case FaultKind::LateReset:
+        return disturbConnections(fault, { .refuse = true, .newsDelay = fault.delay });
+    case FaultKind::Slow:
+        recordFault(fault);
+        return slowDown(fault.target, Clock::now() + fault.duration);
     case FaultKind::Delay:
         return disturbConnections(fault, { .delay = fault.delay });
     case FaultKind::LateOrders:
@@ -309,6 +318,16 @@
     }));
 }
 
+void Deployment::slowDown(const std::string& name, Milliseconds until)
+{
+    m_processes.signal(name, SIGSTOP);
+    m_timers.push_back(m_loop.once(slowStopped, [this, name, until] {
+        m_processes.signal(name, SIGCONT);
+        if (Clock::now() < until)
+            m_timers.push_back(m_loop.once(slowRunning, [this, name, until] { slowDown(name, until); }));
+    }));
+}
+
 void Deployment::delayOrders(const PlannedFault& fault)
 {
     if (!takesSignals(fault.target))
--- a/soak/Deployment.h
+++ b/soak/Deployment.h
@@ -89,6 +89,7 @@
     void disturbPath(const PlannedFault&, const RelayFault&);
     // The minion's own sidecar reaches it at one address and is told at another.
     void setMinionCut(const std::string& minion, bool isCut);
+    void slowDown(const std::string& name, Milliseconds until);
     void delayOrders(const PlannedFault&);
     void crashBehindCut(const PlannedFault&);
     // Sends the signal after a delay, unless another process runs under that name then.
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -180,12 +180,15 @@
     Stall m_longestStall;
 };
 
+bool usesDelay(FaultKind kind) { return kind == FaultKind::Delay || kind == FaultKind::CrashBehindCut || kind == FaultKind::LateReset; }
+
 std::string describe(const Plan& plan)
 {
     std::string text = fmt::format("{} control instances, {} entries, {} sidecars, {} data centres, {} callers{}\n", plan.shape.controls,
         plan.shape.entries, plan.shape.sidecars, plan.shape.dataCentres, plan.shape.callers, plan.shape.lateMinions ? ", late minions" : "");
     for (const auto& fault : plan.faults)
-        text += fmt::format("{:>6} ms {} {} for {} ms\n", fault.at.count, faultKindName(fault.kind), fault.target, fault.duration.count);
+        text += fmt::format("{:>6} ms {} {} for {} ms{}\n", fault.at.count, faultKindName(fault.kind), fault.target, fault.duration.count,
+            usesDelay(fault.kind) ? fmt::format(", delay {} ms", fault.delay.count) : std::string());
     return text;
 }
 
@@ -249,6 +252,7 @@
             shape.controls = controlsWithReplacements;
         }
         shape.minionFaults = arguments.count("minion-faults") > 0;
+        shape.entryFaults = arguments.count("entry-faults") > 0;
         if (arguments.count("plan") > 0)
             fmt::print("seed {}: {}", seed, describe(makePlan(seed, shape)));
         else
@@ -273,6 +277,7 @@
             "sidecars", "Number of sidecars, instead of the one drawn from the seed", cxxopts::value<int>())(
             "replacements", "Number of control instances to replace; the deployment then has five", cxxopts::value<int>())(
             "minion-faults", "Also faults of minions and of single paths")(
+            "entry-faults", "Also slow entries, and late news of callers that left")(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
         const auto arguments = options.parse(argc, argv);
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -6,12 +6,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace oleanderport::soak {
 
 namespace {
 
-    constexpr NameTable<FaultKind, 21> faultKindNames { {
+    constexpr NameTable<FaultKind, 23> faultKindNames { {
         { FaultKind::Kill, "kill" },
         { FaultKind::Wipe, "wipe" },
         { FaultKind::Replace, "replace" },
@@ -23,6 +24,8 @@
         { FaultKind::PartitionInbound, "cut-towards" },
         { FaultKind::PartitionOutbound, "cut-from" },
         { FaultKind::Reset, "reset" },
+        { FaultKind::LateReset, "late-reset" },
+        { FaultKind::Slow, "slow" },
         { FaultKind::Delay, "delay" },
         { FaultKind::LateOrders, "late-orders" },
         { FaultKind::CrashBehindCut, "crash-behind-cut" },
@@ -54,6 +57,7 @@
     constexpr std::uint64_t promptSeedsPerPeriod = 3;
     // Odd, so that each seed has draws of its own.
     constexpr std::uint64_t minionFaultsFactor = 0x9e3779b97f4a7c15;
+    constexpr std::uint64_t entryFaultsFactor = 0xbf58476d1ce4e5b9;
     // In each span of faults.
     constexpr int lateOrdersPerSpan = 3;
     constexpr int pathFaultsPerSpan = 5;
@@ -68,6 +72,11 @@
     constexpr Milliseconds maxCut { 2'500 };
     constexpr Milliseconds minCallerReset { 20 };
     constexpr Milliseconds maxCallerReset { 200 };
+    constexpr int lateResetsPerLateOrders = 3;
+    constexpr Milliseconds minSlow { 1'000 };
+    // As long as TCP takes to send a lost packet again.
+    constexpr Milliseconds minNewsDelay { 200 };
+    constexpr Milliseconds maxNewsDelay { 400 };
 
     class PlanBuilder {
     public:
@@ -89,6 +98,10 @@
                 drawMinionFaults(minions, firstFaultsFrom, firstFaultsUntil);
                 drawMinionFaults(minions, lastFaultsFrom, lastFaultsUntil);
             }
+            if (m_shape.entryFaults) {
+                RandomDraw entries(m_seed * entryFaultsFactor);
+                drawEntryFaults(entries);
+            }
             drawFaults(firstFaultsFrom, firstFaultsUntil, 7);
             evacuateDataCentre(plannedFrom);
             drawPlannedOperations(plannedFrom, plannedUntil, 4);
@@ -140,6 +153,29 @@
             }
         }
 
+        // While a minion is late, so that what was to stop the runs there is late twice.
+        void drawEntryFaults(RandomDraw& random)
+        {
+            std::vector<PlannedFault> lateOrders;
+            std::copy_if(m_faults.begin(), m_faults.end(), std::back_inserter(lateOrders), [](const PlannedFault& fault) { return fault.kind == FaultKind::LateOrders; });
+            for (const auto& late : lateOrders) {
+                PlannedFault slow { .at = late.at + random.between({ 0 }, late.duration),
+                    .kind = FaultKind::Slow,
+                    .target = fmt::format("entry-{}", 1 + random.below(m_shape.entries)),
+                    .duration = random.between(minSlow, maxFaultDuration) };
+                // No longer than other faults.
+                slow.duration = std::min(slow.duration, late.at + maxFaultDuration - slow.at);
+                add(slow);
+                for (int reset = 0; reset < lateResetsPerLateOrders; ++reset) {
+                    add({ .at = late.at + random.between({ 0 }, late.duration),
+                        .kind = FaultKind::LateReset,
+                        .target = fmt::format("entry-{}/front", 1 + random.below(m_shape.entries)),
+                        .duration = random.between(minCallerReset, maxCallerReset),
+                        .delay = random.between(minNewsDelay, maxNewsDelay) });
+                }
+            }
+        }
+
         std::string drawProcess()
         {
             switch (m_random.below(4)) {
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -21,6 +21,8 @@
     bool lateMinions { false };
     // Faults of minions and of single paths beside the others; see docs/SOAK.md.
     bool minionFaults { false };
+    // Slow entries, and late news of callers that left, during the faults of minions; see docs/SOAK.md.
+    bool entryFaults { false };
 };
 
 enum class FaultKind {
@@ -46,6 +48,10 @@
     PartitionOutbound,
     // Connections are reset and new ones refused.
     Reset,
+    // The same on the clients' side; the process learns of it after `delay`.
+    LateReset,
+    // The process is stopped and continued by turns.
+    Slow,
     // The relay delays every byte.
     Delay,
     // A minion leaves most calls unanswered and carries them out late.
--- a/test/soak/FaultRelayTest.cpp
+++ b/test/soak/FaultRelayTest.cpp
@@ -100,3 +100,26 @@
     cr_assert(test.hasAnswers(*test.disturbed, opening + 1));
     cr_assert(Clock::now() >= until);
 }
+
+Test(FaultRelay, tellsTheTargetLateThatItsClientsWereReset)
+{
+    EventLoop loop;
+    std::vector<RawConnection*> atTarget;
+    RawServer server(loop, [&atTarget](RawConnection& connection) { atTarget = { &connection }; });
+    const std::uint16_t port = [] {
+        EventLoop scratch;
+        return RawServer(scratch, [](RawConnection&) {}).port();
+    }();
+    FaultRelay relay(loop, port, server.port());
+    cr_assert(relay.start().has_value());
+    const auto client = rawConnect(loop, port);
+    client->send("a");
+    cr_assert(runUntil(loop, [&atTarget] { return !atTarget.empty(); }));
+    const Milliseconds late = Clock::now() + holdTime;
+    relay.setFault({ .refuse = true, .newsDelay = holdTime });
+    cr_assert(runUntil(loop, [&client] { return client->closedByPeer(); }));
+    cr_assert(Clock::now() < late && !atTarget.front()->closedByPeer(), "the target learned at once");
+    relay.setFault({});
+    cr_assert(runUntil(loop, [&atTarget] { return atTarget.front()->closedByPeer(); }));
+    cr_assert(Clock::now() >= late, "the target learned %ld ms too early", static_cast<long>((late - Clock::now()).count));
+}
--- a/test/support/FaultRelay.cpp
+++ b/test/support/FaultRelay.cpp
@@ -57,6 +57,8 @@
     bool closing { false };
     // Bytes were dropped.
     bool lossy { false };
+    // The side that is left isn't closed before.
+    Milliseconds closeAt {};
 
     ~Connection()
     {
@@ -71,6 +73,16 @@
         return heldRequests.empty() && heldAnswers.empty() && (!client || !hasOutput(client)) && (!target || !hasOutput(target));
     }
 
+    void closeClient(Milliseconds targetCloseAt)
+    {
+        if (client)
+            bufferevent_free(client);
+        client = nullptr;
+        heldAnswers.clear();
+        closing = true;
+        closeAt = targetCloseAt;
+    }
+
     static void deliver(std::deque<Held>& held, bufferevent* stream, Milliseconds now)
     {
         for (; !held.empty() && held.front().due <= now; held.pop_front()) {
@@ -141,7 +153,12 @@
 void FaultRelay::setFault(const RelayFault& fault)
 {
     m_fault = fault;
-    std::erase_if(m_connections, [&](const auto& connection) { return fault.refuse || (connection->lossy && !drops(faultOf(*connection))); });
+    const bool isNewsLate = fault.refuse && fault.newsDelay.count > 0;
+    std::erase_if(m_connections, [&](const auto& connection) { return (fault.refuse && !isNewsLate) || (connection->lossy && !drops(faultOf(*connection))); });
+    for (const auto& connection : m_connections) {
+        if (isNewsLate && !connection->closing)
+            connection->closeClient(Clock::now() + fault.newsDelay);
+    }
 }
 
 void FaultRelay::setClientFault(const std::string& client, const RelayFault& fault)
@@ -247,10 +264,10 @@
         Connection::deliver(connection->heldAnswers, connection->client, now);
     }
     // While both directions are dropped, neither side learns that the other has closed.
-    std::erase_if(m_connections, [this](const auto& connection) {
+    std::erase_if(m_connections, [this, now](const auto& connection) {
         const RelayFault fault = faultOf(*connection);
         const bool cut = fault.dropRequests && fault.dropAnswers;
-        return connection->closing && (connection->isFlushed()) && !(cut && connection->client);
+        return connection->closing && now >= connection->closeAt && connection->isFlushed() && !(cut && connection->client);
     });
 }
 
--- a/test/support/FaultRelay.h
+++ b/test/support/FaultRelay.h
@@ -21,6 +21,8 @@
     bool dropAnswers { false };
     // Closes new connections immediately, and all open ones when the fault is set.
     bool refuse { false };
+    // With `refuse`: the target learns this much later that its connections were closed, as when the packets that say so are lost.
+    Milliseconds newsDelay {};
     // Added latency in each direction.
     Milliseconds delay {};
     // Bytes towards the target, or from it, are held until this time on Clock::now() and then delivered together, as those
