Soak: what a resubmission would have left had its stop not been carried out

Most runs that a caller left end by an answered stop, so the gap to the next run says nothing about the limit of the leases, on which a resubmission has to be able to rest. Minions now record the end of their lease when a run ends, and the near misses have the gap from there: below zero the limit was exceeded, whether or not it did harm in that play.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -426,10 +426,11 @@
                 list.push_back(run);
                 continue;
             }
-            std::string how;
-            file >> how;
-            list[open.at(key)].end = run.end;
-            list[open.at(key)].how = how;
+            RunRecord& ended = list[open.at(key)];
+            file >> ended.how >> ended.leaseEnd.count;
+            ended.end = run.end;
+            if (ended.how != "stopped")
+                ended.leaseEnd = {};
         }
     }
     return list;
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -1,5 +1,5 @@
 // A stand-in minion of the users' platform as a process. Appends one line to its record file at the start and at the end
-// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER ARRIVAL" and "end INCARNATION TIME TASK RUN HOW". SIGUSR1 and SIGUSR2 begin and end a
+// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER ARRIVAL" and "end INCARNATION TIME TASK RUN HOW LEASE-END". SIGUSR1 and SIGUSR2 begin and end a
 // time in which most calls are late; SIGHUP makes it crash within the process, and the next one starts it again.
 
 #include "support/PlatformMinion.h"
@@ -179,7 +179,7 @@
             .delayOf = [&](PlatformMinion::Call call) { return lateOrders.concern(call) ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
                                                                                                                           : PlatformMinion::CallDelay {}; },
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count)); },
-            .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, how); } });
+            .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, fmt::format("{} {}", how, ended.leaseEnd.count)); } });
     const char* state = "ready";
     const auto report = [&] { minion.report(text("sidecar"), state); };
     const auto reports = loop.every(reportPeriod, report);
--- a/soak/NearMisses.cpp
+++ b/soak/NearMisses.cpp
@@ -6,6 +6,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace oleanderport::soak {
@@ -33,11 +34,13 @@
         return former.minion == run.minion ? Succession::SameMinion : Succession::OtherMinion;
     }
 
-    void add(Successors& successors, Milliseconds gap, Milliseconds gapToOrder)
+    void add(Successors& successors, const RunRecord& former, const RunRecord& run)
     {
         const bool isFirst = successors.count++ == 0;
-        successors.smallestGap = isFirst ? gap : std::min(successors.smallestGap, gap);
-        successors.smallestGapToOrder = isFirst ? gapToOrder : std::min(successors.smallestGapToOrder, gapToOrder);
+        const auto keepSmallest = [isFirst](Milliseconds& smallest, Milliseconds gap) { smallest = isFirst ? gap : std::min(smallest, gap); };
+        keepSmallest(successors.smallestGap, run.start - former.end);
+        keepSmallest(successors.smallestGapToOrder, run.ordered - former.end);
+        keepSmallest(successors.smallestGapWithoutStop, run.start - std::max(former.end, former.leaseEnd));
     }
 
 } // namespace
@@ -58,7 +61,7 @@
         for (std::size_t i = 1; i < runs.size(); ++i) {
             const RunRecord& run = *runs[i];
             const Succession succession = successionOf(*former, run, job == jobs.end() ? nullptr : job->second);
-            add(misses[{ succession, former->how }], run.start - former->end, run.ordered - former->end);
+            add(misses[{ succession, former->how }], *former, run);
             former = run.end < former->end ? former : &run;
         }
     }
@@ -70,16 +73,19 @@
     std::vector<std::string> parts;
     for (const auto& [succession, name] : successionNames) {
         std::size_t count = 0;
+        Milliseconds withoutStop { std::numeric_limits<std::int64_t>::max() };
         NearMisses::const_iterator nearest = misses.end();
         for (auto row = misses.begin(); row != misses.end(); ++row) {
             if (row->first.first != succession)
                 continue;
             count += row->second.count;
+            withoutStop = std::min(withoutStop, row->second.smallestGapWithoutStop);
             if (nearest == misses.end() || row->second.smallestGap < nearest->second.smallestGap)
                 nearest = row;
         }
         if (count > 0)
-            parts.push_back(fmt::format("{} of {}, smallest gap {} ms after {}", count, name, nearest->second.smallestGap.count, nearest->first.second));
+            parts.push_back(fmt::format("{} of {}, smallest gap {} ms after {}{}", count, name, nearest->second.smallestGap.count, nearest->first.second,
+                succession == Succession::Resubmission ? fmt::format(", {} ms without its stop", withoutStop.count) : std::string()));
     }
     return fmt::format("near misses: {}", parts.empty() ? "no task ran twice" : fmt::format("{}", fmt::join(parts, "; ")));
 }
@@ -88,8 +94,8 @@
 {
     std::string text;
     for (const auto& [key, successors] : misses)
-        text += fmt::format("gap {} {} {} {} {} {}\n", seed, nameIn(successionNames, key.first), key.second, successors.count,
-            successors.smallestGap.count, successors.smallestGapToOrder.count);
+        text += fmt::format("gap {} {} {} {} {} {} {}\n", seed, nameIn(successionNames, key.first), key.second, successors.count,
+            successors.smallestGap.count, successors.smallestGapToOrder.count, successors.smallestGapWithoutStop.count);
     return text;
 }
 
--- a/soak/NearMisses.h
+++ b/soak/NearMisses.h
@@ -26,6 +26,9 @@
     Milliseconds smallestGap {};
     // From there to the arrival of the run's order. Below zero where only the order's way kept the two apart.
     Milliseconds smallestGapToOrder {};
+    // From when the run before could no longer be there even if its stop had not been carried out, to the run's start. A resubmission must not
+    // rest on a stop, so below zero there is a bound that is broken and that nobody met.
+    Milliseconds smallestGapWithoutStop {};
 };
 
 // By succession and by how the run before ended.
@@ -36,7 +39,7 @@
 
 // A line for people.
 std::string describe(const NearMisses&);
-// One line "gap SEED SUCCESSION HOW COUNT GAP GAP-TO-ORDER" for each row, to be gathered from many runs.
+// One line "gap SEED SUCCESSION HOW COUNT GAP GAP-TO-ORDER GAP-WITHOUT-STOP" for each row, to be gathered from many runs.
 std::string tableOf(std::uint64_t seed, const NearMisses&);
 
 } // namespace oleanderport::soak
--- a/soak/Records.h
+++ b/soak/Records.h
@@ -31,6 +31,8 @@
     Milliseconds end {};
     // done, failed, stopped, lapsed, left or killed.
     std::string how;
+    // Until when a run that was stopped might have gone on if its stop had not been carried out. Zero for others.
+    Milliseconds leaseEnd {};
 };
 
 // One attempt to send a job to an entry, over a connection that may have carried earlier requests.
--- a/test/soak/NearMissesTest.cpp
+++ b/test/soak/NearMissesTest.cpp
@@ -52,7 +52,7 @@
         run("minion-1", { 1'209 }, { 1'250 }, { 1'300 }, "done") }));
     assertRow(misses, Succession::OtherMinion, "killed", 2, 30, 9);
     cr_assert(describe(misses) == "near misses: 2 of other_minion, smallest gap 30 ms after killed", "got \"%s\"", describe(misses).c_str());
-    cr_assert(tableOf(7, misses) == "gap 7 other_minion killed 2 30 9\n", "got \"%s\"", tableOf(7, misses).c_str());
+    cr_assert(tableOf(7, misses) == "gap 7 other_minion killed 2 30 9 30\n", "got \"%s\"", tableOf(7, misses).c_str());
 }
 
 Test(SoakNearMisses, showsAnOrderThatWasSentBeforeTheFormerRunEnded)
@@ -84,3 +84,12 @@
     cr_assert(misses.empty());
     cr_assert(describe(misses) == "near misses: no task ran twice");
 }
+
+Test(SoakNearMisses, showsAResubmissionThatRestsOnTheStopOfTheFormerRun)
+{
+    RunRecord former = run("minion-1", { 990 }, { 1'000 }, { 1'300 }, "stopped");
+    former.leaseEnd = { 2'620 };
+    const NearMisses misses = nearMisses(recordOf({ former, run("minion-2", { 2'590 }, { 2'600 }, { 2'700 }, "done") }));
+    assertRow(misses, Succession::Resubmission, "stopped", 1, 1'300, 1'290);
+    cr_assert(describe(misses) == "near misses: 1 of resubmission, smallest gap 1300 ms after stopped, -20 ms without its stop", "got \"%s\"", describe(misses).c_str());
+}
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -277,8 +277,9 @@
 
 void PlatformMinion::end(const std::string& task, const char* how, Milliseconds at)
 {
-    const auto work = m_running.extract(task);
-    const Run& run = work.mapped().run;
+    auto work = m_running.extract(task);
+    Run& run = work.mapped().run;
+    run.leaseEnd = m_leaseEnd;
     Json::Value row(Json::arrayValue);
     row.append(static_cast<Json::UInt64>(++m_lastEnd));
     row.append(task);
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -27,6 +27,8 @@
         bool isOfFormer { false };
         // Arrival of the start request that was carried out.
         Milliseconds ordered {};
+        // End of the minion's lease when the run ended.
+        Milliseconds leaseEnd {};
     };
 
     enum class Call {
