--- a/soak/Records.h
+++ b/soak/Records.h
@@ -24,11 +24,15 @@
     std::string spec;
     // The start was sent to a former incarnation of the minion and carried out by the next one.
     bool isOfFormer { false };
+    // When the start that was carried out had arrived at the minion.
+    Milliseconds ordered {};
     Milliseconds start {};
     // The run's end as the minion recorded it, or else the end of the minion's incarnation.
     Milliseconds end {};
     // done, failed, stopped, lapsed, left or killed.
     std::string how;
+    // Until when a run that was stopped might have gone on if its stop had not been carried out. Zero for others.
+    Milliseconds leaseEnd {};
 };
 
 // One attempt to send a job to an entry, over a connection that may have carried earlier requests.
