TwoRunsModel: orders of before are carried out by any incarnation that is up

The model left out orders that a minion's new incarnation carries out before a call of a sidecar that had heard of it.

Each pair of runs now names whether both belong to one submission, whether the earlier one was sent to a former incarnation, what it was concluded on and for how long both lived.

--- a/src/policy/RunDiagnostics.cpp
+++ b/src/policy/RunDiagnostics.cpp
@@ -140,8 +140,7 @@
             continue;
         ++m_collected.newWithoutEntry;
         RunWithoutEntry item { .run = name };
-        const auto last = std::find_if(m_conclusions.rbegin(), m_conclusions.rend(), [&name](const Conclusion& each) { return each.run == name; });
-        if (last != m_conclusions.rend())
+        if (const Conclusion* last = latestConclusion(name))
             item.concluded = { now - last->at, last->proof };
         m_collected.withoutEntry.push_back(std::move(item));
     }
@@ -160,6 +159,18 @@
         m_collected.otherIncarnations.push_back(item);
 }
 
+const RunDiagnosticsCollector::Conclusion* RunDiagnosticsCollector::latestConclusion(const RunName& run) const
+{
+    const auto last = std::find_if(m_conclusions.rbegin(), m_conclusions.rend(), [&run](const Conclusion& each) { return each.run == run; });
+    return last == m_conclusions.rend() ? nullptr : &*last;
+}
+
+std::optional<EndProof> RunDiagnosticsCollector::proofOf(const RunName& run) const
+{
+    const Conclusion* last = latestConclusion(run);
+    return last ? std::optional(last->proof) : std::nullopt;
+}
+
 std::optional<Milliseconds> RunDiagnosticsCollector::leaseLeft(Milliseconds now) const
 {
     return m_latestLeaseEnd ? std::optional(*m_latestLeaseEnd - now) : std::nullopt;
--- a/src/policy/RunDiagnostics.h
+++ b/src/policy/RunDiagnostics.h
@@ -140,6 +140,8 @@
     const std::optional<RunName>& boundBy() const { return m_boundBy; }
     std::optional<Milliseconds> leaseLeft(Milliseconds now) const;
     std::size_t runsWithoutEntry() const { return m_withoutEntry.size(); }
+    // What the run was concluded on, if it is among the latest.
+    std::optional<EndProof> proofOf(const RunName&) const;
     RunDiagnostics take() { return std::exchange(m_collected, {}); }
 
 private:
@@ -153,6 +155,8 @@
         EndProof proof { EndProof::ListedEnd };
     };
 
+    const Conclusion* latestConclusion(const RunName&) const;
+
     RunDiagnostics m_collected;
     std::map<RunName, Listed> m_withoutEntry;
     std::deque<Conclusion> m_conclusions;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -238,6 +238,8 @@
     std::size_t liveRuns() const { return m_byMinionName.size(); }
     // Runs that the minion lists and that belong to no entry.
     std::size_t runsWithoutEntry() const { return m_diagnostics.runsWithoutEntry(); }
+    // What the run of this name at the minion was concluded on, if it is among the latest.
+    std::optional<EndProof> proofOf(const RunName& run) const { return m_diagnostics.proofOf(run); }
     std::size_t queuedRuns() const { return m_runs.size() - m_byMinionName.size(); }
     // Whether this is the start time of the incarnation taken.
     bool isPresent(Milliseconds born) const { return m_phase != Phase::Absent && m_report.born == born; }
--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -23,8 +23,8 @@
 // Several entries, sidecars and minions under a virtual clock with seeded faults. A caller submits its job again at another entry
 // 1,300 ms after its entry died or its channel broke. Two runs of one task that are live at the same time are a violation.
 //
-// One thing is left out because nobody could prevent it: an order of before that a new incarnation of a minion carries out before
-// any call has reached it that its sidecar sent after it had heard of that incarnation.
+// A minion that starts again carries out whatever arrives, orders to its former incarnations included, until a call with a higher
+// fencing token has reached it.
 
 using namespace oleanderport;
 
@@ -80,16 +80,44 @@
     std::uint64_t sidecarIncarnation { 0 };
     std::uint64_t token { 0 };
     std::uint64_t minionIncarnation { 0 };
-    // The sidecar had heard of this incarnation.
-    bool hasHeardOfIt { false };
     Milliseconds sentAt {};
 };
 
+// What the payload of an order names.
+struct Submission {
+    std::string entry;
+    std::uint64_t attempt { 0 };
+    auto operator<=>(const Submission&) const = default;
+};
+
 struct LiveRun {
     RunName run;
     std::uint64_t id { 0 };
     Milliseconds startedAt {};
     CallOrigin by;
+    Submission submission;
+};
+
+// Which submissions two runs of a task belong to.
+enum class PairOrigin {
+    SameSubmission,
+    ResubmittedAtTheSameEntry,
+    ResubmittedAtAnotherEntry,
+};
+
+// Two live runs of one task. The earlier one is that which was ordered first.
+struct RunPair {
+    std::string job;
+    std::array<std::size_t, 2> minions {};
+    std::array<std::uint64_t, 2> ids {};
+    Milliseconds since {};
+    Milliseconds together {};
+    PairOrigin origin { PairOrigin::SameSubmission };
+    // The earlier one was started by an incarnation that it was not sent to.
+    bool isOfBefore { false };
+    // On what the earlier one was concluded.
+    std::string ground;
+    std::string text;
 };
 
 struct ListAnswer {
@@ -116,8 +144,6 @@
     std::int64_t slowThousandths { 0 };
     std::uint64_t sequence { 0 };
     std::uint64_t token { 0 };
-    // A call has arrived that was sent by a sidecar that had heard of this incarnation.
-    bool reached { false };
     Milliseconds unreachableUntil {};
     std::map<std::string, LiveRun> running;
     std::map<std::string, std::uint64_t> lastRun;
@@ -168,8 +194,7 @@
     std::unique_ptr<RunTable> table;
     bool dirty { true };
     Milliseconds due {};
-    // Start times of the minion's incarnations that reported last, and that the sidecar works with.
-    Milliseconds heardOf {};
+    // Start time of the minion's incarnation that the sidecar works with.
     Milliseconds selected {};
     std::optional<platform::MinionClock> clock;
     bool confirming { false };
@@ -234,8 +259,7 @@
     {
     }
 
-    // The violations, each with the history of its job.
-    std::vector<std::string> violations()
+    std::vector<RunPair> pairs()
     {
         for (std::size_t number = 0; number < minionCount; ++number) {
             m_minions[number].startedAt = beginning - m_draw.between({ 0 }, { 20'000 });
@@ -251,7 +275,7 @@
         m_agenda.at(beginning + Milliseconds { 1'000 }, [this] { disturb(); });
         for (; m_now < ending; m_now = m_now + Milliseconds { 1 })
             step();
-        return m_violations;
+        return m_pairs;
     }
 
     std::uint64_t runs() const { return m_lastRunId; }
@@ -276,6 +300,7 @@
         m_agenda.runUntil(m_now);
         for (auto& minion : m_minions)
             minion.expire(m_now);
+        measurePairs();
         answerLists();
         for (std::size_t number = 0; number < minionCount; ++number)
             actSidecar(number);
@@ -319,7 +344,7 @@
         Entry& entry = m_entries[*caller.entry];
         note(caller.job, "submitted at {}", entry.name);
         caller.submission = entry.dispatcher->submit({ .name = caller.job,
-                                                         .payload = caller.job,
+                                                         .payload = fmt::format("{} {}", entry.name, attempt),
                                                          .queue = { .name = "queue", .service = "service", .maxAttempts = 3, .latencyAllowance = { 20'000 } },
                                                          .deadline = m_now + Milliseconds { 20'000 },
                                                          .steps = { { .needs = { .cpuMillis = 1'000, .memoryMb = 1, .runTime = { 900 } } } } },
@@ -744,7 +769,6 @@
             .sidecarIncarnation = sidecar.incarnation,
             .token = sidecar.token,
             .minionIncarnation = m_minions[number].incarnation,
-            .hasHeardOfIt = sidecar.heardOf == m_minions[number].born(),
             .sentAt = m_now };
         const bool isUnreachable = m_now < m_minions[number].unreachableUntil;
         const bool isAnswered = !isUnreachable && m_draw.below(wholePercent) >= unansweredPercent;
@@ -763,9 +787,8 @@
         m_agenda.at(arrival, [this, number, origin, carryOut, deliver, isAnswered] {
             Minion& minion = m_minions[number];
             const bool isOfBefore = minion.incarnation != origin.minionIncarnation;
-            if (!minion.up || (isOfBefore && !minion.reached))
+            if (!minion.up)
                 return;
-            minion.reached = minion.reached || (!isOfBefore && origin.hasHeardOfIt);
             minion.expire(m_now);
             carryOut(origin, [isAnswered, isOfBefore, deliver](Outcome outcome) {
                 if (isAnswered && !isOfBefore)
@@ -787,11 +810,12 @@
     {
         const std::int64_t deadline = onMinionClock(m_sidecars[number], item.leaseEnd);
         const Milliseconds selected = m_sidecars[number].selected;
+        m_firstSentAt.emplace(std::pair(number, item.run), m_now);
         note(item.run.job, "sidecar {} requests start of run {}, lease until {}", number, item.run.run, (item.leaseEnd - beginning).count);
         using Outcome = std::optional<StartAnswer>;
         call<Outcome>(
             number, m_faults.unansweredStarts, callTimeout,
-            [this, number, item, deadline](const CallOrigin& origin, const auto& reply) { reply(carryOutStart(number, item.run, deadline, origin)); },
+            [this, number, item, deadline](const CallOrigin& origin, const auto& reply) { reply(carryOutStart(number, item, deadline, origin)); },
             [this, number, run = item.run, selected](Outcome answer) {
                 Sidecar& sidecar = m_sidecars[number];
                 if (sidecar.selected == selected)
@@ -806,9 +830,10 @@
         note(minionName(number), "a {} sent at {} asks for a lease of {} ms, which lasts another {} ms then", cause, (origin.sentAt - beginning).count, deadline - minion.clock(m_now), minion.leaseEnd - minion.clock(m_now));
     }
 
-    StartAnswer carryOutStart(std::size_t number, const RunName& run, std::int64_t deadline, const CallOrigin& origin)
+    StartAnswer carryOutStart(std::size_t number, const StartRun& item, std::int64_t deadline, const CallOrigin& origin)
     {
         Minion& minion = m_minions[number];
+        const RunName& run = item.run;
         if (!isHeeded(minion, origin) || deadline <= minion.clock(m_now))
             return StartAnswer::Refused;
         grantLease(number, deadline, "start", origin);
@@ -819,7 +844,7 @@
             return StartAnswer::Superseded;
         if (static_cast<std::int64_t>(minion.running.size()) >= minionRoom)
             return StartAnswer::NoRoom;
-        const LiveRun live { .run = run, .id = ++m_lastRunId, .startedAt = m_now, .by = origin };
+        const LiveRun live { .run = run, .id = ++m_lastRunId, .startedAt = m_now, .by = origin, .submission = submissionOf(item.payload) };
         note(run.job, "minion {} (incarnation {}) starts run {}, sent at {}", number, minion.incarnation, run.run, (origin.sentAt - beginning).count);
         checkOthers(number, live);
         minion.running[run.job] = live;
@@ -840,21 +865,78 @@
             if (each == number || !minion.up || found == minion.running.end())
                 continue;
             const LiveRun& other = found->second;
-            const Sidecar& sidecar = m_sidecars[each];
-            std::string text = fmt::format("seed {}: job {} has run {} at minion {} since {} (sent at {} to incarnation {}, now {}) and run {} at minion {} since {} (sent at {})\n",
-                m_seed, started.run.job, other.run.run, each, (other.startedAt - beginning).count, (other.by.sentAt - beginning).count, other.by.minionIncarnation,
-                minion.incarnation, started.run.run, number, (started.startedAt - beginning).count, (started.by.sentAt - beginning).count);
-            text += fmt::format("  minion {}: clock {} per mille slow, lease for another {} ms of it, from a {} sent at {}, arrived at {}\n", each, minion.slowThousandths,
-                minion.leaseEnd - minion.clock(m_now), minion.leaseCause, (minion.leaseSentAt - beginning).count, (minion.leaseArrivedAt - beginning).count);
-            if (sidecar.up)
-                text += fmt::format("  sidecar {} (incarnation {}): {} live runs, {}ready\n", each, sidecar.incarnation, sidecar.table->liveRuns(), sidecar.table->isReady() ? "" : "not ");
-            for (const auto& name : { started.run.job, minionName(each) }) {
-                text += fmt::format("  {}:\n", name);
-                for (const auto& line : m_history[name])
-                    text += "    " + line + "\n";
-            }
-            m_violations.push_back(text);
+            const bool isOtherEarlier = firstSentAt(each, other) <= firstSentAt(number, started);
+            const LiveRun& earlier = isOtherEarlier ? other : started;
+            const std::size_t earlierAt = isOtherEarlier ? each : number;
+            m_pairs.push_back({ .job = started.run.job,
+                .minions = { each, number },
+                .ids = { other.id, started.id },
+                .since = m_now,
+                .origin = originOf(other, started),
+                .isOfBefore = earlier.by.minionIncarnation != m_minions[earlierAt].incarnation,
+                .ground = groundOf(earlierAt, earlier),
+                .text = describePair(each, other, number, started) });
+        }
+    }
+
+    static Submission submissionOf(const std::string& payload)
+    {
+        const std::size_t space = payload.find(' ');
+        return { .entry = payload.substr(0, space), .attempt = std::stoull(payload.substr(space + 1)) };
+    }
+
+    Milliseconds firstSentAt(std::size_t number, const LiveRun& run) const { return m_firstSentAt.at({ number, run.run }); }
+
+    static PairOrigin originOf(const LiveRun& a, const LiveRun& b)
+    {
+        if (a.submission == b.submission)
+            return PairOrigin::SameSubmission;
+        return a.submission.entry == b.submission.entry ? PairOrigin::ResubmittedAtTheSameEntry : PairOrigin::ResubmittedAtAnotherEntry;
+    }
+
+    std::string groundOf(std::size_t number, const LiveRun& run) const
+    {
+        const Sidecar& sidecar = m_sidecars[number];
+        if (!sidecar.up || sidecar.incarnation != run.by.sidecarIncarnation)
+            return "its sidecar died";
+        const auto proof = sidecar.table->proofOf(run.run);
+        return proof ? std::string(endProofName(*proof)) : "not concluded";
+    }
+
+    std::string describePair(std::size_t each, const LiveRun& other, std::size_t number, const LiveRun& started) const
+    {
+        const Minion& minion = m_minions[each];
+        const Sidecar& sidecar = m_sidecars[each];
+        std::string text = fmt::format("seed {}: job {} has run {} of {} at minion {} since {} (sent at {} to incarnation {}, now {}) and run {} of {} at minion {} since {} (sent at {} to incarnation {}, now {})\n",
+            m_seed, started.run.job, other.run.run, other.submission.entry, each, (other.startedAt - beginning).count, (other.by.sentAt - beginning).count, other.by.minionIncarnation,
+            minion.incarnation, started.run.run, started.submission.entry, number, (started.startedAt - beginning).count, (started.by.sentAt - beginning).count,
+            started.by.minionIncarnation, m_minions[number].incarnation);
+        text += fmt::format("  minion {}: clock {} per mille slow, lease for another {} ms of it, from a {} sent at {}, arrived at {}\n", each, minion.slowThousandths,
+            minion.leaseEnd - minion.clock(m_now), minion.leaseCause, (minion.leaseSentAt - beginning).count, (minion.leaseArrivedAt - beginning).count);
+        if (sidecar.up)
+            text += fmt::format("  sidecar {} (incarnation {}): {} live runs, {}ready\n", each, sidecar.incarnation, sidecar.table->liveRuns(), sidecar.table->isReady() ? "" : "not ");
+        for (const auto& name : { started.run.job, minionName(each), minionName(number) }) {
+            const auto lines = m_history.find(name);
+            text += fmt::format("  {}:\n", name);
+            for (const auto& line : lines == m_history.end() ? std::vector<std::string> {} : lines->second)
+                text += "    " + line + "\n";
         }
+        return text;
+    }
+
+    void measurePairs()
+    {
+        for (auto& pair : m_pairs) {
+            const bool isOver = pair.since + pair.together < m_now - Milliseconds { 1 };
+            if (!isOver && isLive(pair.minions[0], pair.job, pair.ids[0]) && isLive(pair.minions[1], pair.job, pair.ids[1]))
+                pair.together = m_now - pair.since;
+        }
+    }
+
+    bool isLive(std::size_t number, const std::string& job, std::uint64_t id) const
+    {
+        const auto found = m_minions[number].running.find(job);
+        return m_minions[number].up && found != m_minions[number].running.end() && found->second.id == id;
     }
 
     void stop(std::size_t number, const RunName& run)
@@ -982,7 +1064,6 @@
     void takeReport(std::size_t number, const MinionReport& report, std::int64_t clock)
     {
         Sidecar& sidecar = m_sidecars[number];
-        sidecar.heardOf = report.born;
         if (sidecar.table->standingOf(report, m_now) == ReportStanding::OtherIncarnation) {
             if (!std::exchange(sidecar.confirming, true))
                 confirm(number, report, 1);
@@ -1035,27 +1116,41 @@
     std::uint64_t m_lastToken { 0 };
     std::uint64_t m_lastRunId { 0 };
     std::map<std::string, std::vector<std::string>> m_history;
-    std::vector<std::string> m_violations;
+    // When the start of a run at a sidecar's minion was sent first.
+    std::map<std::pair<std::size_t, RunName>, Milliseconds> m_firstSentAt;
+    std::vector<RunPair> m_pairs;
 };
 
+std::string describe(const RunPair& pair)
+{
+    constexpr std::array<std::string_view, 3> origins { "same submission", "resubmitted at the same entry", "resubmitted at another entry" };
+    return fmt::format("{}, earlier run {}: {}", origins[static_cast<std::size_t>(pair.origin)], pair.isOfBefore ? "of before" : "of this incarnation", pair.ground);
+}
+
 void expectNoViolation(const std::function<Faults(std::uint64_t seed)>& faultsOf)
 {
     std::vector<std::uint64_t> failed;
     std::string first;
+    std::map<std::string, std::vector<std::int64_t>> kinds;
     std::uint64_t runs = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         Model model(faultsOf(seed), seed);
-        const auto violations = model.violations();
+        const auto pairs = model.pairs();
         runs += model.runs();
-        if (violations.empty())
+        if (pairs.empty())
             continue;
         if (failed.empty())
-            first = Model(faultsOf(seed), seed, true).violations()[0];
+            first = Model(faultsOf(seed), seed, true).pairs()[0].text;
         failed.push_back(seed);
+        for (const auto& pair : pairs)
+            kinds[describe(pair)].push_back(pair.together.count);
     }
+    std::string summary;
+    for (const auto& [kind, times] : kinds)
+        summary += fmt::format("{} pairs, up to {} ms: {}\n", times.size(), *std::max_element(times.begin(), times.end()), kind);
     cr_expect(runs > seeds * 20, "only %llu runs started", static_cast<unsigned long long>(runs));
-    cr_assert(failed.empty(), "%zu of %llu seeds with two live runs of one task; the first: %s", failed.size(),
-        static_cast<unsigned long long>(seeds), first.c_str());
+    cr_assert(failed.empty(), "%zu of %llu seeds with two live runs of one task\n%sthe first: %s", failed.size(),
+        static_cast<unsigned long long>(seeds), summary.c_str(), first.c_str());
 }
 
 void expectNoViolation(const Faults& faults)
