--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -382,6 +382,9 @@
         return;
     const TaskPlace place = found->second;
     link.outstanding.erase(found);
+    // A sidecar that doesn't know the run does not know either whether its former incarnation's start was answered.
+    if (end.kind == RunEndKind::Stopped && end.evidence == StartEvidence::Requested)
+        applyUnsettledTask(sidecar, { .job = end.run.job, .step = end.run.step, .index = end.run.index, .remaining = maxStartDelay }, now);
     runEnded(sidecar, place, end, now);
 }
 
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -386,7 +386,7 @@
 
 void RunTable::noteUnansweredStart(const RunName& run, Milliseconds now)
 {
-    const Milliseconds until = now + m_options.maxStartDelay;
+    const Milliseconds until = now + maxStartDelay;
     noteUnsettled(taskOf(run), until);
     m_unsettled[taskOf(run)].startsUntil = until;
 }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -183,8 +183,6 @@
     Milliseconds unresponsiveAfter { 250 };
     // An unanswered start request is resent immediately this many times, then with exponential backoff.
     int immediateResends { 8 };
-    // How late a start that was not answered may be carried out.
-    Milliseconds maxStartDelay { 12'000 };
     Milliseconds initialResendBackoff { 20 };
     Milliseconds maxResendBackoff { 160 };
     // A run is stuck when it is projected to take this many times its estimate, and at least `minStuckTime`.
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -129,6 +129,9 @@
     bool accepting { false };
 };
 
+// How late a start that was not answered may be carried out.
+constexpr Milliseconds maxStartDelay { 12'000 };
+
 // A task of which a start or a stop was not answered. The minion may still run it, or start it late: also its next incarnation, which
 // knows neither of a stop nor of a fencing token. So no other minion may start the task.
 struct UnsettledTask {
--- a/test/policy/UnsettledTasksTest.cpp
+++ b/test/policy/UnsettledTasksTest.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Milliseconds beginning { 50'000 };
-constexpr Milliseconds maxStartDelay { 12'000 };
 
 MinionReport reportOf(const char* name, Milliseconds born)
 {
