MinionAdapter, RunTable: retry a start that was refused for its fencing token

Raising the token while starts were on the way ended their runs, and their tasks were placed anew.

Cause: 409 "fence" was read as StartAnswer::Refused, an answer about the run itself, so the run was ended, or stopped if an earlier copy was unanswered.

StartAnswer::Fenced now tells it apart. The minion has done nothing for such a call, so the run is requested again under the present token.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -332,8 +332,8 @@
         return;
     if (run.unansweredStarts > 0) {
         // This request was declined, but an earlier one may still be carried out until a stop is answered.
-        if (wanted && answer == StartAnswer::NoRoom)
-            run.resendAt = now + m_options.startRetryDelay;
+        if (wanted && (answer == StartAnswer::NoRoom || answer == StartAnswer::Fenced))
+            run.resendAt = now + startRetryDelay(answer);
         else {
             noteCause(run, StopCause::StartDeclined);
             stop(run, RunEndKind::Stopped, now, now);
@@ -350,7 +350,12 @@
     if (answer == StartAnswer::Superseded)
         m_lastRuns[taskOf(name)] = { .run = name.run + supersedeStep, .at = now };
     run.state = State::Queued;
-    run.notBefore = now + (answer == StartAnswer::Superseded ? Milliseconds {} : m_options.startRetryDelay);
+    run.notBefore = now + startRetryDelay(answer);
+}
+
+Milliseconds RunTable::startRetryDelay(StartAnswer answer) const
+{
+    return answer == StartAnswer::Superseded || answer == StartAnswer::Fenced ? Milliseconds {} : m_options.startRetryDelay;
 }
 
 // Start requests are idempotent: the minion runs a run once, whichever request arrives first. So an unanswered request is
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -53,6 +53,8 @@
     Unhealthy,
     // Not started: the minion has seen a run of this task with this or a higher number.
     Superseded,
+    // Not started: the minion has seen a higher fencing token. The same run may be retried if this sidecar has raised it meanwhile.
+    Fenced,
     // Not started, for another reason.
     Refused,
     // No answer arrived: the request may still be carried out later.
@@ -374,6 +376,8 @@
     void requestStart(Run&, RunActions&, Milliseconds now);
     void resendStarts(RunActions&, Milliseconds now);
     Milliseconds resendBackoff(const Run&) const;
+    // Delay before a start that was declined is retried.
+    Milliseconds startRetryDelay(StartAnswer) const;
     void startUnanswered(Run&, Milliseconds now);
     bool fits(const TaskNeeds&) const;
     // Whether a task fits beside the running and queued ones.
--- a/test/platform/MinionAdapterTest.cpp
+++ b/test/platform/MinionAdapterTest.cpp
@@ -160,6 +160,12 @@
     cr_assert(readStartAnswer(400, "") == StartAnswer::Refused);
 }
 
+// It was taken for one of the run itself, which ended runs whose start a raised token had overtaken.
+Test(MinionAdapter, tellsARefusalForTheTokenFromOthers)
+{
+    cr_assert(readStartAnswer(409, R"({"clockMs":482113,"reason":"fence"})") == StartAnswer::Fenced);
+}
+
 Test(MinionAdapter, treatsUndocumentedStatusesAsUnknown)
 {
     for (const int status : { 201, 202, 204, 301, 307, 401, 403, 404, 408, 410, 500, 502, 504, 599 })
--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -30,6 +30,8 @@
             return "unhealthy";
         case StartAnswer::Superseded:
             return "superseded";
+        case StartAnswer::Fenced:
+            return "fenced";
         case StartAnswer::Refused:
             return "refused";
         case StartAnswer::Unknown:
