RunTable: ask for lists as long as an unanswered start may be carried out

Cause: a start without an answer may be carried out up to 12 s later, by the minion's next incarnation, until that one has carried out a call with a raised token. Lists were asked for only beside live runs, so without one the next incarnation was first heard when it reported.

RunTable now asks until 12 s after the last unanswered start. Such a list grants no lease, and is held open, so that it breaks when the minion goes; after a loss the lists follow each other at once.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -14,8 +14,11 @@
     constexpr std::int64_t slowClockPercent = 98;
     // Covers the rounding to whole milliseconds on both sides.
     constexpr Milliseconds leaseRoundingMargin { 20 };
-    // How long the numbers of earlier runs are kept. Delayed requests arrive within 12 s.
+    // A request without an answer is carried out within this time or never.
+    constexpr Milliseconds maxRequestDelay { 12'000 };
+    // How long the numbers of earlier runs are kept.
     constexpr Milliseconds lastRunRetention { 30'000 };
+    static_assert(lastRunRetention > maxRequestDelay);
     constexpr std::size_t pruneLastRunsAbove = 4'096;
     // Added to the number of a run that the minion rejected as superseded.
     constexpr std::uint64_t supersedeStep = 1'000;
@@ -310,6 +313,8 @@
 void RunTable::startAnswered(const RunName& name, StartAnswer answer, Milliseconds now)
 {
     recordAnswer(answer != StartAnswer::Unknown, now);
+    if (answer == StartAnswer::Unknown)
+        m_unansweredStartBy = now;
     const auto found = m_byMinionName.find(name);
     if (found == m_byMinionName.end())
         return;
@@ -585,6 +590,9 @@
 {
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
+        // Calls to the previous incarnation are dropped, so a start request in flight stays without an answer.
+        if (run.state == State::Starting)
+            m_unansweredStartBy = now;
         noteCause(run, StopCause::FormerIncarnation);
         stop(run, RunEndKind::Stopped, now, now);
         run.stopRequest = {};
@@ -861,10 +869,12 @@
     }
 }
 
-bool RunTable::needsList() const
+bool RunTable::mayBeStartedLate(Milliseconds now) const { return m_unansweredStartBy && now <= *m_unansweredStartBy + maxRequestDelay; }
+
+bool RunTable::needsList(Milliseconds now) const
 {
     return m_phase != Phase::Absent
-        && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_orphans.empty() || m_endsForgotten < m_endsSeen);
+        && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_orphans.empty() || m_endsForgotten < m_endsSeen || mayBeStartedLate(now));
 }
 
 bool RunTable::wasListLostRecently(Milliseconds now) const { return m_listLostAt && now <= *m_listLostAt + m_options.listLossPeriod; }
@@ -872,7 +882,7 @@
 std::optional<Milliseconds> RunTable::nextListAt(Milliseconds now) const
 {
     const bool lostRecently = wasListLostRecently(now);
-    if (!needsList() || m_openLists >= (lostRecently ? m_options.maxOpenListsAfterLoss : 2))
+    if (!needsList(now) || m_openLists >= (lostRecently ? m_options.maxOpenListsAfterLoss : 2))
         return std::nullopt;
     if (m_openLists == 0)
         return m_listedAt + m_options.minListInterval;
@@ -900,6 +910,9 @@
             recordLeaseGranted(now);
         }
     }
+    // Held open, since it breaks when the minion goes.
+    if (m_byMinionName.empty() && m_orphans.empty() && m_phase == Phase::Ready && mayBeStartedLate(now) && !wasListLostRecently(now))
+        list.wait = m_options.listWait;
     actions.list = list;
 }
 
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -388,7 +388,9 @@
     Milliseconds dueAt(const StopRequest&) const;
     void listRuns(RunActions&, Milliseconds now);
     void sendFrames(RunActions&, Milliseconds now);
-    bool needsList() const;
+    // Whether a start request without an answer may still be carried out, by the next incarnation of the minion as well.
+    bool mayBeStartedLate(Milliseconds now) const;
+    bool needsList(Milliseconds now) const;
     // When the next list may be requested; empty while none is needed.
     std::optional<Milliseconds> nextListAt(Milliseconds now) const;
     bool wasListLostRecently(Milliseconds now) const;
@@ -439,6 +441,8 @@
     std::optional<Milliseconds> m_unansweredSince;
     // As last reported to entries.
     bool m_wasUnresponsive { false };
+    // A time by which the last start request without an answer had been sent.
+    std::optional<Milliseconds> m_unansweredStartBy;
     // When a list request last timed out.
     std::optional<Milliseconds> m_listLostAt;
     // List requests in flight, and when the last one was sent.
--- a/test/policy/RunTableLateStartsTest.cpp
+++ b/test/policy/RunTableLateStartsTest.cpp
@@ -58,6 +58,32 @@
 
 } // namespace
 
+// No list was asked for without a live run, so a minion that had started again was first heard when it reported.
+Test(RunTableLateStarts, asksForListsAsLongAsAnUnansweredStartMayBeCarriedOut)
+{
+    Table table;
+    const RunName run = table.requestStart();
+    table.runs.startAnswered(run, StartAnswer::Unknown, table.now);
+    const Milliseconds unansweredAt = table.now;
+    table.stop(run);
+    while (table.now < unansweredAt + Milliseconds { 11'900 }) {
+        const auto list = table.after({ 60 }).list;
+        cr_assert(list && !list->leaseEnd && list->wait.count > 0, "expected a list that renews nothing %lld ms after the start",
+            static_cast<long long>((table.now - unansweredAt).count));
+        table.answerList();
+    }
+    cr_assert(!table.after({ 200 }).list);
+}
+
+Test(RunTableLateStarts, asksForNoListsOnceEveryStartIsAnswered)
+{
+    Table table;
+    const RunName run = table.requestStart();
+    table.runs.startAnswered(run, StartAnswer::Started, table.now);
+    table.stop(run);
+    cr_assert(!table.after({ 60 }).list);
+}
+
 // A raised token ended the runs whose start it overtook, and their tasks were placed anew.
 Test(RunTableLateStarts, retriesAStartThatWasRefusedForItsToken)
 {
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -140,6 +140,8 @@
     const Json::Value parameters = parseJson(request.body).value();
     const std::uint64_t fencingToken = parameters["fencingToken"].asUInt64();
     const char* reason = fencingToken < m_fencingToken ? "fence" : nullptr;
+    if (fencingToken > m_fencingToken)
+        m_options.onHigherToken(Clock::now(), fencingToken);
     m_fencingToken = std::max(m_fencingToken, fencingToken);
     if (!reason && request.path == "/hold")
         return list(parameters, caller);
