RunServer: raise the fencing token when a connection to the minion fails

Cause: the token rose only when a report came or a list showed another start time. The first call to a minion that had started again had the former token, so orders of before could be carried out until the second.

A connection that is refused or broken is news that another incarnation may be there: the token is raised then, if starts with the present one are unanswered, so once for calls that fail together. A time-out raises nothing, since the minion may only be busy; nor does a start that was never sent.

--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -117,20 +117,29 @@
 {
     if (!m_sessionIncarnation)
         return std::nullopt;
-    return *m_sessionIncarnation * tokensPerIncarnation + std::min(m_fenceRaises, tokensPerIncarnation - 1);
+    return *m_sessionIncarnation * tokensPerIncarnation + std::min(m_fenceRaises.count(), tokensPerIncarnation - 1);
 }
 
 void RunServer::raiseFenceFor(Milliseconds born)
 {
     const bool isOther = !m_runs.isPresent(born);
     if (isOther && m_otherBorn != born)
-        ++m_fenceRaises;
+        m_fenceRaises.raise();
     m_otherBorn = isOther ? std::optional(born) : std::nullopt;
 }
 
+void RunServer::raiseFenceForFailure()
+{
+    if (!std::exchange(m_hasConnectionFailed, false) || !m_fenceRaises.connectionFailed())
+        return;
+    m_process.metrics.add("fence_raises_after_connection_failures_total");
+    log(LogLevel::Info, { .step = "minion.fence" },
+        fmt::format("a connection to the minion failed while start requests were unanswered: fencing token raised to {}", fencingToken().value_or(0)));
+}
+
 void RunServer::confirm(const MinionReport& report, int attempt, const std::function<void(bool taken)>& done)
 {
-    ++m_fenceRaises;
+    m_fenceRaises.raise();
     m_minion.identify(report, [this, report, attempt, done, incarnations = m_incarnations](const Result<Milliseconds>& born) {
         // One that was taken meanwhile may be the later of the two, so its minion has to be asked after that.
         const bool isInconclusive = !born.has_value() || incarnations != m_incarnations;
@@ -273,9 +282,12 @@
 
 void RunServer::perform(RunActions actions)
 {
+    raiseFenceForFailure();
     for (const auto& item : actions.starts) {
         m_process.metrics.add("starts_total");
-        m_minion.start(item, [this, run = item.run](StartAnswer answer) {
+        m_minion.start(item, [this, run = item.run, raises = m_fenceRaises.startSent()](StartAnswer answer) {
+            if (answer != StartAnswer::Unknown)
+                m_fenceRaises.startAnswered(raises);
             if (answer != StartAnswer::Started)
                 m_process.metrics.add("starts_not_taken_total");
             m_runs.startAnswered(run, answer, Clock::now());
--- a/src/sidecar/RunServer.h
+++ b/src/sidecar/RunServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/FenceRaises.h"
 #include "policy/RunTable.h"
 #include "sidecar/MinionPort.h"
 #include "wire/ControlSession.h"
@@ -34,6 +35,9 @@
     // The minion is shutting down. Calls back once it may exit: no run may continue after it was reported as ended.
     void minionLeaves(std::function<void()> confirm);
 
+    // The minion has refused or broken a connection, which it does when it has gone. Call before the callback of the call that failed.
+    void connectionFailed() { m_hasConnectionFailed = true; }
+
     // Whether the run may still be started now, when its start request is sent.
     bool mayStillStart(const RunName& run) const { return m_runs.mayStillStart(run, Clock::now()); }
 
@@ -51,6 +55,9 @@
 
     // Asks whether the minion of a report is there, and takes the report if so.
     void confirm(const MinionReport&, int attempt, const std::function<void(bool taken)>&);
+    // Raises the fencing token after a connection has failed if the minion's next incarnation might carry out start requests with the
+    // present one.
+    void raiseFenceForFailure();
     // Raises the fencing token when a list comes from another incarnation than the one taken.
     void raiseFenceFor(Milliseconds born);
     void take(const MinionReport&);
@@ -74,7 +81,8 @@
     MinionPort m_minion;
     // Incarnation of the first session.
     std::optional<std::uint64_t> m_sessionIncarnation;
-    std::uint64_t m_fenceRaises { 0 };
+    FenceRaises m_fenceRaises;
+    bool m_hasConnectionFailed { false };
     // Start time in the latest list, if it is not that of the incarnation taken.
     std::optional<Milliseconds> m_otherBorn;
     // The newest report while there is no session yet.
--- a/test/platform/MinionReachedTest.cpp
+++ b/test/platform/MinionReachedTest.cpp
@@ -186,6 +186,19 @@
     cr_assert(PlatformDeployment::isComplete(test.deployment.clients.back()->received()));
 }
 
+// The first list after a restart had the former token, so an order of before could come between it and the second.
+Test(MinionReached, theFirstCallAfterABrokenConnectionHasARaisedToken)
+{
+    RestartTest test;
+    for (int each = 0; each < restarts; ++each) {
+        test.submitWithLateStart({ 400 });
+        test.abandon();
+        test.restart();
+        cr_assert(test.hasRaisedBefore, "restart %d: expected the first call to have a raised token", each);
+        test.resume();
+    }
+}
+
 Test(MinionReached, aMinionThatStartsAgainBehindACutIsReachedWhenTheCutEnds)
 {
     RestartTest test(true);
