--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -14,8 +14,9 @@
     constexpr std::int64_t slowClockPercent = 98;
     // Covers the rounding to whole milliseconds on both sides.
     constexpr Milliseconds leaseRoundingMargin { 20 };
-    // How long the numbers of earlier runs are kept. Delayed requests arrive within 12 s.
+    // How long the numbers of earlier runs are kept.
     constexpr Milliseconds lastRunRetention { 30'000 };
+    static_assert(lastRunRetention > maxStartDelay);
     constexpr std::size_t pruneLastRunsAbove = 4'096;
     // Entries are told of an unsettled task for this much longer, so that further unanswered calls for it need no frames.
     constexpr Milliseconds unsettledMargin { 1'000 };
@@ -341,8 +342,8 @@
         return;
     if (run.unansweredStarts > 0) {
         // This request was declined, but an earlier one may still be carried out until a stop is answered.
-        if (wanted && answer == StartAnswer::NoRoom)
-            run.resendAt = now + m_options.startRetryDelay;
+        if (wanted && (answer == StartAnswer::NoRoom || answer == StartAnswer::Fenced))
+            run.resendAt = now + startRetryDelay(answer);
         else {
             noteCause(run, StopCause::StartDeclined);
             stop(run, RunEndKind::Stopped, now, now);
@@ -359,7 +360,12 @@
     if (answer == StartAnswer::Superseded)
         m_lastRuns[taskOf(name)] = { .run = name.run + supersedeStep, .at = now };
     run.state = State::Queued;
-    run.notBefore = now + (answer == StartAnswer::Superseded ? Milliseconds {} : m_options.startRetryDelay);
+    run.notBefore = now + startRetryDelay(answer);
+}
+
+Milliseconds RunTable::startRetryDelay(StartAnswer answer) const
+{
+    return answer == StartAnswer::Superseded || answer == StartAnswer::Fenced ? Milliseconds {} : m_options.startRetryDelay;
 }
 
 // Start requests are idempotent: the minion runs a run once, whichever request arrives first. So an unanswered request is
@@ -386,6 +392,7 @@
 
 void RunTable::noteUnansweredStart(const RunName& run, Milliseconds now)
 {
+    m_unansweredStartBy = now;
     const Milliseconds until = now + maxStartDelay;
     noteUnsettled(taskOf(run), until);
     m_unsettled[taskOf(run)].startsUntil = until;
@@ -639,7 +646,7 @@
 {
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
-        // Its start may be on the way.
+        // Calls to the previous incarnation are dropped, so a start request in flight stays without an answer.
         if (run.state == State::Starting)
             noteUnansweredStart(name, now);
         noteCause(run, StopCause::FormerIncarnation);
@@ -919,10 +926,12 @@
     }
 }
 
-bool RunTable::needsList() const
+bool RunTable::mayBeStartedLate(Milliseconds now) const { return m_unansweredStartBy && now <= *m_unansweredStartBy + maxStartDelay; }
+
+bool RunTable::needsList(Milliseconds now) const
 {
     return m_phase != Phase::Absent
-        && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_orphans.empty() || m_endsForgotten < m_endsSeen);
+        && (m_phase == Phase::Clearing || !m_byMinionName.empty() || !m_orphans.empty() || m_endsForgotten < m_endsSeen || mayBeStartedLate(now));
 }
 
 bool RunTable::wasListLostRecently(Milliseconds now) const { return m_listLostAt && now <= *m_listLostAt + m_options.listLossPeriod; }
@@ -930,7 +939,7 @@
 std::optional<Milliseconds> RunTable::nextListAt(Milliseconds now) const
 {
     const bool lostRecently = wasListLostRecently(now);
-    if (!needsList() || m_openLists >= (lostRecently ? m_options.maxOpenListsAfterLoss : 2))
+    if (!needsList(now) || m_openLists >= (lostRecently ? m_options.maxOpenListsAfterLoss : 2))
         return std::nullopt;
     if (m_openLists == 0)
         return m_listedAt + m_options.minListInterval;
@@ -958,6 +967,9 @@
             recordLeaseGranted(now);
         }
     }
+    // Held open, since it breaks when the minion goes.
+    if (m_byMinionName.empty() && m_orphans.empty() && m_phase == Phase::Ready && mayBeStartedLate(now) && !wasListLostRecently(now))
+        list.wait = m_options.listWait;
     actions.list = list;
 }
 
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -53,6 +53,8 @@
     Unhealthy,
     // Not started: the minion has seen a run of this task with this or a higher number.
     Superseded,
+    // Not started: the minion has seen a higher fencing token. The same run may be retried if this sidecar has raised it meanwhile.
+    Fenced,
     // Not started, for another reason.
     Refused,
     // No answer arrived: the request may still be carried out later.
@@ -390,6 +392,8 @@
     void requestStart(Run&, RunActions&, Milliseconds now);
     void resendStarts(RunActions&, Milliseconds now);
     Milliseconds resendBackoff(const Run&) const;
+    // Delay before a start that was declined is retried.
+    Milliseconds startRetryDelay(StartAnswer) const;
     void startUnanswered(Run&, Milliseconds now);
     // Lets entries know that the minion may run the task until then, whatever becomes of the run here.
     void noteUnsettled(const TaskKey&, Milliseconds until);
@@ -409,7 +413,9 @@
     Milliseconds dueAt(const StopRequest&) const;
     void listRuns(RunActions&, Milliseconds now);
     void sendFrames(RunActions&, Milliseconds now);
-    bool needsList() const;
+    // Whether a start request without an answer may still be carried out, by the next incarnation of the minion as well.
+    bool mayBeStartedLate(Milliseconds now) const;
+    bool needsList(Milliseconds now) const;
     // When the next list may be requested; empty while none is needed.
     std::optional<Milliseconds> nextListAt(Milliseconds now) const;
     bool wasListLostRecently(Milliseconds now) const;
@@ -462,6 +468,8 @@
     std::optional<Milliseconds> m_unansweredSince;
     // As last reported to entries.
     bool m_wasUnresponsive { false };
+    // A time by which the last start request without an answer had been sent.
+    std::optional<Milliseconds> m_unansweredStartBy;
     // When a list request last timed out.
     std::optional<Milliseconds> m_listLostAt;
     // List requests in flight, and when the last one was sent.
