RunTable: renew no lease while lists have gone unanswered for 150 ms

A minion that had started again under its id and whose answers were all lost had its leases renewed for as long as they were due. To it the end of a lease, a time on its former clock, lies far ahead and means 1,000 ms from arrival, so what it ran could outlive a caller by more than 1,300 ms.

Renewals stop 150 ms after the first list since the last answer. A minion that is only hard to hear keeps the 800 ms that it was granted, and the next answer renews them. Starts are not held back: none is sent to a minion that is unresponsive (250 ms), and after an idle time there is no list to go by.

Not covered: calls that are carried out late, and a caller who had left before the last answer.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -242,6 +242,7 @@
         m_endsSeen = 0;
         m_endsForgotten = 0;
         m_openLists = 0;
+        m_listsUnansweredSince.reset();
         m_orphans.clear();
         noteRunsWithoutEntry(true, now);
     }
@@ -434,6 +435,7 @@
             markStateChanged();
         return;
     }
+    m_listsUnansweredSince.reset();
     // One that was asked for before another incarnation answered does not show that the present one is back.
     if (askedAt > m_otherSeenBy)
         m_reachable = true;
@@ -881,6 +883,8 @@
         return;
     ++m_openLists;
     m_listAskedAt = now;
+    const Milliseconds unansweredSince = m_listsUnansweredSince.value_or(now);
+    m_listsUnansweredSince = unansweredSince;
     const auto stopping = std::count_if(m_byMinionName.begin(), m_byMinionName.end(),
         [this](const auto& item) { return m_runs.at(item.second).state == State::Stopping; });
     ListRuns list { .leaseEnd = std::nullopt, .endsSeen = m_endsSeen, .wait = {} };
@@ -890,7 +894,7 @@
         // A lease is a time on the clock of the incarnation that was taken, which may not be there.
         if (m_reachable)
             noteLease(end, now);
-        if (m_reachable && end > now) {
+        if (m_reachable && end > now && now < unansweredSince + m_options.renewalsWithoutAnswer) {
             list.leaseEnd = end;
             recordLeaseGranted(now);
         }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -159,6 +159,9 @@
     Milliseconds listLossPeriod { 500 };
     int maxOpenListsAfterLoss { 4 };
     Milliseconds nextListAfterLoss { 10 };
+    // A minion that has answered no list for this long gets no renewal: another incarnation, to which the end of a lease means
+    // another time, may be there.
+    Milliseconds renewalsWithoutAnswer { 150 };
     // Minimum time between two lists, to batch ended runs.
     Milliseconds minListInterval { 6 };
     // Delay before an unanswered stop request is resent, and the shorter one when the request is known to have failed.
@@ -439,6 +442,8 @@
     std::optional<Milliseconds> m_listLostAt;
     // List requests in flight, and when the last one was sent.
     int m_openLists { 0 };
+    // When the first list was requested since the last answer to one by the incarnation taken.
+    std::optional<Milliseconds> m_listsUnansweredSince;
     Milliseconds m_listAskedAt {};
     // Request time of the newest accepted list. Answers may arrive out of order.
     Milliseconds m_newestListAskedAt {};
--- a/test/policy/AbandonedRunsTest.cpp
+++ b/test/policy/AbandonedRunsTest.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <deque>
 
 using namespace oleanderport;
 
@@ -14,6 +15,7 @@
 constexpr Milliseconds resubmitAfter { 1'300 };
 constexpr Milliseconds minionStopTime { 50 };
 constexpr Milliseconds period { 10 };
+constexpr Milliseconds listTimeout { 100 };
 
 // A table with one run each of two entries. The minion lists both as running and leaves stop requests unanswered.
 class TwoOwners {
@@ -59,14 +61,21 @@
         for (const Milliseconds until = m_now + span; m_now < until;) {
             m_now = m_now + period;
             m_runs.received(otherOwner, { .echo = m_now }, m_now);
+            if (!m_failures.empty() && m_failures.front() <= m_now) {
+                m_failures.pop_front();
+                m_runs.listFailed(m_now);
+            }
             const RunActions actions = m_runs.act(m_now);
             for (const auto& item : actions.starts)
                 m_latestLease = std::max(m_latestLease, item.leaseEnd);
             if (actions.list && actions.list->leaseEnd) {
                 m_latestLease = std::max(m_latestLease, *actions.list->leaseEnd);
+                m_lastLeaseSentAt = m_now;
                 ++renewals;
             }
-            if (actions.list)
+            if (actions.list && m_losesAnswers)
+                m_failures.push_back(m_now + listTimeout);
+            else if (actions.list)
                 list({ { .run = abandoned, .percent = 50 }, { .run = kept, .percent = 50 } });
         }
     }
@@ -74,6 +83,9 @@
     // When a minion whose clock is 2% slow has ended everything, if it gets no further call.
     Milliseconds latestEnd() const { return m_latestLease + Milliseconds { 16 + 20 } + minionStopTime; }
     Milliseconds now() const { return m_now; }
+    // Lists get no answer from now on.
+    void loseAnswers() { m_losesAnswers = true; }
+    Milliseconds lastLeaseSentAt() const { return m_lastLeaseSentAt; }
 
     RunName abandoned;
     RunName kept;
@@ -89,6 +101,9 @@
     RunTable m_runs { { .incarnation = "sidecar/1", .dataCentre = "dc" }, m_now };
     bool m_isOpen[2] { false, false };
     Milliseconds m_latestLease {};
+    Milliseconds m_lastLeaseSentAt {};
+    bool m_losesAnswers { false };
+    std::deque<Milliseconds> m_failures;
 };
 
 void assertEndsBefore(const TwoOwners& table, Milliseconds leftAt)
@@ -162,3 +177,20 @@
     }
     assertEndsBefore(table, silentSince);
 }
+
+Test(AbandonedRuns, noLeaseOfAMinionWhoseAnswersAreLostOutlivesACallerByItsFormerClock)
+{
+    TwoOwners table;
+    table.pass({ 500 });
+    const Milliseconds answeredAt = table.now();
+    table.loseAnswers();
+    for (int i = 0; i < 30; ++i) {
+        table.receive(owner, { .echo = table.now() });
+        table.pass({ 100 });
+    }
+    constexpr Milliseconds longestLease { 1'000 };
+    constexpr Milliseconds drift { 21 + 20 };
+    const Milliseconds end = table.lastLeaseSentAt() + longestLease + drift + minionStopTime;
+    cr_assert(end < answeredAt + resubmitAfter, "another incarnation may run on until %lld ms after the last answer of the former one",
+        static_cast<long long>((end - answeredAt).count));
+}
