--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -120,7 +120,7 @@
     const auto reason = refusal(job, now);
     const Job& added = m_jobs.emplace(submission, std::move(job)).first->second;
     if (reason)
-        endJob(submission, DispatchEndKind::Refused, *reason, retryAfter(added, now));
+        giveUp(submission, *reason, *reason, now);
     else
         m_queue.emplace(added.effectiveDeadline, submission);
     return submission;
@@ -382,9 +382,6 @@
         return;
     const TaskPlace place = found->second;
     link.outstanding.erase(found);
-    // A sidecar that doesn't know the run does not know either whether its former incarnation's start was answered.
-    if (end.kind == RunEndKind::Stopped && end.evidence == StartEvidence::Requested)
-        applyUnsettledTask(sidecar, { .job = end.run.job, .step = end.run.step, .index = end.run.index, .remaining = maxStartDelay }, now);
     runEnded(sidecar, place, end, now);
 }
 
@@ -481,8 +478,10 @@
 void JobDispatcher::giveUp(std::uint64_t id, std::string_view whenBegun, std::string_view otherwise, Milliseconds now)
 {
     const Job& job = m_jobs.at(id);
-    const bool begun = job.hasBegun();
-    endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise),
+    // A run of a former submission is no reason to promise that nothing will run.
+    const std::string unsettled = describeUnsettled(job, now);
+    const bool begun = job.hasBegun() || !unsettled.empty();
+    endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled,
         retryAfter(job, now));
 }
 
@@ -767,9 +766,8 @@
     }
     for (const auto id : over) {
         const bool isStopping = m_finishBy && m_jobs.at(id).spec.deadline == *m_finishBy;
-        const std::string unsettled = describeUnsettled(m_jobs.at(id), now);
-        giveUp(id, (isStopping ? "this entry is stopping" : "the time of the job is over") + unsettled,
-            (isStopping ? "this entry is stopping, and the job can't be done before" : "it can no longer be done in time") + unsettled, now);
+        giveUp(id, isStopping ? "this entry is stopping" : "the time of the job is over",
+            isStopping ? "this entry is stopping, and the job can't be done before" : "it can no longer be done in time", now);
     }
 }
 
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -84,8 +84,12 @@
     if (m_phase != Phase::Ready && now <= m_startedAt + leaseWithDrift(m_options.longestMinionLease))
         return;
     for (auto& [name, entry] : m_entries) {
-        for (const auto& run : entry.unknownRuns)
+        for (const auto& run : entry.unknownRuns) {
+            // A start by this sidecar's former incarnation may not have been answered.
+            if (now <= m_startedAt + maxStartDelay)
+                noteUnansweredStart(run, now);
             entry.unseenEnds.push_back({ .number = ++entry.lastEnd, .run = run, .kind = RunEndKind::Stopped });
+        }
         entry.unknownRuns.clear();
     }
 }
@@ -238,12 +242,12 @@
     }
     const bool sameIncarnation = standing == ReportStanding::Newer;
     if (!sameIncarnation) {
-        if (report.name != m_report.name)
-            withdrawUnsettled(now);
         m_incarnationSince = now;
         if (m_phase != Phase::Absent)
             m_leaseMayEndAt = std::max(m_leaseMayEndAt, now + leaseWithDrift(m_options.longestMinionLease));
         stopRunsOfFormerIncarnation(now);
+        if (report.name != m_report.name)
+            withdrawUnsettled(now);
         m_phase = Phase::Clearing;
         m_endsSeen = 0;
         m_endsForgotten = 0;
@@ -619,7 +623,8 @@
         { .number = ++entry.lastEnd, .run = key.second, .kind = kind, .ranFor = ranFor, .evidence = run.evidence });
     --entry.runs;
     m_runs.erase(found);
-    settle(taskOf(key.second), now);
+    if (atMinion && !isAtMinion(taskOf(key.second)))
+        settle(taskOf(key.second), now);
     markStateChanged();
 }
 
@@ -649,7 +654,7 @@
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
         // Calls to the previous incarnation are dropped, so a start request in flight stays without an answer.
-        if (run.state == State::Starting)
+        if (run.state == State::Starting || run.evidence == StartEvidence::Requested)
             noteUnansweredStart(name, now);
         noteCause(run, StopCause::FormerIncarnation);
         stop(run, RunEndKind::Stopped, now, now);
@@ -790,9 +795,7 @@
     // A run of the same task from an earlier submission has to end first.
     const TaskKey task = taskOf(key.second);
     LastRun& last = m_lastRuns[task];
-    const auto other = m_byMinionName.lower_bound({ .job = task.job, .step = task.step, .index = task.index });
-    const bool isAtMinion = other != m_byMinionName.end() && taskOf(other->first) == task;
-    if (isAtMinion || hasOrphanOf(task))
+    if (isAtMinion(task))
         return;
     run.minionName = key.second;
     run.minionName.submission = 0;
@@ -824,6 +827,12 @@
     return std::any_of(m_orphans.begin(), m_orphans.end(), [](const auto& item) { return !item.second.isStopAnswered; });
 }
 
+bool RunTable::isAtMinion(const TaskKey& task) const
+{
+    const auto found = m_byMinionName.lower_bound({ .job = task.job, .step = task.step, .index = task.index });
+    return (found != m_byMinionName.end() && taskOf(found->first) == task) || hasOrphanOf(task);
+}
+
 bool RunTable::hasOrphanOf(const TaskKey& task) const
 {
     const auto found = m_orphans.lower_bound({ .job = task.job, .step = task.step, .index = task.index });
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -425,6 +425,8 @@
     // Whether a run without an entry, of which a stop has not been answered, is at the minion.
     bool hasUnstoppedOrphan() const;
     bool hasOrphanOf(const TaskKey&) const;
+    // Whether a run of the task, with or without an entry, is at the minion.
+    bool isAtMinion(const TaskKey&) const;
     // Whether the list shows a later state than the newest one taken. One that was asked for later may have been made earlier.
     bool isNewest(const RunList&, Milliseconds askedAt) const;
     void takeListedRuns(const RunList&, Milliseconds askedAt, Milliseconds now);
--- a/test/policy/UnsettledTasksTest.cpp
+++ b/test/policy/UnsettledTasksTest.cpp
@@ -98,12 +98,12 @@
         return sidecars;
     }
 
-    void submit()
+    void submit(Milliseconds time = { 60'000 })
     {
         jobs.submit({ .name = "job",
                         .payload = "job",
                         .queue = { .name = "queue", .service = "service", .maxAttempts = 3, .latencyAllowance = { 60'000 } },
-                        .deadline = now + Milliseconds { 60'000 },
+                        .deadline = now + time,
                         .steps = { { .needs = { .cpuMillis = 1'000, .memoryMb = 1, .runTime = { 100 } } } } },
             now);
     }
@@ -200,3 +200,59 @@
         settled += static_cast<std::size_t>(std::count_if(item.frame.unsettledTasks.begin(), item.frame.unsettledTasks.end(), [](const UnsettledTask& task) { return task.remaining.count == 0; }));
     cr_assert(settled == 2, "expected both entries to learn of the end, got %zu", settled);
 }
+
+Test(UnsettledTasks, areNotSettledByTheEndOfAQueuedRunOfAnotherSubmission)
+{
+    Table table;
+    table.runs.startAnswered(table.run, StartAnswer::Started, table.now);
+    table.runs.received("entry-1/1", { .echo = table.now, .stops = { { .job = "job", .index = 3, .run = 1 } } }, table.now);
+    table.runs.act(table.now);
+    table.runs.stopAnswered(table.run, false, table.now);
+    cr_assert(table.toldAfter({ 500 }) == bothEntries);
+    table.runs.received("entry-2/1",
+        { .echo = table.now, .requests = { { .job = "job", .tasks = { { .index = 3, .run = 1 } }, .needs = { .cpuMillis = 100, .memoryMb = 1 }, .endBy = { 1'000'000 } } } }, table.now);
+    table.now = table.now + Milliseconds { 1 };
+    for (const auto& item : table.runs.act(table.now).frames) {
+        for (const auto& task : item.frame.unsettledTasks)
+            cr_assert(task.remaining.count > 0, "expected the task to stay unsettled while its run is at the minion");
+    }
+    cr_assert(table.runs.liveRuns() == 1);
+}
+
+Test(UnsettledTasks, areToldOfAStartThatWasUnderWayOfARunThatIsBeingStopped)
+{
+    Table table;
+    table.runs.received("entry-1/1", { .echo = table.now, .stops = { { .job = "job", .index = 3, .run = 1 } } }, table.now);
+    table.runs.act(table.now);
+    table.runs.reported(reportOf("minion", { 9 }), table.now);
+    cr_assert(table.toldAfter({ 500 }) == bothEntries);
+}
+
+Test(UnsettledTasks, areToldOfRunsOfTheSidecarsFormerIncarnation)
+{
+    Table table;
+    table.runs.opened({ .entry = "entry-1/1", .outstanding = { table.run, { .job = "job", .index = 3, .run = 9 } } }, table.now);
+    cr_assert(table.toldAfter({ 500 }) == bothEntries);
+}
+
+Test(UnsettledTasks, areNoneWhenTheMinionHasAnotherNameByThen)
+{
+    Table table;
+    table.runs.reported(reportOf("another", { 9 }), table.now);
+    cr_assert(table.toldAfter({ 500 }).empty());
+}
+
+Test(UnsettledTasks, aJobIsNotRefusedWhileOneOfItsTasksMayRun)
+{
+    Dispatcher entry;
+    entry.tellOf("sidecar-1", maxStartDelay);
+    entry.jobs.disconnected("sidecar-1");
+    entry.submit({ 2'000 });
+    for (int i = 0; i < 40; ++i) {
+        entry.now = entry.now + Milliseconds { 100 };
+        entry.jobs.received("sidecar-2", entry.frameOf("sidecar-2"), entry.now);
+        for (const auto& end : entry.jobs.act(entry.now).ends)
+            cr_assert(end.kind == DispatchEndKind::Unfinished, "got %s: %s", dispatchEndKindName(end.kind).data(), end.reason.c_str());
+    }
+    cr_assert(entry.jobs.jobs() == 0);
+}
