--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -416,10 +416,10 @@
     markStateChanged();
 }
 
-bool RunTable::isOnlyChance(const Run& run, Milliseconds now) const
+bool RunTable::isBoundToMinion(const TaskKey& task, Milliseconds now) const
 {
-    const auto found = m_unsettled.find(taskOf(run.minionName));
-    return found != m_unsettled.end() && found->second.startsUntil > now && found->second.hasBeenStuck && run.percent > 0;
+    const auto found = m_unsettled.find(task);
+    return found != m_unsettled.end() && found->second.startsUntil > now;
 }
 
 void RunTable::withdrawUnsettled(Milliseconds now)
@@ -715,7 +715,7 @@
     return { (run.listedAt - run.startedAt).count * wholePercent / std::max(run.percent, 1) };
 }
 
-void RunTable::checkRun(const RunKey& key, Run& run, Milliseconds now)
+void RunTable::checkRun(const RunKey& key, Run& run, Milliseconds now) const
 {
     if (run.state == State::Queued)
         return;
@@ -728,9 +728,7 @@
     if (isOver(key, run, now)) {
         noteCause(run, run.request.endBy <= now ? StopCause::Deadline : StopCause::EntrySilent);
         stop(run, RunEndKind::Stopped, overSince(key, run, now), now);
-    } else if (isStuck(run, now) && !isOnlyChance(run, now)) {
-        if (const auto unsettled = m_unsettled.find(taskOf(run.minionName)); unsettled != m_unsettled.end())
-            unsettled->second.hasBeenStuck = true;
+    } else if (isStuck(run, now) && !isBoundToMinion(taskOf(run.minionName), now)) {
         noteCause(run, StopCause::Stuck);
         stop(run, RunEndKind::Stuck, now, now);
     }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -349,8 +349,6 @@
         Milliseconds until {};
         // Until when a start may be carried out.
         Milliseconds startsUntil {};
-        // A run of the task was stopped here as stuck.
-        bool hasBeenStuck { false };
     };
     // Capacity offered to an entry, which may be sending a task for it.
     struct Offer {
@@ -383,7 +381,7 @@
     void stopRunsOfFormerIncarnation(Milliseconds now);
     void endAllLive(EndProof, Milliseconds now);
     void endQueued(Milliseconds now);
-    void checkRun(const RunKey&, Run&, Milliseconds now);
+    void checkRun(const RunKey&, Run&, Milliseconds now) const;
     // For a run whose deadline has passed or whose entry is silent: since when.
     Milliseconds overSince(const RunKey&, const Run&, Milliseconds now) const;
     bool isStuck(const Run&, Milliseconds now) const;
@@ -405,8 +403,8 @@
     void noteUnansweredStart(const RunName&, Milliseconds now);
     // A run of the task is concluded: only a start that was not answered leaves it unsettled.
     void settle(const TaskKey&, Milliseconds now);
-    // Whether this is a slow run of a task that was slow here before and may be started at no other minion.
-    bool isOnlyChance(const Run&, Milliseconds now) const;
+    // Whether the task may not be started at another minion, so that a slow run of it is better than none.
+    bool isBoundToMinion(const TaskKey&, Milliseconds now) const;
     // The minion reports under another name, and calls that name the former one are refused.
     void withdrawUnsettled(Milliseconds now);
     // Those with higher numbers, as told to entries.
