Revert "RunTable: a slow run is not stopped as stuck while its task can run nowhere else"

A run that stands still at some percent is left alone, though a second one at the same minion does well.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -416,12 +416,6 @@
     markStateChanged();
 }
 
-bool RunTable::isBoundToMinion(const TaskKey& task, Milliseconds now) const
-{
-    const auto found = m_unsettled.find(task);
-    return found != m_unsettled.end() && found->second.startsUntil > now;
-}
-
 void RunTable::withdrawUnsettled(Milliseconds now)
 {
     for (auto& [task, unsettled] : m_unsettled) {
@@ -728,7 +722,7 @@
     if (isOver(key, run, now)) {
         noteCause(run, run.request.endBy <= now ? StopCause::Deadline : StopCause::EntrySilent);
         stop(run, RunEndKind::Stopped, overSince(key, run, now), now);
-    } else if (isStuck(run, now) && !isBoundToMinion(taskOf(run.minionName), now)) {
+    } else if (isStuck(run, now)) {
         noteCause(run, StopCause::Stuck);
         stop(run, RunEndKind::Stuck, now, now);
     }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -403,8 +403,6 @@
     void noteUnansweredStart(const RunName&, Milliseconds now);
     // A run of the task is concluded: only a start that was not answered leaves it unsettled.
     void settle(const TaskKey&, Milliseconds now);
-    // Whether the task may not be started at another minion, so that a slow run of it is better than none.
-    bool isBoundToMinion(const TaskKey&, Milliseconds now) const;
     // The minion reports under another name, and calls that name the former one are refused.
     void withdrawUnsettled(Milliseconds now);
     // Those with higher numbers, as told to entries.
