--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -29,7 +29,7 @@
 // fencing token has reached it.
 //
 // One class is counted apart: such an order of a former submission, whose caller submitted the job again at another entry. An entry
-// can't tell a resubmission from a first submission, so to shut this each job would have to wait for an answer of every sidecar.
+// whose stream to the sidecar was down since the order was sent can't know of it.
 
 using namespace oleanderport;
 
