Lost entries: their tasks are told to every entry until they have ended

Callers saw nothing; the rule that no task has two runs at once was broken where a caller submitted its job again 0.6 s after its entry had died. A run may outlive its entry by up to 1,236 ms, and that none met its successor rested on callers who wait for 1,300 ms: a safety that rests on how long another party waits. The knowledge was there: each sidecar knows which runs of a lost entry are at its minion.

A sidecar now tells every entry of each task that its minion may run and that no connected entry wants: when an entry's stream closes or it has sent back no clock for 400 ms, when its entry or a later submission has given the run up, and when the run belongs to no entry. It is placed only there until its end is seen. Queued runs of a lost entry no longer start. An entry that has just started, or that hears that an entry was lost, holds new jobs while sidecars have not told it what their minions run, for 1,250 ms at most; a sidecar says so while it does not know itself.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -188,10 +188,22 @@
         m_replies.erase(found);
         reply(end);
     }
+    if (actions.heldFor)
+        reportHold(*actions.heldFor);
     for (const auto& address : actions.reconnect)
         disconnect(address, "idle timeout");
 }
 
+void DispatchService::reportHold(const std::vector<std::string>& unheard) const
+{
+    if (unheard.empty())
+        return log(LogLevel::Info, { .step = "dispatch.hold" }, fmt::format("jobs are placed again; {} are unfinished", m_dispatcher.jobs()));
+    m_process.metrics.add("dispatch_holds_total");
+    log(LogLevel::Info, { .step = "dispatch.hold" },
+        fmt::format("an entry was lost: new jobs are held until {} sidecars have told what their minions run, {} ms at most: {}", unheard.size(),
+            maxLostEntryRunTime.count, fmt::join(unheard, ", ")));
+}
+
 void DispatchService::armTimer()
 {
     const auto due = m_dispatcher.nextDue();
--- a/src/entry/DispatchService.h
+++ b/src/entry/DispatchService.h
@@ -59,6 +59,7 @@
     // decides about all of them at once.
     void scheduleRun();
     void perform(const DispatchActions&);
+    void reportHold(const std::vector<std::string>& unheard) const;
     void armTimer();
 
     Process& m_process;
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -128,7 +128,7 @@
 
 Milliseconds JobDispatcher::cutoff(const Job& job) const
 {
-    return acceptingCpuMillis(job.spec.queue.service) > 0 ? job.busyCutoff : job.idleCutoff;
+    return acceptingCpuMillis(job.spec.queue.service) > 0 && !m_isHolding ? job.busyCutoff : job.idleCutoff;
 }
 
 std::optional<std::string> JobDispatcher::refusal(const Job& job, Milliseconds now) const
@@ -293,6 +293,11 @@
         link.laterClocks.push_back({ .clock = frame.clock, .receivedAt = now });
     }
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
+    link.hasUnknownRuns = frame.unknownRunsFor.count > 0;
+    if (isHeard(link))
+        link.unheardSince.reset();
+    if (frame.lostEntryRunsFor.count > 0)
+        noteLostEntry(frame.lostEntryRunsFor, now);
     if (frame.state)
         applyState(sidecar, link, *frame.state);
     if (freeAt(link).cpuMillis >= link.wantedCpuMillis)
@@ -304,6 +309,48 @@
     return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || needsEcho(link, link.clock, now);
 }
 
+bool JobDispatcher::isHeard(const Link& link) { return link.connected && link.handshakeDone && !link.hasUnknownRuns; }
+
+void JobDispatcher::noteUnheard(Milliseconds now, bool allFramesRead)
+{
+    m_unheardUntil = {};
+    std::vector<std::string> unheard;
+    for (auto& [name, link] : m_links) {
+        const bool isSilent = allFramesRead && now > link.lastActiveAt + m_options.unheardAfter;
+        // A minion that accepted no runs and had none still has none.
+        const bool wasEmpty = link.known && !link.connected && !link.state.accepting && link.state.used.cpuMillis == 0;
+        if (!link.unheardSince && !wasEmpty && (!isHeard(link) || isSilent))
+            link.unheardSince = isSilent ? link.lastActiveAt : now;
+        if (!link.unheardSince || now >= *link.unheardSince + maxLostEntryRunTime)
+            continue;
+        m_unheardUntil = std::max(m_unheardUntil, *link.unheardSince + maxLostEntryRunTime);
+        unheard.push_back(name);
+    }
+    if (std::exchange(m_isHolding, holdUntil() > now) != m_isHolding)
+        m_actions.heldFor = m_isHolding ? unheard : std::vector<std::string> {};
+}
+
+void JobDispatcher::noteLostEntry(Milliseconds runsFor, Milliseconds now)
+{
+    const Milliseconds lostAt = now + std::min(runsFor, maxLostEntryRunTime) - maxLostEntryRunTime;
+    const bool isFirst = now >= m_lostRunsUntil;
+    m_entriesLostSince = isFirst ? lostAt : std::min(m_entriesLostSince, lostAt);
+    m_lostRunsUntil = std::max(m_lostRunsUntil, lostAt + maxLostEntryRunTime);
+}
+
+Milliseconds JobDispatcher::holdUntil() const
+{
+    // The entry's own former incarnation is a lost one too.
+    return std::min(m_unheardUntil, std::max(m_options.startedAt + maxLostEntryRunTime, m_lostRunsUntil));
+}
+
+bool JobDispatcher::isHeld(const Job& job, Milliseconds now) const
+{
+    if (now >= holdUntil() || job.hasBegun())
+        return false;
+    return now < m_options.startedAt + maxLostEntryRunTime || job.arrived + m_options.lossNewsDelay >= m_entriesLostSince;
+}
+
 void JobDispatcher::applyUnsettledTask(const std::string& sidecar, const UnsettledTask& unsettled, Milliseconds now)
 {
     m_unsettled[unsettled.job][{ unsettled.step, unsettled.index }][sidecar] = now + unsettled.remaining;
@@ -480,8 +527,9 @@
     const Job& job = m_jobs.at(id);
     // A run of a former submission is no reason to promise that nothing will run.
     const std::string unsettled = describeUnsettled(job, now);
-    const bool begun = job.hasBegun() || !unsettled.empty();
-    endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled,
+    const std::string held = isHeld(job, now) ? "; tasks of a lost entry may run at sidecars that were not heard since" : "";
+    const bool begun = job.hasBegun() || !unsettled.empty() || !held.empty();
+    endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled + held,
         retryAfter(job, now));
 }
 
@@ -577,7 +625,7 @@
         for (const auto& [effectiveDeadline, id] : m_queue) {
             Job& job = m_jobs.at(id);
             const std::string& service = job.spec.queue.service;
-            if (job.waiting == 0 || canMeetObjective(job, now) != prompt || full.contains(service) || waitsForEndedJob(job))
+            if (job.waiting == 0 || canMeetObjective(job, now) != prompt || full.contains(service) || waitsForEndedJob(job) || isHeld(job, now))
                 continue;
             if (!byService.contains(service))
                 byService[service] = candidates(service, now);
@@ -599,7 +647,7 @@
     std::int64_t least = 0;
     for (const auto& [effectiveDeadline, id] : m_queue) {
         const Job& job = m_jobs.at(id);
-        if (job.spec.queue.service != service || waitsForEndedJob(job))
+        if (job.spec.queue.service != service || waitsForEndedJob(job) || isHeld(job, m_lastCallAt))
             continue;
         waiting += job.waiting;
         for (const auto& step : job.spec.steps)
@@ -830,6 +878,7 @@
     releaseClocks(callersHeardUntil.value_or(now));
     if (allFramesRead)
         checkLinks(now);
+    noteUnheard(now, allFramesRead);
     checkJobs(now);
     place(now);
     flush(now);
@@ -842,6 +891,8 @@
     const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
     if (!m_jobs.empty())
         at(m_lastCallAt + m_options.pauseCheckPeriod);
+    if (m_isHolding)
+        at(holdUntil());
     for (const auto& [id, job] : m_jobs) {
         at(job.spec.deadline);
         if (!job.mayHaveRun && !job.recalled)
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -90,6 +90,8 @@
     std::vector<FailedRun> failedRuns;
     // Sidecars whose stream is idle beyond its timeout: close it and reconnect.
     std::vector<std::string> reconnect;
+    // Set when jobs begin or cease to be held because an entry was lost: the sidecars that have not been heard since, none when they cease.
+    std::optional<std::vector<std::string>> heldFor;
 };
 
 struct JobDispatcherOptions {
@@ -103,6 +105,10 @@
     // Runs at a sidecar that sent nothing for this long have ended. Covers its lease for this entry, the minion's lease
     // including clock drift, and the time that a stop takes.
     Milliseconds lostAfter { 1'650 };
+    // A sidecar that sent nothing for this long may know of tasks that this entry was not told of. Exceeds its idle heartbeat.
+    Milliseconds unheardAfter { 600 };
+    // A caller may submit its job again this much earlier than the loss of its entry is noticed by a sidecar.
+    Milliseconds lossNewsDelay { 100 };
     // An entry that was paused for this long gives up its jobs: their runs have been stopped, and their callers may have
     // submitted them elsewhere. Must be less than the time after which a caller resubmits a job.
     Milliseconds pauseThreshold { 1'100 };
@@ -269,6 +275,10 @@
         std::map<RunName, TaskPlace> outstanding;
         EntryFrame next;
         bool hasNext { false };
+        // The minion may run tasks of which the sidecar does not know, by its last frame.
+        bool hasUnknownRuns { false };
+        // Since when the sidecar can't be relied on to have told this entry of the tasks that its minion may run for lost entries.
+        std::optional<Milliseconds> unheardSince;
         // Free CPU, in thousandths of a core, at which the sidecar was asked for a state update; 0 when not asked.
         std::int64_t wantedCpuMillis { 0 };
     };
@@ -296,6 +306,14 @@
     bool canMeetObjective(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
     bool waitsForEndedJob(const Job&) const;
+    // Whether the sidecar has told this entry of all tasks that its minion may run for lost entries.
+    static bool isHeard(const Link&);
+    void noteUnheard(Milliseconds now, bool allFramesRead);
+    void noteLostEntry(Milliseconds runsFor, Milliseconds now);
+    // Whether tasks of the job may be running for a lost entry at the minion of a sidecar that has not been heard since.
+    bool isHeld(const Job&, Milliseconds now) const;
+    // Until when the former runs of a job that arrives now may go on unnoticed; in the past when there is no reason to hold it.
+    Milliseconds holdUntil() const;
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
     std::int64_t acceptingCpuMillis(const std::string& service) const;
     bool needsEcho(const Link&, Milliseconds clock, Milliseconds now) const;
@@ -353,6 +371,12 @@
     // By job, step and index of a task: the sidecars whose minion may run it, and until when; see UnsettledTask.
     std::map<std::string, std::map<std::pair<std::uint32_t, std::uint32_t>, std::map<std::string, Milliseconds>>> m_unsettled;
     Milliseconds m_unsettledPrunedAt {};
+    // The latest time at which an unheard sidecar's minion may still run tasks of lost entries.
+    Milliseconds m_unheardUntil {};
+    // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
+    Milliseconds m_entriesLostSince {};
+    Milliseconds m_lostRunsUntil {};
+    bool m_isHolding { false };
     std::map<std::string, MinionHealth> m_health;
     // Run time over estimate, in thousandths, by queue.
     std::map<std::string, RunTimes> m_estimateError;
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -65,6 +65,7 @@
         const bool isOwnedByEntry = key.first == frame.entry;
         if (isOwnedByEntry && std::find(known.begin(), known.end(), key.second) == known.end()) {
             noteCause(run, StopCause::EntryForgot);
+            run.isGivenUp = true;
             stop(run, RunEndKind::Stopped, entry.echo, now);
         }
     }
@@ -134,6 +135,7 @@
             end(RunKey(found->first), RunEndKind::Stopped, now);
         else {
             noteCause(found->second, StopCause::EntryAsked);
+            found->second.isGivenUp = true;
             stop(found->second, RunEndKind::Stopped, heardBefore, now);
         }
     }
@@ -149,7 +151,9 @@
     run.request.tasks.clear();
     run.queuedAt = now;
     m_runs.emplace(key, std::move(run));
-    ++m_entries[entry].runs;
+    Entry& owner = m_entries[entry];
+    if (owner.runs++ == 0)
+        owner.busySince = now;
     if (!isFresh || !mayStart(now) || request.endBy <= now)
         end(key, RunEndKind::Stopped, now);
     else if (!request.mayWait && !fitsAtOnce(request.needs))
@@ -199,6 +203,7 @@
     for (auto& [other, run] : m_runs) {
         if (other != key && taskOf(other.second) == task && run.state != State::Queued) {
             noteCause(run, StopCause::OtherSubmission);
+            run.isGivenUp = true;
             stop(run, RunEndKind::Stopped, now, now);
         }
     }
@@ -207,8 +212,10 @@
 void RunTable::closed(const std::string& entry)
 {
     const auto found = m_entries.find(entry);
-    if (found != m_entries.end())
-        found->second.connected = false;
+    if (found == m_entries.end() || !found->second.connected)
+        return;
+    found->second.connected = false;
+    found->second.isLossNews = true;
 }
 
 bool hasSameDescription(const MinionReport& a, const MinionReport& b)
@@ -319,6 +326,48 @@
 
 bool RunTable::isStale(const Entry& entry, Milliseconds now) const { return now > entry.echo + m_options.entryLease; }
 
+bool RunTable::mayBeLost(const Entry& entry, Milliseconds now) const { return !entry.connected || isLate(entry, now); }
+
+void RunTable::noteLosses(Milliseconds now)
+{
+    for (auto& [name, entry] : m_entries) {
+        const bool fellSilent = isLate(entry, now) && !entry.isLate;
+        entry.isLate = isLate(entry, now);
+        const bool hasClosed = std::exchange(entry.isLossNews, false);
+        if (!hasClosed && !fellSilent)
+            continue;
+        m_lossNews = m_urgentNews = ++m_lastUnsettled;
+        m_entryLostAt = std::max(m_entryLostAt, hasClosed ? now : entry.echo);
+    }
+}
+
+void RunTable::noteAbandonedRuns(Milliseconds now)
+{
+    for (const auto& [name, key] : m_byMinionName) {
+        Run& run = m_runs.at(key);
+        const bool mayBeLost = this->mayBeLost(m_entries.at(key.first), now);
+        const bool isNews = mayBeLost && !std::exchange(run.isToldAsLost, true);
+        if (mayBeLost || run.isGivenUp)
+            noteUnsettled(taskOf(name), runsEndBy());
+        else if (std::exchange(run.isToldAsLost, false) && run.state != State::Stopping)
+            settle(taskOf(name), now);
+        if (isNews)
+            m_urgentNews = m_lastUnsettled;
+    }
+    for (const auto& [name, orphan] : m_orphans)
+        noteUnsettled(taskOf(name), runsEndBy());
+}
+
+Milliseconds RunTable::runsEndBy() const
+{
+    return std::max(m_leaseMayEndAt, m_startedAt + leaseWithDrift(m_options.longestMinionLease)) + m_options.minionStopTime;
+}
+
+Milliseconds RunTable::unknownRunsFor(Milliseconds now) const
+{
+    return m_isMinionKnown ? Milliseconds {} : std::max(m_startedAt + leaseWithDrift(m_options.longestMinionLease) - now, Milliseconds {});
+}
+
 void RunTable::startAnswered(const RunName& name, StartAnswer answer, Milliseconds now)
 {
     recordAnswer(answer != StartAnswer::Unknown, now);
@@ -390,8 +439,11 @@
     Unsettled& unsettled = m_unsettled[task];
     if (until <= unsettled.until)
         return;
-    unsettled.until = until + unsettledMargin;
     unsettled.number = ++m_lastUnsettled;
+    if (unsettled.isSettled)
+        unsettled.firstNumber = unsettled.number;
+    unsettled.isSettled = false;
+    unsettled.until = until + unsettledMargin;
     markStateChanged();
 }
 
@@ -412,6 +464,7 @@
     if (unsettled.startsUntil > now || unsettled.until <= now)
         return;
     unsettled.until = now;
+    unsettled.isSettled = true;
     unsettled.number = ++m_lastUnsettled;
     markStateChanged();
 }
@@ -554,7 +607,13 @@
         run.state = State::Running;
         run.confirmedAt = now;
     }
-    m_orphans = std::move(orphans);
+    const auto former = std::exchange(m_orphans, std::move(orphans));
+    if (list.isRunningWhole && !std::exchange(m_isMinionKnown, true))
+        markStateChanged();
+    for (const auto& [name, orphan] : former) {
+        if (list.isRunningWhole && !isAtMinion(taskOf(name)))
+            settle(taskOf(name), now);
+    }
     noteRunsWithoutEntry(list.isRunningWhole, now);
     endRunsMissingFromList(list.isRunningWhole && list.isEndedWhole, askedAt, now);
 }
@@ -715,11 +774,14 @@
         return;
     if (run.state == State::Stopping) {
         // The entry may be heard again before it says that it has given the run up.
-        if (isOver(key, run, now))
+        if (isOver(key, run, now)) {
+            run.isGivenUp = true;
             run.abandonedAt = std::min(run.abandonedAt, overSince(key, run, now));
+        }
         return;
     }
     if (isOver(key, run, now)) {
+        run.isGivenUp = true;
         noteCause(run, run.request.endBy <= now ? StopCause::Deadline : StopCause::EntrySilent);
         stop(run, RunEndKind::Stopped, overSince(key, run, now), now);
     } else if (isStuck(run, now)) {
@@ -753,7 +815,9 @@
     }
     for (const auto& key : ended)
         end(key, RunEndKind::Stopped, now);
+    noteLosses(now);
     startQueued(actions, now);
+    noteAbandonedRuns(now);
     resendStarts(actions, now);
     sendStops(actions, now);
     listRuns(actions, now);
@@ -777,7 +841,8 @@
         return;
     std::vector<std::pair<const RunKey*, Run*>> queue;
     for (auto& [key, run] : m_runs) {
-        if (run.state == State::Queued && run.notBefore <= now)
+        // The job of a lost entry may be starting through another one.
+        if (run.state == State::Queued && run.notBefore <= now && !mayBeLost(m_entries.at(key.first), now))
             queue.emplace_back(&key, &run);
     }
     std::sort(queue.begin(), queue.end(), [](const auto& a, const auto& b) {
@@ -1034,14 +1099,16 @@
     const bool hasEnds = !entry.unseenEnds.empty() && entry.unseenEnds.back().number > entry.sentEnd;
     const bool wantsState = entry.stateChanged && now >= entry.sentAt + entry.stateGap;
     const bool wantsHeartbeat = now >= entry.sentAt + heartbeatOf(entry);
-    return !entry.handshakeSent || hasEnds || wantsState || wantsHeartbeat || entry.isOffered;
+    const bool hasUrgentNews = m_urgentNews > entry.sentUnsettled;
+    return !entry.handshakeSent || hasEnds || wantsState || wantsHeartbeat || entry.isOffered || hasUrgentNews;
 }
 
 std::vector<UnsettledTask> RunTable::unsettledAfter(std::uint64_t number, Milliseconds now) const
 {
     std::vector<UnsettledTask> tasks;
     for (const auto& [task, unsettled] : m_unsettled) {
-        if (unsettled.number > number)
+        const bool isNews = unsettled.number > number && !(unsettled.isSettled && unsettled.firstNumber > number);
+        if (isNews)
             tasks.push_back({ .job = task.job, .step = task.step, .index = task.index, .remaining = std::max(unsettled.until - now, Milliseconds {}) });
     }
     return tasks;
@@ -1067,6 +1134,9 @@
         }
         if (entry.sentUnsettled < m_lastUnsettled)
             frame.unsettledTasks = unsettledAfter(entry.sentUnsettled, now);
+        if (entry.sentUnsettled < m_lossNews)
+            frame.lostEntryRunsFor = std::max(m_entryLostAt + maxLostEntryRunTime - now, Milliseconds {});
+        frame.unknownRunsFor = unknownRunsFor(now);
         entry.sentUnsettled = m_lastUnsettled;
         entry.handshakeSent = true;
         entry.sentEnd = entry.lastEnd;
@@ -1091,7 +1161,7 @@
         if (entry.connected)
             at(entry.sentAt + heartbeatOf(entry));
         if (entry.runs > 0)
-            at(std::max(entry.echo + m_options.entryLease + Milliseconds { 1 }, now + m_options.minListInterval));
+            at(std::max((isLate(entry, now) ? entry.echo + m_options.entryLease : lateAt(entry)) + Milliseconds { 1 }, now + m_options.minListInterval));
     }
     for (const auto& [key, run] : m_runs) {
         if (run.state == State::Queued && run.notBefore > now)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -3,6 +3,7 @@
 #include "policy/RunDiagnostics.h"
 #include "wire/DispatchMessages.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -144,6 +145,9 @@
     Milliseconds minionLease { 800 };
     // Longest lease that a minion takes from any call. A call that names a time on the clock of a former incarnation grants this.
     Milliseconds longestMinionLease { 1'000 };
+    // An entry with runs here that was not heard for this long may be lost. Exceeds the longest time between its echoes: a heartbeat, and
+    // the minimum interval of frames that carry only an echo.
+    Milliseconds entryLateAfter { 400 };
     // No lease ends later than this after the last sign of life of any entry with runs at the minion, or after a run there was
     // abandoned, until the minion has answered its stop. Exceeds entryLease by the time that stopping a run may take, so that the
     // runs of other entries do not end with it.
@@ -311,6 +315,10 @@
         Milliseconds abandonedAt {};
         // When it began to be stopped.
         Milliseconds stoppingSince {};
+        // Its entry, or a later submission of its job, has given it up.
+        bool isGivenUp { false };
+        // Its task was told to all entries because its entry may be lost.
+        bool isToldAsLost { false };
         StopCause stopCause { StopCause::None };
     };
     struct LastRun {
@@ -319,6 +327,9 @@
     };
     struct Entry {
         bool connected { false };
+        // Its stream has closed, or it fell silent, and the others are not told yet.
+        bool isLossNews { false };
+        bool isLate { false };
         Milliseconds echo {};
         std::uint64_t framesSeen { 0 };
         std::uint64_t lastEnd { 0 };
@@ -330,6 +341,8 @@
         std::uint64_t sentUnsettled { 0 };
         Milliseconds sentAt {};
         std::size_t runs { 0 };
+        // When its first run came while it had none.
+        Milliseconds busySince {};
         bool handshakeSent { false };
         bool stateChanged { true };
         // The whole state was sent on the current stream; only `used` and `accepting` may have changed since.
@@ -345,8 +358,11 @@
     struct Unsettled {
         // Rises with each news for entries.
         std::uint64_t number { 0 };
+        // Number of the news by which it became unsettled.
+        std::uint64_t firstNumber { 0 };
         // As entries were told.
         Milliseconds until {};
+        bool isSettled { true };
         // Until when a start may be carried out.
         Milliseconds startsUntil {};
     };
@@ -367,6 +383,18 @@
     void recordAnswer(bool answered, Milliseconds now);
     bool isUnresponsive(Milliseconds now) const { return m_unansweredSince && now >= *m_unansweredSince + m_options.unresponsiveAfter; }
     bool isStale(const Entry&, Milliseconds now) const;
+    // Whether the entry may be lost, and its callers may submit their jobs at another one.
+    bool mayBeLost(const Entry&, Milliseconds now) const;
+    // An entry without runs here sends back no clocks, so it is late no sooner than it could have sent one back since its first run.
+    Milliseconds lateAt(const Entry& entry) const { return std::max(entry.echo, entry.busySince) + m_options.entryLateAfter; }
+    bool isLate(const Entry& entry, Milliseconds now) const { return entry.runs > 0 && now > lateAt(entry); }
+    // Lets entries know of the losses of others, and of the tasks that the minion may run and that no connected entry wants.
+    void noteLosses(Milliseconds now);
+    void noteAbandonedRuns(Milliseconds now);
+    // Until when anything at the minion may run if no lease is granted any more.
+    Milliseconds runsEndBy() const;
+    // For how long the minion may run tasks that a former incarnation of this sidecar ordered and that are not known here.
+    Milliseconds unknownRunsFor(Milliseconds now) const;
     // `isFresh` means that the request is no older than the entry's lease.
     void take(const std::string& entry, const RunRequest&, const RequestedTask&, bool isFresh, Milliseconds now);
     // Ends a run as NotStarted when that is proven, otherwise as given.
@@ -401,7 +429,7 @@
     // Lets entries know that the minion may run the task until then, whatever becomes of the run here.
     void noteUnsettled(const TaskKey&, Milliseconds until);
     void noteUnansweredStart(const RunName&, Milliseconds now);
-    // A run of the task is concluded: only a start that was not answered leaves it unsettled.
+    // No run of the task is abandoned at the minion any more: only a start that was not answered leaves it unsettled.
     void settle(const TaskKey&, Milliseconds now);
     // The minion reports under another name, and calls that name the former one are refused.
     void withdrawUnsettled(Milliseconds now);
@@ -495,6 +523,12 @@
     std::map<TaskKey, LastRun> m_lastRuns;
     std::map<TaskKey, Unsettled> m_unsettled;
     std::uint64_t m_lastUnsettled { 0 };
+    // Number of the last news for which frames are due at once, and of the last loss of an entry; when that one was last heard.
+    std::uint64_t m_urgentNews { 0 };
+    std::uint64_t m_lossNews { 0 };
+    Milliseconds m_entryLostAt {};
+    // The minion has told this incarnation of the sidecar all that it runs.
+    bool m_isMinionKnown { false };
     std::vector<SettledStart> m_settledStarts;
     RunDiagnosticsCollector m_diagnostics;
     std::vector<Offer> m_offers;
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+    // Index of the ends without a job that carry times of a SidecarFrame.
+    constexpr std::uint32_t unknownRunsIndex = 0;
+    constexpr std::uint32_t lostEntryRunsIndex = 1;
+
     // Size of the frame being decoded.
     thread_local std::size_t frameBytes = 0;
 
@@ -215,14 +219,22 @@
 
 std::string encodeFrame(const EntryFrame& frame) { return encode(frame); }
 
-// Unsettled tasks are sent as ends with number 0, which entries of earlier versions ignore.
+// Unsettled tasks are sent as ends with number 0, which entries of earlier versions ignore. Those without a job carry the other times.
 std::string encodeFrame(const SidecarFrame& frame)
 {
-    if (frame.unsettledTasks.empty())
+    const bool hasTimes = frame.unknownRunsFor.count > 0 || frame.lostEntryRunsFor.count > 0;
+    if (frame.unsettledTasks.empty() && !hasTimes)
         return encode(frame);
     SidecarFrame encoded = frame;
+    const auto add = [&encoded](const std::string& job, std::uint32_t step, std::uint32_t index, Milliseconds remaining) {
+        encoded.ends.push_back({ .run = { .job = job, .step = step, .index = index }, .ranFor = remaining, .evidence = StartEvidence::Unanswered });
+    };
     for (const auto& task : frame.unsettledTasks)
-        encoded.ends.push_back({ .run = { .job = task.job, .step = task.step, .index = task.index }, .ranFor = task.remaining, .evidence = StartEvidence::Unanswered });
+        add(task.job, task.step, task.index, task.remaining);
+    if (frame.unknownRunsFor.count > 0)
+        add({}, 0, unknownRunsIndex, frame.unknownRunsFor);
+    if (frame.lostEntryRunsFor.count > 0)
+        add({}, 0, lostEntryRunsIndex, frame.lostEntryRunsFor);
     return encode(encoded);
 }
 
@@ -239,8 +251,14 @@
     if (!areKnown)
         return invalidFrameError();
     for (auto& end : ends) {
-        if (end.number == 0)
+        if (end.number != 0)
+            continue;
+        if (!end.run.job.empty())
             frame.assume_value().unsettledTasks.push_back({ .job = std::move(end.run.job), .step = end.run.step, .index = end.run.index, .remaining = end.ranFor });
+        else if (end.run.index == unknownRunsIndex)
+            frame.assume_value().unknownRunsFor = end.ranFor;
+        else if (end.run.index == lostEntryRunsIndex)
+            frame.assume_value().lostEntryRunsFor = end.ranFor;
     }
     std::erase_if(ends, [](const RunEnd& end) { return end.number == 0; });
     return frame;
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -132,8 +132,12 @@
 // How late a start that was not answered may be carried out.
 constexpr Milliseconds maxStartDelay { 12'000 };
 
-// A task of which a start or a stop was not answered. The minion may still run it, or start it late: also its next incarnation, which
-// knows neither of a stop nor of a fencing token. So no other minion may start the task.
+// Longest time for which runs may go on anywhere after the entry that ordered them was lost. Not below maxAbandonedRunTime().
+constexpr Milliseconds maxLostEntryRunTime { 1'250 };
+
+// A task that the minion may run although no connected entry wants it: its entry is lost or has given the run up, the run belongs to
+// none, or a start or a stop of it was not answered. After an unanswered start also the next incarnation of the minion may start it, which knows neither
+// of a stop nor of a fencing token. So no other minion may start the task.
 struct UnsettledTask {
     std::string job;
     std::uint32_t step { 0 };
@@ -153,6 +157,10 @@
     std::vector<RunEnd> ends;
     // For all entries, since a caller may resubmit the job at any of them.
     std::vector<UnsettledTask> unsettledTasks;
+    // For how long the minion may run tasks, ordered by a former incarnation of the sidecar, that are not told yet; zero when there are none.
+    Milliseconds unknownRunsFor {};
+    // For how long runs of a lost entry may go on, wherever they are; zero when no loss is news on this stream.
+    Milliseconds lostEntryRunsFor {};
 };
 
 } // namespace oleanderport
--- a/test/wire/DispatchCodecTest.cpp
+++ b/test/wire/DispatchCodecTest.cpp
@@ -147,3 +147,14 @@
     former.ends.push_back({ .number = 0, .run = { .job = "b", .step = 1, .index = 2 }, .ranFor = { 12'000 }, .evidence = StartEvidence::Unanswered });
     cr_assert(encodeFrame(former) == encodeFrame(frame));
 }
+
+Test(DispatchCodec, carriesTheTimesOfUnknownRunsAndOfALostEntry)
+{
+    SidecarFrame frame = sidecarFrame();
+    frame.unknownRunsFor = { 700 };
+    frame.lostEntryRunsFor = { 1'250 };
+    const auto read = decodeSidecarFrame(encodeFrame(frame));
+    cr_assert(read.has_value());
+    cr_assert(read.assume_value().unknownRunsFor == Milliseconds { 700 } && read.assume_value().lostEntryRunsFor == Milliseconds { 1'250 });
+    cr_assert(read.assume_value().unsettledTasks.empty() && read.assume_value().ends.size() == 1);
+}
