Lost entries: any member that is not heard counts, and an instance that started again is lost

An entry that had just started held nothing for a sidecar to which it never had a stream; a sidecar unheard for over 1,250 ms was taken to run nothing although others reached it; a job that had begun was not held when its task failed. So each member of the view that is not heard is a reason to hold now, however long, and jobs that arrived before the loss are free, whether begun or not.

Names of entries in fixtures: two entries are two instances now, where they were two incarnations of one; what is checked is the same.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -14,6 +14,8 @@
 
     // Backoff between attempts to connect to a sidecar.
     constexpr BackoffOptions reconnectBackoff { .initial = { 100 }, .max = { 800 } };
+    // Sidecars named in one line of the log.
+    constexpr std::size_t maxNamedSidecars = 8;
     // Actions that are due within this span are performed together.
     constexpr Milliseconds timerSlack { 2 };
 
@@ -51,6 +53,7 @@
             m_sidecarAddresses.insert(*member.node.streamAddress);
     }
     m_dispatcher.setDeploymentSize(entries, m_sidecarAddresses.size());
+    m_dispatcher.setMembers(m_sidecarAddresses);
     m_dispatcher.setDataCentresOut(view.dataCentresOut);
     for (const auto& address : m_sidecarAddresses) {
         if (!m_links.contains(address))
@@ -201,7 +204,7 @@
     m_process.metrics.add("dispatch_holds_total");
     log(LogLevel::Info, { .step = "dispatch.hold" },
         fmt::format("an entry was lost: new jobs are held until {} sidecars have told what their minions run, {} ms at most: {}", unheard.size(),
-            maxLostEntryRunTime.count, fmt::join(unheard, ", ")));
+            maxLostEntryRunTime.count, fmt::join(unheard.begin(), unheard.begin() + static_cast<std::ptrdiff_t>(std::min(unheard.size(), maxNamedSidecars)), ", ")));
 }
 
 void DispatchService::armTimer()
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -238,12 +238,15 @@
     m_options.sidecars = std::max<std::size_t>(sidecars, 1);
 }
 
+void JobDispatcher::setMembers(const std::set<std::string>& sidecars) { m_members = sidecars; }
+
 void JobDispatcher::connected(const std::string& sidecar, Milliseconds now)
 {
     Link& link = m_links[sidecar];
     link.connected = true;
     link.handshakeDone = false;
     link.lastActiveAt = now;
+    link.isSilent = false;
     link.framesSent = 0;
     link.sent.clear();
     link.wantedCpuMillis = 0;
@@ -294,8 +297,7 @@
     }
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
     link.hasUnknownRuns = frame.unknownRunsFor.count > 0;
-    if (isHeard(link))
-        link.unheardSince.reset();
+    link.isSilent = false;
     if (frame.lostEntryRunsFor.count > 0)
         noteLostEntry(frame.lostEntryRunsFor, now);
     if (frame.state)
@@ -309,25 +311,36 @@
     return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || needsEcho(link, link.clock, now);
 }
 
-bool JobDispatcher::isHeard(const Link& link) { return link.connected && link.handshakeDone && !link.hasUnknownRuns; }
+bool JobDispatcher::isHeard(const Link& link) { return link.connected && link.handshakeDone && !link.hasUnknownRuns && !link.isSilent; }
 
-void JobDispatcher::noteUnheard(Milliseconds now, bool allFramesRead)
+std::vector<std::string> JobDispatcher::unheardSidecars() const
 {
-    m_unheardUntil = {};
     std::vector<std::string> unheard;
-    for (auto& [name, link] : m_links) {
-        const bool isSilent = allFramesRead && now > link.lastActiveAt + m_options.unheardAfter;
-        // A minion that accepted no runs and had none still has none.
-        const bool wasEmpty = link.known && !link.connected && !link.state.accepting && link.state.used.cpuMillis == 0;
-        if (!link.unheardSince && !wasEmpty && (!isHeard(link) || isSilent))
-            link.unheardSince = isSilent ? link.lastActiveAt : now;
-        if (!link.unheardSince || now >= *link.unheardSince + maxLostEntryRunTime)
-            continue;
-        m_unheardUntil = std::max(m_unheardUntil, *link.unheardSince + maxLostEntryRunTime);
-        unheard.push_back(name);
+    if (m_members.empty()) {
+        for (const auto& [name, link] : m_links) {
+            if (!isHeard(link))
+                unheard.push_back(name);
+        }
+    }
+    for (const auto& name : m_members) {
+        const auto link = m_links.find(name);
+        if (link == m_links.end() || !isHeard(link->second))
+            unheard.push_back(name);
     }
-    if (std::exchange(m_isHolding, holdUntil() > now) != m_isHolding)
-        m_actions.heldFor = m_isHolding ? unheard : std::vector<std::string> {};
+    return unheard;
+}
+
+void JobDispatcher::updateHold(Milliseconds now, bool allFramesRead)
+{
+    for (auto& [name, link] : m_links)
+        link.isSilent = link.isSilent || (allFramesRead && now > link.lastActiveAt + m_options.unheardAfter);
+    std::vector<std::string> unheard;
+    if (now < lostRunsEndBy())
+        unheard = unheardSidecars();
+    m_holdUntil = unheard.empty() ? Milliseconds {} : lostRunsEndBy();
+    if (m_isHolding != !unheard.empty())
+        m_actions.heldFor = unheard;
+    m_isHolding = !unheard.empty();
 }
 
 void JobDispatcher::noteLostEntry(Milliseconds runsFor, Milliseconds now)
@@ -338,15 +351,12 @@
     m_lostRunsUntil = std::max(m_lostRunsUntil, lostAt + maxLostEntryRunTime);
 }
 
-Milliseconds JobDispatcher::holdUntil() const
-{
-    // The entry's own former incarnation is a lost one too.
-    return std::min(m_unheardUntil, std::max(m_options.startedAt + maxLostEntryRunTime, m_lostRunsUntil));
-}
+// The entry's own former incarnation may be a lost one too.
+Milliseconds JobDispatcher::lostRunsEndBy() const { return std::max(m_options.startedAt + maxLostEntryRunTime, m_lostRunsUntil); }
 
 bool JobDispatcher::isHeld(const Job& job, Milliseconds now) const
 {
-    if (now >= holdUntil() || job.hasBegun())
+    if (now >= m_holdUntil)
         return false;
     return now < m_options.startedAt + maxLostEntryRunTime || job.arrived + m_options.lossNewsDelay >= m_entriesLostSince;
 }
@@ -878,7 +888,7 @@
     releaseClocks(callersHeardUntil.value_or(now));
     if (allFramesRead)
         checkLinks(now);
-    noteUnheard(now, allFramesRead);
+    updateHold(now, allFramesRead);
     checkJobs(now);
     place(now);
     flush(now);
@@ -892,7 +902,7 @@
     if (!m_jobs.empty())
         at(m_lastCallAt + m_options.pauseCheckPeriod);
     if (m_isHolding)
-        at(holdUntil());
+        at(m_holdUntil);
     for (const auto& [id, job] : m_jobs) {
         at(job.spec.deadline);
         if (!job.mayHaveRun && !job.recalled)
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -90,7 +90,7 @@
     std::vector<FailedRun> failedRuns;
     // Sidecars whose stream is idle beyond its timeout: close it and reconnect.
     std::vector<std::string> reconnect;
-    // Set when jobs begin or cease to be held because an entry was lost: the sidecars that have not been heard since, none when they cease.
+    // Set when jobs begin or cease to be held because an entry was lost: the sidecars that are not heard, none when they cease.
     std::optional<std::vector<std::string>> heldFor;
 };
 
@@ -182,6 +182,8 @@
 
     void setDataCentresOut(const std::vector<std::string>& names);
     void setDeploymentSize(std::size_t entries, std::size_t sidecars);
+    // Names the sidecars of the deployment, whether there is a stream to them or not.
+    void setMembers(const std::set<std::string>& sidecars);
 
     // `allFramesRead`: every frame that has arrived was passed to received(). Otherwise a stream may look idle only because
     // the entry is busy, so timeouts are not checked.
@@ -277,8 +279,8 @@
         bool hasNext { false };
         // The minion may run tasks of which the sidecar does not know, by its last frame.
         bool hasUnknownRuns { false };
-        // Since when the sidecar can't be relied on to have told this entry of the tasks that its minion may run for lost entries.
-        std::optional<Milliseconds> unheardSince;
+        // Nothing has arrived for `unheardAfter`.
+        bool isSilent { false };
         // Free CPU, in thousandths of a core, at which the sidecar was asked for a state update; 0 when not asked.
         std::int64_t wantedCpuMillis { 0 };
     };
@@ -308,12 +310,14 @@
     bool waitsForEndedJob(const Job&) const;
     // Whether the sidecar has told this entry of all tasks that its minion may run for lost entries.
     static bool isHeard(const Link&);
-    void noteUnheard(Milliseconds now, bool allFramesRead);
+    std::vector<std::string> unheardSidecars() const;
+    // Holds jobs while a sidecar is unheard and runs of a lost entry may be at its minion.
+    void updateHold(Milliseconds now, bool allFramesRead);
     void noteLostEntry(Milliseconds runsFor, Milliseconds now);
     // Whether tasks of the job may be running for a lost entry at the minion of a sidecar that has not been heard since.
     bool isHeld(const Job&, Milliseconds now) const;
-    // Until when the former runs of a job that arrives now may go on unnoticed; in the past when there is no reason to hold it.
-    Milliseconds holdUntil() const;
+    // Until when runs of an entry whose loss is known may go on.
+    Milliseconds lostRunsEndBy() const;
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
     std::int64_t acceptingCpuMillis(const std::string& service) const;
     bool needsEcho(const Link&, Milliseconds clock, Milliseconds now) const;
@@ -371,12 +375,14 @@
     // By job, step and index of a task: the sidecars whose minion may run it, and until when; see UnsettledTask.
     std::map<std::string, std::map<std::pair<std::uint32_t, std::uint32_t>, std::map<std::string, Milliseconds>>> m_unsettled;
     Milliseconds m_unsettledPrunedAt {};
-    // The latest time at which an unheard sidecar's minion may still run tasks of lost entries.
-    Milliseconds m_unheardUntil {};
+    // The sidecars of the deployment; empty while they are not known.
+    std::set<std::string> m_members;
     // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
     Milliseconds m_entriesLostSince {};
     Milliseconds m_lostRunsUntil {};
     bool m_isHolding { false };
+    // Until when jobs are held; in the past while every sidecar is heard.
+    Milliseconds m_holdUntil {};
     std::map<std::string, MinionHealth> m_health;
     // Run time over estimate, in thousandths, by queue.
     std::map<std::string, RunTimes> m_estimateError;
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -4,6 +4,7 @@
 #include "policy/TaskRoom.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace oleanderport {
@@ -24,6 +25,9 @@
     constexpr std::uint64_t supersedeStep = 1'000;
     constexpr int wholePercent = 100;
 
+    // Names of incarnations begin with that of the instance.
+    std::string_view instanceOf(std::string_view incarnation) { return incarnation.substr(0, incarnation.rfind('/')); }
+
     // Longest real duration of a lease measured by a minion's clock.
     Milliseconds leaseWithDrift(Milliseconds lease)
     {
@@ -46,6 +50,11 @@
 
 void RunTable::opened(const EntryFrame& frame, Milliseconds now)
 {
+    // An instance that has started again has lost what it held before, also where the end of its former stream has not arrived.
+    for (auto& [name, former] : m_entries) {
+        if (name != frame.entry && instanceOf(name) == instanceOf(frame.entry))
+            closed(name);
+    }
     Entry& entry = m_entries[frame.entry];
     // An entry removed from this table still remembers the numbers of earlier ends and would drop a lower one as old.
     entry.lastEnd = std::max(entry.lastEnd, frame.endsSeen);
--- a/test/policy/AbandonedRunsTest.cpp
+++ b/test/policy/AbandonedRunsTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr const char* owner = "entry/1";
-constexpr const char* otherOwner = "entry/2";
+constexpr const char* otherOwner = "other/1";
 // How long callers on the users' platform wait before they submit a job again.
 constexpr Milliseconds resubmitAfter { 1'300 };
 constexpr Milliseconds minionStopTime { 50 };
--- a/test/policy/EntryNewsModelTest.cpp
+++ b/test/policy/EntryNewsModelTest.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr const char* sidecarName = "sidecar";
-constexpr const char* otherEntry = "entry/2";
+constexpr const char* otherEntry = "other/1";
 // How long callers on the users' platform wait before they submit a job again.
 constexpr Milliseconds resubmitAfter { 1'300 };
 constexpr Milliseconds beginning { 100'000 };
--- a/test/policy/LostEntriesTest.cpp
+++ b/test/policy/LostEntriesTest.cpp
@@ -197,6 +197,17 @@
     cr_assert(table.frames.back().lostEntryRunsFor == maxLostEntryRunTime);
 }
 
+Test(LostEntries, theTasksOfAnEntryThatStartedAgainAreToldAlsoWhereItsFormerStreamIsOpen)
+{
+    Table table;
+    table.start(3);
+    table.start(5);
+    cr_assert(table.told() == none);
+    table.runs().opened({ .entry = "entry-1/2" }, table.now);
+    table.act();
+    cr_assert(table.told() == both);
+}
+
 Test(LostEntries, theTasksOfALostEntryAreToldFirstOnANewStream)
 {
     Table table;
@@ -345,15 +356,41 @@
     }
 }
 
-Test(LostEntries, aJobIsNotHeldForASidecarThatHasBeenUnheardForLonger)
+Test(LostEntries, aJobIsNotHeldForASidecarThatIsNoMemberAnyMore)
+{
+    for (const bool isMember : { true, false }) {
+        Entry entry { longAgo };
+        entry.jobs().setMembers({ "sidecar-1", "sidecar-2" });
+        entry.hear("sidecar-2");
+        entry.jobs().disconnected("sidecar-2");
+        entry.placedWithin(maxLostEntryRunTime * 2);
+        if (!isMember)
+            entry.jobs().setMembers({ "sidecar-1" });
+        entry.hear("sidecar-1", { .lostEntryRunsFor = maxLostEntryRunTime });
+        entry.submit();
+        cr_assert(entry.placed().empty() == isMember);
+    }
+}
+
+Test(LostEntries, anEntryThatHasJustStartedHoldsJobsForAMemberWithoutAStream)
+{
+    Entry entry { beginning };
+    entry.hear("sidecar-2");
+    entry.jobs().setMembers({ "sidecar-1", "sidecar-2", "sidecar-3" });
+    entry.submit();
+    cr_assert(entry.placedWithin({ 500 }).empty());
+}
+
+Test(LostEntries, aTaskThatFailedIsNotPlacedAgainWhileItsJobIsHeld)
 {
     Entry entry { longAgo };
+    entry.hear("sidecar-1");
     entry.hear("sidecar-2");
-    entry.jobs().disconnected("sidecar-2");
-    entry.placedWithin(maxLostEntryRunTime + Milliseconds { 100 });
-    entry.hear("sidecar-1", { .lostEntryRunsFor = maxLostEntryRunTime });
     entry.submit();
-    cr_assert(!entry.placed().empty());
+    cr_assert(entry.placed() == std::set<std::string> { "sidecar-1" } || entry.placed().empty());
+    entry.jobs().disconnected("sidecar-2");
+    entry.hear("sidecar-1", { .ends = { { .number = 1, .run = { .job = "job", .run = 1, .submission = 1 }, .kind = RunEndKind::Failed } }, .lostEntryRunsFor = maxLostEntryRunTime });
+    cr_assert(entry.placedWithin({ 500 }).empty());
 }
 
 Test(LostEntries, aJobThatWasSubmittedBeforeTheLossIsNotHeld)
--- a/test/policy/RunTableTest.cpp
+++ b/test/policy/RunTableTest.cpp
@@ -401,8 +401,8 @@
     table.now = table.now + Milliseconds { 10 };
     table.answer({}, { { .number = 1, .run = name, .kind = ListedEndKind::Done } });
     table.runs.act(table.now);
-    table.runs.opened({ .entry = "entry/2" }, table.now);
-    table.runs.received("entry/2",
+    table.runs.opened({ .entry = "other/1" }, table.now);
+    table.runs.received("other/1",
         { .echo = table.now,
             .requests = { { .job = "a", .tasks = { { .index = 0, .run = 1 } }, .needs = { .cpuMillis = 1 }, .endBy = { 1'000'000 } } } },
         table.now);
@@ -667,7 +667,7 @@
     cr_assert(!hasFrame(table.runs.act(table.now)), "expected no frame while there is no room");
     table.now = table.now + Milliseconds { 20 };
     // A run ends and frees room.
-    constexpr const char* otherIncarnation = "entry/2";
+    constexpr const char* otherIncarnation = "other/1";
     table.runs.opened({ .entry = otherIncarnation }, table.now);
     table.runs.act(table.now);
     table.answer({ { .run = started[1].run } }, { { .number = 1, .run = started[0].run, .kind = ListedEndKind::Done } });
@@ -679,7 +679,7 @@
 Test(RunTable, offersTheSameRoomToOneEntryAtATime)
 {
     Table table;
-    constexpr const char* otherIncarnation = "entry/2";
+    constexpr const char* otherIncarnation = "other/1";
     for (const char* incarnation : { entryIncarnation, otherIncarnation }) {
         table.runs.opened({ .entry = incarnation, .stateGap = { 10'000 } }, table.now);
         table.runs.act(table.now);
@@ -719,7 +719,7 @@
 
 namespace {
 
-constexpr const char* otherEntry = "entry/2";
+constexpr const char* otherEntry = "other/1";
 // The shortest time after which a caller submits a job again, a minion's clock that is 2% slow, and the time of a stop.
 constexpr Milliseconds resubmitAfter { 1'300 };
 constexpr double slowClock = 1 / 0.98;
