TwoRunsModel: callers that come back before 1,300 ms

The model's callers waited 1,300 ms after a loss, always, so it could not show a safety that rests on how long they wait. Now a caller may come back after 0 to 1,300 ms and three trips, at any entry that lives, the next incarnation of its own included; entries are back within a second. New faults: all entries are killed at one moment; an entry and some sidecars are; a restarted minion's start time is before that of its former incarnation. Without the new fields the draws of a play are as before.

Pairs are classified by how the former submission was lost, how long before the placing, whether the former run's sidecar had learned of it, whether the placing entry is young, whether it hears that sidecar, and whether it was told.

--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -23,7 +23,8 @@
 #include <vector>
 
 // Several entries, sidecars and minions under a virtual clock with seeded faults. A caller submits its job again at another entry
-// 1,300 ms after its entry died or its channel broke. Two runs of one task that are live at the same time are a violation.
+// 1,300 ms after its entry died or its channel broke, an impatient one at any time until then. Two runs of one task that are live at
+// the same time are a violation.
 //
 // A minion that starts again carries out whatever arrives, orders to its former incarnations included, until a call with a higher
 // fencing token has reached it.
@@ -38,6 +39,8 @@
 constexpr Milliseconds beginning { 100'000 };
 constexpr Milliseconds ending { 112'000 };
 constexpr Milliseconds resubmitAfter { 1'300 };
+// An entry that started more recently than a run may outlive its entry.
+constexpr Milliseconds youngFor { 1'250 };
 constexpr Milliseconds callTimeout { 35 };
 constexpr Milliseconds listSlack { 40 };
 constexpr Milliseconds identifyTimeout { 150 };
@@ -75,6 +78,14 @@
     bool sidecarsCutOff { false };
     // All paths of an entry are cut, or it is paused, for a time. It learns afterwards that its callers have left.
     bool entriesCutOff { false };
+    // Callers submit again at any time up to 1,300 ms after a loss, also at the next incarnation of their entry, which is back sooner.
+    bool callersReturnEarly { false };
+    // All entries are killed at one moment.
+    bool allEntriesDie { false };
+    // An entry and some of the sidecars are killed at one moment.
+    bool sidecarsDieWithEntry { false };
+    // The unix time of a minion's start may be before that of its former incarnation.
+    bool startTimesFall { false };
     // Whether sidecars take a higher fencing token for each incarnation of their minion, as RunServer does.
     bool raisesToken { true };
 };
@@ -110,6 +121,52 @@
     ResubmittedAtAnotherEntry,
 };
 
+// How a caller lost its submission.
+enum class LossKind {
+    None,
+    EntryDied,
+    CallerLeft,
+    EntryCutOff,
+    Unfinished,
+};
+
+std::string_view lossKindName(LossKind kind)
+{
+    constexpr std::array<std::string_view, 5> names { "not lost", "its entry died", "its caller left", "its entry was cut off", "it ended unfinished" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
+struct Loss {
+    LossKind kind { LossKind::None };
+    Milliseconds at {};
+};
+
+// What an entry had from a sidecar when it placed a run.
+struct ViewOfSidecar {
+    bool isStreamOpen { false };
+    std::optional<Milliseconds> heardAt;
+    // The sidecar has told it that the task is unsettled.
+    bool isTold { false };
+};
+
+struct PlacedRun {
+    Milliseconds at {};
+    Milliseconds entryStartedAt {};
+    std::array<ViewOfSidecar, minionCount> views;
+};
+
+// What the run placed later was placed on. Times are those of the placing, or before it.
+struct PairNews {
+    Loss loss;
+    Milliseconds placedAt {};
+    bool isEntryYoung { false };
+    ViewOfSidecar view;
+    bool hasSidecarDied { false };
+    // When the former run's sidecar learned of the loss, and when it last heard from the entry that is lost.
+    std::optional<Milliseconds> learnedAt;
+    std::optional<Milliseconds> entryHeardAt;
+};
+
 // Two live runs of one task. The earlier one is that of the earlier submission, or of one submission that which was ordered first.
 struct RunPair {
     std::string job;
@@ -122,6 +179,7 @@
     bool isOfBefore { false };
     // On what the earlier one was concluded.
     std::string ground;
+    PairNews news;
     std::string text;
 };
 
@@ -146,6 +204,8 @@
     bool up { true };
     std::uint64_t incarnation { 1 };
     Milliseconds startedAt {};
+    // Of the machine's clock.
+    Milliseconds clockError {};
     std::int64_t slowThousandths { 0 };
     std::uint64_t sequence { 0 };
     std::uint64_t token { 0 };
@@ -161,7 +221,7 @@
     Milliseconds leaseArrivedAt {};
 
     std::int64_t clock(Milliseconds now) const { return (now - startedAt).count * (thousandths - slowThousandths) / thousandths; }
-    Milliseconds born() const { return { 1'000'000 + startedAt.count }; }
+    Milliseconds born() const { return { 1'000'000 + startedAt.count + clockError.count }; }
 
     void extendLease(std::int64_t until, std::string_view cause, Milliseconds sentAt, Milliseconds now)
     {
@@ -205,6 +265,10 @@
     bool confirming { false };
     // The stream that is current for an entry, by the entry's incarnation.
     std::map<std::string, std::uint64_t> streams;
+    // When it last heard from an entry's incarnation, when that one's stream closed, and when it received the stop of a job.
+    std::map<std::string, Milliseconds> heardAt;
+    std::map<std::string, Milliseconds> closedAt;
+    std::map<std::pair<std::string, std::string>, Milliseconds> stopReceivedAt;
     // What arrived while the process was frozen.
     std::deque<std::function<void()>> inbox;
 };
@@ -218,6 +282,10 @@
     bool dirty { true };
     Milliseconds due {};
     std::map<std::uint64_t, std::size_t> callerOf;
+    Milliseconds startedAt {};
+    std::array<std::optional<Milliseconds>, minionCount> heardAt;
+    // Until when a task is unsettled, by job and sidecar.
+    std::map<std::pair<std::string, std::size_t>, Milliseconds> unsettledUntil;
     // What arrived while the process was frozen.
     std::deque<std::function<void()>> inbox;
 };
@@ -240,6 +308,8 @@
     std::uint64_t sidecarIncarnation { 0 };
     std::string entryName;
     bool isOpenAtSidecar { false };
+    // A frame of the sidecar has arrived.
+    bool isHeardByEntry { false };
     // What is under way is lost.
     bool isBroken { false };
     std::array<Milliseconds, 2> lastArrival {};
@@ -250,6 +320,7 @@
     std::uint64_t jobs { 0 };
     std::uint64_t attempt { 0 };
     std::optional<std::size_t> entry;
+    std::uint64_t entryIncarnation { 0 };
     std::uint64_t submission { 0 };
     bool waits { false };
 };
@@ -336,14 +407,17 @@
         Caller& caller = m_callers[number];
         std::vector<std::size_t> others;
         for (std::size_t each = 0; each < entryCount; ++each) {
-            if (m_entries[each].up && m_now >= m_entries[each].frozenUntil && caller.entry != each)
+            const bool isSame = caller.entry == each && (!m_faults.callersReturnEarly || caller.entryIncarnation == m_entries[each].incarnation);
+            if (m_entries[each].up && m_now >= m_entries[each].frozenUntil && !isSame)
                 others.push_back(each);
         }
         if (others.empty()) {
-            m_agenda.at(m_now + Milliseconds { 100 }, [this, number] { submit(number); });
+            const Milliseconds delay = m_faults.callersReturnEarly ? m_draw.between({ 1 }, { 50 }) : Milliseconds { 100 };
+            m_agenda.at(m_now + delay, [this, number] { submit(number); });
             return;
         }
         caller.entry = others[m_draw.below(others.size())];
+        caller.entryIncarnation = m_entries[*caller.entry].incarnation;
         caller.waits = true;
         const std::uint64_t attempt = ++caller.attempt;
         Entry& entry = m_entries[*caller.entry];
@@ -371,14 +445,22 @@
         entry.callerOf.erase(caller.submission);
         entry.dispatcher->abandon(caller.submission);
         entry.dirty = true;
-        resubmitLater(number);
+        resubmitLater(number, LossKind::CallerLeft);
+    }
+
+    // Three trips open a channel.
+    Milliseconds channelTime()
+    {
+        return m_draw.between({ 1 }, { 5 }) + m_draw.between({ 1 }, { 5 }) + m_draw.between({ 1 }, { 5 });
     }
 
-    void resubmitLater(std::size_t number)
+    void resubmitLater(std::size_t number, LossKind kind)
     {
         Caller& caller = m_callers[number];
         caller.waits = false;
-        m_agenda.at(m_now + resubmitAfter, [this, number, attempt = caller.attempt] {
+        m_losses[{ caller.job, caller.attempt }] = { .kind = kind, .at = m_now };
+        const Milliseconds delay = m_faults.callersReturnEarly ? m_draw.between({ 0 }, { resubmitAfter.count + 1 }) + channelTime() : resubmitAfter;
+        m_agenda.at(m_now + delay, [this, number, attempt = caller.attempt] {
             if (m_callers[number].attempt == attempt)
                 submit(number);
         });
@@ -389,7 +471,7 @@
         Caller& caller = m_callers[number];
         note(caller.job, "{} {}", dispatchEndKindName(end.kind), end.reason);
         if (end.kind == DispatchEndKind::Unfinished)
-            return resubmitLater(number);
+            return resubmitLater(number, LossKind::Unfinished);
         caller.waits = false;
         m_agenda.at(m_now + m_draw.between({ 5 }, { 100 }), [this, number] { submitNew(number); });
     }
@@ -430,6 +512,17 @@
                     m_agenda.at(m_now + m_draw.between({ 300 }, { 700 }), [this, each] { killOrFreeze(each); });
             }
         }
+        if (m_faults.allEntriesDie && m_draw.oneIn(2)) {
+            for (std::size_t each = 0; each < entryCount; ++each)
+                killEntry(each);
+        }
+        if (m_faults.sidecarsDieWithEntry && m_draw.oneIn(2)) {
+            killEntry(entry);
+            for (std::size_t each = 0; each < minionCount; ++each) {
+                if (m_draw.oneIn(2))
+                    killSidecar(each);
+            }
+        }
         if (m_faults.sidecarsDie && m_draw.oneIn(2))
             killOrFreeze(sidecar);
         if (m_faults.entriesCutOff && m_draw.oneIn(2))
@@ -458,7 +551,7 @@
                     forget(number, submission);
             });
             m_entries[number].callerOf.erase(each.submission);
-            resubmitLater(caller);
+            resubmitLater(caller, LossKind::EntryCutOff);
         }
     }
 
@@ -544,6 +637,8 @@
             if (found == sidecar.streams.end() || found->second != id)
                 return;
             sidecar.streams.erase(found);
+            sidecar.closedAt[name] = m_now;
+            note(minionName(number), "its sidecar sees the stream of {} closed", name);
             sidecar.table->closed(name);
         });
     }
@@ -574,6 +669,7 @@
     // Entries
 
     static std::string minionName(std::size_t number) { return fmt::format("minion {}", number); }
+    static std::string entryName(std::size_t number) { return fmt::format("entry {}", number); }
     static std::string sidecarName(std::size_t number) { return fmt::format("sidecar-{}", number); }
 
     void startEntry(std::size_t number)
@@ -584,6 +680,10 @@
         entry.callerOf.clear();
         entry.inbox.clear();
         entry.frozenUntil = {};
+        entry.startedAt = m_now;
+        entry.heardAt = {};
+        entry.unsettledUntil.clear();
+        note(entryName(number), "starts as {}", entry.name);
         entry.dispatcher = std::make_unique<JobDispatcher>(JobDispatcherOptions { .incarnation = entry.name,
             .dataCentre = "dc",
             .sidecars = minionCount,
@@ -606,15 +706,23 @@
             if (id != 0)
                 transmit(id, Direction::ToSidecar, [this, id] { closeAtSidecar(id); });
         }
+        note(entryName(number), "is killed");
         entry.up = false;
         entry.dispatcher.reset();
         for (std::size_t caller = 0; caller < callerCount; ++caller) {
             if (!m_callers[caller].waits || m_callers[caller].entry != number)
                 continue;
             note(m_callers[caller].job, "{} dies", entry.name);
-            resubmitLater(caller);
+            resubmitLater(caller, LossKind::EntryDied);
         }
-        m_agenda.at(m_now + m_draw.between({ 500 }, { 3'000 }), [this, number] { startEntry(number); });
+        m_agenda.at(m_now + restartTime(), [this, number] { startEntry(number); });
+    }
+
+    Milliseconds restartTime()
+    {
+        if (m_faults.allEntriesDie)
+            return m_draw.between({ 550 }, { 650 });
+        return m_faults.callersReturnEarly ? m_draw.between({ 50 }, { 1'000 }) : m_draw.between({ 500 }, { 3'000 });
     }
 
     void actEntry(std::size_t number)
@@ -629,6 +737,8 @@
             const std::uint64_t id = path(number, sidecar).stream;
             for (const auto& run : item.frame.stops)
                 note(run.job, "{} requests the stop of run {} at {}", entry.name, run.run, item.sidecar);
+            for (const auto& request : item.frame.requests)
+                recordPlaced(number, sidecar, request);
             if (id != 0)
                 transmit(id, Direction::ToSidecar, [this, id, frame = item.frame] { frameArrived(id, frame); });
         }
@@ -650,9 +760,24 @@
         entry.due = entry.dispatcher->nextDue().value_or(m_now + Milliseconds { 100 });
     }
 
+    void recordPlaced(std::size_t number, std::size_t sidecar, const RunRequest& request)
+    {
+        const Entry& entry = m_entries[number];
+        PlacedRun placed { .at = m_now, .entryStartedAt = entry.startedAt };
+        for (std::size_t each = 0; each < minionCount; ++each) {
+            const std::uint64_t stream = path(number, each).stream;
+            const auto unsettled = entry.unsettledUntil.find({ request.job, each });
+            placed.views[each] = { .isStreamOpen = stream != 0 && m_streams.at(stream).isHeardByEntry,
+                .heardAt = entry.heardAt[each],
+                .isTold = unsettled != entry.unsettledUntil.end() && m_now < unsettled->second };
+        }
+        note(request.job, "{} places a run at sidecar {}", entry.name, sidecar);
+        m_placed[{ sidecar, request.job, submissionOf(request.payload).attempt }] = placed;
+    }
+
     void frameFromSidecarArrived(std::uint64_t id, const SidecarFrame& frame)
     {
-        const Stream& stream = m_streams.at(id);
+        Stream& stream = m_streams.at(id);
         Entry& entry = m_entries[stream.entry];
         if (!entry.up || entry.name != stream.entryName || path(stream.entry, stream.sidecar).stream != id)
             return;
@@ -662,6 +787,13 @@
         }
         for (const auto& end : frame.ends)
             note(end.run.job, "{} hears from sidecar {} that run {} ended as {}", entry.name, stream.sidecar, end.run.run, runEndKindName(end.kind));
+        for (const auto& task : frame.unsettledTasks) {
+            note(task.job, "{} hears from sidecar {} that the task is unsettled for {} ms", entry.name, stream.sidecar, task.remaining.count);
+            entry.unsettledUntil[{ task.job, stream.sidecar }] = m_now + task.remaining;
+        }
+        if (!std::exchange(stream.isHeardByEntry, true))
+            note(entryName(stream.entry), "{} hears sidecar {}", entry.name, stream.sidecar);
+        entry.heardAt[stream.sidecar] = m_now;
         entry.dispatcher->received(sidecarName(stream.sidecar), frame, m_now);
         entry.dirty = true;
     }
@@ -717,8 +849,11 @@
         atSidecar(stream.sidecar, stream.sidecarIncarnation, [this, id, frame] {
             Stream& stream = m_streams.at(id);
             Sidecar& sidecar = m_sidecars[stream.sidecar];
-            for (const auto& run : frame.stops)
+            for (const auto& run : frame.stops) {
                 note(run.job, "sidecar {} receives the stop of run {}", stream.sidecar, run.run);
+                sidecar.stopReceivedAt.try_emplace({ stream.entryName, run.job }, m_now);
+            }
+            sidecar.heardAt[stream.entryName] = m_now;
             if (!std::exchange(stream.isOpenAtSidecar, true)) {
                 std::uint64_t& current = sidecar.streams[stream.entryName];
                 if (current > id)
@@ -881,10 +1016,34 @@
                 .origin = originOf(other, started),
                 .isOfBefore = earlier.by.minionIncarnation != m_minions[earlierAt].incarnation,
                 .ground = groundOf(earlierAt, earlier),
+                .news = newsOf(each, other, number, started),
                 .text = describePair(each, other, number, started) });
         }
     }
 
+    // What `placed` was placed on, as to the other run.
+    PairNews newsOf(std::size_t each, const LiveRun& other, std::size_t number, const LiveRun& placed) const
+    {
+        const PlacedRun& at = m_placed.at({ number, placed.run.job, placed.submission.attempt });
+        const auto loss = m_losses.find({ placed.run.job, other.submission.attempt });
+        const Sidecar& sidecar = m_sidecars[each];
+        PairNews news { .loss = loss == m_losses.end() ? Loss {} : loss->second,
+            .placedAt = at.at,
+            .isEntryYoung = at.at < at.entryStartedAt + youngFor,
+            .view = at.views[each],
+            .hasSidecarDied = !sidecar.up || sidecar.incarnation != other.by.sidecarIncarnation };
+        const auto before = [&at](const auto& times, const auto& key) -> std::optional<Milliseconds> {
+            const auto found = times.find(key);
+            return found != times.end() && found->second <= at.at ? std::optional(found->second) : std::nullopt;
+        };
+        const auto closed = before(sidecar.closedAt, other.submission.entry);
+        const auto stopped = before(sidecar.stopReceivedAt, std::pair(other.submission.entry, other.run.job));
+        news.learnedAt = closed && stopped ? std::min(*closed, *stopped) : closed ? closed
+                                                                                  : stopped;
+        news.entryHeardAt = before(sidecar.heardAt, other.submission.entry);
+        return news;
+    }
+
     static Submission submissionOf(const std::string& payload)
     {
         const std::size_t space = payload.find(' ');
@@ -921,7 +1080,8 @@
             minion.leaseEnd - minion.clock(m_now), minion.leaseCause, (minion.leaseSentAt - beginning).count, (minion.leaseArrivedAt - beginning).count);
         if (sidecar.up)
             text += fmt::format("  sidecar {} (incarnation {}): {} live runs, {}ready\n", each, sidecar.incarnation, sidecar.table->liveRuns(), sidecar.table->isReady() ? "" : "not ");
-        for (const auto& name : { started.run.job, minionName(each), minionName(number) }) {
+        const auto entryOf = [](const LiveRun& run) { return entryName(static_cast<std::size_t>(run.submission.entry.at(sizeof("entry-") - 1) - '0')); };
+        for (const auto& name : { started.run.job, minionName(each), minionName(number), entryOf(other), entryOf(started) }) {
             const auto lines = m_history.find(name);
             text += fmt::format("  {}:\n", name);
             for (const auto& line : lines == m_history.end() ? std::vector<std::string> {} : lines->second)
@@ -1044,7 +1204,8 @@
         const Milliseconds downTime = m_draw.oneIn(2) ? m_draw.between({ 5 }, { 100 }) : m_draw.between({ 100 }, { 1'500 });
         m_agenda.at(m_now + downTime, [this, number] {
             Minion& again = m_minions[number];
-            again = { .incarnation = again.incarnation + 1, .startedAt = m_now, .slowThousandths = again.slowThousandths };
+            const Milliseconds clockError = m_faults.startTimesFall ? Milliseconds { 0 } - m_draw.between({ 0 }, { 30'000 }) : Milliseconds {};
+            again = { .incarnation = again.incarnation + 1, .startedAt = m_now, .clockError = clockError, .slowThousandths = again.slowThousandths };
             note(minionName(number), "starts again as incarnation {}", again.incarnation);
             m_agenda.at(m_now + m_draw.between({ 0 }, { 300 }), [this, number] { sendReport(number); });
         });
@@ -1124,6 +1285,10 @@
     std::map<std::string, std::vector<std::string>> m_history;
     // When a sidecar's incarnation sent the start of a run first.
     std::map<std::tuple<std::size_t, std::uint64_t, RunName>, Milliseconds> m_firstSentAt;
+    // By job and attempt of the caller.
+    std::map<std::pair<std::string, std::uint64_t>, Loss> m_losses;
+    // By sidecar, job and attempt of the caller: the last run placed.
+    std::map<std::tuple<std::size_t, std::string, std::uint64_t>, PlacedRun> m_placed;
     std::vector<RunPair> m_pairs;
 };
 
@@ -1132,7 +1297,29 @@
 std::string describe(const RunPair& pair)
 {
     constexpr std::array<std::string_view, 3> origins { "same submission", "resubmitted at the same entry", "resubmitted at another entry" };
-    return fmt::format("{}, earlier run {}: {}", origins[static_cast<std::size_t>(pair.origin)], pair.isOfBefore ? "of before" : "of this incarnation", pair.ground);
+    const PairNews& news = pair.news;
+    std::string text = fmt::format("{}, earlier run {}: {}", origins[static_cast<std::size_t>(pair.origin)], pair.isOfBefore ? "of before" : "of this incarnation", pair.ground);
+    if (news.loss.kind == LossKind::None)
+        return text;
+    const std::string_view sidecar = news.hasSidecarDied ? "had died" : news.learnedAt ? "knew"
+                                                                                       : "did not know";
+    return text + fmt::format("; {}, its sidecar {}, the placing entry is {}, its stream to that sidecar {}, {}", lossKindName(news.loss.kind), sidecar, news.isEntryYoung ? "young" : "not young", news.view.isStreamOpen ? "open" : "not open", news.view.isTold ? "told" : "not told");
+}
+
+std::string summarise(const std::string& kind, const std::vector<RunPair>& pairs)
+{
+    Milliseconds longest {};
+    Milliseconds soonest { ending };
+    Milliseconds latest {};
+    for (const auto& pair : pairs) {
+        longest = std::max(longest, pair.together);
+        soonest = std::min(soonest, pair.news.placedAt - pair.news.loss.at);
+        latest = std::max(latest, pair.news.placedAt - pair.news.loss.at);
+    }
+    std::string text = fmt::format("{} pairs, up to {} ms: {}", pairs.size(), longest.count, kind);
+    if (pairs.front().news.loss.kind != LossKind::None)
+        text += fmt::format("; placed {} to {} ms after the loss", soonest.count, latest.count);
+    return text + "\n";
 }
 
 std::string firstAsserted(const Faults& faults, std::uint64_t seed)
@@ -1147,9 +1334,11 @@
     std::vector<std::uint64_t> failed;
     std::uint64_t seedsApart = 0;
     std::string first;
-    std::map<std::string, std::vector<std::int64_t>> kinds;
+    std::map<std::string, std::vector<RunPair>> kinds;
     std::vector<std::int64_t> apart;
     std::uint64_t runs = 0;
+    std::size_t asserted = 0;
+    Milliseconds longest {};
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         Model model(faultsOf(seed), seed);
         auto pairs = model.pairs();
@@ -1166,18 +1355,21 @@
         if (failed.empty())
             first = firstAsserted(faultsOf(seed), seed);
         failed.push_back(seed);
-        for (const auto& pair : pairs)
-            kinds[describe(pair)].push_back(pair.together.count);
+        asserted += pairs.size();
+        for (const auto& pair : pairs) {
+            longest = std::max(longest, pair.together);
+            kinds[describe(pair)].push_back(pair);
+        }
     }
     std::string summary;
-    for (const auto& [kind, times] : kinds)
-        summary += fmt::format("{} pairs, up to {} ms: {}\n", times.size(), *std::max_element(times.begin(), times.end()), kind);
+    for (const auto& [kind, pairs] : kinds)
+        summary += summarise(kind, pairs);
     if (!apart.empty())
         fmt::print(stderr, "counted apart, an order of before of a job submitted again at another entry: {} pairs in {} of {} seeds, up to {} ms\n",
             apart.size(), seedsApart, seeds, *std::max_element(apart.begin(), apart.end()));
     cr_expect(runs > seeds * 20, "only %llu runs started", static_cast<unsigned long long>(runs));
-    cr_assert(failed.empty(), "%zu of %llu seeds with two live runs of one task\n%sthe first: %s", failed.size(),
-        static_cast<unsigned long long>(seeds), summary.c_str(), first.c_str());
+    cr_assert(failed.empty(), "%zu of %llu seeds with two live runs of one task, %zu pairs, up to %lld ms\n%sthe first: %s", failed.size(),
+        static_cast<unsigned long long>(seeds), asserted, static_cast<long long>(longest.count), summary.c_str(), first.c_str());
 }
 
 void expectNoViolation(const Faults& faults)
@@ -1250,3 +1442,38 @@
 }
 
 Test(TwoRunsModel, noTaskHasTwoRunsWhenSeveralOfTheseFaultsMeet) { expectNoViolation(mixedFaults); }
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenCallersOfADeadEntryComeBackAtOnce)
+{
+    expectNoViolation(Faults { .entriesDie = true, .callersReturnEarly = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenAllEntriesDieTogether)
+{
+    expectNoViolation(Faults { .callersReturnEarly = true, .allEntriesDie = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenImpatientCallersLeaveAnEntryThatLives)
+{
+    expectNoViolation(Faults { .unansweredStops = 30, .callersLeave = true, .callersReturnEarly = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenImpatientCallersMeetSlowStreams)
+{
+    expectNoViolation(Faults { .callersLeave = true, .streamsStall = true, .streamsBreak = true, .entriesDie = true, .callersReturnEarly = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenImpatientCallersLeaveAnEntryCutOffOrPaused)
+{
+    expectNoViolation(Faults { .entriesCutOff = true, .callersReturnEarly = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenAnEntryAndItsSidecarsStartAgainTogether)
+{
+    expectNoViolation(Faults { .callersReturnEarly = true, .sidecarsDieWithEntry = true });
+}
+
+Test(TwoRunsModel, noTaskHasTwoRunsWhenImpatientCallersMeetRestartedMinionsWhoseClocksWereSetBack)
+{
+    expectNoViolation(Faults { .unansweredStarts = 30, .unansweredStops = 30, .minionsCrash = true, .entriesDie = true, .callersReturnEarly = true, .startTimesFall = true });
+}
