DispatchService: a stream that had worked is opened again at once

Cause: an entry waited 50 to 100 ms before it opened a lost stream again. Until then it could have no run stopped whose caller had left, and did not hear which tasks other sidecars told of; a caller whose channel was reset with the stream was back earlier.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -1,6 +1,6 @@
 #include "entry/DispatchService.h"
 
-#include "policy/Backoff.h"
+#include "entry/Reconnect.h"
 #include "wire/DispatchCodec.h"
 
 #include <fmt/format.h>
@@ -13,8 +13,6 @@
 
 namespace {
 
-    // Backoff between attempts to connect to a sidecar.
-    constexpr BackoffOptions reconnectBackoff { .initial = { 100 }, .max = { 800 } };
     // Actions that are due within this span are performed together.
     constexpr Milliseconds timerSlack { 2 };
 
@@ -86,11 +84,12 @@
         log(LogLevel::Warning, { .step = "dispatch.link", .peer = address },
             fmt::format("stream lost: {}; {} runs are at this sidecar", reason, m_dispatcher.runsAt(address)));
     }
+    const auto workedFor = link.handshakeDone ? std::optional(Clock::now() - link.handshakeAt) : std::nullopt;
     link.failedAttempts = link.handshakeDone ? 0 : link.failedAttempts + 1;
     link.stream.reset();
     link.handshakeDone = false;
     m_dispatcher.disconnected(address);
-    link.reconnectTimer = m_process.loop.once(jitteredBackoff(reconnectBackoff, link.failedAttempts, m_random()), [this, address] {
+    link.reconnectTimer = m_process.loop.once(reconnectDelay(workedFor, link.failedAttempts, m_random()), [this, address] {
         // A sidecar that has left the view is dropped once no run is outstanding there.
         if (!m_sidecarAddresses.contains(address) && m_dispatcher.runsAt(address) == 0) {
             m_links.erase(address);
@@ -113,6 +112,7 @@
     Link& link = m_links.at(address);
     if (!link.handshakeDone && !frame.assume_value().sidecar.empty()) {
         link.handshakeDone = true;
+        link.handshakeAt = Clock::now();
         log(LogLevel::Info, { .step = "dispatch.link", .peer = address }, "connected to sidecar " + frame.assume_value().sidecar);
     }
     if (m_dispatcher.received(address, frame.assume_value(), Clock::now()))
--- a/src/entry/DispatchService.h
+++ b/src/entry/DispatchService.h
@@ -45,6 +45,7 @@
         std::unique_ptr<MessageStream> stream;
         std::unique_ptr<EventLoop::Timer> reconnectTimer;
         bool handshakeDone { false };
+        Milliseconds handshakeAt {};
         // Consecutive attempts without a handshake.
         int failedAttempts { 0 };
     };
--- a/test/support/PlatformDeployment.h
+++ b/test/support/PlatformDeployment.h
@@ -47,6 +47,8 @@
     std::string ready { freeAddress() };
     std::string reportAddress { freeAddress() };
     std::string sidecarStream { freeAddress() };
+    // Where the entry reaches the sidecar.
+    std::string sidecarRelay;
     ControlServer controlServer { loop, testSettings(Role::Control, "control-1", control) };
     OperatorAdapter operators { controlServer };
     EntryServer entry { loop, testSettings(Role::Entry, "entry-1", entryControl) };
@@ -59,8 +61,10 @@
     std::vector<std::unique_ptr<RawConnection>> clients;
 
     // `controlRelay`: address of a relay in front of control, for the entry alone; without a relay when empty.
-    explicit PlatformDeployment(PlatformMinion::Options options = {}, const std::string& controlRelay = {})
+    // `streamRelay`: address of a relay in front of the sidecar.
+    explicit PlatformDeployment(PlatformMinion::Options options = {}, const std::string& controlRelay = {}, const std::string& streamRelay = {})
         : entryControl(controlRelay.empty() ? control : controlRelay)
+        , sidecarRelay(streamRelay.empty() ? sidecarStream : streamRelay)
         , minion(loop, std::move(options))
     {
         cr_assert(controlServer.start().has_value());
@@ -72,7 +76,7 @@
     {
         Settings settings = testSettings(Role::Sidecar, "sidecar-1", control);
         settings.streamListen = sidecarStream;
-        settings.streamAdvertise = settings.streamListen;
+        settings.streamAdvertise = sidecarRelay;
         return settings;
     }
 
