--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -1,19 +1,18 @@
 #include "entry/DispatchService.h"
 
-#include "policy/Backoff.h"
+#include "entry/Reconnect.h"
 #include "wire/DispatchCodec.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace oleanderport {
 
 namespace {
 
-    // Backoff between attempts to connect to a sidecar.
-    constexpr BackoffOptions reconnectBackoff { .initial = { 100 }, .max = { 800 } };
     // Sidecars named in one line of the log.
     constexpr std::size_t maxNamedSidecars = 8;
     // Actions that are due within this span are performed together.
@@ -88,11 +87,12 @@
         log(LogLevel::Warning, { .step = "dispatch.link", .peer = address },
             fmt::format("stream lost: {}; {} runs are at this sidecar", reason, m_dispatcher.runsAt(address)));
     }
+    const auto workedFor = link.handshakeDone ? std::optional(Clock::now() - link.handshakeAt) : std::nullopt;
     link.failedAttempts = link.handshakeDone ? 0 : link.failedAttempts + 1;
     link.stream.reset();
     link.handshakeDone = false;
     m_dispatcher.disconnected(address);
-    link.reconnectTimer = m_process.loop.once(jitteredBackoff(reconnectBackoff, link.failedAttempts, m_random()), [this, address] {
+    link.reconnectTimer = m_process.loop.once(reconnectDelay(workedFor, link.failedAttempts, m_random()), [this, address] {
         // A sidecar that has left the view is dropped once no run is outstanding there.
         if (!m_sidecarAddresses.contains(address) && m_dispatcher.runsAt(address) == 0) {
             m_links.erase(address);
@@ -115,6 +115,7 @@
     Link& link = m_links.at(address);
     if (!link.handshakeDone && !frame.assume_value().sidecar.empty()) {
         link.handshakeDone = true;
+        link.handshakeAt = Clock::now();
         log(LogLevel::Info, { .step = "dispatch.link", .peer = address }, "connected to sidecar " + frame.assume_value().sidecar);
     }
     if (m_dispatcher.received(address, frame.assume_value(), Clock::now()))
@@ -125,6 +126,7 @@
 {
     const std::uint64_t submission = m_dispatcher.submit(job, Clock::now());
     m_replies[submission] = std::move(reply);
+    m_unheard[m_process.loop.round()] = submission;
     scheduleRun();
     return submission;
 }
@@ -161,8 +163,17 @@
 {
     m_scheduledRun.reset();
     // A reply or a lost stream may request a further round.
-    if (!m_round.run([&] { perform(m_dispatcher.act(Clock::now(), std::exchange(fromTimer, false), m_process.loop.readUntil())); }))
+    if (!m_round.run([&] {
+            const EventLoop& loop = m_process.loop;
+            const auto firstUnheard = m_unheard.lower_bound(loop.readRound());
+            if (firstUnheard != m_unheard.begin())
+                m_lastHeard = std::prev(firstUnheard)->second;
+            m_unheard.erase(m_unheard.begin(), firstUnheard);
+            perform(m_dispatcher.act(Clock::now(), std::exchange(fromTimer, false), loop.readUntil(), m_lastHeard));
+        }))
         return;
+    if (m_dispatcher.awaitsCallerNews())
+        scheduleRun();
     armTimer();
 }
 
