--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -41,9 +41,11 @@
         { 1, 3'300, longAttemptTimeout } };
 }
 
-Callers::Callers(EventLoop& loop, std::uint64_t seed, std::vector<EntryAddress> entries, int callers, const std::vector<JobKind>& jobKinds)
+Callers::Callers(EventLoop& loop, std::uint64_t seed, std::vector<EntryAddress> entries, int callers, const std::vector<JobKind>& jobKinds, Patience patience)
     : m_loop(loop)
     , m_random(seed)
+    , m_resendDelays(~seed)
+    , m_patience(patience)
     , m_entries(std::move(entries))
     , m_callers(static_cast<std::size_t>(callers))
     , m_jobKinds(jobKinds)
@@ -81,6 +83,11 @@
     return job;
 }
 
+Milliseconds Callers::drawResendDelay()
+{
+    return m_patience == Patience::Full ? resendDelay : m_resendDelays.between({ 0 }, resendDelay + Milliseconds { 1 });
+}
+
 void Callers::sendNext(Caller& caller)
 {
     if (m_stopped || m_draining)
@@ -122,7 +129,7 @@
     }
     if (isRetryable(attempt.status) && job.attempts.size() < maxAttempts) {
         const auto next = m_random.below(m_entries.size());
-        caller.timer = m_loop.once(resendDelay, [this, &caller, &job, next] { send(caller, job, next); });
+        caller.timer = m_loop.once(drawResendDelay(), [this, &caller, &job, next] { send(caller, job, next); });
         return;
     }
     --m_inFlight;
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -33,11 +33,19 @@
 // More of those that outlast a resend.
 std::vector<JobKind> longJobKinds();
 
+// How long callers wait before they send a job again.
+enum class Patience {
+    // As long as the users' clients.
+    Full,
+    // A drawn part of that, from nothing at all.
+    Drawn,
+};
+
 // Callers that send one job after the other over keep-alive connections. A job whose connection broke, that was answered
 // with 502 or 504 or that timed out is resent to an entry drawn at random.
 class Callers {
 public:
-    Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers, const std::vector<JobKind>& = usualJobKinds());
+    Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers, const std::vector<JobKind>& = usualJobKinds(), Patience = Patience::Full);
 
     void start();
     // Sends no new jobs; those in flight continue, with their resends.
@@ -60,9 +68,13 @@
     void send(Caller&, JobRecord&, std::size_t entry);
     void answered(Caller&, JobRecord&, const Result<HttpAnswer>&);
     JobRecord makeJob();
+    Milliseconds drawResendDelay();
 
     EventLoop& m_loop;
     RandomDraw m_random;
+    // Draws of its own, so that the jobs stay the same.
+    RandomDraw m_resendDelays;
+    Patience m_patience;
     std::vector<EntryAddress> m_entries;
     std::list<JobRecord> m_jobs;
     std::vector<Caller> m_callers;
--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -153,6 +153,8 @@
             const int slow = random.oneIn(2) ? 1 + random.below(maxSlowPerMille) : 0;
             command.insert(command.end(), { "--late-orders", std::to_string(random.number() + static_cast<std::uint64_t>(state.incarnation)), "--slow", std::to_string(slow) });
         }
+        if (m_options.shape.impatientCallers)
+            command.insert(command.end(), { "--moods", std::to_string((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)) });
         m_processes.start(name, command);
         return;
     }
@@ -183,6 +185,12 @@
         for (const auto& name : names("control"))
             kill(name, fault.duration);
         return;
+    case FaultKind::KillTogether: {
+        std::istringstream names(fault.target);
+        for (std::string name; std::getline(names, name, '+');)
+            kill(name, fault.duration);
+        return;
+    }
     case FaultKind::Pause:
         m_processes.signal(fault.target, SIGSTOP);
         m_faults.push_back({ .process = fault.target, .kind = "freeze", .from = Clock::now(), .until = Clock::now() + fault.duration });
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -14,6 +14,7 @@
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 
 namespace {
@@ -45,7 +46,7 @@
         : m_plan(makePlan(seed, shape))
         , m_deployment(m_loop, { .build = options.build, .folder = options.folder, .basePort = options.basePort, .seed = seed, .shape = shape })
         , m_operator(m_loop, seed + 1, controls())
-        , m_callers(m_loop, seed + 2, entries(), shape.callers, shape.minionFaults ? longJobKinds() : usualJobKinds())
+        , m_callers(m_loop, seed + 2, entries(), shape.callers, shape.minionFaults || shape.impatientCallers ? longJobKinds() : usualJobKinds(), shape.impatientCallers ? Patience::Drawn : Patience::Full)
         , m_probeCallers(m_loop, seed + 3, entries(), 1)
     {
     }
@@ -210,6 +211,19 @@
         record.longestStall.at.count);
 }
 
+// What timelines are read from, beside the logs (which have the time of day) and the runs of minions.
+void writeRecord(const Record& record, const std::filesystem::path& file)
+{
+    std::ofstream out(file);
+    out << fmt::format("clock {} is {} in logs\n", Clock::now().count, Clock::unixNow().count);
+    for (const auto& fault : record.faults)
+        out << fmt::format("fault {} {} {} {}\n", fault.from.count, fault.until.count, fault.kind, fault.process);
+    for (const auto& job : record.jobs) {
+        for (const auto& attempt : job.attempts)
+            out << fmt::format("attempt {} {} {} {} {}\n", job.id, attempt.sent.count, attempt.ended.value_or(record.finished).count, attempt.entry, attempt.status);
+    }
+}
+
 // Returns true when the run broke no guarantee; otherwise the run's folder is kept.
 bool runSeed(const SoakOptions& options, std::uint64_t seed, const Shape& shape)
 {
@@ -220,6 +234,7 @@
     Soak soak(own, seed, shape);
     const Record record = soak.run();
     const auto violations = judge(record, {});
+    writeRecord(record, own.folder / "record");
     fmt::print("seed {}: {}: {}\n", seed, violations.empty() ? "kept" : "BROKEN", summary(record));
     for (const auto& violation : violations)
         fmt::print("  {}: {}\n", violation.guarantee, violation.detail);
@@ -253,6 +268,7 @@
         }
         shape.minionFaults = arguments.count("minion-faults") > 0;
         shape.entryFaults = arguments.count("entry-faults") > 0;
+        shape.impatientCallers = arguments.count("impatient-callers") > 0;
         if (arguments.count("plan") > 0)
             fmt::print("seed {}: {}", seed, describe(makePlan(seed, shape)));
         else
@@ -278,6 +294,7 @@
             "replacements", "Number of control instances to replace; the deployment then has five", cxxopts::value<int>())(
             "minion-faults", "Also faults of minions and of single paths")(
             "entry-faults", "Also slow entries, and late news of callers that left")(
+            "impatient-callers", "Callers come back after 0 to 1,300 ms, entries and sidecars are lost together, and minions take their grace")(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
         const auto arguments = options.parse(argc, argv);
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -50,6 +50,19 @@
 constexpr int promptOrderOneIn = 10;
 constexpr int unansweredPromptOrderOneIn = 2;
 
+// A minion with moods takes a part of its grace for a stop, refuses starts at times as an unhealthy one, and may have less room than it
+// says. Of its deregistrations, one in unansweredOneIn gets no answer, half of them since the call is lost; it ends some seconds later.
+constexpr Milliseconds stopGrace { 50 };
+constexpr int unhealthyOneIn = 40;
+constexpr int statusTooMany = 429;
+constexpr int statusUnavailable = 503;
+constexpr int narrowOneIn = 2;
+constexpr std::size_t minRoom = 3;
+constexpr int unansweredOneIn = 2;
+constexpr int lostDeregistrationOneIn = 2;
+constexpr Milliseconds minUnansweredEnd { 1'000 };
+constexpr Milliseconds maxUnansweredEnd { 4'000 };
+
 // Specs are "run=MS,..." or "fail=MS,...".
 bool isFailing(const std::string& spec) { return spec.rfind("fail=", 0) == 0; }
 Milliseconds runTimeOf(const std::string& spec) { return { std::stoll(spec.substr(spec.find('=') + 1)) }; }
@@ -161,6 +174,10 @@
     std::optional<CallDelays> callDelays;
     if (arguments.count("late") > 0)
         callDelays.emplace(loop, arguments["late"].as<std::uint64_t>());
+    std::optional<RandomDraw> moods;
+    if (arguments.count("moods") > 0)
+        moods.emplace(arguments["moods"].as<std::uint64_t>());
+    const bool isNarrow = moods && moods->oneIn(narrowOneIn);
     const bool hasLateOrders = arguments.count("late-orders") > 0;
     LateOrders lateOrders(hasLateOrders ? arguments["late-orders"].as<std::uint64_t>() : 0);
     bool isUp = true;
@@ -173,21 +190,32 @@
             .born = Clock::unixNow(),
             .runTime = runTimeOf,
             .isFailing = isFailing,
-            .room = room,
+            .room = isNarrow ? minRoom + moods->below(room - minRoom) : room,
             .slowPerMille = arguments["slow"].as<std::int64_t>(),
             .hasClockOfIncarnation = hasLateOrders,
+            .stopTime = [&moods] { return moods ? moods->between({ 0 }, stopGrace + Milliseconds { 1 }) : Milliseconds {}; },
+            .startRefusal = [&moods] { return !moods || !moods->oneIn(unhealthyOneIn) ? 0 : moods->oneIn(2) ? statusTooMany
+                                                                                                            : statusUnavailable; },
             .delayOf = [&](PlatformMinion::Call call) { return lateOrders.concern(call) ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
                                                                                                                           : PlatformMinion::CallDelay {}; },
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count)); },
             .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, fmt::format("{} {}", how, ended.leaseEnd.count)); } });
     const char* state = "ready";
     const auto report = [&] { minion.report(text("sidecar"), state); };
-    const auto reports = loop.every(reportPeriod, report);
+    auto reports = loop.every(reportPeriod, report);
     std::unique_ptr<EventLoop::Timer> leaving;
     const auto onTerm = loop.onSignal(SIGTERM, [&] {
         state = "draining";
         report();
-        leaving = loop.once(drainTime, [&] { minion.deregister(text("sidecar"), [&loop] { loop.stop(); }); });
+        leaving = loop.once(drainTime, [&] {
+            if (!moods || !moods->oneIn(unansweredOneIn))
+                return minion.deregister(text("sidecar"), [&loop] { loop.stop(); });
+            reports.reset();
+            const auto end = moods->between(minUnansweredEnd, maxUnansweredEnd);
+            if (!moods->oneIn(lostDeregistrationOneIn))
+                minion.deregister(text("sidecar"), [] {});
+            leaving = loop.once(end, [&loop] { loop.stop(); });
+        });
     });
     const auto onLate = loop.onSignal(SIGUSR1, [&lateOrders] { lateOrders.begin(); });
     const auto onPrompt = loop.onSignal(SIGUSR2, [&lateOrders] { lateOrders.end(); });
@@ -217,6 +245,7 @@
         add("life", "Incarnation of the minion, from 1", cxxopts::value<int>());
         add("late", "Delay calls at random, with this seed", cxxopts::value<std::uint64_t>());
         add("late-orders", "Seed of the delays while most calls are late; the clock then starts with each incarnation", cxxopts::value<std::uint64_t>());
+        add("moods", "Seed of how long stops take, of refusals and of deregistrations without an answer", cxxopts::value<std::uint64_t>());
         add("slow", "The clock is slow by this many thousandths", cxxopts::value<std::int64_t>()->default_value("0"));
         return run(options.parse(argc, argv));
     } catch (const std::exception& exception) {
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -4,6 +4,7 @@
 #include "support/RandomDraw.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <iterator>
@@ -12,11 +13,12 @@
 
 namespace {
 
-    constexpr NameTable<FaultKind, 23> faultKindNames { {
+    constexpr NameTable<FaultKind, 24> faultKindNames { {
         { FaultKind::Kill, "kill" },
         { FaultKind::Wipe, "wipe" },
         { FaultKind::Replace, "replace" },
         { FaultKind::KillAllControl, "kill-all-control" },
+        { FaultKind::KillTogether, "kill-together" },
         { FaultKind::Pause, "freeze" },
         { FaultKind::Stop, "stop" },
         { FaultKind::Reload, "reload" },
@@ -58,6 +60,7 @@
     // Odd, so that each seed has draws of its own.
     constexpr std::uint64_t minionFaultsFactor = 0x9e3779b97f4a7c15;
     constexpr std::uint64_t entryFaultsFactor = 0xbf58476d1ce4e5b9;
+    constexpr std::uint64_t impatientCallersFactor = 0x94d049bb133111eb;
     // In each span of faults.
     constexpr int lateOrdersPerSpan = 3;
     constexpr int pathFaultsPerSpan = 5;
@@ -77,6 +80,12 @@
     // As long as TCP takes to send a lost packet again.
     constexpr Milliseconds minNewsDelay { 200 };
     constexpr Milliseconds maxNewsDelay { 400 };
+    // All entries are back about 0.6 s after they were killed.
+    constexpr Milliseconds minEntriesAway { 450 };
+    constexpr Milliseconds maxEntriesAway { 650 };
+    constexpr Milliseconds minTogetherAway { 100 };
+    constexpr Milliseconds maxTogetherAway { 1'500 };
+    constexpr int sidecarLostWithEntryOneIn = 2;
 
     class PlanBuilder {
     public:
@@ -108,6 +117,11 @@
             drawFaults(lastFaultsFrom, lastFaultsUntil, 8);
             drawPlannedOperations(plannedUntil, lastFaultsUntil - Milliseconds { 5'000 }, 3);
             evacuateDataCentre(lastFaultsUntil + maxFaultDuration + Milliseconds { 500 });
+            if (m_shape.impatientCallers) {
+                RandomDraw losses(m_seed * impatientCallersFactor);
+                drawLossesTogether(losses, firstFaultsFrom, firstFaultsUntil);
+                drawLossesTogether(losses, lastFaultsFrom, lastFaultsUntil);
+            }
             std::sort(m_faults.begin(), m_faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
             return { .shape = m_shape, .faults = std::move(m_faults), .length = loadLength };
         }
@@ -176,6 +190,30 @@
             }
         }
 
+        // Beside whatever else was drawn, so that all of that stays.
+        void drawLossesTogether(RandomDraw& random, Milliseconds from, Milliseconds until)
+        {
+            std::vector<std::string> entries;
+            for (int entry = 1; entry <= m_shape.entries; ++entry)
+                entries.push_back(fmt::format("entry-{}", entry));
+            m_faults.push_back({ .at = random.between(from, until),
+                .kind = FaultKind::KillTogether,
+                .target = fmt::format("{}", fmt::join(entries, "+")),
+                .duration = random.between(minEntriesAway, maxEntriesAway) });
+
+            PlannedFault withSidecars { .at = random.between(from, until),
+                .kind = FaultKind::KillTogether,
+                .target = entries[random.below(entries.size())],
+                .duration = random.between(minTogetherAway, maxTogetherAway) };
+            const int always = 1 + random.below(m_shape.sidecars);
+            for (int sidecar = 1; sidecar <= m_shape.sidecars; ++sidecar) {
+                const bool isDrawn = random.oneIn(sidecarLostWithEntryOneIn);
+                if (isDrawn || sidecar == always)
+                    withSidecars.target += fmt::format("+sidecar-{}", sidecar);
+            }
+            m_faults.push_back(withSidecars);
+        }
+
         std::string drawProcess()
         {
             switch (m_random.below(4)) {
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -23,6 +23,8 @@
     bool minionFaults { false };
     // Slow entries, and late news of callers that left, during the faults of minions; see docs/SOAK.md.
     bool entryFaults { false };
+    // Callers come back at once or later, entries and sidecars are lost together, and minions take their grace; see docs/SOAK.md.
+    bool impatientCallers { false };
 };
 
 enum class FaultKind {
@@ -34,6 +36,8 @@
     Replace,
     // SIGKILL of all control instances.
     KillAllControl,
+    // SIGKILL of several processes at the same moment; they restart together.
+    KillTogether,
     // SIGSTOP, then SIGCONT.
     Pause,
     // SIGTERM; the process restarts after it has exited.
@@ -75,7 +79,8 @@
     // Relative to the start of the load.
     Milliseconds at {};
     FaultKind kind { FaultKind::Kill };
-    // Name of a process, of one of its listeners (PROCESS/LISTENER), of a path (ENTRY>SIDECAR) or of a data centre.
+    // Name of a process, of one of its listeners (PROCESS/LISTENER), of a path (ENTRY>SIDECAR) or of a data centre, or several
+    // processes (PROCESS+PROCESS).
     std::string target;
     Milliseconds duration {};
     // How long each byte is delayed; drawn independently of the duration.
--- a/test/platform/PlatformMinionTest.cpp
+++ b/test/platform/PlatformMinionTest.cpp
@@ -116,3 +116,28 @@
     cr_assert(lasted >= 398 && lasted <= 402, "the lease lasted %ld ms", static_cast<long>(lasted));
     cr_assert(answer->body.find("\"clockMs\":") != std::string::npos && answer->body.size() < 40, "got %s", answer->body.c_str());
 }
+
+Test(PlatformMinion, listsARunUntilItsStopIsCarriedOut)
+{
+    constexpr Milliseconds stopTime { 300 };
+    EventLoop loop;
+    std::optional<Milliseconds> asked;
+    std::optional<Milliseconds> ended;
+    PlatformMinion minion(loop,
+        { .runTime = [](const std::string&) { return testPatience; },
+            .stopTime = [&asked] {
+                asked = Clock::now();
+                return stopTime; },
+            .onEnd = [&](Milliseconds at, const PlatformMinion::Run&, const char*) { ended = at; } });
+    HttpConnection calls(loop, minion.address());
+    for (const char* path : { "/run-start", "/run-stop", "/run-stop", "/hold" }) {
+        std::optional<HttpAnswer> answer;
+        LateMinion::call(calls, path, answer);
+        cr_assert(runUntil(loop, [&answer] { return answer.has_value(); }));
+        cr_assert(answer->status == 200, "got %d", answer->status);
+        cr_assert(path != std::string("/hold") || answer->body.find("j.0.0.1") != std::string::npos, "got %s", answer->body.c_str());
+    }
+    cr_assert(runUntil(loop, [&ended] { return ended.has_value(); }));
+    const auto lasted = (*ended - *asked).count;
+    cr_assert(lasted >= stopTime.count && minion.running() == 0, "the stop took %ld ms", static_cast<long>(lasted));
+}
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -139,6 +139,9 @@
     expire();
     if (request.headers.front() != m_options.id)
         return answer(caller, statusWrongInstance, Json::Value(Json::objectValue));
+    const int refusal = request.path == "/run-start" ? m_options.startRefusal() : 0;
+    if (refusal != 0)
+        return answer(caller, refusal, Json::Value(Json::objectValue));
     const Json::Value parameters = parseJson(request.body).value();
     const std::uint64_t fencingToken = parameters["fencingToken"].asUInt64();
     const char* reason = fencingToken < m_fencingToken ? "fence" : nullptr;
@@ -216,8 +219,16 @@
     auto& last = m_lastRun[task];
     last = std::max(last, number);
     const auto found = m_running.find(task);
-    if (found != m_running.end() && found->second.run.number <= number)
-        end(task, "stopped", Clock::now());
+    if (found == m_running.end() || found->second.run.number > number || found->second.stop)
+        return;
+    const Milliseconds stopTime = m_options.stopTime();
+    if (stopTime.count == 0)
+        return end(task, "stopped", Clock::now());
+    found->second.stop = m_loop.once(stopTime, [this, task] {
+        expire();
+        if (m_running.contains(task))
+            end(task, "stopped", Clock::now());
+    });
 }
 
 void PlatformMinion::extendLease(const Json::Value& parameters)
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -65,6 +65,10 @@
         std::int64_t slowPerMille { 0 };
         // Its clock shows zero when an incarnation starts.
         bool hasClockOfIncarnation { false };
+        // How long a stop takes; until then its run goes on and is listed.
+        std::function<Milliseconds()> stopTime { [] { return Milliseconds {}; } };
+        // Status with which an unhealthy minion refuses a start, without doing anything; zero when it is healthy.
+        std::function<int()> startRefusal { [] { return 0; } };
         std::function<CallDelay(Call)> delayOf { [](Call) { return CallDelay {}; } };
         // Called when a run starts and when it has ended, with the time on Clock::now().
         std::function<void(Milliseconds, const Run&)> onStart { [](Milliseconds, const Run&) {} };
@@ -105,6 +109,8 @@
         Milliseconds start {};
         Milliseconds length {};
         std::unique_ptr<EventLoop::Timer> end;
+        // Set once the run is being stopped.
+        std::unique_ptr<EventLoop::Timer> stop;
 
         // Progress in percent, 0 to 99.
         int percent(Milliseconds now) const;
