--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -50,14 +50,13 @@
 constexpr int promptOrderOneIn = 10;
 constexpr int unansweredPromptOrderOneIn = 2;
 
-// A minion with moods takes a part of its grace for a stop, refuses starts at times as an unhealthy one, and may have less room than it
-// says. Of its deregistrations, one in unansweredOneIn gets no answer, half of them since the call is lost; it ends some seconds later.
+// A minion with moods takes a part of its grace for a stop, and refuses starts at times as an unhealthy or a full one. Of its
+// deregistrations, one in unansweredOneIn gets no answer, half of them since the call is lost; it ends some seconds later.
 constexpr Milliseconds stopGrace { 50 };
 constexpr int unhealthyOneIn = 40;
 constexpr int statusTooMany = 429;
 constexpr int statusUnavailable = 503;
-constexpr int narrowOneIn = 2;
-constexpr std::size_t minRoom = 3;
+constexpr int fullOneIn = 40;
 constexpr int unansweredOneIn = 2;
 constexpr int lostDeregistrationOneIn = 2;
 constexpr Milliseconds minUnansweredEnd { 1'000 };
@@ -177,7 +176,6 @@
     std::optional<RandomDraw> moods;
     if (arguments.count("moods") > 0)
         moods.emplace(arguments["moods"].as<std::uint64_t>());
-    const bool isNarrow = moods && moods->oneIn(narrowOneIn);
     const bool hasLateOrders = arguments.count("late-orders") > 0;
     LateOrders lateOrders(hasLateOrders ? arguments["late-orders"].as<std::uint64_t>() : 0);
     bool isUp = true;
@@ -190,7 +188,8 @@
             .born = Clock::unixNow(),
             .runTime = runTimeOf,
             .isFailing = isFailing,
-            .room = isNarrow ? minRoom + moods->below(room - minRoom) : room,
+            .room = room,
+            .isFull = [&moods] { return moods && moods->oneIn(fullOneIn); },
             .slowPerMille = arguments["slow"].as<std::int64_t>(),
             .hasClockOfIncarnation = hasLateOrders,
             .stopTime = [&moods] { return moods ? moods->between({ 0 }, stopGrace + Milliseconds { 1 }) : Milliseconds {}; },
--- a/test/platform/PlatformMinionTest.cpp
+++ b/test/platform/PlatformMinionTest.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Milliseconds late { 60 };
+constexpr Milliseconds stopTime { 300 };
 
 struct LateMinion {
     EventLoop loop;
@@ -119,7 +120,6 @@
 
 Test(PlatformMinion, listsARunUntilItsStopIsCarriedOut)
 {
-    constexpr Milliseconds stopTime { 300 };
     EventLoop loop;
     std::optional<Milliseconds> asked;
     std::optional<Milliseconds> ended;
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -60,6 +60,8 @@
         std::function<bool(const std::string& spec)> isFailing { [](const std::string&) { return false; } };
         // Maximum number of concurrent tasks; further starts are refused.
         std::size_t room { 1'000 };
+        // Whether something else takes the room when a start arrives.
+        std::function<bool()> isFull { [] { return false; } };
         Milliseconds longestLease { 1'000 };
         // Its clock runs slow by this many thousandths.
         std::int64_t slowPerMille { 0 };
