--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -264,7 +264,7 @@
 void Deployment::stop(const std::string& name)
 {
     ProcessState& state = m_states.at(name);
-    if (state.isDown())
+    if (state.isDown() || hasJustStarted(name))
         return;
     m_processes.signal(name, SIGTERM);
     state.stopFault = m_faults.size();
@@ -275,7 +275,7 @@
 {
     ++m_reloads;
     // A stand-in minion has no settings file.
-    if (roleOf(name) == "minion" || m_states.at(name).isDown())
+    if (roleOf(name) == "minion" || m_states.at(name).isDown() || hasJustStarted(name))
         return;
     writeSettings(name);
     m_processes.signal(name, SIGHUP);
@@ -312,6 +312,11 @@
     return m_options.shape.minionFaults ? relayAddress(key) : localAddress(key);
 }
 
+bool Deployment::hasJustStarted(const std::string& name) const
+{
+    return m_options.shape.impatientCallers && Clock::now() <= m_states.at(name).startedAt + signalsAfter;
+}
+
 bool Deployment::takesSignals(const std::string& minion) const
 {
     const ProcessState& state = m_states.at(minion);
--- a/soak/Deployment.h
+++ b/soak/Deployment.h
@@ -94,6 +94,8 @@
     void crashBehindCut(const PlannedFault&);
     // Sends the signal after a delay, unless another process runs under that name then.
     void signalLater(const std::string& name, Milliseconds delay, int signalNumber);
+    // Whether a planned operation would come too early, after processes that were killed together were started beside the plan's order.
+    bool hasJustStarted(const std::string& name) const;
     // Whether the stand-in has had time to take over signals, and isn't about to leave.
     bool takesSignals(const std::string& minion) const;
     std::string reportsAddress(const std::string& number);
