FaultRelay: a target learns that its client is gone while answers are on the way

An answer that reached the relay's output after its client had closed stayed there, so that the connection counted as unflushed for ever, and the target never saw the close: no drawn fault, but as if the news had been lost on that path. A side that has closed takes no more bytes.

--- a/test/soak/FaultRelayTest.cpp
+++ b/test/soak/FaultRelayTest.cpp
@@ -123,3 +123,25 @@
     cr_assert(runUntil(loop, [&atTarget] { return atTarget.front()->closedByPeer(); }));
     cr_assert(Clock::now() >= late, "the target learned %ld ms too early", static_cast<long>((late - Clock::now()).count));
 }
+
+Test(FaultRelay, tellsTheTargetThatItsClientIsGoneWhileAnswersAreOnTheWay)
+{
+    EventLoop loop;
+    std::vector<RawConnection*> atTarget;
+    RawServer server(loop, [&atTarget](RawConnection& connection) { atTarget = { &connection }; });
+    const std::uint16_t port = [] {
+        EventLoop scratch;
+        return RawServer(scratch, [](RawConnection&) {}).port();
+    }();
+    FaultRelay relay(loop, port, server.port());
+    cr_assert(relay.start().has_value());
+    auto client = rawConnect(loop, port);
+    client->send("a");
+    cr_assert(runUntil(loop, [&atTarget] { return !atTarget.empty(); }));
+    relay.setFault({ .delay = { 50 } });
+    atTarget.front()->send("an answer");
+    const Milliseconds soon = Clock::now() + Milliseconds { 20 };
+    runUntil(loop, [soon] { return Clock::now() >= soon; });
+    client.reset();
+    cr_assert(runUntil(loop, [&atTarget] { return atTarget.front()->closedByPeer(); }));
+}
--- a/test/support/FaultRelay.cpp
+++ b/test/support/FaultRelay.cpp
@@ -68,10 +68,9 @@
             bufferevent_free(target);
     }
 
-    bool isFlushed() const
-    {
-        return heldRequests.empty() && heldAnswers.empty() && (!client || !hasOutput(client)) && (!target || !hasOutput(target));
-    }
+    // A side that has closed takes no more bytes.
+    static bool isFlushed(bufferevent* stream) { return !stream || (bufferevent_get_enabled(stream) & EV_WRITE) == 0 || !hasOutput(stream); }
+    bool isFlushed() const { return heldRequests.empty() && heldAnswers.empty() && isFlushed(client) && isFlushed(target); }
 
     void closeClient(Milliseconds targetCloseAt)
     {
