--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -60,11 +60,17 @@
         std::function<bool(const std::string& spec)> isFailing { [](const std::string&) { return false; } };
         // Maximum number of concurrent tasks; further starts are refused.
         std::size_t room { 1'000 };
+        // Whether something else takes the room when a start arrives.
+        std::function<bool()> isFull { [] { return false; } };
         Milliseconds longestLease { 1'000 };
         // Its clock runs slow by this many thousandths.
         std::int64_t slowPerMille { 0 };
         // Its clock shows zero when an incarnation starts.
         bool hasClockOfIncarnation { false };
+        // How long a stop takes; until then its run goes on and is listed.
+        std::function<Milliseconds()> stopTime { [] { return Milliseconds {}; } };
+        // Status with which an unhealthy minion refuses a start, without doing anything; zero when it is healthy.
+        std::function<int()> startRefusal { [] { return 0; } };
         std::function<CallDelay(Call)> delayOf { [](Call) { return CallDelay {}; } };
         // Called when a run starts and when it has ended, with the time on Clock::now().
         std::function<void(Milliseconds, const Run&)> onStart { [](Milliseconds, const Run&) {} };
@@ -105,6 +111,8 @@
         Milliseconds start {};
         Milliseconds length {};
         std::unique_ptr<EventLoop::Timer> end;
+        // Set once the run is being stopped.
+        std::unique_ptr<EventLoop::Timer> stop;
 
         // Progress in percent, 0 to 99.
         int percent(Milliseconds now) const;
