RunTable: a task bound to its minion is not stopped as slow there time and again

Callers got 504: a task with an unanswered start may be started at one minion only, and an estimate that is far too small had its runs stopped there as stuck time and again, since an entry raises an estimate only once a task was slow at two minions.

While a task is unsettled, its sidecar now keeps what its runs there were projected to take. The first two slow runs are stopped as before; from the second on, the task's estimate there is the shorter of the two. A run that stands still, that made no progress, or whose task may run elsewhere is stopped as before. The sidecar keeps it rather than the entry, since a job sent again is a new one to its entry.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -695,8 +695,9 @@
 bool RunTable::isStuck(const Run& run, Milliseconds now) const
 {
     const Milliseconds elapsed = now - run.startedAt;
-    const Milliseconds limit = std::max(run.request.needs.runTime * m_options.stuckFactor, m_options.minStuckTime);
-    if (run.state != State::Running || run.request.needs.runTime.count <= 0 || elapsed < run.request.needs.runTime)
+    const Milliseconds estimate = estimateOf(run, now);
+    const Milliseconds limit = std::max(estimate * m_options.stuckFactor, m_options.minStuckTime);
+    if (run.state != State::Running || run.request.needs.runTime.count <= 0 || elapsed < estimate)
         return false;
     // A run that has just started may not be listed yet.
     if (run.listedAt <= run.startedAt)
@@ -704,12 +705,31 @@
     return run.percent < wholePercent && projectedRun(run) > limit && elapsed > m_options.minStuckTime;
 }
 
+Milliseconds RunTable::estimateOf(const Run& run, Milliseconds now) const
+{
+    const auto found = m_unsettled.find(taskOf(run.minionName));
+    const bool isBound = found != m_unsettled.end() && found->second.until > now;
+    return isBound ? std::max(run.request.needs.runTime, found->second.estimate) : run.request.needs.runTime;
+}
+
+// An entry raises its estimate once a task was slow at two minions, which can't show of one that is bound to this minion.
+void RunTable::learnFromSlowRun(const Run& run, Milliseconds now)
+{
+    const auto found = m_unsettled.find(taskOf(run.minionName));
+    if (found == m_unsettled.end() || found->second.until <= now || run.percent == 0)
+        return;
+    Unsettled& unsettled = found->second;
+    const Milliseconds projected = projectedRun(run);
+    unsettled.estimate = std::max(unsettled.estimate, std::min(unsettled.slowRun, projected));
+    unsettled.slowRun = projected;
+}
+
 Milliseconds RunTable::projectedRun(const Run& run)
 {
     return { (run.listedAt - run.startedAt).count * wholePercent / std::max(run.percent, 1) };
 }
 
-void RunTable::checkRun(const RunKey& key, Run& run, Milliseconds now) const
+void RunTable::checkRun(const RunKey& key, Run& run, Milliseconds now)
 {
     if (run.state == State::Queued)
         return;
@@ -723,6 +743,7 @@
         noteCause(run, run.request.endBy <= now ? StopCause::Deadline : StopCause::EntrySilent);
         stop(run, RunEndKind::Stopped, overSince(key, run, now), now);
     } else if (isStuck(run, now)) {
+        learnFromSlowRun(run, now);
         noteCause(run, StopCause::Stuck);
         stop(run, RunEndKind::Stuck, now, now);
     }
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -349,6 +349,10 @@
         Milliseconds until {};
         // Until when a start may be carried out.
         Milliseconds startsUntil {};
+        // Run time projected for the last run that was stopped here as stuck although it made progress; zero when none was.
+        Milliseconds slowRun {};
+        // At least this long by two such runs.
+        Milliseconds estimate {};
     };
     // Capacity offered to an entry, which may be sending a task for it.
     struct Offer {
@@ -381,10 +385,13 @@
     void stopRunsOfFormerIncarnation(Milliseconds now);
     void endAllLive(EndProof, Milliseconds now);
     void endQueued(Milliseconds now);
-    void checkRun(const RunKey&, Run&, Milliseconds now) const;
+    void checkRun(const RunKey&, Run&, Milliseconds now);
     // For a run whose deadline has passed or whose entry is silent: since when.
     Milliseconds overSince(const RunKey&, const Run&, Milliseconds now) const;
     bool isStuck(const Run&, Milliseconds now) const;
+    // Expected run time: the entry's, or a longer one once a task that may be started at no other minion was slow here twice.
+    Milliseconds estimateOf(const Run&, Milliseconds now) const;
+    void learnFromSlowRun(const Run&, Milliseconds now);
     // Whether the run's deadline has passed or its entry's lease has expired.
     bool isOver(const RunKey&, const Run&, Milliseconds now) const;
     // Total run time projected from the progress in the last list.
