TwoRunsModel: entries know the members of the deployment

An entry counts a sidecar without a stream as unheard only if it knows it as a member. The model's entries now name all four, as DispatchService does.

--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -719,6 +719,10 @@
             .reservePercent = 0,
             .startedAt = m_now,
             .seed = m_draw.number() });
+        std::set<std::string> members;
+        for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar)
+            members.insert(sidecarName(sidecar));
+        entry.dispatcher->setMembers(members);
         entry.dirty = true;
         for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar)
             connect(number, sidecar);
