--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -35,6 +35,7 @@
 JobDispatcher::JobDispatcher(JobDispatcherOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_blindAt(m_options.startedAt)
 {
 }
 
@@ -334,6 +335,8 @@
 {
     for (auto& [name, link] : m_links)
         link.isSilent = link.isSilent || (allFramesRead && now > link.lastActiveAt + m_options.unheardAfter);
+    if (std::none_of(m_links.begin(), m_links.end(), [](const auto& item) { return isHeard(item.second); }))
+        m_blindAt = now;
     std::vector<std::string> unheard;
     if (now < lostRunsEndBy())
         unheard = unheardSidecars();
@@ -351,14 +354,13 @@
     m_lostRunsUntil = std::max(m_lostRunsUntil, lostAt + maxLostEntryRunTime);
 }
 
-// The entry's own former incarnation may be a lost one too.
-Milliseconds JobDispatcher::lostRunsEndBy() const { return std::max(m_options.startedAt + maxLostEntryRunTime, m_lostRunsUntil); }
+Milliseconds JobDispatcher::lostRunsEndBy() const { return std::max(m_blindAt + maxLostEntryRunTime, m_lostRunsUntil); }
 
 bool JobDispatcher::isHeld(const Job& job, Milliseconds now) const
 {
     if (now >= m_holdUntil)
         return false;
-    return now < m_options.startedAt + maxLostEntryRunTime || job.arrived + m_options.lossNewsDelay >= m_entriesLostSince;
+    return now < m_blindAt + maxLostEntryRunTime || job.arrived + m_options.lossNewsDelay >= m_entriesLostSince;
 }
 
 void JobDispatcher::applyUnsettledTask(const std::string& sidecar, const UnsettledTask& unsettled, Milliseconds now)
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -388,6 +388,8 @@
     // By job, step and index of a task: the sidecars whose minion may run it, and until when; see UnsettledTask.
     std::map<std::string, std::map<std::pair<std::uint32_t, std::uint32_t>, std::map<std::string, Milliseconds>>> m_unsettled;
     Milliseconds m_unsettledPrunedAt {};
+    // When no sidecar was heard last, as at the start: losses of entries may have gone unnoticed.
+    Milliseconds m_blindAt;
     // The sidecars of the deployment; empty while they are not known.
     std::set<std::string> m_members;
     // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
--- a/test/policy/LostEntriesTest.cpp
+++ b/test/policy/LostEntriesTest.cpp
@@ -381,6 +381,24 @@
     cr_assert(entry.placedWithin({ 500 }).empty());
 }
 
+Test(LostEntries, anEntryThatHeardNoSidecarPlacesNothingBeforeEveryOneIsHeardAgain)
+{
+    Entry entry { longAgo };
+    entry.hear("sidecar-1");
+    entry.hear("sidecar-2");
+    entry.placed();
+    for (const char* sidecar : { "sidecar-1", "sidecar-2" })
+        entry.jobs().disconnected(sidecar);
+    entry.placed();
+    entry.submit();
+    entry.now = entry.now + Milliseconds { 500 };
+    for (const char* sidecar : { "sidecar-1", "sidecar-2" })
+        entry.jobs().connected(sidecar, entry.now);
+    cr_assert(entry.placedWithin({ 500 }).empty());
+    entry.hear("sidecar-2");
+    cr_assert(!entry.placed().empty());
+}
+
 Test(LostEntries, aTaskThatFailedIsNotPlacedAgainWhileItsJobIsHeld)
 {
     Entry entry { longAgo };
