Lost entries: where everything starts again, jobs don't wait for the minions' reports

An entry that has just started with three of four sidecars or more doesn't wait for these reports now; it still waits for each sidecar's first frame, and any other entry waits for reports too.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -13,6 +13,8 @@
 
     constexpr std::int64_t percent = 100;
     constexpr Milliseconds unsettledPrunePeriod { 1'000 };
+    // Where this percentage of the sidecars has just started again, all processes have.
+    constexpr std::int64_t restartedPercent = 75;
     constexpr std::int64_t thousandths = 1'000;
     // A service is considered absent once none of its sidecars sent anything for this long; several heartbeats.
     constexpr Milliseconds absentAfter { 2'000 };
@@ -288,6 +290,8 @@
             link.endsAcknowledged = 0;
         }
         link.handshakeDone = true;
+        if (frame.unknownRunsFor.count > 0)
+            link.cameUnknownAt = now;
         m_acceptingCpuMillis.clear();
     }
     link.lastReceivedAt = now;
@@ -312,20 +316,30 @@
     return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || needsEcho(link, link.clock, now);
 }
 
-bool JobDispatcher::isHeard(const Link& link) { return link.connected && link.handshakeDone && !link.hasUnknownRuns && !link.isSilent; }
+bool JobDispatcher::isHeard(const Link& link) { return link.connected && link.handshakeDone && !link.isSilent; }
 
-std::vector<std::string> JobDispatcher::unheardSidecars() const
+bool JobDispatcher::haveMostStartedAgain(Milliseconds now) const
 {
+    const auto restarted = std::count_if(m_links.begin(), m_links.end(),
+        [now](const auto& item) { return item.second.cameUnknownAt && now < *item.second.cameUnknownAt + maxLostEntryRunTime; });
+    return restarted > 0 && restarted * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
+}
+
+std::vector<std::string> JobDispatcher::unheardSidecars(Milliseconds now) const
+{
+    const bool hasJustStarted = now < m_blindAt + maxLostEntryRunTime;
+    const bool waitsForUnknown = !hasJustStarted || !haveMostStartedAgain(now);
+    const auto isUnheard = [waitsForUnknown](const Link& link) { return !isHeard(link) || (link.hasUnknownRuns && waitsForUnknown); };
     std::vector<std::string> unheard;
     if (m_members.empty()) {
         for (const auto& [name, link] : m_links) {
-            if (!isHeard(link))
+            if (isUnheard(link))
                 unheard.push_back(name);
         }
     }
     for (const auto& name : m_members) {
         const auto link = m_links.find(name);
-        if (link == m_links.end() || !isHeard(link->second))
+        if (link == m_links.end() || isUnheard(link->second))
             unheard.push_back(name);
     }
     return unheard;
@@ -339,7 +353,7 @@
         m_blindAt = now;
     std::vector<std::string> unheard;
     if (now < lostRunsEndBy())
-        unheard = unheardSidecars();
+        unheard = unheardSidecars(now);
     m_holdUntil = unheard.empty() ? Milliseconds {} : lostRunsEndBy();
     if (m_isHolding != !unheard.empty())
         m_actions.heldFor = unheard;
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -288,6 +288,8 @@
         bool hasNext { false };
         // The minion may run tasks of which the sidecar does not know, by its last frame.
         bool hasUnknownRuns { false };
+        // When its stream was opened, if it had unknown runs then.
+        std::optional<Milliseconds> cameUnknownAt;
         // Nothing has arrived for `unheardAfter`.
         bool isSilent { false };
         // Free CPU, in thousandths of a core, at which the sidecar was asked for a state update; 0 when not asked.
@@ -317,9 +319,12 @@
     bool canMeetObjective(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
     bool waitsForEndedJob(const Job&) const;
-    // Whether the sidecar has told this entry of all tasks that its minion may run for lost entries.
     static bool isHeard(const Link&);
-    std::vector<std::string> unheardSidecars() const;
+    // Sidecars that did not tell of all tasks that their minions may run for lost entries.
+    std::vector<std::string> unheardSidecars(Milliseconds now) const;
+    // Whether most sidecars have just started again. An entry that has started with them doesn't wait for the minions' reports, which take longer
+    // than the former leases.
+    bool haveMostStartedAgain(Milliseconds now) const;
     // Holds jobs while a sidecar is unheard and runs of a lost entry may be at its minion.
     void updateHold(Milliseconds now, bool allFramesRead);
     void noteLostEntry(Milliseconds runsFor, Milliseconds now);
--- a/test/policy/LostEntriesTest.cpp
+++ b/test/policy/LostEntriesTest.cpp
@@ -342,6 +342,15 @@
     cr_assert(!entry.placed().empty());
 }
 
+Test(LostEntries, noJobIsHeldForTheReportsOfMinionsWhereTheEntryAndMostSidecarsHaveStartedAgain)
+{
+    Entry entry { beginning };
+    entry.hear("sidecar-1", { .unknownRunsFor = { 900 } });
+    entry.hear("sidecar-2", { .unknownRunsFor = { 900 } });
+    entry.submit();
+    cr_assert(!entry.placedWithin({ 50 }).empty());
+}
+
 Test(LostEntries, aJobIsHeldWhileASidecarIsUnheardAfterTheLossOfAnEntry)
 {
     for (const bool isLost : { true, false }) {
