--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -327,7 +327,7 @@
 
 std::vector<std::string> JobDispatcher::unheardSidecars(Milliseconds now) const
 {
-    const bool hasJustStarted = now < m_blindAt + maxLostEntryRunTime;
+    const bool hasJustStarted = now < m_options.startedAt + maxLostEntryRunTime;
     const bool waitsForUnknown = !hasJustStarted || !haveMostStartedAgain(now);
     const auto isUnheard = [waitsForUnknown](const Link& link) { return !isHeard(link) || (link.hasUnknownRuns && waitsForUnknown); };
     std::vector<std::string> unheard;
@@ -349,7 +349,8 @@
 {
     for (auto& [name, link] : m_links)
         link.isSilent = link.isSilent || (allFramesRead && now > link.lastActiveAt + m_options.unheardAfter);
-    if (std::none_of(m_links.begin(), m_links.end(), [](const auto& item) { return isHeard(item.second); }))
+    m_isBlind = std::none_of(m_links.begin(), m_links.end(), [](const auto& item) { return isHeard(item.second); });
+    if (m_isBlind)
         m_blindAt = now;
     std::vector<std::string> unheard;
     if (now < lostRunsEndBy())
@@ -553,7 +554,8 @@
     const Job& job = m_jobs.at(id);
     // A run of a former submission is no reason to promise that nothing will run.
     const std::string unsettled = describeUnsettled(job, now);
-    const std::string held = isHeld(job, now) ? "; tasks of a lost entry may run at sidecars that were not heard since" : "";
+    // Without any sidecar there is nothing to wait for: callers are told when to come back.
+    const std::string held = isHeld(job, now) && !m_isBlind ? "; tasks of a lost entry may run at sidecars that were not heard since" : "";
     const bool begun = job.hasBegun() || !unsettled.empty() || !held.empty();
     endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled + held,
         retryAfter(job, now));
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -110,7 +110,7 @@
     // A caller may submit its job again this much earlier than the loss of its entry is noticed by a sidecar.
     Milliseconds lossNewsDelay { 100 };
     // An entry that was paused for this long gives up its jobs: their runs have been stopped, and their callers may have
-    // submitted them elsewhere. Must be less than the time after which a caller resubmits a job.
+    // submitted them elsewhere.
     Milliseconds pauseThreshold { 1'100 };
     // Tasks are placed only if each caller that left was heard of at least this recently: by then its job may run elsewhere. When
     // the news is older, because the entry was paused or its last round took long, they wait for one reading that begins later,
@@ -395,6 +395,7 @@
     Milliseconds m_unsettledPrunedAt {};
     // When no sidecar was heard last, as at the start: losses of entries may have gone unnoticed.
     Milliseconds m_blindAt;
+    bool m_isBlind { true };
     // The sidecars of the deployment; empty while they are not known.
     std::set<std::string> m_members;
     // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -374,7 +374,7 @@
 
 Milliseconds RunTable::unknownRunsFor(Milliseconds now) const
 {
-    return m_isMinionKnown ? Milliseconds {} : std::max(m_startedAt + leaseWithDrift(m_options.longestMinionLease) - now, Milliseconds {});
+    return m_isMinionKnown ? Milliseconds {} : std::max(m_startedAt + leaseWithDrift(m_options.longestMinionLease) + m_options.minionStopTime - now, Milliseconds {});
 }
 
 void RunTable::startAnswered(const RunName& name, StartAnswer answer, Milliseconds now)
@@ -449,7 +449,7 @@
     if (until <= unsettled.until)
         return;
     unsettled.number = ++m_lastUnsettled;
-    if (unsettled.isSettled)
+    if (unsettled.firstNumber == 0)
         unsettled.firstNumber = unsettled.number;
     unsettled.isSettled = false;
     unsettled.until = until + unsettledMargin;
@@ -1133,11 +1133,13 @@
     return !entry.handshakeSent || hasEnds || wantsState || wantsHeartbeat || entry.isOffered || hasUrgentNews;
 }
 
-std::vector<UnsettledTask> RunTable::unsettledAfter(std::uint64_t number, Milliseconds now) const
+std::vector<UnsettledTask> RunTable::unsettledAfter(std::uint64_t number, bool isFirstFrame, Milliseconds now) const
 {
     std::vector<UnsettledTask> tasks;
     for (const auto& [task, unsettled] : m_unsettled) {
-        const bool isNews = unsettled.number > number && !(unsettled.isSettled && unsettled.firstNumber > number);
+        // An entry may know of it by a former stream.
+        const bool mayBeKnown = isFirstFrame || unsettled.firstNumber <= number;
+        const bool isNews = unsettled.number > number && (mayBeKnown || !unsettled.isSettled);
         if (isNews)
             tasks.push_back({ .job = task.job, .step = task.step, .index = task.index, .remaining = std::max(unsettled.until - now, Milliseconds {}) });
     }
@@ -1163,7 +1165,7 @@
                 frame.ends.push_back(each);
         }
         if (entry.sentUnsettled < m_lastUnsettled)
-            frame.unsettledTasks = unsettledAfter(entry.sentUnsettled, now);
+            frame.unsettledTasks = unsettledAfter(entry.sentUnsettled, !entry.handshakeSent, now);
         if (entry.sentUnsettled < m_lossNews)
             frame.lostEntryRunsFor = std::max(m_entryLostAt + maxLostEntryRunTime - now, Milliseconds {});
         frame.unknownRunsFor = unknownRunsFor(now);
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -441,7 +441,7 @@
     // The minion reports under another name, and calls that name the former one are refused.
     void withdrawUnsettled(Milliseconds now);
     // Those with higher numbers, as told to entries.
-    std::vector<UnsettledTask> unsettledAfter(std::uint64_t number, Milliseconds now) const;
+    std::vector<UnsettledTask> unsettledAfter(std::uint64_t number, bool isFirstFrame, Milliseconds now) const;
     bool fits(const TaskNeeds&) const;
     // Whether a task fits beside the running and queued ones.
     bool fitsAtOnce(const TaskNeeds&) const;
--- a/test/policy/LostEntriesTest.cpp
+++ b/test/policy/LostEntriesTest.cpp
@@ -249,6 +249,21 @@
     cr_assert(table.runs().liveRuns() == 1);
 }
 
+Test(LostEntries, anEntryLearnsOnANewStreamThatATaskItWasToldOfIsSettled)
+{
+    Table table;
+    table.start(3);
+    table.runs().closed(owner);
+    table.act();
+    cr_assert(table.told() == std::set<std::uint32_t> { 3 });
+    table.runs().closed(other);
+    table.end(3);
+    table.pass({ 50 });
+    table.runs().opened({ .entry = other }, table.now);
+    table.act();
+    cr_assert(table.told() == none);
+}
+
 Test(LostEntries, aTaskThatEndedBeforeItCouldBeToldIsNotMentioned)
 {
     Table table;
@@ -430,9 +445,20 @@
     cr_assert(!entry.placed().empty());
 }
 
+Test(LostEntries, aJobOfAnEntryWithoutAnySidecarIsRefused)
+{
+    Entry entry { longAgo };
+    entry.placed();
+    entry.submit();
+    const auto ends = entry.jobs().act(entry.now).ends;
+    cr_assert(ends.size() == 1 && ends[0].kind == DispatchEndKind::Refused && ends[0].retryAfter.count > 0);
+}
+
 Test(LostEntries, aHeldJobIsNotRefusedAsNeverRun)
 {
     Entry entry { beginning };
+    entry.hear("sidecar-1");
+    entry.placed();
     entry.submit();
     entry.jobs().finishBy(entry.now + Milliseconds { 200 });
     entry.now = entry.now + Milliseconds { 250 };
--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -1373,9 +1373,11 @@
     if (news.loss.kind == LossKind::None || news.isFromSidecar || isOtherIncarnation)
         return {};
     const bool isHeard = news.view.isStreamOpen && news.placedAt <= *news.view.heardAt + JobDispatcherOptions {}.unheardAfter;
-    if (isHeard)
-        return news.placedAt <= news.noticedAt + timerSlack + longestTrip ? "its sidecar could not have noticed the loss, or not long enough ago to tell" : "the news of its sidecar is held, which was heard lately";
-    return news.isEntryYoung || news.isOfLoss ? "" : "its sidecar is not heard, and no news that an entry was lost could have arrived";
+    if (isHeard && news.placedAt <= news.noticedAt + timerSlack + longestTrip)
+        return "its sidecar could not have noticed the loss, or not long enough ago to tell";
+    if (news.isEntryYoung || news.isOfLoss)
+        return {};
+    return isHeard ? "the news of its sidecar is held, which was heard lately" : "its sidecar is not heard, and no news that an entry was lost could have arrived";
 }
 
 bool isCountedApart(const RunPair& pair) { return !countedApartAs(pair).empty(); }
