--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -154,7 +154,7 @@
             command.insert(command.end(), { "--late-orders", std::to_string(random.number() + static_cast<std::uint64_t>(state.incarnation)), "--slow", std::to_string(slow) });
         }
         if (m_options.shape.impatientCallers)
-            command.insert(command.end(), { "--moods", std::to_string((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)) });
+            command.insert(command.end(), { "--irregular", std::to_string((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)) });
         m_processes.start(name, command);
         return;
     }
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -50,7 +50,7 @@
 constexpr int promptOrderOneIn = 10;
 constexpr int unansweredPromptOrderOneIn = 2;
 
-// A minion with moods takes a part of its grace for a stop, and refuses starts at times as an unhealthy or a full one. Of its
+// An irregular minion takes a part of its grace for a stop, and refuses starts at times as an unhealthy or a full one. Of its
 // deregistrations, one in unansweredOneIn gets no answer, half of them since the call is lost; it ends some seconds later.
 constexpr Milliseconds stopGrace { 50 };
 constexpr int unhealthyOneIn = 40;
@@ -173,9 +173,9 @@
     std::optional<CallDelays> callDelays;
     if (arguments.count("late") > 0)
         callDelays.emplace(loop, arguments["late"].as<std::uint64_t>());
-    std::optional<RandomDraw> moods;
-    if (arguments.count("moods") > 0)
-        moods.emplace(arguments["moods"].as<std::uint64_t>());
+    std::optional<RandomDraw> irregular;
+    if (arguments.count("irregular") > 0)
+        irregular.emplace(arguments["irregular"].as<std::uint64_t>());
     const bool hasLateOrders = arguments.count("late-orders") > 0;
     LateOrders lateOrders(hasLateOrders ? arguments["late-orders"].as<std::uint64_t>() : 0);
     bool isUp = true;
@@ -189,12 +189,12 @@
             .runTime = runTimeOf,
             .isFailing = isFailing,
             .room = room,
-            .isFull = [&moods] { return moods && moods->oneIn(fullOneIn); },
+            .isFull = [&irregular] { return irregular && irregular->oneIn(fullOneIn); },
             .slowPerMille = arguments["slow"].as<std::int64_t>(),
             .hasClockOfIncarnation = hasLateOrders,
-            .stopTime = [&moods] { return moods ? moods->between({ 0 }, stopGrace + Milliseconds { 1 }) : Milliseconds {}; },
-            .startRefusal = [&moods] { return !moods || !moods->oneIn(unhealthyOneIn) ? 0 : moods->oneIn(2) ? statusTooMany
-                                                                                                            : statusUnavailable; },
+            .stopTime = [&irregular] { return irregular ? irregular->between({ 0 }, stopGrace + Milliseconds { 1 }) : Milliseconds {}; },
+            .startRefusal = [&irregular] { return !irregular || !irregular->oneIn(unhealthyOneIn) ? 0 : irregular->oneIn(2) ? statusTooMany
+                                                                                                                            : statusUnavailable; },
             .delayOf = [&](PlatformMinion::Call call) { return lateOrders.concern(call) ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
                                                                                                                           : PlatformMinion::CallDelay {}; },
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count)); },
@@ -207,11 +207,11 @@
         state = "draining";
         report();
         leaving = loop.once(drainTime, [&] {
-            if (!moods || !moods->oneIn(unansweredOneIn))
+            if (!irregular || !irregular->oneIn(unansweredOneIn))
                 return minion.deregister(text("sidecar"), [&loop] { loop.stop(); });
             reports.reset();
-            const auto end = moods->between(minUnansweredEnd, maxUnansweredEnd);
-            if (!moods->oneIn(lostDeregistrationOneIn))
+            const auto end = irregular->between(minUnansweredEnd, maxUnansweredEnd);
+            if (!irregular->oneIn(lostDeregistrationOneIn))
                 minion.deregister(text("sidecar"), [] {});
             leaving = loop.once(end, [&loop] { loop.stop(); });
         });
@@ -244,7 +244,7 @@
         add("life", "Incarnation of the minion, from 1", cxxopts::value<int>());
         add("late", "Delay calls at random, with this seed", cxxopts::value<std::uint64_t>());
         add("late-orders", "Seed of the delays while most calls are late; the clock then starts with each incarnation", cxxopts::value<std::uint64_t>());
-        add("moods", "Seed of how long stops take, of refusals and of deregistrations without an answer", cxxopts::value<std::uint64_t>());
+        add("irregular", "Seed of how long stops take, of refusals and of deregistrations without an answer", cxxopts::value<std::uint64_t>());
         add("slow", "The clock is slow by this many thousandths", cxxopts::value<std::int64_t>()->default_value("0"));
         return run(options.parse(argc, argv));
     } catch (const std::exception& exception) {
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -71,8 +71,8 @@
     std::string streamListen;
     // Address at which entries reach that listener; defaults to the listening address.
     std::string streamAdvertise;
-    // Shortest time after which a caller that got no answer submits a best-effort job again. No run of the former submission may
-    // be left by then; a sidecar that can't guarantee this does not start.
+    // Shortest time after which callers are told to submit a best-effort job again. No run of the former submission may be left by
+    // then, whether entries could be told of it or not; a sidecar that can't guarantee this does not start.
     Milliseconds resubmitAfter { 1'300 };
 
     // [shutdown]
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -126,7 +126,7 @@
 {
     const std::uint64_t submission = m_dispatcher.submit(job, Clock::now());
     m_replies[submission] = std::move(reply);
-    m_unheard[m_process.loop.round()] = submission;
+    m_unconfirmed[m_process.loop.round()] = submission;
     scheduleRun();
     return submission;
 }
@@ -165,11 +165,11 @@
     // A reply or a lost stream may request a further round.
     if (!m_round.run([&] {
             const EventLoop& loop = m_process.loop;
-            const auto firstUnheard = m_unheard.lower_bound(loop.readRound());
-            if (firstUnheard != m_unheard.begin())
-                m_lastHeard = std::prev(firstUnheard)->second;
-            m_unheard.erase(m_unheard.begin(), firstUnheard);
-            perform(m_dispatcher.act(Clock::now(), std::exchange(fromTimer, false), loop.readUntil(), m_lastHeard));
+            const auto firstUnconfirmed = m_unconfirmed.lower_bound(loop.readRound());
+            if (firstUnconfirmed != m_unconfirmed.begin())
+                m_lastConfirmed = std::prev(firstUnconfirmed)->second;
+            m_unconfirmed.erase(m_unconfirmed.begin(), firstUnconfirmed);
+            perform(m_dispatcher.act(Clock::now(), std::exchange(fromTimer, false), loop.readUntil(), m_lastConfirmed));
         }))
         return;
     if (m_dispatcher.awaitsCallerNews())
@@ -214,8 +214,8 @@
         return log(LogLevel::Info, { .step = "dispatch.hold" }, fmt::format("jobs are placed again; {} are unfinished", m_dispatcher.jobs()));
     m_process.metrics.add("dispatch_holds_total");
     log(LogLevel::Info, { .step = "dispatch.hold" },
-        fmt::format("an entry was lost: new jobs are held until {} sidecars have told what their minions run, {} ms at most: {}", unheard.size(),
-            maxLostEntryRunTime.count, fmt::join(unheard.begin(), unheard.begin() + static_cast<std::ptrdiff_t>(std::min(unheard.size(), maxNamedSidecars)), ", ")));
+        fmt::format("new jobs are held: tasks of lost entries may run at the minions of {} sidecars that are not heard: {}", unheard.size(),
+            fmt::join(unheard.begin(), unheard.begin() + static_cast<std::ptrdiff_t>(std::min(unheard.size(), maxNamedSidecars)), ", ")));
 }
 
 void DispatchService::armTimer()
--- a/src/entry/DispatchService.h
+++ b/src/entry/DispatchService.h
@@ -71,8 +71,8 @@
     std::map<std::uint64_t, Reply> m_replies;
     // Submissions whose callers may have left before they were read, by the round of the event loop that read them: the last one of
     // each round. A close is read in a later round than the request before it.
-    std::map<std::uint64_t, std::uint64_t> m_unheard;
-    std::uint64_t m_lastHeard { 0 };
+    std::map<std::uint64_t, std::uint64_t> m_unconfirmed;
+    std::uint64_t m_lastConfirmed { 0 };
     std::unique_ptr<EventLoop::Timer> m_timer;
     std::unique_ptr<EventLoop::Timer> m_scheduledRun;
     std::optional<Milliseconds> m_timerDue;
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -555,7 +555,7 @@
     // A run of a former submission is no reason to promise that nothing will run.
     const std::string unsettled = describeUnsettled(job, now);
     // Without any sidecar there is nothing to wait for: callers are told when to come back.
-    const std::string held = isHeld(job, now) && !m_isBlind ? "; tasks of a lost entry may run at sidecars that were not heard since" : "";
+    const std::string held = isHeld(job, now) && !m_isBlind ? "; tasks of a lost entry may run at sidecars that are not heard" : "";
     const bool begun = job.hasBegun() || !unsettled.empty() || !held.empty();
     endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled + held,
         retryAfter(job, now));
@@ -644,14 +644,14 @@
     return job.hasBegun() || now + needed <= job.objectiveAt;
 }
 
-void JobDispatcher::placeHeard(Milliseconds now, Milliseconds callersHeardUntil)
+void JobDispatcher::placeConfirmed(Milliseconds now, Milliseconds callersHeardUntil)
 {
     const bool isReadSince = m_newsOldSince && callersHeardUntil >= *m_newsOldSince;
     const bool isNewsOld = now > callersHeardUntil + m_options.maxCallerNewsAge && !isReadSince;
     if (!isNewsOld)
         place(now);
     m_awaitsCallerNews = std::any_of(m_queue.begin(), m_queue.end(),
-        [this, isNewsOld](const auto& item) { return isNewsOld || !isCallerHeard(m_jobs.at(item.second)); });
+        [this, isNewsOld](const auto& item) { return isNewsOld || !isCallerConfirmed(m_jobs.at(item.second)); });
     m_newsOldSince = m_awaitsCallerNews && isNewsOld ? std::optional(m_newsOldSince.value_or(now)) : std::optional<Milliseconds> {};
 }
 
@@ -665,7 +665,7 @@
             Job& job = m_jobs.at(id);
             const std::string& service = job.spec.queue.service;
             if (job.waiting == 0 || canMeetObjective(job, now) != prompt || full.contains(service) || waitsForEndedJob(job)
-                || !isCallerHeard(job) || isHeld(job, now))
+                || !isCallerConfirmed(job) || isHeld(job, now))
                 continue;
             if (!byService.contains(service))
                 byService[service] = candidates(service, now);
@@ -913,16 +913,16 @@
 }
 
 DispatchActions JobDispatcher::act(
-    Milliseconds now, bool allFramesRead, std::optional<Milliseconds> callersHeardUntil, std::optional<std::uint64_t> lastHeard)
+    Milliseconds now, bool allFramesRead, std::optional<Milliseconds> callersHeardUntil, std::optional<std::uint64_t> lastConfirmed)
 {
     detectPause(now);
-    m_lastHeard = lastHeard;
+    m_lastConfirmed = lastConfirmed;
     releaseClocks(callersHeardUntil.value_or(now));
     if (allFramesRead)
         checkLinks(now);
     updateHold(now, allFramesRead);
     checkJobs(now);
-    placeHeard(now, callersHeardUntil.value_or(now));
+    placeConfirmed(now, callersHeardUntil.value_or(now));
     flush(now);
     return std::exchange(m_actions, {});
 }
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -142,7 +142,7 @@
     // free at once.
     std::int64_t reservePercent { 7 };
     // A job that has not begun is refused once it cannot end within this percentage of its latency objective: while some
-    // minion accepts work, and while none does. In the first case the job would only delay others; in the second, waiting
+    // minion accepts work, and while none does or new jobs are held. In the first case the job would only delay others; in the second, waiting
     // costs nothing.
     std::int64_t busyCutoffPercent { 100 };
     std::int64_t idleCutoffPercent { 300 };
@@ -193,12 +193,12 @@
     // the entry is busy, so timeouts are not checked.
     // `callersHeardUntil`: each caller that had disconnected before this time was passed to abandon(); unset when all were. An echo
     // promises a sidecar that callers were still there, so no clock that was received later is sent back.
-    // `lastHeard`: the callers of the submissions up to this one were heard of since they submitted; unset when all were. No task of
-    // a job is placed before.
+    // `lastConfirmed`: the sockets of the callers of the submissions up to this one were read since they submitted; unset when all were.
+    // No task of a job is placed before.
     DispatchActions act(Milliseconds now, bool allFramesRead = true, std::optional<Milliseconds> callersHeardUntil = std::nullopt,
-        std::optional<std::uint64_t> lastHeard = std::nullopt);
+        std::optional<std::uint64_t> lastConfirmed = std::nullopt);
     std::optional<Milliseconds> nextDue() const;
-    // Tasks could not be placed because their callers were not heard of: act() is due once the sockets have been read.
+    // Tasks could not be placed because their callers may have left: act() is due once the sockets have been read.
     bool awaitsCallerNews() const { return m_awaitsCallerNews; }
 
     // Jobs of a queue for which no task has started.
@@ -319,8 +319,9 @@
     bool canMeetObjective(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
     bool waitsForEndedJob(const Job&) const;
+    // Whether the stream to the sidecar is open and not silent.
     static bool isHeard(const Link&);
-    // Sidecars that did not tell of all tasks that their minions may run for lost entries.
+    // Members that can't have told this entry of all tasks that their minions may run for lost entries.
     std::vector<std::string> unheardSidecars(Milliseconds now) const;
     // Whether most sidecars have just started again. An entry that has started with them doesn't wait for the minions' reports, which take longer
     // than the former leases.
@@ -328,19 +329,19 @@
     // Holds jobs while a sidecar is unheard and runs of a lost entry may be at its minion.
     void updateHold(Milliseconds now, bool allFramesRead);
     void noteLostEntry(Milliseconds runsFor, Milliseconds now);
-    // Whether tasks of the job may be running for a lost entry at the minion of a sidecar that has not been heard since.
+    // Whether tasks of the job may be running for a lost entry at the minion of an unheard sidecar.
     bool isHeld(const Job&, Milliseconds now) const;
     // Until when runs of an entry whose loss is known may go on.
     Milliseconds lostRunsEndBy() const;
-    // Whether one of its callers was heard of since it submitted the job.
-    bool isCallerHeard(const Job& job) const { return !m_lastHeard || job.submissions.front() <= *m_lastHeard; }
+    // Whether the socket of one of its callers was read since it submitted the job.
+    bool isCallerConfirmed(const Job& job) const { return !m_lastConfirmed || job.submissions.front() <= *m_lastConfirmed; }
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
     std::int64_t acceptingCpuMillis(const std::string& service) const;
     bool needsEcho(const Link&, Milliseconds clock, Milliseconds now) const;
     // Lets clocks that were received until then be sent back.
     void releaseClocks(Milliseconds callersHeardUntil);
-    // Places the tasks whose callers were heard of.
-    void placeHeard(Milliseconds now, Milliseconds callersHeardUntil);
+    // Places the tasks whose callers are known to be there.
+    void placeConfirmed(Milliseconds now, Milliseconds callersHeardUntil);
     void place(Milliseconds now);
     std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
     // Free capacity by the last report, less what was sent since.
@@ -412,7 +413,7 @@
     std::int64_t m_meanCpu { 1'000 };
     Milliseconds m_lastCallAt {};
     // As given to act().
-    std::optional<std::uint64_t> m_lastHeard;
+    std::optional<std::uint64_t> m_lastConfirmed;
     bool m_awaitsCallerNews { false };
     // Set while tasks wait because the news of their callers is old.
     std::optional<Milliseconds> m_newsOldSince;
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -327,8 +327,9 @@
     };
     struct Entry {
         bool connected { false };
-        // Its stream has closed, or it fell silent, and the others are not told yet.
+        // Its stream has closed, and the others are not told yet.
         bool isLossNews { false };
+        // As the others were told last.
         bool isLate { false };
         Milliseconds echo {};
         std::uint64_t framesSeen { 0 };
@@ -362,6 +363,7 @@
         std::uint64_t firstNumber { 0 };
         // As entries were told.
         Milliseconds until {};
+        // It is no longer unsettled; kept until entries have been told.
         bool isSettled { true };
         // Until when a start may be carried out.
         Milliseconds startsUntil {};
