PlatformMinion: stops, leases and runs don't end early by its own clock

Cause: libevent counts a delay on the coarse clock, and from the begin of the round. When something else wakes the loop, the timer fires up to a tick early by Clock::now(). The stand-in took each call for due; a lease whose timer was early was noticed only at the minion's next call (its end was recorded right). Change: the stand-in sets the timer again for what is left.

--- a/test/platform/PlatformMinionTest.cpp
+++ b/test/platform/PlatformMinionTest.cpp
@@ -141,3 +141,33 @@
     const auto lasted = (*ended - *asked).count;
     cr_assert(lasted >= stopTime.count && minion.running() == 0, "the stop took %ld ms", static_cast<long>(lasted));
 }
+
+Test(PlatformMinion, endsRunsNeitherBeforeTheirTimeNorOnlyAtTheNextCall)
+{
+    constexpr Milliseconds span { 20 };
+    constexpr int plays = 40;
+    EventLoop loop;
+    const auto otherWork = loop.every({ 1 }, [] {});
+    for (int play = 0; play < plays; ++play) {
+        const bool isStopped = play % 2 == 0;
+        std::optional<Milliseconds> begun;
+        std::optional<Milliseconds> ended;
+        PlatformMinion minion(loop,
+            { .runTime = [](const std::string&) { return testPatience; },
+                .longestLease = isStopped ? testPatience : span,
+                .stopTime = [&begun, span] {
+                    begun = Clock::now();
+                    return span; },
+                .onStart = [&](Milliseconds at, const PlatformMinion::Run&) { begun = at; },
+                .onEnd = [&](Milliseconds, const PlatformMinion::Run&, const char*) { ended = Clock::now(); } });
+        HttpConnection calls(loop, minion.address());
+        std::optional<HttpAnswer> answer;
+        LateMinion::call(calls, "/run-start", answer);
+        cr_assert(runUntil(loop, [&answer] { return answer.has_value(); }));
+        if (isStopped)
+            LateMinion::call(calls, "/run-stop", answer);
+        cr_assert(runUntil(loop, [&ended] { return ended.has_value(); }), "play %d: the run did not end", play);
+        const auto lasted = (*ended - *begun).count;
+        cr_assert(lasted >= span.count, "play %d: ended after %ld ms", play, static_cast<long>(lasted));
+    }
+}
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -202,7 +202,7 @@
     Work& work = m_running[run.task];
     work.start = Clock::now();
     work.length = m_options.runTime(run.spec);
-    work.end = m_loop.once(work.length, [this, task = run.task] {
+    callAt(work.start + work.length, work.end, [this, task = run.task] {
         expire();
         if (m_running.contains(task))
             end(task, failing || m_options.isFailing(m_running.at(task).run.spec) ? "failed" : "done", Clock::now());
@@ -222,9 +222,10 @@
     if (found == m_running.end() || found->second.run.number > number || found->second.stop)
         return;
     const Milliseconds stopTime = m_options.stopTime();
+    const Milliseconds now = Clock::now();
     if (stopTime.count == 0)
-        return end(task, "stopped", Clock::now());
-    found->second.stop = m_loop.once(stopTime, [this, task] {
+        return end(task, "stopped", now);
+    callAt(now + stopTime, found->second.stop, [this, task] {
         expire();
         if (m_running.contains(task))
             end(task, "stopped", Clock::now());
@@ -238,7 +239,16 @@
     const Milliseconds now = Clock::now();
     const Milliseconds asked = timeOf(std::min(parameters["deadlineMs"].asInt64(), clockAt(now) + m_options.longestLease.count));
     m_leaseEnd = std::max(m_leaseEnd, asked);
-    m_leaseTimer = m_loop.once(std::max(m_leaseEnd - now, Milliseconds {}), [this] { expire(); });
+    callAt(m_leaseEnd, m_leaseTimer, [this] { expire(); });
+}
+
+void PlatformMinion::callAt(Milliseconds time, std::unique_ptr<EventLoop::Timer>& timer, std::function<void()> callback)
+{
+    timer = m_loop.once(std::max(time - Clock::now(), Milliseconds {}), [this, time, &timer, callback = std::move(callback)] {
+        if (Clock::now() < time)
+            return callAt(time, timer, callback);
+        callback();
+    });
 }
 
 void PlatformMinion::expire()
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -136,6 +136,8 @@
     void answer(const Caller&, int status, Json::Value body);
     // Calls back immediately when the delay is zero.
     void later(Milliseconds delay, std::function<void()>);
+    // Calls back at the time on Clock::now(), not before it as libevent's coarse clock may.
+    void callAt(Milliseconds time, std::unique_ptr<EventLoop::Timer>&, std::function<void()>);
     // The reason of the refusal, or null when the run was started or is running already.
     const char* start(const Json::Value& parameters, Milliseconds ordered, bool isOfFormer);
     void stop(const Json::Value& parameters);
