Lost entries: a run given up is told at once

What callers saw: nothing; their answers came. Cause, read and shown by the test: of a run that its entry gave up, the other entries learned with the next report of state, up to its minimum interval later. Change: such news makes a frame due at once, as that of a lost entry does.

--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -355,12 +355,13 @@
     for (const auto& [name, key] : m_byMinionName) {
         Run& run = m_runs.at(key);
         const bool mayBeLost = this->mayBeLost(m_entries.at(key.first), now);
-        const bool isNews = mayBeLost && !std::exchange(run.isToldAsLost, true);
+        const bool isLossNews = mayBeLost && !std::exchange(run.isToldAsLost, true);
+        const bool isGivenUpNews = run.isGivenUp && !std::exchange(run.isToldAsGivenUp, true);
         if (mayBeLost || run.isGivenUp)
             noteUnsettled(taskOf(name), runsEndBy());
         else if (std::exchange(run.isToldAsLost, false) && run.state != State::Stopping)
             settle(taskOf(name), now);
-        if (isNews)
+        if (isLossNews || isGivenUpNews)
             m_urgentNews = m_lastUnsettled;
     }
     for (const auto& [name, orphan] : m_orphans)
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -317,8 +317,9 @@
         Milliseconds stoppingSince {};
         // Its entry, or a later submission of its job, has given it up.
         bool isGivenUp { false };
-        // Its task was told to all entries because its entry may be lost.
+        // Its task was told to all entries because its entry may be lost, or because it was given up.
         bool isToldAsLost { false };
+        bool isToldAsGivenUp { false };
         StopCause stopCause { StopCause::None };
     };
     struct LastRun {
--- a/test/policy/LostEntriesTest.cpp
+++ b/test/policy/LostEntriesTest.cpp
@@ -304,6 +304,17 @@
     cr_assert(table.told() == none);
 }
 
+Test(LostEntries, aRunThatItsEntryGaveUpIsToldBeforeTheNextReportOfState)
+{
+    Table table;
+    table.start(3);
+    table.runs().opened({ .entry = other, .stateGap = { 400 } }, table.now);
+    table.act();
+    table.runs().received(owner, { .echo = table.now, .stops = { nameOf(3) } }, table.now);
+    table.act();
+    cr_assert(table.told() == std::set<std::uint32_t> { 3 });
+}
+
 Test(LostEntries, aRunThatBelongsToNoEntryIsToldUntilItHasEnded)
 {
     Table table;
