Soak: minions that crash are followed by others at their address

The soak's minions kept their kind, their id and rising start times, and no deregistration came late, so four rows of the protocol were played by unit tests or not at all. The judge has the guarantee `service`: no start at a minion of a service without queues.

Plays without the option stay as they were: plans and draws, and the bytes of the configurations.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -155,6 +155,13 @@
         }
         if (m_options.shape.impatientCallers)
             command.insert(command.end(), { "--irregular", std::to_string((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)) });
+        if (m_options.shape.successors) {
+            RandomDraw random(~((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)));
+            command.insert(command.end(), { "--successors", std::to_string(random.number()) });
+            // The others go on serving the queues.
+            if (std::stoi(number) % 2 == 0)
+                command.insert(command.end(), { "--other-service", otherService });
+        }
         m_processes.start(name, command);
         return;
     }
@@ -430,7 +437,7 @@
             const std::string key = fmt::format("{} {} {}", run.incarnation, run.task, run.number);
             if (event == "start") {
                 std::string order;
-                file >> run.spec >> order >> run.ordered.count;
+                file >> run.spec >> order >> run.ordered.count >> run.service;
                 run.isOfFormer = order == "former";
                 const auto incarnation = m_incarnationEnds.find({ minion, run.incarnation });
                 run.end = incarnation == m_incarnationEnds.end() ? Clock::now() : incarnation->second;
--- a/soak/Judge.cpp
+++ b/soak/Judge.cpp
@@ -61,6 +61,7 @@
         {
             checkOneRunAtATime();
             checkRunsWereRequested();
+            checkServices();
             for (const auto& job : m_record.jobs) {
                 checkRefusals(job);
                 checkAnswers(job);
@@ -128,6 +129,14 @@
             }
         }
 
+        void checkServices()
+        {
+            for (const auto& run : m_record.runs) {
+                if (run.service != steadyService)
+                    add("service", fmt::format("{} started at {} while that worked for service {}", run.task, run.minion, run.service));
+            }
+        }
+
         static bool isTaskOf(const JobRecord& job, const std::string& task)
         {
             for (int index = 0; index < job.tasks; ++index) {
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -45,7 +45,7 @@
     Soak(const SoakOptions& options, std::uint64_t seed, const Shape& shape)
         : m_plan(makePlan(seed, shape))
         , m_deployment(m_loop, { .build = options.build, .folder = options.folder, .basePort = options.basePort, .seed = seed, .shape = shape })
-        , m_operator(m_loop, seed + 1, controls())
+        , m_operator(m_loop, seed + 1, controls(), shape.successors)
         , m_callers(m_loop, seed + 2, entries(), shape.callers, shape.minionFaults || shape.impatientCallers ? longJobKinds() : usualJobKinds(), shape.impatientCallers ? Patience::Drawn : Patience::Full)
         , m_probeCallers(m_loop, seed + 3, entries(), 1)
     {
@@ -269,6 +269,8 @@
         shape.minionFaults = arguments.count("minion-faults") > 0;
         shape.entryFaults = arguments.count("entry-faults") > 0;
         shape.impatientCallers = arguments.count("impatient-callers") > 0;
+        shape.successors = arguments.count("successors") > 0;
+        shape.minionFaults = shape.minionFaults || shape.successors;
         if (arguments.count("plan") > 0)
             fmt::print("seed {}: {}", seed, describe(makePlan(seed, shape)));
         else
@@ -295,6 +297,7 @@
             "minion-faults", "Also faults of minions and of single paths")(
             "entry-faults", "Also slow entries, and late news of callers that left")(
             "impatient-callers", "Callers come back after 0 to 1,300 ms, entries and sidecars are lost together, and minions take their grace")(
+            "successors", "Faults of minions, and minions that crash are followed by others at their address")(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
         const auto arguments = options.parse(argc, argv);
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -1,5 +1,5 @@
 // A stand-in minion of the users' platform as a process. Appends one line to its record file at the start and at the end
-// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER ARRIVAL" and "end INCARNATION TIME TASK RUN HOW LEASE-END". SIGUSR1 and SIGUSR2 begin and end a
+// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER ARRIVAL SERVICE" and "end INCARNATION TIME TASK RUN HOW LEASE-END". SIGUSR1 and SIGUSR2 begin and end a
 // time in which most calls are late; SIGHUP makes it crash within the process, and the next one starts it again.
 
 #include "support/PlatformMinion.h"
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +27,7 @@
 // Time between the report that the minion is draining and its deregistration.
 constexpr Milliseconds drainTime { 2'000 };
 constexpr std::size_t room = 16;
+constexpr std::int64_t cpuMillisPerTask = 1'000;
 
 // Of the calls to a late minion, one in this many is executed late, is executed long after its caller has timed out, or is
 // answered late.
@@ -62,6 +64,17 @@
 constexpr Milliseconds minUnansweredEnd { 1'000 };
 constexpr Milliseconds maxUnansweredEnd { 4'000 };
 
+// After a crash, one minion in otherKindOneIn has another id, and less room or another service. The machine's clock was set back in every other
+// case, and what the former minion sent to deregister, if it did, is late.
+constexpr int otherKindOneIn = 2;
+constexpr int otherServiceOneIn = 2;
+constexpr std::size_t lessRoom = 10;
+constexpr int setBackOneIn = 2;
+constexpr Milliseconds maxSetBack { 20'000 };
+constexpr int lateDeregistrationOneIn = 2;
+constexpr Milliseconds minLateReport { 50 };
+constexpr Milliseconds maxLateReport { 4'000 };
+
 // Specs are "run=MS,..." or "fail=MS,...".
 bool isFailing(const std::string& spec) { return spec.rfind("fail=", 0) == 0; }
 Milliseconds runTimeOf(const std::string& spec) { return { std::stoll(spec.substr(spec.find('=') + 1)) }; }
@@ -143,6 +156,77 @@
     bool m_hasPromptCalls { false };
 };
 
+// Sends calls to the sidecar late, on connections of their own.
+class LateCalls {
+public:
+    LateCalls(EventLoop& loop, std::string sidecar)
+        : m_loop(loop)
+        , m_sidecar(std::move(sidecar))
+    {
+    }
+
+    void send(const HttpCall& call, Milliseconds delay)
+    {
+        const auto late = m_calls.emplace(m_calls.end());
+        late->timer = m_loop.once(delay, [this, late, call] {
+            late->connection = std::make_unique<HttpConnection>(m_loop, m_sidecar);
+            late->connection->call(call, [this, late](const Result<HttpAnswer>&) { m_calls.erase(late); });
+        });
+    }
+
+private:
+    struct LateCall {
+        std::unique_ptr<EventLoop::Timer> timer;
+        std::unique_ptr<HttpConnection> connection;
+    };
+
+    EventLoop& m_loop;
+    std::string m_sidecar;
+    std::list<LateCall> m_calls;
+};
+
+// Draws the next minion at an address.
+class Successors {
+public:
+    Successors(std::uint64_t seed, std::string idPrefix, std::string otherService)
+        : m_random(seed)
+        , m_idPrefix(std::move(idPrefix))
+        , m_otherService(std::move(otherService))
+    {
+    }
+
+    PlatformMinion::Kind kindAfter(const PlatformMinion::Kind& former)
+    {
+        if (!m_random.oneIn(otherKindOneIn))
+            return former;
+        PlatformMinion::Kind kind { .id = fmt::format("{}-{}", m_idPrefix, ++m_count), .room = room };
+        if (!m_otherService.empty() && m_random.oneIn(otherServiceOneIn)) {
+            kind.service = m_otherService;
+        } else {
+            kind.machineType = "b";
+            kind.room = lessRoom;
+        }
+        kind.cpuMillis = static_cast<std::int64_t>(kind.room) * cpuMillisPerTask;
+        return kind;
+    }
+
+    Milliseconds startTimeAfter(Milliseconds former)
+    {
+        return m_random.oneIn(setBackOneIn) ? former - m_random.between({ 1 }, maxSetBack) : Clock::unixNow();
+    }
+
+    std::optional<Milliseconds> drawDeregistrationDelay()
+    {
+        return m_random.oneIn(lateDeregistrationOneIn) ? std::optional(m_random.between(minLateReport, maxLateReport)) : std::nullopt;
+    }
+
+private:
+    RandomDraw m_random;
+    std::string m_idPrefix;
+    std::string m_otherService;
+    int m_count { 0 };
+};
+
 // Each line is written with one unbuffered write, so that none is lost when the process is killed.
 class RunRecordFile {
 public:
@@ -178,9 +262,14 @@
         irregular.emplace(arguments["irregular"].as<std::uint64_t>());
     const bool hasLateOrders = arguments.count("late-orders") > 0;
     LateOrders lateOrders(hasLateOrders ? arguments["late-orders"].as<std::uint64_t>() : 0);
+    std::optional<Successors> successors;
+    if (arguments.count("successors") > 0)
+        successors.emplace(arguments["successors"].as<std::uint64_t>(), fmt::format("{}-{}", text("id"), arguments["life"].as<int>()), text("other-service"));
+    LateCalls lateCalls(loop, text("sidecar"));
     bool isUp = true;
+    PlatformMinion::Kind kind { .id = text("id"), .room = room };
     PlatformMinion minion(loop,
-        { .id = text("id"),
+        { .kind = kind,
             .zone = text("zone"),
             .rack = text("rack"),
             .listen = text("listen"),
@@ -188,7 +277,6 @@
             .born = Clock::unixNow(),
             .runTime = runTimeOf,
             .isFailing = isFailing,
-            .room = room,
             .isFull = [&irregular] { return irregular && irregular->oneIn(fullOneIn); },
             .slowPerMille = arguments["slow"].as<std::int64_t>(),
             .hasClockOfIncarnation = hasLateOrders,
@@ -197,7 +285,7 @@
                                                                                                                             : statusUnavailable; },
             .delayOf = [&](PlatformMinion::Call call) { return lateOrders.concern(call) ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
                                                                                                                           : PlatformMinion::CallDelay {}; },
-            .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count)); },
+            .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count, kind.service)); },
             .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, fmt::format("{} {}", how, ended.leaseEnd.count)); } });
     const char* state = "ready";
     const auto report = [&] { minion.report(text("sidecar"), state); };
@@ -222,7 +310,14 @@
         isUp = !isUp;
         if (!isUp)
             return minion.crash();
-        minion.startAgain(Clock::unixNow());
+        if (!successors) {
+            minion.startAgain(Clock::unixNow());
+            return report();
+        }
+        if (const auto delay = successors->drawDeregistrationDelay())
+            lateCalls.send(minion.makeDeregistration(), *delay);
+        kind = successors->kindAfter(kind);
+        minion.startAgain(successors->startTimeAfter(minion.born()), kind);
         report();
     });
     report();
@@ -245,6 +340,8 @@
         add("late", "Delay calls at random, with this seed", cxxopts::value<std::uint64_t>());
         add("late-orders", "Seed of the delays while most calls are late; the clock then starts with each incarnation", cxxopts::value<std::uint64_t>());
         add("irregular", "Seed of how long stops take, of refusals and of deregistrations without an answer", cxxopts::value<std::uint64_t>());
+        add("successors", "Seed of the minions that follow at the address after a crash", cxxopts::value<std::uint64_t>());
+        add("other-service", "A service that some of them work for", cxxopts::value<std::string>()->default_value(""));
         add("slow", "The clock is slow by this many thousandths", cxxopts::value<std::int64_t>()->default_value("0"));
         return run(options.parse(argc, argv));
     } catch (const std::exception& exception) {
--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -20,25 +20,26 @@
     constexpr int firstClientError = 400;
     constexpr int firstServerError = 500;
 
-    // Versions differ in the time limit, and only some contain the queue at /b/.
-    std::string configText(std::uint64_t version, int timeoutMs, bool hasOptionalQueue)
-    {
-        const auto route = [&](const char* name, const char* prefix) {
-            return fmt::format(R"({{"name":"{}","host":"soak.example","pathPrefix":"{}","kind":"non_idempotent","timeoutMs":{},)"
-                               R"("targetLatencyMs":60,"priority":1,"service":"s1","maxAttempts":3,"stretch":1.6}})",
-                name, prefix, timeoutMs);
-        };
-        return fmt::format(R"({{"version":{},"routes":[{}{}],"services":[{{"name":"s1","maxConns":64,"rejectsOverload":true}}],"limits":{{}}}})",
-            version, route("a", steadyQueue), hasOptionalQueue ? "," + route("b", optionalQueue) : "");
-    }
-
 } // namespace
 
-Operator::Operator(EventLoop& loop, std::uint64_t seed, std::vector<ControlAddress> controls)
+Operator::Operator(EventLoop& loop, std::uint64_t seed, std::vector<ControlAddress> controls, bool hasOtherService)
     : m_loop(loop)
     , m_random(seed)
     , m_controls(std::move(controls))
+    , m_hasOtherService(hasOtherService)
+{
+}
+
+std::string Operator::configText(std::uint64_t version, int timeoutMs, bool hasOptionalQueue) const
 {
+    const auto route = [&](const char* name, const char* prefix) {
+        return fmt::format(R"({{"name":"{}","host":"soak.example","pathPrefix":"{}","kind":"non_idempotent","timeoutMs":{},)"
+                           R"("targetLatencyMs":60,"priority":1,"service":"{}","maxAttempts":3,"stretch":1.6}})",
+            name, prefix, timeoutMs, steadyService);
+    };
+    const auto service = [](const char* name) { return fmt::format(R"({{"name":"{}","maxConns":64,"rejectsOverload":true}})", name); };
+    return fmt::format(R"({{"version":{},"routes":[{}{}],"services":[{}{}],"limits":{{}}}})", version, route("a", steadyQueue),
+        hasOptionalQueue ? "," + route("b", optionalQueue) : "", service(steadyService), m_hasOtherService ? "," + service(otherService) : "");
 }
 
 void Operator::putConfig(std::function<void()> acknowledged)
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -25,7 +25,8 @@
 // any instance.
 class Operator {
 public:
-    Operator(EventLoop&, std::uint64_t seed, std::vector<ControlAddress>);
+    // With the other service, every configuration names it, without a queue.
+    Operator(EventLoop&, std::uint64_t seed, std::vector<ControlAddress>, bool hasOtherService = false);
 
     // Replaces the addresses of the instances; their number stays.
     void setControls(std::vector<ControlAddress> controls) { m_controls = std::move(controls); }
@@ -63,12 +64,15 @@
     void answered(Call&, const Result<HttpAnswer>&, Milliseconds sent);
     void finish(Call&);
     void scheduleNextConfig();
+    // Versions differ in the time limit, and only some contain the queue at /b/.
+    std::string configText(std::uint64_t version, int timeoutMs, bool hasOptionalQueue) const;
     // Reads the configuration from every instance; none may return an older one than was just acknowledged.
     void readAtAllInstances();
 
     EventLoop& m_loop;
     RandomDraw m_random;
     std::vector<ControlAddress> m_controls;
+    bool m_hasOtherService;
     std::list<OperatorRequest> m_requests;
     std::vector<ReadRecord> m_reads;
     std::list<Call> m_calls;
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -61,8 +61,10 @@
     constexpr std::uint64_t minionFaultsFactor = 0x9e3779b97f4a7c15;
     constexpr std::uint64_t entryFaultsFactor = 0xbf58476d1ce4e5b9;
     constexpr std::uint64_t impatientCallersFactor = 0x94d049bb133111eb;
+    constexpr std::uint64_t successorsFactor = 0xd6e8feb86659fd93;
     // In each span of faults.
     constexpr int lateOrdersPerSpan = 3;
+    constexpr int crashesPerSpan = 4;
     constexpr int pathFaultsPerSpan = 5;
     // While a minion is late, so that stops of the jobs that their callers left are late too.
     constexpr int callerResetsPerLateOrders = 2;
@@ -122,6 +124,11 @@
                 drawLossesTogether(losses, firstFaultsFrom, firstFaultsUntil);
                 drawLossesTogether(losses, lastFaultsFrom, lastFaultsUntil);
             }
+            if (m_shape.successors) {
+                RandomDraw crashes(m_seed * successorsFactor);
+                drawCrashes(crashes, firstFaultsFrom, firstFaultsUntil);
+                drawCrashes(crashes, lastFaultsFrom, lastFaultsUntil);
+            }
             std::sort(m_faults.begin(), m_faults.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
             return { .shape = m_shape, .faults = std::move(m_faults), .length = loadLength };
         }
@@ -214,6 +221,19 @@
             m_faults.push_back(withSidecars);
         }
 
+        // After all others, so that these give way.
+        void drawCrashes(RandomDraw& random, Milliseconds from, Milliseconds until)
+        {
+            for (int i = 0; i < crashesPerSpan; ++i) {
+                PlannedFault crash { .at = random.between(from, until),
+                    .kind = FaultKind::CrashBehindCut,
+                    .target = fmt::format("minion-{}", 1 + random.below(m_shape.sidecars)),
+                    .duration = random.between(minCut, maxCut) };
+                crash.delay = random.between({ 0 }, crash.duration);
+                add(crash);
+            }
+        }
+
         std::string drawProcess()
         {
             switch (m_random.below(4)) {
--- a/soak/Records.h
+++ b/soak/Records.h
@@ -29,6 +29,8 @@
     Milliseconds start {};
     // The run's end as the minion recorded it, or else the end of the minion's incarnation.
     Milliseconds end {};
+    // The service that the minion worked for when it took the start.
+    std::string service { "s1" };
     // done, failed, stopped, lapsed, left or killed.
     std::string how;
     // Until when a run that was stopped might have gone on if its stop had not been carried out. Zero for others.
@@ -128,5 +130,8 @@
 // Queues of the run. Only some versions of the configuration contain the optional one.
 inline constexpr const char* steadyQueue = "/a/";
 inline constexpr const char* optionalQueue = "/b/";
+// Service of both queues, and one without queues.
+inline constexpr const char* steadyService = "s1";
+inline constexpr const char* otherService = "s2";
 
 } // namespace oleanderport::soak
--- a/test/platform/MinionReplacedTest.cpp
+++ b/test/platform/MinionReplacedTest.cpp
@@ -26,7 +26,7 @@
     explicit ReplacementTest(const std::string& nextId)
         : deployment({ .listen = minionAddress, .advertise = relayAddress, .runTime = [](const std::string& spec) { return spec == "long" ? Milliseconds { 10'000 } : Milliseconds { 20 }; } })
         , relay(deployment.loop, portOf(relayAddress), portOf(minionAddress))
-        , next(deployment.loop, { .id = nextId, .born = { 1'800 }, .runTime = [](const std::string&) { return Milliseconds { 20 }; } })
+        , next(deployment.loop, { .kind = { .id = nextId }, .born = { 1'800 }, .runTime = [](const std::string&) { return Milliseconds { 20 }; } })
     {
         cr_assert(relay.start().has_value());
         deployment.becomeReady();
--- a/test/platform/PlatformMinionTest.cpp
+++ b/test/platform/PlatformMinionTest.cpp
@@ -82,6 +82,29 @@
     cr_assert(hasFailed && test.minion.address() == address);
 }
 
+Test(PlatformMinion, doesNothingForAnOrderOfAFormerMinionOfAnotherId)
+{
+    LateMinion test({ .carryOut = late });
+    test.starts.call({ .path = "/run-start",
+                         .body = R"({"task":"j.0.0.1","runId":1,"spec":"text","deadlineMs":9000000000000000,"fencingToken":1})",
+                         .timeout = testPatience,
+                         .headers = { { .name = "Oleanderport-Expected-Instance", .value = "i-1" } } },
+        [](const Result<HttpAnswer>&) {});
+    bool isUp = false;
+    const auto crash = test.loop.once({ late.count / 3 }, [&] {
+        test.minion.crash();
+        test.minion.startAgain({ 1'600 }, { .id = "i-2", .service = "s2", .cpuMillis = 8'000 });
+        isUp = true;
+    });
+    cr_assert(runUntil(test.loop, [&isUp] { return isUp; }));
+    // Due after the order of before.
+    LateMinion::call(test.starts, "/run-start", test.startAnswer);
+    cr_assert(runUntil(test.loop, [&test] { return test.startAnswer.has_value(); }));
+    cr_assert(test.startAnswer->status == 421 && test.minion.started.empty(), "got %d", test.startAnswer->status);
+    const HttpCall report = test.minion.makeReport("ready");
+    cr_assert(report.path == "/Instances.Heartbeat/i-2" && report.body.find("\"s2\"") != std::string::npos && report.body.find("8000") != std::string::npos, "got %s", report.body.c_str());
+}
+
 Test(PlatformMinion, losesOrdersThatAreDueWhileItIsDown)
 {
     LateMinion test({ .carryOut = late });
--- a/test/soak/JudgeTest.cpp
+++ b/test/soak/JudgeTest.cpp
@@ -115,6 +115,13 @@
     tooMany.assertBroken("asked-for");
 }
 
+Test(SoakJudge, detectsAStartAtAMinionOfAnotherService)
+{
+    GoodRun run;
+    run.record.runs.front().service = otherService;
+    run.assertBroken("service");
+}
+
 Test(SoakJudge, detectsARefusedJobThatRan)
 {
     GoodRun run;
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -61,8 +61,9 @@
     m_sequence = 0;
 }
 
-void PlatformMinion::startAgain(Milliseconds born)
+void PlatformMinion::startAgain(Milliseconds born, const Kind& kind)
 {
+    m_options.kind = kind;
     m_options.born = born;
     ++m_incarnation;
     if (m_options.hasClockOfIncarnation)
@@ -98,31 +99,40 @@
 {
     if (!m_server)
         return;
+    reports(sidecar).call(makeReport(state),
+        [this](const Result<HttpAnswer>& answer) { acknowledged += answer.has_value() && answer.assume_value().status == 200 ? 1 : 0; });
+}
+
+HttpCall PlatformMinion::makeReport(const char* state)
+{
     Json::Value body(Json::objectValue);
-    body["service"] = m_options.service;
+    body["service"] = m_options.kind.service;
     body["address"] = address();
     body["zone"] = m_options.zone;
     body["version"] = "v1";
     body["slots"] = 8;
     body["state"] = state;
     body["coldLeftMs"] = 0;
-    body["capacity"]["cpu"] = 16'000;
+    body["capacity"]["cpu"] = static_cast<Json::Int64>(m_options.kind.cpuMillis);
     body["capacity"]["memMb"] = 1'000;
-    body["labels"].append("a");
+    body["labels"].append(m_options.kind.machineType);
     body["labels"].append(m_options.rack);
     body["clockMs"] = static_cast<Json::Int64>(clockAt(Clock::now()));
     body["seq"] = ++m_sequence;
     body["born"] = static_cast<Json::Int64>(m_options.born.count);
-    reports(sidecar).call({ .path = "/Instances.Heartbeat/" + m_options.id, .body = writeJson(body), .timeout = reportTimeout },
-        [this](const Result<HttpAnswer>& answer) { acknowledged += answer.has_value() && answer.assume_value().status == 200 ? 1 : 0; });
+    return { .path = "/Instances.Heartbeat/" + m_options.kind.id, .body = writeJson(body), .timeout = reportTimeout };
 }
 
 void PlatformMinion::deregister(const std::string& sidecar, std::function<void()> done)
+{
+    reports(sidecar).call(makeDeregistration(), [done = std::move(done)](const Result<HttpAnswer>&) { done(); });
+}
+
+HttpCall PlatformMinion::makeDeregistration() const
 {
     Json::Value body(Json::objectValue);
     body["born"] = static_cast<Json::Int64>(m_options.born.count);
-    reports(sidecar).call({ .path = "/Instances.Deregister/" + m_options.id, .body = writeJson(body), .timeout = reportTimeout },
-        [done = std::move(done)](const Result<HttpAnswer>&) { done(); });
+    return { .path = "/Instances.Deregister/" + m_options.kind.id, .body = writeJson(body), .timeout = reportTimeout };
 }
 
 void PlatformMinion::serve(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
@@ -137,7 +147,7 @@
     if (!m_server)
         return;
     expire();
-    if (request.headers.front() != m_options.id)
+    if (request.headers.front() != m_options.kind.id)
         return answer(caller, statusWrongInstance, Json::Value(Json::objectValue));
     const int refusal = request.path == "/run-start" ? m_options.startRefusal() : 0;
     if (refusal != 0)
@@ -195,7 +205,7 @@
         return nullptr;
     if (found != m_running.end() || run.number <= m_lastRun[run.task])
         return "old";
-    if (m_running.size() >= m_options.room || m_options.isFull())
+    if (m_running.size() >= m_options.kind.room || m_options.isFull())
         return "room";
     started.push_back(run.task);
     m_options.onStart(Clock::now(), run);
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -45,9 +45,18 @@
         Milliseconds answer {};
     };
 
-    struct Options {
+    // What a minion tells of itself that the next one at its address may tell otherwise.
+    struct Kind {
         std::string id { "i-1" };
         std::string service { "s1" };
+        std::string machineType { "a" };
+        std::int64_t cpuMillis { 16'000 };
+        // Maximum number of concurrent tasks; further starts are refused.
+        std::size_t room { 1'000 };
+    };
+
+    struct Options {
+        Kind kind;
         std::string zone { "dc-a" };
         std::string rack { "r1" };
         std::string listen { "127.0.0.1:0" };
@@ -58,8 +67,6 @@
         std::function<Milliseconds(const std::string& spec)> runTime { [](const std::string&) { return Milliseconds { 50 }; } };
         // Whether a task with this spec fails.
         std::function<bool(const std::string& spec)> isFailing { [](const std::string&) { return false; } };
-        // Maximum number of concurrent tasks; further starts are refused.
-        std::size_t room { 1'000 };
         // Whether something else takes the room when a start arrives.
         std::function<bool()> isFull { [] { return false; } };
         Milliseconds longestLease { 1'000 };
@@ -97,8 +104,15 @@
 
     // A crash in which calls that wait to be carried out stay on the way: it closes its address and forgets everything.
     void crash();
-    // Starts again under the same id and address. Calls of before that are due from then on are carried out by this incarnation.
-    void startAgain(Milliseconds born);
+    // Starts again at the same address, under the same id unless the kind has another. Calls of before that are due from then on reach
+    // this incarnation.
+    void startAgain(Milliseconds born) { startAgain(born, m_options.kind); }
+    void startAgain(Milliseconds born, const Kind&);
+
+    // A report or a deregistration as it would be sent now.
+    HttpCall makeReport(const char* state);
+    HttpCall makeDeregistration() const;
+    Milliseconds born() const { return m_options.born; }
 
     // Ends every run.
     void endAll(const char* how, Milliseconds at = Clock::now());
