Soak: two requests for one job at the same moment

Nothing played two requests for one job at once. A caller waits for both; a job is served when one request was, which for other plays is what it was: only the last attempt of a job can have been answered 200 there.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -15,8 +15,12 @@
     constexpr Milliseconds attemptTimeout { 1'500 };
     constexpr Milliseconds longAttemptTimeout { 4'000 };
     constexpr Milliseconds resendDelay { 1'300 };
-    constexpr std::size_t maxAttempts = 3;
+    constexpr std::size_t maxSends = 3;
     constexpr Milliseconds maxPause { 80 };
+    constexpr int twinsOneIn = 3;
+    constexpr int twinsAtOneEntryOneIn = 2;
+    // Odd, so that each seed has draws of its own.
+    constexpr std::uint64_t twinsFactor = 0xff51afd7ed558ccd;
 
     bool isRetryable(int status) { return status == 0 || status == 502 || status == 504; }
 
@@ -41,19 +45,23 @@
         { 1, 3'300, longAttemptTimeout } };
 }
 
-Callers::Callers(EventLoop& loop, std::uint64_t seed, std::vector<EntryAddress> entries, int callers, const std::vector<JobKind>& jobKinds, Patience patience)
+Callers::Callers(EventLoop& loop, std::uint64_t seed, std::vector<EntryAddress> entries, int callers, const std::vector<JobKind>& jobKinds, Patience patience, Twins twins)
     : m_loop(loop)
     , m_random(seed)
     , m_resendDelays(~seed)
+    , m_twinDraws(seed * twinsFactor)
     , m_patience(patience)
+    , m_twins(twins)
     , m_entries(std::move(entries))
     , m_callers(static_cast<std::size_t>(callers))
     , m_jobKinds(jobKinds)
     , m_estimatePercent(m_random.oneIn(lowEstimatesOneIn) ? lowEstimatePercent : 100)
 {
     for (auto& caller : m_callers) {
-        for (const auto& entry : m_entries)
+        for (const auto& entry : m_entries) {
             caller.connections.push_back(std::make_unique<HttpConnection>(m_loop, entry.address));
+            caller.twinConnections.push_back(std::make_unique<HttpConnection>(m_loop, entry.address));
+        }
     }
 }
 
@@ -93,11 +101,27 @@
     if (m_stopped || m_draining)
         return;
     ++m_inFlight;
+    caller.sends = 0;
     m_jobs.push_back(makeJob());
     send(caller, m_jobs.back(), m_random.below(m_entries.size()));
 }
 
 void Callers::send(Caller& caller, JobRecord& job, std::size_t entry)
+{
+    ++caller.sends;
+    caller.hasFinalAnswer = false;
+    // Counted first, since a call may fail at once.
+    const bool isTwice = m_twins == Twins::Drawn && m_twinDraws.oneIn(twinsOneIn);
+    caller.pending = isTwice ? 2 : 1;
+    request(caller, *caller.connections[entry], job, entry);
+    if (!isTwice)
+        return;
+    const std::size_t other = (entry + 1 + m_twinDraws.below(m_entries.size() - 1)) % m_entries.size();
+    const std::size_t second = m_twinDraws.oneIn(twinsAtOneEntryOneIn) ? entry : other;
+    request(caller, *caller.twinConnections[second], job, second);
+}
+
+void Callers::request(Caller& caller, HttpConnection& connection, JobRecord& job, std::size_t entry)
 {
     Json::Value body(Json::objectValue);
     body["spec"] = job.spec;
@@ -114,12 +138,12 @@
             { "Request-Id", fmt::format("{}-{}", job.id, job.attempts.size() + 1) } },
         .host = "soak.example" };
     job.attempts.push_back({ .entry = m_entries[entry].name, .sent = Clock::now() });
-    caller.connections[entry]->call(call, [this, &caller, &job](const Result<HttpAnswer>& answer) { answered(caller, job, answer); });
+    connection.call(call, [this, &caller, &job, attempt = job.attempts.size() - 1](const Result<HttpAnswer>& answer) { answered(caller, job, attempt, answer); });
 }
 
-void Callers::answered(Caller& caller, JobRecord& job, const Result<HttpAnswer>& answer)
+void Callers::answered(Caller& caller, JobRecord& job, std::size_t attemptIndex, const Result<HttpAnswer>& answer)
 {
-    AttemptRecord& attempt = job.attempts.back();
+    AttemptRecord& attempt = job.attempts[attemptIndex];
     attempt.ended = Clock::now();
     if (answer.has_value()) {
         attempt.status = answer.assume_value().status;
@@ -127,7 +151,10 @@
     } else {
         attempt.timedOut = answer.assume_error().code == ErrorCode::Timeout;
     }
-    if (isRetryable(attempt.status) && job.attempts.size() < maxAttempts) {
+    caller.hasFinalAnswer = caller.hasFinalAnswer || !isRetryable(attempt.status);
+    if (--caller.pending > 0)
+        return;
+    if (!caller.hasFinalAnswer && caller.sends < maxSends) {
         const auto next = m_random.below(m_entries.size());
         caller.timer = m_loop.once(drawResendDelay(), [this, &caller, &job, next] { send(caller, job, next); });
         return;
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -41,11 +41,17 @@
     Drawn,
 };
 
+// Whether callers send some requests twice at the same moment, to one entry or to two.
+enum class Twins {
+    None,
+    Drawn,
+};
+
 // Callers that send one job after the other over keep-alive connections. A job whose connection broke, that was answered
-// with 502 or 504 or that timed out is resent to an entry drawn at random.
+// with 502 or 504 or that timed out is resent to an entry drawn at random. Of two requests at once both are waited for.
 class Callers {
 public:
-    Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers, const std::vector<JobKind>& = usualJobKinds(), Patience = Patience::Full);
+    Callers(EventLoop&, std::uint64_t seed, std::vector<EntryAddress>, int callers, const std::vector<JobKind>& = usualJobKinds(), Patience = Patience::Full, Twins = Twins::None);
 
     void start();
     // Sends no new jobs; those in flight continue, with their resends.
@@ -59,14 +65,21 @@
 
 private:
     struct Caller {
-        // One connection to each entry, in the order of m_entries.
+        // One connection to each entry, in the order of m_entries; of two requests at once the second has connections of its own.
         std::vector<std::unique_ptr<HttpConnection>> connections;
+        std::vector<std::unique_ptr<HttpConnection>> twinConnections;
+        // Requests without an answer, and whether one of those sent with them was answered for good.
+        int pending { 0 };
+        bool hasFinalAnswer { false };
+        // How often the job was sent; two requests at once count as one.
+        std::size_t sends { 0 };
         std::unique_ptr<EventLoop::Timer> timer;
     };
 
     void sendNext(Caller&);
     void send(Caller&, JobRecord&, std::size_t entry);
-    void answered(Caller&, JobRecord&, const Result<HttpAnswer>&);
+    void request(Caller&, HttpConnection&, JobRecord&, std::size_t entry);
+    void answered(Caller&, JobRecord&, std::size_t attempt, const Result<HttpAnswer>&);
     JobRecord makeJob();
     Milliseconds drawResendDelay();
 
@@ -74,7 +87,9 @@
     RandomDraw m_random;
     // Draws of its own, so that the jobs stay the same.
     RandomDraw m_resendDelays;
+    RandomDraw m_twinDraws;
     Patience m_patience;
+    Twins m_twins;
     std::vector<EntryAddress> m_entries;
     std::list<JobRecord> m_jobs;
     std::vector<Caller> m_callers;
--- a/soak/Judge.cpp
+++ b/soak/Judge.cpp
@@ -352,7 +352,10 @@
     return jobs;
 }
 
-bool isServed(const JobRecord& job) { return !job.attempts.empty() && job.attempts.back().status == statusOk; }
+bool isServed(const JobRecord& job)
+{
+    return std::any_of(job.attempts.begin(), job.attempts.end(), [](const AttemptRecord& attempt) { return attempt.status == statusOk; });
+}
 
 std::vector<Violation> judge(const Record& record, const Bounds& bounds) { return Judge(record, bounds).verdict(); }
 
--- a/soak/Judge.h
+++ b/soak/Judge.h
@@ -31,7 +31,7 @@
 
 // Jobs of the steady queue that were first sent after the recovery time.
 std::vector<const JobRecord*> jobsAfterRecovery(const Record&, const Bounds&);
-// Whether the last attempt was answered with 200.
+// Whether an attempt was answered with 200.
 bool isServed(const JobRecord&);
 
 // Checks a run against the guarantees of docs/SOAK.md. A pure function of the record and the bounds.
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -46,7 +46,7 @@
         : m_plan(makePlan(seed, shape))
         , m_deployment(m_loop, { .build = options.build, .folder = options.folder, .basePort = options.basePort, .seed = seed, .shape = shape })
         , m_operator(m_loop, seed + 1, controls(), shape.successors)
-        , m_callers(m_loop, seed + 2, entries(), shape.callers, shape.minionFaults || shape.impatientCallers ? longJobKinds() : usualJobKinds(), shape.impatientCallers ? Patience::Drawn : Patience::Full)
+        , m_callers(m_loop, seed + 2, entries(), shape.callers, shape.minionFaults || shape.impatientCallers ? longJobKinds() : usualJobKinds(), shape.impatientCallers ? Patience::Drawn : Patience::Full, shape.twinRequests ? Twins::Drawn : Twins::None)
         , m_probeCallers(m_loop, seed + 3, entries(), 1)
     {
     }
@@ -200,8 +200,8 @@
     int resent = 0;
     for (const auto& job : record.jobs) {
         const int status = job.attempts.empty() ? 0 : job.attempts.back().status;
-        served += status == 200 ? 1 : 0;
-        refused += status == 503 || status == 429 ? 1 : 0;
+        served += isServed(job) ? 1 : 0;
+        refused += !isServed(job) && (status == 503 || status == 429) ? 1 : 0;
         resent += job.attempts.size() > 1 ? 1 : 0;
     }
     const auto late = jobsAfterRecovery(record, {});
@@ -269,6 +269,7 @@
         shape.minionFaults = arguments.count("minion-faults") > 0;
         shape.entryFaults = arguments.count("entry-faults") > 0;
         shape.impatientCallers = arguments.count("impatient-callers") > 0;
+        shape.twinRequests = arguments.count("twin-requests") > 0;
         shape.successors = arguments.count("successors") > 0;
         shape.minionFaults = shape.minionFaults || shape.successors;
         if (arguments.count("plan") > 0)
@@ -297,6 +298,7 @@
             "minion-faults", "Also faults of minions and of single paths")(
             "entry-faults", "Also slow entries, and late news of callers that left")(
             "impatient-callers", "Callers come back after 0 to 1,300 ms, entries and sidecars are lost together, and minions take their grace")(
+            "twin-requests", "Some requests are sent twice at the same moment, to one entry or to two")(
             "successors", "Faults of minions, and minions that crash are followed by others at their address")(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -25,6 +25,8 @@
     bool entryFaults { false };
     // Callers come back at once or later, entries and sidecars are lost together, and minions take their grace; see docs/SOAK.md.
     bool impatientCallers { false };
+    // Some requests are sent twice at the same moment.
+    bool twinRequests { false };
     // Minions that crash more often, and are followed by others at their address; needs minionFaults.
     bool successors { false };
 };
--- a/test/soak/JudgeTest.cpp
+++ b/test/soak/JudgeTest.cpp
@@ -248,6 +248,14 @@
     run.assertBroken("recovery");
 }
 
+Test(SoakJudge, countsAJobAsServedWhenOneOfTwoRequestsAtOnceWas)
+{
+    GoodRun run;
+    JobRecord& job = run.record.jobs.back();
+    job.attempts.push_back({ .entry = "entry-2", .sent = job.attempts.front().sent, .ended = Milliseconds { 70'050 }, .status = 503 });
+    run.assertKept();
+}
+
 Test(SoakJudge, detectsAnUnexpectedExit)
 {
     GoodRun run;
