--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -155,6 +155,10 @@
         }
         if (m_options.shape.impatientCallers)
             command.insert(command.end(), { "--irregular", std::to_string((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)) });
+        if (m_options.shape.oddReports) {
+            RandomDraw random(~((m_options.seed << 16) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)));
+            command.insert(command.end(), { "--odd-reports", std::to_string(random.number()) });
+        }
         if (m_options.shape.successors) {
             RandomDraw random(~((m_options.seed << 24) + (std::stoull(number) << 8) + static_cast<std::uint64_t>(state.incarnation)));
             command.insert(command.end(), { "--successors", std::to_string(random.number()) });
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -270,6 +270,7 @@
         shape.entryFaults = arguments.count("entry-faults") > 0;
         shape.impatientCallers = arguments.count("impatient-callers") > 0;
         shape.twinRequests = arguments.count("twin-requests") > 0;
+        shape.oddReports = arguments.count("odd-reports") > 0;
         shape.successors = arguments.count("successors") > 0;
         shape.minionFaults = shape.minionFaults || shape.successors;
         if (arguments.count("plan") > 0)
@@ -299,6 +300,7 @@
             "entry-faults", "Also slow entries, and late news of callers that left")(
             "impatient-callers", "Callers come back after 0 to 1,300 ms, entries and sidecars are lost together, and minions take their grace")(
             "twin-requests", "Some requests are sent twice at the same moment, to one entry or to two")(
+            "odd-reports", "Minions' reports overtake each other, and other writers send some")(
             "successors", "Faults of minions, and minions that crash are followed by others at their address")(
             "keep", "Keep the logs and data of every run")("plan", "Only print the faults of each seed")(
             "help", "Show this help");
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -4,6 +4,7 @@
 
 #include "support/PlatformMinion.h"
 #include "support/RandomDraw.h"
+#include "wire/MessageCodec.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -12,6 +13,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
+#include <iterator>
 #include <list>
 #include <map>
 #include <optional>
@@ -75,6 +77,12 @@
 constexpr Milliseconds minLateReport { 50 };
 constexpr Milliseconds maxLateReport { 4'000 };
 
+// One report in lateReportOneIn is sent later than those after it, and before one in oddReportOneIn another writer sends one, under the minion's
+// id or another.
+constexpr int lateReportOneIn = 4;
+constexpr int oddReportOneIn = 2;
+constexpr int otherIdOneIn = 2;
+
 // Specs are "run=MS,..." or "fail=MS,...".
 bool isFailing(const std::string& spec) { return spec.rfind("fail=", 0) == 0; }
 Milliseconds runTimeOf(const std::string& spec) { return { std::stoll(spec.substr(spec.find('=') + 1)) }; }
@@ -185,6 +193,35 @@
     std::list<LateCall> m_calls;
 };
 
+// A report of another writer, made from a whole one: a field that every report has is missing, of another type or names nothing known, or the bytes
+// can't be read.
+HttpCall makeOddReport(HttpCall report, RandomDraw& random)
+{
+    constexpr const char* fields[] { "service", "address", "state", "capacity", "clockMs", "seq", "born" };
+    const char* field = fields[random.below(std::size(fields))];
+    Json::Value body = parseJson(report.body).value();
+    switch (random.below(5)) {
+    case 0:
+        body.removeMember(field);
+        break;
+    case 1:
+        body[field] = "odd";
+        break;
+    case 2:
+        body[field] = Json::Value(Json::arrayValue);
+        break;
+    case 3:
+        report.body.resize(random.below(report.body.size()));
+        return report;
+    default:
+        for (auto& byte : report.body)
+            byte = static_cast<char>(random.below(0x100));
+        return report;
+    }
+    report.body = writeJson(body);
+    return report;
+}
+
 // Draws the next minion at an address.
 class Successors {
 public:
@@ -266,6 +303,9 @@
     if (arguments.count("successors") > 0)
         successors.emplace(arguments["successors"].as<std::uint64_t>(), fmt::format("{}-{}", text("id"), arguments["life"].as<int>()), text("other-service"));
     LateCalls lateCalls(loop, text("sidecar"));
+    std::optional<RandomDraw> oddReports;
+    if (arguments.count("odd-reports") > 0)
+        oddReports.emplace(arguments["odd-reports"].as<std::uint64_t>());
     bool isUp = true;
     PlatformMinion::Kind kind { .id = text("id"), .room = room };
     PlatformMinion minion(loop,
@@ -288,7 +328,18 @@
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count, kind.service)); },
             .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, fmt::format("{} {}", how, ended.leaseEnd.count)); } });
     const char* state = "ready";
-    const auto report = [&] { minion.report(text("sidecar"), state); };
+    const auto report = [&] {
+        if (!oddReports || !isUp)
+            return minion.report(text("sidecar"), state);
+        if (oddReports->oneIn(oddReportOneIn)) {
+            HttpCall odd = makeOddReport(minion.makeReport(state), *oddReports);
+            odd.path += oddReports->oneIn(otherIdOneIn) ? "-odd" : "";
+            lateCalls.send(odd, {});
+        }
+        if (oddReports->oneIn(lateReportOneIn))
+            return lateCalls.send(minion.makeReport(state), oddReports->between(minLateReport, maxLateReport));
+        minion.report(text("sidecar"), state);
+    };
     auto reports = loop.every(reportPeriod, report);
     std::unique_ptr<EventLoop::Timer> leaving;
     const auto onTerm = loop.onSignal(SIGTERM, [&] {
@@ -340,6 +391,7 @@
         add("late", "Delay calls at random, with this seed", cxxopts::value<std::uint64_t>());
         add("late-orders", "Seed of the delays while most calls are late; the clock then starts with each incarnation", cxxopts::value<std::uint64_t>());
         add("irregular", "Seed of how long stops take, of refusals and of deregistrations without an answer", cxxopts::value<std::uint64_t>());
+        add("odd-reports", "Seed of late reports and of those of other writers", cxxopts::value<std::uint64_t>());
         add("successors", "Seed of the minions that follow at the address after a crash", cxxopts::value<std::uint64_t>());
         add("other-service", "A service that some of them work for", cxxopts::value<std::string>()->default_value(""));
         add("slow", "The clock is slow by this many thousandths", cxxopts::value<std::int64_t>()->default_value("0"));
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -27,6 +27,8 @@
     bool impatientCallers { false };
     // Some requests are sent twice at the same moment.
     bool twinRequests { false };
+    // Reports that overtake each other, and reports of other writers.
+    bool oddReports { false };
     // Minions that crash more often, and are followed by others at their address; needs minionFaults.
     bool successors { false };
 };
