PlatformMinion lists 500 ends at most

The stand-in listed all ends at once, so nothing played the limit end to end. The test has 540 tasks of six jobs end at once: each job completes and each task starts once.

--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -51,6 +51,32 @@
     cr_assert(answer.find(R"({"state":"failed"})") != std::string::npos, "got %s", answer.c_str());
 }
 
+// A minion lists 500 ends at once; of the others a list tells nothing, neither that they run nor that they ended.
+Test(PlatformPath, startsNoTaskAgainWhoseEndIsBeyondTheMinionsLongestList)
+{
+    constexpr std::size_t jobs = 6;
+    constexpr std::size_t tasksPerJob = 90;
+    constexpr std::size_t endsPerList = 500;
+    bool isSlow = false;
+    PlatformDeployment deployment({ .runTime = [&isSlow](const std::string&) { return isSlow ? testPatience : Milliseconds { 50 }; } });
+    deployment.becomeReady();
+    isSlow = true;
+    deployment.minion.started.clear();
+    for (std::size_t job = 1; job <= jobs; ++job) {
+        deployment.send(deployment.front, fmt::format("POST /a/wide-{}", job),
+            fmt::format(R"({{"spec":"text","bestEffort":true,"steps":[{{"count":{},"cpu":10,"memMb":1,"estimatedMs":3000}}]}})", tasksPerJob));
+        cr_assert(runUntil(deployment.loop, [&] { return deployment.minion.running() == job * tasksPerJob; }), "%zu run", deployment.minion.running());
+    }
+    deployment.minion.endAll("done");
+    for (std::size_t job = 1; job <= jobs; ++job) {
+        const RawConnection& client = *deployment.clients[deployment.clients.size() - job];
+        cr_assert(runUntil(deployment.loop, [&client] { return PlatformDeployment::isComplete(client.received()); }));
+        cr_assert(client.received().find(R"({"state":"completed"})") != std::string::npos, "got %s", client.received().c_str());
+    }
+    cr_assert(deployment.minion.started.size() == jobs * tasksPerJob, "expected each task to start once, got %zu starts", deployment.minion.started.size());
+    cr_assert(deployment.minion.mostEndsUnseen > endsPerList, "got %zu ends at once", deployment.minion.mostEndsUnseen);
+}
+
 Test(PlatformPath, stopsTheTasksOfAClientThatDisconnects)
 {
     PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 400 }; } });
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -305,8 +305,8 @@
         answer["running"].append(row);
     }
     answer["finished"] = Json::Value(Json::arrayValue);
-    for (const auto& row : m_ended)
-        answer["finished"].append(row);
+    for (std::size_t i = 0; i < std::min(m_ended.size(), m_options.maxEndsPerList); ++i)
+        answer["finished"].append(m_ended[i]);
     return answer;
 }
 
@@ -322,6 +322,7 @@
     row.append(how);
     row.append("");
     m_ended.push_back(row);
+    mostEndsUnseen = std::max(mostEndsUnseen, m_ended.size());
     auto& last = m_lastRun[task];
     last = std::max(last, run.number);
     m_options.onEnd(at, run, how);
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -70,6 +70,8 @@
         // Whether something else takes the room when a start arrives.
         std::function<bool()> isFull { [] { return false; } };
         Milliseconds longestLease { 1'000 };
+        // Of the ended runs that are not acknowledged, the first ones are listed, at most this many.
+        std::size_t maxEndsPerList { 500 };
         // Its clock runs slow by this many thousandths.
         std::int64_t slowPerMille { 0 };
         // Its clock shows zero when an incarnation starts.
@@ -99,6 +101,8 @@
     std::vector<std::string> started;
     std::vector<std::string> stopped;
     int acknowledged { 0 };
+    // Maximum number of ended runs that were not acknowledged.
+    std::size_t mostEndsUnseen { 0 };
     // Runs end as failed while set.
     bool failing { false };
 
