Soak judges starts at minions that drain

Guarantee `draining`: no start arrives at a minion more than 1 s after its word that it drains was acknowledged, where the sidecar was connected.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -437,11 +437,20 @@
         std::map<std::string, std::size_t> open;
         std::string event;
         RunRecord run { .minion = minion, .zone = dataCentre(minion) };
-        while (file >> event >> run.incarnation >> (event == "start" ? run.start.count : run.end.count) >> run.task >> run.number) {
+        std::map<int, Milliseconds> draining;
+        for (std::int64_t at = 0; file >> event >> run.incarnation >> at;) {
+            if (event == "draining") {
+                draining.try_emplace(run.incarnation, Milliseconds { at });
+                continue;
+            }
+            file >> run.task >> run.number;
+            (event == "start" ? run.start : run.end) = { at };
             const std::string key = fmt::format("{} {} {}", run.incarnation, run.task, run.number);
             if (event == "start") {
                 std::string order;
                 file >> run.spec >> order >> run.ordered.count >> run.service;
+                const auto drain = draining.find(run.incarnation);
+                run.draining = drain == draining.end() || drain->second > run.ordered ? std::nullopt : std::optional(drain->second);
                 run.isOfFormer = order == "former";
                 const auto incarnation = m_incarnationEnds.find({ minion, run.incarnation });
                 run.end = incarnation == m_incarnationEnds.end() ? Clock::now() : incarnation->second;
--- a/soak/Judge.cpp
+++ b/soak/Judge.cpp
@@ -62,6 +62,7 @@
             checkOneRunAtATime();
             checkRunsWereRequested();
             checkServices();
+            checkDraining();
             for (const auto& job : m_record.jobs) {
                 checkRefusals(job);
                 checkAnswers(job);
@@ -137,6 +138,14 @@
             }
         }
 
+        void checkDraining()
+        {
+            for (const auto& run : m_record.runs) {
+                if (run.draining && run.ordered > *run.draining + m_bounds.drain && wasSidecarConnected(run))
+                    add("draining", fmt::format("{} was ordered at {} {} ms after its word that it drains was acknowledged", run.task, run.minion, (run.ordered - *run.draining).count));
+            }
+        }
+
         static bool isTaskOf(const JobRecord& job, const std::string& task)
         {
             for (int index = 0; index < job.tasks; ++index) {
--- a/soak/Judge.h
+++ b/soak/Judge.h
@@ -16,6 +16,8 @@
     Milliseconds configApply { 2'000 };
     // From the acknowledgement that a data centre is evacuated.
     Milliseconds evacuation { 5'000 };
+    // From the acknowledgement that a minion is draining.
+    Milliseconds drain { 1'000 };
     // From the end of the last fault.
     Milliseconds recovery { 12'000 };
     // A stopping process may leave a request unanswered that was sent no longer than this before the connection closed.
--- a/soak/Minion.cpp
+++ b/soak/Minion.cpp
@@ -1,5 +1,5 @@
 // A stand-in minion of the users' platform as a process. Appends one line to its record file at the start and at the end
-// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER ARRIVAL SERVICE" and "end INCARNATION TIME TASK RUN HOW LEASE-END". SIGUSR1 and SIGUSR2 begin and end a
+// of each run: "start INCARNATION TIME TASK RUN SPEC ORDER ARRIVAL SERVICE" and "end INCARNATION TIME TASK RUN HOW LEASE-END"; and one "draining INCARNATION TIME" when that was acknowledged. SIGUSR1 and SIGUSR2 begin and end a
 // time in which most calls are late; SIGHUP makes it crash within the process, and the next one starts it again.
 
 #include "support/PlatformMinion.h"
@@ -275,7 +275,12 @@
 
     void add(const char* event, Milliseconds at, const PlatformMinion::Run& run, const std::string& last) const
     {
-        const std::string line = fmt::format("{} {} {} {} {} {}\n", event, m_incarnation, at.count, run.task, run.number, last);
+        add(event, at, fmt::format(" {} {} {}", run.task, run.number, last));
+    }
+
+    void add(const char* event, Milliseconds at, const std::string& rest = {}) const
+    {
+        const std::string line = fmt::format("{} {} {}{}\n", event, m_incarnation, at.count, rest);
         if (write(m_descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size()))
             fmt::print(stderr, "soak-minion: failed to write to the record file: {}", line);
     }
@@ -326,7 +331,8 @@
             .delayOf = [&](PlatformMinion::Call call) { return lateOrders.concern(call) ? lateOrders.delay() : callDelays ? callDelays->delayOf(call)
                                                                                                                           : PlatformMinion::CallDelay {}; },
             .onStart = [&](Milliseconds at, const PlatformMinion::Run& started) { record.add("start", at, started, fmt::format("{} {} {} {}", started.spec, started.isOfFormer ? "former" : "own", started.ordered.count, kind.service)); },
-            .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, fmt::format("{} {}", how, ended.leaseEnd.count)); } });
+            .onEnd = [&](Milliseconds at, const PlatformMinion::Run& ended, const char* how) { record.add("end", at, ended, fmt::format("{} {}", how, ended.leaseEnd.count)); },
+            .onDrainAcknowledged = [&record](Milliseconds at) { record.add("draining", at); } });
     const char* state = "ready";
     const auto report = [&] {
         if (!oddReports || !isUp)
--- a/soak/Records.h
+++ b/soak/Records.h
@@ -31,6 +31,8 @@
     Milliseconds end {};
     // The service that the minion worked for when it took the start.
     std::string service { "s1" };
+    // When the minion's word that it drains had been acknowledged first; empty when that was not before the start's arrival.
+    std::optional<Milliseconds> draining;
     // done, failed, stopped, lapsed, left or killed.
     std::string how;
     // Until when a run that was stopped might have gone on if its stop had not been carried out. Zero for others.
--- a/test/soak/JudgeTest.cpp
+++ b/test/soak/JudgeTest.cpp
@@ -122,6 +122,20 @@
     run.assertBroken("service");
 }
 
+Test(SoakJudge, detectsAStartAtAMinionThatDrains)
+{
+    for (const bool isInTime : { true, false }) {
+        GoodRun run;
+        RunRecord& start = run.record.runs.front();
+        start.ordered = start.start;
+        start.draining = start.start - Milliseconds { isInTime ? 1'000 : 1'001 };
+        if (isInTime)
+            run.assertKept();
+        else
+            run.assertBroken("draining");
+    }
+}
+
 Test(SoakJudge, detectsARefusedJobThatRan)
 {
     GoodRun run;
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -10,6 +10,7 @@
 
     constexpr Milliseconds reportTimeout { 1'000 };
     constexpr std::size_t maxBodyBytes = 100'000;
+    constexpr int statusOk = 200;
     constexpr int statusConflict = 409;
     constexpr int statusWrongInstance = 421;
     // The minion's clock differs from the sidecar's by this offset.
@@ -100,7 +101,13 @@
     if (!m_server)
         return;
     reports(sidecar).call(makeReport(state),
-        [this](const Result<HttpAnswer>& answer) { acknowledged += answer.has_value() && answer.assume_value().status == 200 ? 1 : 0; });
+        [this, isDraining = std::string(state) == "draining"](const Result<HttpAnswer>& answer) {
+            if (!answer.has_value() || answer.assume_value().status != statusOk)
+                return;
+            ++acknowledged;
+            if (isDraining)
+                m_options.onDrainAcknowledged(Clock::now());
+        });
 }
 
 HttpCall PlatformMinion::makeReport(const char* state)
--- a/test/support/PlatformMinion.h
+++ b/test/support/PlatformMinion.h
@@ -84,6 +84,8 @@
         // Called when a run starts and when it has ended, with the time on Clock::now().
         std::function<void(Milliseconds, const Run&)> onStart { [](Milliseconds, const Run&) {} };
         std::function<void(Milliseconds, const Run&, const char* how)> onEnd { [](Milliseconds, const Run&, const char*) {} };
+        // Called when a report that the minion is draining was acknowledged.
+        std::function<void(Milliseconds)> onDrainAcknowledged { [](Milliseconds) {} };
         // Called when a call with a higher fencing token than this incarnation has seen is carried out.
         std::function<void(Milliseconds, std::uint64_t token)> onHigherToken { [](Milliseconds, std::uint64_t) {} };
     };
