Soak: a run's ports are not those of outgoing connections

The system gives 32768 to 60999 to outgoing connections, at 127.0.0.1.

The processes and the relays of a run now listen at 127.0.0.2.

--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -33,6 +33,9 @@
     // Minions' clocks are up to this many thousandths slow.
     constexpr int maxSlowPerMille = 20;
 
+    // Outgoing connections have 127.0.0.1, so none of them can have a port of the run.
+    constexpr const char* host = "127.0.0.2";
+
     std::string numberOf(const std::string& name) { return name.substr(name.rfind('-') + 1); }
 
 } // namespace
@@ -76,13 +79,13 @@
     return m_ports.emplace(key, next).first->second;
 }
 
-std::string Deployment::localAddress(const std::string& key) { return fmt::format("127.0.0.1:{}", port(key)); }
+std::string Deployment::localAddress(const std::string& key) { return fmt::format("{}:{}", host, port(key)); }
 
 std::string Deployment::relayAddress(const std::string& key)
 {
     auto& relay = m_relays[key];
     if (!relay) {
-        relay = std::make_unique<FaultRelay>(m_loop, port("relay of " + key), port(key));
+        relay = std::make_unique<FaultRelay>(m_loop, port("relay of " + key), port(key), host);
         if (const auto started = relay->start(); !started.has_value())
             throw std::runtime_error(describe(started.assume_error()));
     }
--- a/test/support/FaultRelay.cpp
+++ b/test/support/FaultRelay.cpp
@@ -16,12 +16,12 @@
     // A client is known by the first bytes that it sends.
     constexpr std::size_t openingBytes = 64;
 
-    sockaddr_in localAddress(std::uint16_t port)
+    sockaddr_in localAddress(const std::string& host, std::uint16_t port)
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        inet_pton(AF_INET, host.c_str(), &address.sin_addr);
         return address;
     }
 
@@ -115,10 +115,11 @@
     }
 };
 
-FaultRelay::FaultRelay(EventLoop& loop, std::uint16_t listenPort, std::uint16_t targetPort)
+FaultRelay::FaultRelay(EventLoop& loop, std::uint16_t listenPort, std::uint16_t targetPort, const std::string& host)
     : m_loop(loop)
     , m_listenPort(listenPort)
     , m_targetPort(targetPort)
+    , m_host(host)
 {
 }
 
@@ -130,7 +131,7 @@
 
 Result<void> FaultRelay::start()
 {
-    const sockaddr_in address = localAddress(m_listenPort);
+    const sockaddr_in address = localAddress(m_host, m_listenPort);
     m_listener = evconnlistener_new_bind(
         m_loop.base(),
         [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self) {
@@ -184,7 +185,7 @@
 bufferevent* FaultRelay::connectToTarget()
 {
     bufferevent* stream = bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-    const sockaddr_in address = localAddress(m_targetPort);
+    const sockaddr_in address = localAddress(m_host, m_targetPort);
     bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     return stream;
 }
--- a/test/support/FaultRelay.h
+++ b/test/support/FaultRelay.h
@@ -39,7 +39,7 @@
 // A TCP relay in front of one process that injects network faults. Runs in the given event loop.
 class FaultRelay {
 public:
-    FaultRelay(EventLoop&, std::uint16_t listenPort, std::uint16_t targetPort);
+    FaultRelay(EventLoop&, std::uint16_t listenPort, std::uint16_t targetPort, const std::string& host = "127.0.0.1");
     ~FaultRelay();
     FaultRelay(const FaultRelay&) = delete;
     FaultRelay& operator=(const FaultRelay&) = delete;
@@ -72,6 +72,7 @@
     EventLoop& m_loop;
     std::uint16_t m_listenPort;
     std::uint16_t m_targetPort;
+    std::string m_host;
     evconnlistener* m_listener { nullptr };
     RelayFault m_fault;
     std::map<std::string, RelayFault> m_clientFaults;
--- a/test/support/PlatformMinion.cpp
+++ b/test/support/PlatformMinion.cpp
@@ -46,7 +46,7 @@
 
 void PlatformMinion::crash()
 {
-    m_options.listen = "127.0.0.1:" + std::to_string(m_server->port());
+    m_options.listen = m_options.listen.substr(0, m_options.listen.rfind(':') + 1) + std::to_string(m_server->port());
     // Before the runs end, so that nobody learns of it.
     m_server.reset();
     m_reports.reset();
