Jobs are placed by the entry to which they were granted

Cause: an entry placed a task as long as it had heard nothing of former runs, so that others had to tell it in time.

Now an entry asks before it places: it needs the job's grant from most of three registrars, sidecars that rank highest for the job's name, in different data centres where there are enough. Two majorities have a registrar in common, so no news has to arrive in time. It asks two of them in one message each, and the third when one is silent, late or not connected. It returns the grants once all runs that it knows of have ended. A registrar lets the grants of an entry go 1,250 ms after its stream closed or its instance started again, and 1,650 ms after its last frame; runs of a lost entry last 1,236 ms at most. A grant counts for 900 ms after a frame that its registrar has seen; a job without a quorum is given up 200 ms later. A registrar that has just started takes renewals of living entries, and grants what it doesn't know once every entry has named its grants. When the members change, quorums of the former sets are needed for 5 s as well. New jobs are no longer held after a loss where all sidecars grant jobs; beside those of earlier versions the former rule holds. Frames of earlier versions stay readable.

--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -44,15 +44,18 @@
 void DispatchService::viewChanged(const ClusterView& view)
 {
     m_sidecarAddresses.clear();
+    std::map<std::string, std::string> dataCentres;
     std::size_t entries = 0;
     for (const auto& member : view.members) {
         if (member.node.role == Role::Entry)
             ++entries;
-        if (member.node.role == Role::Sidecar && member.node.streamAddress)
+        if (member.node.role == Role::Sidecar && member.node.streamAddress) {
             m_sidecarAddresses.insert(*member.node.streamAddress);
+            dataCentres[*member.node.streamAddress] = member.node.dataCentre;
+        }
     }
     m_dispatcher.setDeploymentSize(entries, m_sidecarAddresses.size());
-    m_dispatcher.setMembers(m_sidecarAddresses);
+    m_dispatcher.setMembers(dataCentres, Clock::now());
     m_dispatcher.setDataCentresOut(view.dataCentresOut);
     for (const auto& address : m_sidecarAddresses) {
         if (!m_links.contains(address))
@@ -202,6 +205,10 @@
         m_replies.erase(found);
         reply(end);
     }
+    for (const auto& report : actions.grantReports) {
+        m_process.metrics.add(report.outcome == GrantOutcome::Lost ? "jobs_without_grants_total" : "jobs_contested_total");
+        log(LogLevel::Info, { .step = "dispatch.grant", .jobName = report.job }, describe(report));
+    }
     if (actions.heldFor)
         reportHold(*actions.heldFor);
     for (const auto& address : actions.reconnect)
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -38,6 +38,7 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
     , m_blindAt(m_options.startedAt)
+    , m_grants({ .dataCentre = m_options.dataCentre, .seed = m_options.seed })
 {
 }
 
@@ -120,6 +121,7 @@
     job.effectiveDeadline = now + objective + m_options.priorityDelay * spec.queue.priority;
     m_submissions[submission] = submission;
     m_byName[{ spec.queue.name, spec.name }] = submission;
+    job.grants = m_grants.acquire(spec.name);
     const auto reason = refusal(job, now);
     const Job& added = m_jobs.emplace(submission, std::move(job)).first->second;
     if (reason)
@@ -131,7 +133,8 @@
 
 Milliseconds JobDispatcher::cutoff(const Job& job) const
 {
-    return acceptingCpuMillis(job.spec.queue.service) > 0 && !m_isHolding ? job.busyCutoff : job.idleCutoff;
+    const bool isWaitingForOthers = m_isHolding || job.grants->isContested || job.grants->isUnknown;
+    return acceptingCpuMillis(job.spec.queue.service) > 0 && !isWaitingForOthers ? job.busyCutoff : job.idleCutoff;
 }
 
 std::optional<std::string> JobDispatcher::refusal(const Job& job, Milliseconds now) const
@@ -184,7 +187,8 @@
         if (effectiveDeadline > job.effectiveDeadline)
             break;
         const Job& other = m_jobs.at(id);
-        if (other.spec.queue.service != job.spec.queue.service || !canMeetObjective(other, now))
+        const bool isWaitingForOthers = other.grants->isContested || other.grants->isUnknown;
+        if (other.spec.queue.service != job.spec.queue.service || !canMeetObjective(other, now) || (isWaitingForOthers && !other.grants->isHeld))
             continue;
         for (std::size_t i = 0; i < other.tasks.size(); ++i) {
             const TaskNeeds& needs = other.spec.steps[i].needs;
@@ -241,7 +245,13 @@
     m_options.sidecars = std::max<std::size_t>(sidecars, 1);
 }
 
-void JobDispatcher::setMembers(const std::set<std::string>& sidecars) { m_members = sidecars; }
+void JobDispatcher::setMembers(const std::map<std::string, std::string>& dataCentres, Milliseconds now)
+{
+    m_members.clear();
+    for (const auto& [sidecar, dataCentre] : dataCentres)
+        m_members.insert(sidecar);
+    m_grants.setMembers(dataCentres, now);
+}
 
 void JobDispatcher::connected(const std::string& sidecar, Milliseconds now)
 {
@@ -252,6 +262,7 @@
     link.isSilent = false;
     link.framesSent = 0;
     link.sent.clear();
+    link.unseen.reset();
     link.wantedCpuMillis = 0;
     link.next = EntryFrame { .entry = m_options.incarnation,
         .outstanding = {},
@@ -261,6 +272,9 @@
         if (place.job == 0)
             link.next.stops.push_back(name);
     }
+    link.next.grants = m_grants.connected(sidecar, now);
+    link.next.entries = m_options.entries;
+    link.next.startedFor = now - m_options.startedAt;
     link.hasNext = true;
 }
 
@@ -272,6 +286,7 @@
     found->second.connected = false;
     found->second.handshakeDone = false;
     m_acceptingCpuMillis.clear();
+    m_grants.disconnected(sidecar);
     found->second.next = {};
     found->second.hasNext = false;
 }
@@ -293,6 +308,7 @@
         if (frame.unknownRunsFor.count > 0)
             link.cameUnknownAt = now;
         m_acceptingCpuMillis.clear();
+        m_grants.handshakeDone(sidecar, frame.isRegistrar);
     }
     link.lastReceivedAt = now;
     link.lastActiveAt = now;
@@ -301,6 +317,10 @@
         link.laterClocks.push_back({ .clock = frame.clock, .receivedAt = now });
     }
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
+    if (link.unseen && link.unseen->number <= frame.framesSeen)
+        m_grants.seen(sidecar, std::exchange(link.unseen, std::nullopt)->at, now);
+    for (const auto& answer : frame.grants)
+        m_grants.answered(sidecar, answer);
     link.hasUnknownRuns = frame.unknownRunsFor.count > 0;
     link.isSilent = false;
     if (frame.lostEntryRunsFor.count > 0)
@@ -313,7 +333,7 @@
         applyUnsettledTask(sidecar, task, now);
     for (const auto& end : frame.ends)
         applyEnd(link, sidecar, end, now);
-    return !frame.sidecar.empty() || !frame.ends.empty() || !m_queue.empty() || needsEcho(link, link.clock, now);
+    return !frame.sidecar.empty() || !frame.ends.empty() || !frame.grants.empty() || !m_queue.empty() || needsEcho(link, sidecar, link.clock, now);
 }
 
 bool JobDispatcher::isHeard(const Link& link) { return link.connected && link.handshakeDone && !link.isSilent; }
@@ -325,6 +345,14 @@
     return restarted > 0 && restarted * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
 }
 
+bool JobDispatcher::hasStartedWithSidecars(Milliseconds now) const
+{
+    const auto together = std::count_if(m_links.begin(), m_links.end(),
+        [this](const auto& item) { return item.second.cameUnknownAt && *item.second.cameUnknownAt <= m_options.startedAt + m_options.commonStartTime; });
+    return now < m_options.startedAt + maxLostEntryRunTime && together > 0
+        && together * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
+}
+
 std::vector<std::string> JobDispatcher::unheardSidecars(Milliseconds now) const
 {
     const bool hasJustStarted = now < m_options.startedAt + maxLostEntryRunTime;
@@ -353,7 +381,8 @@
     if (m_isBlind)
         m_blindAt = now;
     std::vector<std::string> unheard;
-    if (now < lostRunsEndBy())
+    // A job that no other entry holds has no runs of a lost one.
+    if (now < lostRunsEndBy() && !m_grants.isUsedByAll())
         unheard = unheardSidecars(now);
     m_holdUntil = unheard.empty() ? Milliseconds {} : lostRunsEndBy();
     if (m_isHolding != !unheard.empty())
@@ -463,8 +492,10 @@
 {
     if (place.job == 0) {
         const auto former = m_runsOfEndedJobs.find(end.run.job);
-        if (former != m_runsOfEndedJobs.end() && --former->second == 0)
+        if (former != m_runsOfEndedJobs.end() && --former->second == 0) {
             m_runsOfEndedJobs.erase(former);
+            releaseGrants(end.run.job, true);
+        }
         return;
     }
     Job& job = m_jobs.at(place.job);
@@ -556,8 +587,9 @@
     const std::string unsettled = describeUnsettled(job, now);
     // Without any sidecar there is nothing to wait for: callers are told when to come back.
     const std::string held = isHeld(job, now) && !m_isBlind ? "; tasks of a lost entry may run at sidecars that are not heard" : "";
-    const bool begun = job.hasBegun() || !unsettled.empty() || !held.empty();
-    endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled + held,
+    const std::string missing = describeGrants(job, now);
+    const bool begun = job.hasBegun() || !unsettled.empty() || !held.empty() || !missing.empty();
+    endJob(id, begun ? DispatchEndKind::Unfinished : DispatchEndKind::Refused, std::string(begun ? whenBegun : otherwise) + unsettled + held + missing,
         retryAfter(job, now));
 }
 
@@ -591,7 +623,23 @@
     }
     m_queue.erase({ job.effectiveDeadline, id });
     m_byName.erase({ job.spec.queue.name, job.spec.name });
+    const std::string name = job.spec.name;
     m_jobs.erase(found);
+    releaseGrants(name, kind != DispatchEndKind::Completed);
+}
+
+void JobDispatcher::releaseGrants(const std::string& job, bool isUrgent)
+{
+    const bool isWanted = std::any_of(m_byName.begin(), m_byName.end(), [&job](const auto& item) { return item.first.second == job; });
+    if (!isWanted && !m_runsOfEndedJobs.contains(job))
+        m_grants.release(job, isUrgent);
+}
+
+std::string JobDispatcher::describeGrants(const Job& job, Milliseconds now) const
+{
+    if (!job.grants->isContested || job.grants->isHeld)
+        return {};
+    return "; the job may be held by another entry: " + m_grants.describeMissing(job.spec.name, now);
 }
 
 bool JobDispatcher::isStepOpen(const Job& job, const DispatchStep& step) const
@@ -665,7 +713,7 @@
             Job& job = m_jobs.at(id);
             const std::string& service = job.spec.queue.service;
             if (job.waiting == 0 || canMeetObjective(job, now) != prompt || full.contains(service) || waitsForEndedJob(job)
-                || !isCallerConfirmed(job) || isHeld(job, now))
+                || !isCallerConfirmed(job) || isHeld(job, now) || !job.grants->isHeld)
                 continue;
             if (!byService.contains(service))
                 byService[service] = candidates(service, now);
@@ -687,7 +735,7 @@
     std::int64_t least = 0;
     for (const auto& [effectiveDeadline, id] : m_queue) {
         const Job& job = m_jobs.at(id);
-        if (job.spec.queue.service != service || waitsForEndedJob(job) || isHeld(job, m_lastCallAt))
+        if (job.spec.queue.service != service || waitsForEndedJob(job) || isHeld(job, m_lastCallAt) || !job.grants->isHeld)
             continue;
         waiting += job.waiting;
         for (const auto& step : job.spec.steps)
@@ -845,13 +893,21 @@
 void JobDispatcher::checkJobs(Milliseconds now)
 {
     std::vector<std::uint64_t> over;
+    std::vector<std::uint64_t> withoutGrants;
     for (auto& [id, job] : m_jobs) {
         const bool tooLate = !job.mayHaveRun && now + job.longestRun > cutoff(job);
-        if (job.spec.deadline <= now || (tooLate && job.atSidecars == 0))
+        const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt;
+        if (withoutGrantsSince && now >= *withoutGrantsSince + m_options.maxTimeWithoutGrants)
+            withoutGrants.push_back(id);
+        else if (job.spec.deadline <= now || (tooLate && job.atSidecars == 0))
             over.push_back(id);
         else if (tooLate && !job.recalled)
             recall(id, job);
     }
+    for (const auto id : withoutGrants) {
+        m_grants.givenUp(m_jobs.at(id).spec.name, now);
+        giveUp(id, "its registrars are not heard", "its registrars are not heard", now);
+    }
     for (const auto id : over) {
         const bool isStopping = m_finishBy && m_jobs.at(id).spec.deadline == *m_finishBy;
         giveUp(id, isStopping ? "this entry is stopping" : "the time of the job is over",
@@ -874,10 +930,12 @@
     }
 }
 
-bool JobDispatcher::needsEcho(const Link& link, Milliseconds clock, Milliseconds now) const
+bool JobDispatcher::isBusy(const Link& link, const std::string& sidecar) const { return !link.outstanding.empty() || m_grants.holdsAnyAt(sidecar); }
+
+bool JobDispatcher::needsEcho(const Link& link, const std::string& sidecar, Milliseconds clock, Milliseconds now) const
 {
     return link.handshakeDone && now >= link.sentAt + m_options.minEchoInterval
-        && ((!link.outstanding.empty() && clock > link.lastEcho) || link.endsAcknowledged < link.endsSeen);
+        && ((isBusy(link, sidecar) && clock > link.lastEcho) || link.endsAcknowledged < link.endsSeen || m_grants.hasRequests(sidecar, false));
 }
 
 void JobDispatcher::releaseClocks(Milliseconds callersHeardUntil)
@@ -899,8 +957,10 @@
     for (auto& [name, link] : m_links) {
         if (!link.connected)
             continue;
-        if (!link.hasNext && !needsEcho(link, link.echoableClock, now))
+        if (!link.hasNext && !m_grants.hasRequests(name, true) && !needsEcho(link, name, link.echoableClock, now))
             continue;
+        auto requests = m_grants.takeRequests(name);
+        link.next.grants.insert(link.next.grants.end(), std::make_move_iterator(requests.begin()), std::make_move_iterator(requests.end()));
         link.next.echo = link.echoableClock;
         link.next.endsSeen = link.endsSeen;
         m_actions.frames.push_back({ .sidecar = name, .frame = std::exchange(link.next, {}) });
@@ -909,6 +969,8 @@
         link.endsAcknowledged = link.endsSeen;
         link.sentAt = now;
         ++link.framesSent;
+        if (!link.unseen)
+            link.unseen = { .number = link.framesSent, .at = now };
     }
 }
 
@@ -921,9 +983,11 @@
     if (allFramesRead)
         checkLinks(now);
     updateHold(now, allFramesRead);
+    m_grants.act(now, hasStartedWithSidecars(now));
     checkJobs(now);
     placeConfirmed(now, callersHeardUntil.value_or(now));
     flush(now);
+    m_actions.grantReports = m_grants.takeReports(now);
     return std::exchange(m_actions, {});
 }
 
@@ -935,10 +999,14 @@
         at(m_lastCallAt + m_options.pauseCheckPeriod);
     if (m_isHolding)
         at(m_holdUntil);
+    if (const auto grants = m_grants.nextDue())
+        at(std::max(*grants, m_lastCallAt + Milliseconds { 1 }));
     if (m_awaitsCallerNews)
         at(m_lastCallAt);
     for (const auto& [id, job] : m_jobs) {
         at(job.spec.deadline);
+        if (const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt)
+            at(*withoutGrantsSince + m_options.maxTimeWithoutGrants);
         if (!job.mayHaveRun && !job.recalled)
             at(std::max(cutoff(job) - job.longestRun, m_lastCallAt) + Milliseconds { 1 });
     }
@@ -947,9 +1015,9 @@
             at(link.lastReceivedAt + m_options.lostAfter + Milliseconds { 1 });
         if (link.connected)
             at(link.lastActiveAt + streamTimeout(link) + Milliseconds { 1 });
-        if (link.connected && link.handshakeDone && link.endsAcknowledged < link.endsSeen)
+        if (link.connected && link.handshakeDone && (link.endsAcknowledged < link.endsSeen || m_grants.hasRequests(name, false)))
             at(link.sentAt + m_options.minEchoInterval);
-        if (link.connected && link.handshakeDone && !link.outstanding.empty() && !link.laterClocks.empty())
+        if (link.connected && link.handshakeDone && isBusy(link, name) && !link.laterClocks.empty())
             at(std::max(link.sentAt + m_options.minEchoInterval, m_lastCallAt + Milliseconds { 1 }));
     }
     return due;
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/JobGrants.h"
 #include "policy/MinionHealth.h"
 #include "policy/RunPlacement.h"
 #include "policy/RunTimes.h"
@@ -92,6 +93,7 @@
     std::vector<std::string> reconnect;
     // Set when jobs begin or cease to be held because an entry was lost: the sidecars that are not heard, none when they cease.
     std::optional<std::vector<std::string>> heldFor;
+    std::vector<GrantReport> grantReports;
 };
 
 struct JobDispatcherOptions {
@@ -153,6 +155,11 @@
     // Bounds of the retry delay given to a refused caller.
     Milliseconds minRetryAfter { 1'000 };
     Milliseconds maxRetryAfter { 8'000 };
+    // A job that has begun and whose grants are missing for this long is given up: another entry may get them once this one has not been
+    // heard for longer.
+    Milliseconds maxTimeWithoutGrants { 200 };
+    // An entry that finds most sidecars just started within this time of its own start has started together with them.
+    Milliseconds commonStartTime { 500 };
     // When the entry started. No sidecar is considered absent until it has had time to connect.
     Milliseconds startedAt {};
     std::uint64_t seed { 0 };
@@ -186,8 +193,8 @@
 
     void setDataCentresOut(const std::vector<std::string>& names);
     void setDeploymentSize(std::size_t entries, std::size_t sidecars);
-    // Names the sidecars of the deployment, whether there is a stream to them or not.
-    void setMembers(const std::set<std::string>& sidecars);
+    // Names the sidecars of the deployment, whether there is a stream to them or not, and their data centres.
+    void setMembers(const std::map<std::string, std::string>& dataCentres, Milliseconds now);
 
     // `allFramesRead`: every frame that has arrived was passed to received(). Otherwise a stream may look idle only because
     // the entry is busy, so timeouts are not checked.
@@ -224,6 +231,7 @@
     };
     struct Job {
         DispatchJob spec;
+        const GrantStatus* grants { nullptr };
         std::vector<std::uint64_t> submissions;
         std::vector<std::vector<Task>> tasks;
         std::size_t waiting { 0 };
@@ -258,6 +266,11 @@
         std::uint64_t frame { 0 };
         TaskNeeds needs;
     };
+    // When a frame was sent.
+    struct SentFrame {
+        std::uint64_t number { 0 };
+        Milliseconds at {};
+    };
     struct ClockReading {
         Milliseconds clock {};
         Milliseconds receivedAt {};
@@ -282,6 +295,8 @@
         std::uint64_t endsAcknowledged { 0 };
         MinionState state;
         std::vector<SentNeeds> sent;
+        // The first frame sent since the last one that the sidecar is known to have seen.
+        std::optional<SentFrame> unseen;
         // Job id 0 marks a run of a job that has ended here.
         std::map<RunName, TaskPlace> outstanding;
         EntryFrame next;
@@ -319,6 +334,10 @@
     bool canMeetObjective(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
     bool waitsForEndedJob(const Job&) const;
+    // Returns the grants of the job once nothing of it runs or can be started here.
+    void releaseGrants(const std::string& job, bool isUrgent);
+    // What a caller is told of a job whose grants are missing; empty when they aren't.
+    std::string describeGrants(const Job&, Milliseconds now) const;
     // Whether the stream to the sidecar is open and not silent.
     static bool isHeard(const Link&);
     // Members that can't have told this entry of all tasks that their minions may run for lost entries.
@@ -326,7 +345,9 @@
     // Whether most sidecars have just started again. An entry that has started with them doesn't wait for the minions' reports, which take longer
     // than the former leases.
     bool haveMostStartedAgain(Milliseconds now) const;
-    // Holds jobs while a sidecar is unheard and runs of a lost entry may be at its minion.
+    // Whether this entry has just started and found most sidecars just started as well.
+    bool hasStartedWithSidecars(Milliseconds now) const;
+    // Holds jobs while a sidecar is unheard and runs of a lost entry may be at its minion. Only beside sidecars of earlier versions.
     void updateHold(Milliseconds now, bool allFramesRead);
     void noteLostEntry(Milliseconds runsFor, Milliseconds now);
     // Whether tasks of the job may be running for a lost entry at the minion of an unheard sidecar.
@@ -337,7 +358,9 @@
     bool isCallerConfirmed(const Job& job) const { return !m_lastConfirmed || job.submissions.front() <= *m_lastConfirmed; }
     std::int64_t expectedSlots(const TaskNeeds& capacity) const;
     std::int64_t acceptingCpuMillis(const std::string& service) const;
-    bool needsEcho(const Link&, Milliseconds clock, Milliseconds now) const;
+    // Whether the sidecar has runs of this entry, or grants to it.
+    bool isBusy(const Link&, const std::string& sidecar) const;
+    bool needsEcho(const Link&, const std::string& sidecar, Milliseconds clock, Milliseconds now) const;
     // Lets clocks that were received until then be sent back.
     void releaseClocks(Milliseconds callersHeardUntil);
     // Places the tasks whose callers are known to be there.
@@ -399,6 +422,7 @@
     bool m_isBlind { true };
     // The sidecars of the deployment; empty while they are not known.
     std::set<std::string> m_members;
+    JobGrants m_grants;
     // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
     Milliseconds m_entriesLostSince {};
     Milliseconds m_lostRunsUntil {};
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -45,6 +45,7 @@
 RunTable::RunTable(RunTableOptions options, Milliseconds now)
     : m_options(std::move(options))
     , m_startedAt(now)
+    , m_grants({ .entryLateAfter = m_options.entryLateAfter }, now)
 {
 }
 
@@ -85,6 +86,7 @@
             entry.unknownRuns.push_back(name);
     }
     applyStops(frame.entry, frame, entry.echo, now);
+    m_grants.opened(frame.entry, frame.grants, now, { .entries = frame.entries, .startedFor = frame.startedFor });
 }
 
 // The request was lost with an earlier stream, or went to an earlier incarnation of this sidecar. Runs started by that
@@ -111,6 +113,9 @@
     ++entry.framesSeen;
     if (frame.echo <= now)
         entry.echo = std::max(entry.echo, frame.echo);
+    m_grants.heard(name, now);
+    for (const auto& request : frame.grants)
+        m_grants.take(name, request, now);
     while (!entry.unseenEnds.empty() && entry.unseenEnds.front().number <= frame.endsSeen)
         entry.unseenEnds.pop_front();
     applyStops(name, frame, heardBefore, now);
@@ -343,6 +348,8 @@
         const bool fellSilent = isLate(entry, now) && !entry.isLate;
         entry.isLate = isLate(entry, now);
         const bool hasClosed = std::exchange(entry.isLossNews, false);
+        if (hasClosed && !entry.connected)
+            m_grants.closed(name, now);
         if (!hasClosed && !fellSilent)
             continue;
         m_lossNews = m_urgentNews = ++m_lastUnsettled;
@@ -853,9 +860,11 @@
     sendStops(actions, now);
     listRuns(actions, now);
     offerRoom(now);
+    m_grants.act(now);
     sendFrames(actions, now);
     actions.settledStarts = std::exchange(m_settledStarts, {});
     actions.diagnostics = m_diagnostics.take();
+    actions.freedGrants = m_grants.takeFreed();
     std::erase_if(m_entries, [this, now](const auto& item) {
         const Entry& entry = item.second;
         return !entry.connected && entry.runs == 0 && now > entry.echo + m_options.entryLease * 2;
@@ -1118,20 +1127,20 @@
     markStateChanged();
 }
 
-Milliseconds RunTable::heartbeatOf(const Entry& entry) const
+Milliseconds RunTable::heartbeatOf(const std::string& name, const Entry& entry) const
 {
-    return entry.runs > 0 ? m_options.heartbeatInterval : m_options.idleHeartbeatInterval;
+    return entry.runs > 0 || m_grants.holdsAny(name) ? m_options.heartbeatInterval : m_options.idleHeartbeatInterval;
 }
 
-bool RunTable::frameDue(const Entry& entry, Milliseconds now) const
+bool RunTable::frameDue(const std::string& name, const Entry& entry, Milliseconds now) const
 {
     if (!entry.connected)
         return false;
     const bool hasEnds = !entry.unseenEnds.empty() && entry.unseenEnds.back().number > entry.sentEnd;
     const bool wantsState = entry.stateChanged && now >= entry.sentAt + entry.stateGap;
-    const bool wantsHeartbeat = now >= entry.sentAt + heartbeatOf(entry);
+    const bool wantsHeartbeat = now >= entry.sentAt + heartbeatOf(name, entry);
     const bool hasUrgentNews = m_urgentNews > entry.sentUnsettled;
-    return !entry.handshakeSent || hasEnds || wantsState || wantsHeartbeat || entry.isOffered || hasUrgentNews;
+    return !entry.handshakeSent || hasEnds || wantsState || wantsHeartbeat || entry.isOffered || hasUrgentNews || m_grants.hasAnswers(name);
 }
 
 std::vector<UnsettledTask> RunTable::unsettledAfter(std::uint64_t number, bool isFirstFrame, Milliseconds now) const
@@ -1152,15 +1161,18 @@
     // The same for every entry. Computed once, since it iterates over all runs.
     std::optional<MinionState> current;
     for (auto& [name, entry] : m_entries) {
-        if (!frameDue(entry, now))
+        if (!frameDue(name, entry, now))
             continue;
         if (!current)
             current = state(now);
         SidecarFrame frame { .sidecar = {}, .clock = now, .framesSeen = entry.framesSeen, .state = current, .ends = {} };
         frame.state->isWhole = !entry.hasWholeState;
         entry.hasWholeState = true;
-        if (!entry.handshakeSent)
+        if (!entry.handshakeSent) {
             frame.sidecar = m_options.incarnation;
+            frame.isRegistrar = true;
+        }
+        frame.grants = m_grants.takeAnswers(name);
         for (const auto& each : entry.unseenEnds) {
             if (each.number > entry.sentEnd)
                 frame.ends.push_back(each);
@@ -1192,7 +1204,7 @@
         if (entry.connected && entry.stateChanged)
             at(entry.sentAt + entry.stateGap);
         if (entry.connected)
-            at(entry.sentAt + heartbeatOf(entry));
+            at(entry.sentAt + heartbeatOf(name, entry));
         if (entry.runs > 0)
             at(std::max((isLate(entry, now) ? entry.echo + m_options.entryLease : lateAt(entry)) + Milliseconds { 1 }, now + m_options.minListInterval));
     }
@@ -1214,6 +1226,8 @@
         m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.unknownRuns.empty(); });
     if (hasUnknown)
         at(std::max(m_startedAt + leaseWithDrift(m_options.longestMinionLease), now) + Milliseconds { 1 });
+    if (const auto grants = m_grants.nextDue(now))
+        at(*grants);
     return due;
 }
 
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/GrantTable.h"
 #include "policy/RunDiagnostics.h"
 #include "wire/DispatchMessages.h"
 
@@ -133,6 +134,7 @@
     // For the log.
     std::vector<SettledStart> settledStarts;
     RunDiagnostics diagnostics;
+    std::vector<FreedGrants> freedGrants;
 };
 
 struct RunTableOptions {
@@ -482,8 +484,8 @@
     void noteRunsWithoutEntry(bool isWhole, Milliseconds now);
     // The run for which leaseEnd() is earliest; the one named last if several are.
     std::optional<RunDiagnosticsCollector::Bound> leaseBound() const;
-    Milliseconds heartbeatOf(const Entry&) const;
-    bool frameDue(const Entry&, Milliseconds now) const;
+    Milliseconds heartbeatOf(const std::string& name, const Entry&) const;
+    bool frameDue(const std::string& name, const Entry&, Milliseconds now) const;
     MinionState state(Milliseconds now) const;
     TaskNeeds queuedNeeds() const;
     void markStateChanged();
@@ -492,6 +494,8 @@
 
     RunTableOptions m_options;
     Milliseconds m_startedAt;
+    // Of this sidecar as a registrar, for all entries, whichever minions run the jobs.
+    GrantTable m_grants;
     Phase m_phase { Phase::Absent };
     bool m_leaving { false };
     bool m_inService { true };
--- a/src/sidecar/RunServer.cpp
+++ b/src/sidecar/RunServer.cpp
@@ -331,6 +331,10 @@
             fmt::format("run {} of step {}, whose start was not answered: {}", item.run.run, item.run.step, startEvidenceName(item.evidence)));
     }
     report(actions.diagnostics);
+    for (const auto& item : actions.freedGrants) {
+        m_process.metrics.add("grants_freed_total", item.jobs);
+        log(LogLevel::Info, { .step = "sidecar.grant" }, describe(item));
+    }
     for (const auto& item : actions.frames) {
         const auto stream = std::find_if(m_streams.begin(), m_streams.end(),
             [&item](const auto& each) { return each.second.entry == item.entry; });
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -6,6 +6,7 @@
 #include <cereal/types/optional.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 #include <stdexcept>
 #include <streambuf>
@@ -17,6 +18,11 @@
     // Index of the ends without a job that carry times of a SidecarFrame.
     constexpr std::uint32_t unknownRunsIndex = 0;
     constexpr std::uint32_t lostEntryRunsIndex = 1;
+    constexpr std::uint32_t registrarIndex = 2;
+    // Step of the recalls that carry requests for grants. Sidecars of earlier versions ignore recalls of runs that they don't know.
+    constexpr std::uint32_t grantStep = std::numeric_limits<std::uint32_t>::max();
+    // Step of the recall that carries what an entry says of itself.
+    constexpr std::uint32_t entryStep = grantStep - 1;
 
     // Size of the frame being decoded.
     thread_local std::size_t frameBytes = 0;
@@ -95,6 +101,18 @@
         { StartEvidence::Started, "started" },
     } };
 
+    constexpr NameTable<GrantRequestKind, 3> grantRequestKindNames { {
+        { GrantRequestKind::Ask, "ask" },
+        { GrantRequestKind::Renew, "renew" },
+        { GrantRequestKind::Release, "release" },
+    } };
+
+    constexpr NameTable<GrantState, 3> grantStateNames { {
+        { GrantState::Granted, "granted" },
+        { GrantState::Held, "held" },
+        { GrantState::Unknown, "unknown" },
+    } };
+
     template <typename Enum, std::size_t size>
     bool containsValue(const NameTable<Enum, size>& names, Enum value)
     {
@@ -217,13 +235,27 @@
     return evidence == StartEvidence::NotRequested || evidence == StartEvidence::Declined;
 }
 
-std::string encodeFrame(const EntryFrame& frame) { return encode(frame); }
+std::string_view grantStateName(GrantState state) { return nameIn(grantStateNames, state); }
+
+// Requests for grants, and what an entry says of itself, are sent as recalls, which sidecars of earlier versions ignore.
+std::string encodeFrame(const EntryFrame& frame)
+{
+    if (frame.grants.empty() && frame.entries == 0)
+        return encode(frame);
+    EntryFrame encoded = frame;
+    if (frame.entries > 0)
+        encoded.recalls.push_back({ .step = entryStep, .run = frame.entries, .submission = static_cast<std::uint64_t>(frame.startedFor.count) });
+    for (const auto& grant : frame.grants)
+        encoded.recalls.push_back({ .job = grant.job, .step = grantStep, .index = static_cast<std::uint32_t>(grant.kind), .submission = grant.number });
+    return encode(encoded);
+}
 
-// Unsettled tasks are sent as ends with number 0, which entries of earlier versions ignore. Those without a job carry the other times.
+// Unsettled tasks are sent as ends with number 0, which entries of earlier versions ignore. Those without a job carry the other times. An
+// end with number 0 and kind Done is the answer to a request for a grant.
 std::string encodeFrame(const SidecarFrame& frame)
 {
     const bool hasTimes = frame.unknownRunsFor.count > 0 || frame.lostEntryRunsFor.count > 0;
-    if (frame.unsettledTasks.empty() && !hasTimes)
+    if (frame.unsettledTasks.empty() && frame.grants.empty() && !hasTimes && !frame.isRegistrar)
         return encode(frame);
     SidecarFrame encoded = frame;
     const auto add = [&encoded](const std::string& job, std::uint32_t step, std::uint32_t index, Milliseconds remaining) {
@@ -235,17 +267,42 @@
         add({}, 0, unknownRunsIndex, frame.unknownRunsFor);
     if (frame.lostEntryRunsFor.count > 0)
         add({}, 0, lostEntryRunsIndex, frame.lostEntryRunsFor);
+    if (frame.isRegistrar)
+        add({}, 0, registrarIndex, {});
+    for (const auto& grant : frame.grants)
+        encoded.ends.push_back({ .run = { .job = grant.job, .index = static_cast<std::uint32_t>(grant.state), .submission = grant.number }, .kind = RunEndKind::Done });
     return encode(encoded);
 }
 
-Result<EntryFrame> decodeEntryFrame(std::string_view bytes) { return decode<EntryFrame>(bytes); }
+Result<EntryFrame> decodeEntryFrame(std::string_view bytes)
+{
+    auto frame = decode<EntryFrame>(bytes);
+    if (!frame.has_value())
+        return frame;
+    auto& recalls = frame.assume_value().recalls;
+    for (auto& recall : recalls) {
+        if (recall.step == entryStep) {
+            frame.assume_value().entries = recall.run;
+            frame.assume_value().startedFor = Milliseconds { static_cast<std::int64_t>(recall.submission) };
+        }
+        if (recall.step != grantStep)
+            continue;
+        const auto kind = static_cast<GrantRequestKind>(recall.index);
+        if (!containsValue(grantRequestKindNames, kind))
+            return invalidFrameError();
+        frame.assume_value().grants.push_back({ .job = std::move(recall.job), .number = recall.submission, .kind = kind });
+    }
+    std::erase_if(recalls, [](const RunName& recall) { return recall.step >= entryStep; });
+    return frame;
+}
 
 Result<SidecarFrame> decodeSidecarFrame(std::string_view bytes)
 {
     auto frame = decode<SidecarFrame>(bytes);
     if (!frame.has_value())
         return frame;
-    auto& ends = frame.assume_value().ends;
+    SidecarFrame& decoded = frame.assume_value();
+    auto& ends = decoded.ends;
     const bool areKnown = std::all_of(ends.begin(), ends.end(),
         [](const RunEnd& end) { return containsValue(runEndKindNames, end.kind) && containsValue(startEvidenceNames, end.evidence); });
     if (!areKnown)
@@ -253,12 +310,20 @@
     for (auto& end : ends) {
         if (end.number != 0)
             continue;
-        if (!end.run.job.empty())
-            frame.assume_value().unsettledTasks.push_back({ .job = std::move(end.run.job), .step = end.run.step, .index = end.run.index, .remaining = end.ranFor });
-        else if (end.run.index == unknownRunsIndex)
-            frame.assume_value().unknownRunsFor = end.ranFor;
-        else if (end.run.index == lostEntryRunsIndex)
-            frame.assume_value().lostEntryRunsFor = end.ranFor;
+        if (end.kind == RunEndKind::Done) {
+            const auto state = static_cast<GrantState>(end.run.index);
+            if (!containsValue(grantStateNames, state))
+                return invalidFrameError();
+            decoded.grants.push_back({ .job = std::move(end.run.job), .number = end.run.submission, .state = state });
+        } else if (!end.run.job.empty()) {
+            decoded.unsettledTasks.push_back({ .job = std::move(end.run.job), .step = end.run.step, .index = end.run.index, .remaining = end.ranFor });
+        } else if (end.run.index == unknownRunsIndex) {
+            decoded.unknownRunsFor = end.ranFor;
+        } else if (end.run.index == lostEntryRunsIndex) {
+            decoded.lostEntryRunsFor = end.ranFor;
+        } else if (end.run.index == registrarIndex) {
+            decoded.isRegistrar = true;
+        }
     }
     std::erase_if(ends, [](const RunEnd& end) { return end.number == 0; });
     return frame;
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -47,6 +47,40 @@
     bool mayWait { true };
 };
 
+// What an entry asks of a registrar, a sidecar that grants jobs; see GrantTable.
+enum class GrantRequestKind {
+    Ask,
+    // The entry holds the job by an earlier answer. Sent with the first frame of a stream.
+    Renew,
+    // No task of the job runs, and none will be started.
+    Release,
+};
+
+struct GrantRequest {
+    std::string job;
+    // Rises with each request of an entry. An answer to an earlier one counts no more.
+    std::uint64_t number { 0 };
+    GrantRequestKind kind { GrantRequestKind::Ask };
+};
+
+enum class GrantState {
+    // The entry alone may place tasks of the job.
+    Granted,
+    // Another entry holds the job. The answer changes once that one has released it or is lost.
+    Held,
+    // The registrar has just started, and another entry may hold the job. The answer changes.
+    Unknown,
+};
+
+std::string_view grantStateName(GrantState);
+
+struct GrantAnswer {
+    std::string job;
+    // That of the request.
+    std::uint64_t number { 0 };
+    GrantState state { GrantState::Held };
+};
+
 // Entry to sidecar.
 struct EntryFrame {
     // Incarnation of the entry and the runs it believes to be at this sidecar. Set in the first frame of a stream.
@@ -62,6 +96,10 @@
     std::vector<RunName> stops;
     // Runs to be cancelled only if they have not started yet.
     std::vector<RunName> recalls;
+    std::vector<GrantRequest> grants;
+    // Entries of the deployment as this one knows them, none when it doesn't, and how long ago it started. Set in the first frame of a stream.
+    std::uint64_t entries { 0 };
+    Milliseconds startedFor {};
     // CPU that the entry's waiting tasks need, in thousandths of a core; 0 when none wait. The sidecar sends the minion's
     // state once, as soon as this much is free.
     std::int64_t wantedCpuMillis { 0 };
@@ -161,6 +199,9 @@
     Milliseconds unknownRunsFor {};
     // For how long runs of a lost entry may go on, wherever they are; zero when no loss is news on this stream.
     Milliseconds lostEntryRunsFor {};
+    // The sidecar grants jobs. Set in the first frame of a stream; sidecars of earlier versions don't.
+    bool isRegistrar { false };
+    std::vector<GrantAnswer> grants;
 };
 
 } // namespace oleanderport
--- a/test/policy/LostEntriesTest.cpp
+++ b/test/policy/LostEntriesTest.cpp
@@ -395,12 +395,12 @@
 {
     for (const bool isMember : { true, false }) {
         Entry entry { longAgo };
-        entry.jobs().setMembers({ "sidecar-1", "sidecar-2" });
+        entry.jobs().setMembers({ { "sidecar-1", "dc" }, { "sidecar-2", "dc" } }, entry.now);
         entry.hear("sidecar-2");
         entry.jobs().disconnected("sidecar-2");
         entry.placedWithin(maxLostEntryRunTime * 2);
         if (!isMember)
-            entry.jobs().setMembers({ "sidecar-1" });
+            entry.jobs().setMembers({ { "sidecar-1", "dc" } }, entry.now);
         entry.hear("sidecar-1", { .lostEntryRunsFor = maxLostEntryRunTime });
         entry.submit();
         cr_assert(entry.placed().empty() == isMember);
@@ -411,7 +411,7 @@
 {
     Entry entry { beginning };
     entry.hear("sidecar-2");
-    entry.jobs().setMembers({ "sidecar-1", "sidecar-2", "sidecar-3" });
+    entry.jobs().setMembers({ { "sidecar-1", "dc" }, { "sidecar-2", "dc" }, { "sidecar-3", "dc" } }, entry.now);
     entry.submit();
     cr_assert(entry.placedWithin({ 500 }).empty());
 }
--- a/test/policy/TwoRunsModelTest.cpp
+++ b/test/policy/TwoRunsModelTest.cpp
@@ -724,10 +724,10 @@
             .reservePercent = 0,
             .startedAt = m_now,
             .seed = m_draw.number() });
-        std::set<std::string> members;
+        std::map<std::string, std::string> members;
         for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar)
-            members.insert(sidecarName(sidecar));
-        entry.dispatcher->setMembers(members);
+            members[sidecarName(sidecar)] = "dc";
+        entry.dispatcher->setMembers(members, m_now);
         entry.dirty = true;
         for (std::size_t sidecar = 0; sidecar < minionCount; ++sidecar)
             connect(number, sidecar);
--- a/test/wire/DispatchCodecTest.cpp
+++ b/test/wire/DispatchCodecTest.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <limits>
 #include <random>
 
 #include <sys/resource.h>
@@ -158,3 +160,77 @@
     cr_assert(read.assume_value().unknownRunsFor == Milliseconds { 700 } && read.assume_value().lostEntryRunsFor == Milliseconds { 1'250 });
     cr_assert(read.assume_value().unsettledTasks.empty() && read.assume_value().ends.size() == 1);
 }
+
+Test(DispatchCodec, carriesRequestsForGrants)
+{
+    EntryFrame frame = entryFrame();
+    frame.grants = { { .job = "e", .number = 1, .kind = GrantRequestKind::Ask }, { .job = "f", .number = std::uint64_t { 1 } << 40, .kind = GrantRequestKind::Renew },
+        { .job = "g", .number = 3, .kind = GrantRequestKind::Release } };
+    const auto read = decodeEntryFrame(encodeFrame(frame));
+    cr_assert(read.has_value());
+    const auto& grants = read.assume_value().grants;
+    cr_assert(grants.size() == frame.grants.size());
+    for (std::size_t i = 0; i < grants.size(); ++i)
+        cr_assert(grants[i].job == frame.grants[i].job && grants[i].number == frame.grants[i].number && grants[i].kind == frame.grants[i].kind);
+    cr_assert(read.assume_value().recalls == entryFrame().recalls);
+}
+
+Test(DispatchCodec, carriesAnswersToRequestsForGrants)
+{
+    SidecarFrame frame = sidecarFrame();
+    frame.isRegistrar = true;
+    frame.lostEntryRunsFor = { 1'250 };
+    frame.unsettledTasks = { { .job = "b", .step = 1, .index = 2, .remaining = { 12'000 } } };
+    frame.grants = { { .job = "e", .number = 1, .state = GrantState::Granted }, { .job = "f", .number = std::uint64_t { 1 } << 40, .state = GrantState::Held },
+        { .job = "g", .number = 3, .state = GrantState::Unknown } };
+    const auto read = decodeSidecarFrame(encodeFrame(frame));
+    cr_assert(read.has_value());
+    const SidecarFrame& decoded = read.assume_value();
+    cr_assert(decoded.isRegistrar && decoded.lostEntryRunsFor == Milliseconds { 1'250 } && decoded.unknownRunsFor.count == 0);
+    cr_assert(decoded.unsettledTasks.size() == 1 && decoded.ends.size() == 1 && decoded.grants.size() == frame.grants.size());
+    for (std::size_t i = 0; i < decoded.grants.size(); ++i)
+        cr_assert(decoded.grants[i].job == frame.grants[i].job && decoded.grants[i].number == frame.grants[i].number && decoded.grants[i].state == frame.grants[i].state);
+}
+
+Test(DispatchCodec, framesOfEarlierVersionsCarryNoGrants)
+{
+    const auto read = decodeSidecarFrame(encodeFrame(sidecarFrame()));
+    cr_assert(read.has_value() && !read.assume_value().isRegistrar && read.assume_value().grants.empty());
+    const auto entry = decodeEntryFrame(encodeFrame(entryFrame()));
+    cr_assert(entry.has_value() && entry.assume_value().grants.empty());
+}
+
+Test(DispatchCodec, sidecarsOfEarlierVersionsIgnoreRequestsForGrants)
+{
+    EntryFrame frame = entryFrame();
+    frame.grants = { { .job = "e", .number = 4, .kind = GrantRequestKind::Release } };
+    // Those versions read the request as the recall of a run that no entry has: steps have no such number.
+    EntryFrame former = entryFrame();
+    former.recalls.push_back({ .job = "e", .step = std::numeric_limits<std::uint32_t>::max(), .index = 2, .submission = 4 });
+    cr_assert(encodeFrame(former) == encodeFrame(frame));
+}
+
+Test(DispatchCodec, entriesOfEarlierVersionsIgnoreAnswersToRequestsForGrants)
+{
+    SidecarFrame frame = sidecarFrame();
+    frame.isRegistrar = true;
+    frame.grants = { { .job = "e", .number = 4, .state = GrantState::Held } };
+    // Those versions read the frame as one with other ends, and ignore an end whose number they have seen.
+    SidecarFrame former = sidecarFrame();
+    former.ends.push_back({ .number = 0, .run = { .index = 2 }, .evidence = StartEvidence::Unanswered });
+    former.ends.push_back({ .number = 0, .run = { .job = "e", .index = 1, .submission = 4 }, .kind = RunEndKind::Done });
+    const auto read = decodeSidecarFrame(encodeFrame(frame));
+    cr_assert(read.has_value());
+    cr_assert(std::all_of(read.assume_value().ends.begin(), read.assume_value().ends.end(), [](const RunEnd& end) { return end.number > 0; }));
+    cr_assert(encodeFrame(former) == encodeFrame(frame));
+}
+
+Test(DispatchCodec, rejectsRequestsForGrantsAndAnswersOfUnknownKinds)
+{
+    EntryFrame entry = entryFrame();
+    entry.grants = { { .job = "e", .number = 4, .kind = static_cast<GrantRequestKind>(3) } };
+    cr_assert(!decodeEntryFrame(encodeFrame(entry)).has_value());
+    SidecarFrame sidecar = sidecarFrame();
+    sidecar.grants = { { .job = "e", .number = 4, .state = static_cast<GrantState>(3) } };
+    cr_assert(!decodeSidecarFrame(encodeFrame(sidecar)).has_value());
+}
