Lost sidecars: an entry names the runs that it gave up, once the sidecar is back

Nobody knew of the order any more once entry-2 had counted the run as ended: sidecar-1 had started again, entry-1 placed the job there, the minion's next incarnation carried the order out late, and entry-1 placed the job elsewhere when the sidecar had concluded its own run.

Now the entry keeps the names of runs at a lost sidecar for as long as their orders may be carried out (maxStartDelay), and names them in the first frame of the next stream, as runs to be stopped. A sidecar that has started again then treats them as starts without an answer: every entry is told that the task may run at its minion, and the minion is asked for its list, by which a new incarnation of it gets the raised token. Nothing changes while the sidecar is away: the task is placed elsewhere after lostAfter, as before.

KilledSidecars::aTaskOrderedBeforeGoesNowhereElseOnceTheSidecarHasStartedAgain fails without the change (ordered at 2 minions).

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -272,6 +272,11 @@
         if (place.job == 0)
             link.next.stops.push_back(name);
     }
+    std::erase_if(link.lost, [now](const auto& item) { return item.second <= now; });
+    for (const auto& [name, until] : link.lost) {
+        link.next.outstanding.push_back(name);
+        link.next.stops.push_back(name);
+    }
     link.next.grants = m_grants.connected(sidecar, now);
     link.next.entries = m_options.entries;
     link.next.startedFor = now - m_options.startedAt;
@@ -305,6 +310,7 @@
             link.endsAcknowledged = 0;
         }
         link.handshakeDone = true;
+        link.lost.clear();
         if (frame.unknownRunsFor.count > 0)
             link.cameUnknownAt = now;
         m_acceptingCpuMillis.clear();
@@ -561,8 +567,10 @@
 
 void JobDispatcher::endLostRuns(const std::string& sidecar, Link& link, Milliseconds now)
 {
+    std::erase_if(link.lost, [now](const auto& item) { return item.second <= now; });
     const auto lost = std::exchange(link.outstanding, {});
     for (const auto& [name, place] : lost) {
+        link.lost[name] = now + maxStartDelay;
         if (place.job == 0 || m_jobs.contains(place.job))
             runEnded(sidecar, place, { .run = name }, now);
     }
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -299,6 +299,9 @@
         std::optional<SentFrame> unseen;
         // Job id 0 marks a run of a job that has ended here.
         std::map<RunName, TaskPlace> outstanding;
+        // Runs that were given up since the sidecar was lost, and until when its minion may carry out their orders. The sidecar is asked to
+        // stop them once it is back: one that has started again knows of no order that its minion has not answered.
+        std::map<RunName, Milliseconds> lost;
         EntryFrame next;
         bool hasNext { false };
         // The minion may run tasks of which the sidecar does not know, by its last frame.
