Entries that start with their sidecars count from when they know them

Control was back 0.5 s after the entries, so that they found their sidecars later than 500 ms after their own start and waited for registrars.

Now the time counts from when an entry knows the members.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -247,6 +247,8 @@
 
 void JobDispatcher::setMembers(const std::map<std::string, std::string>& dataCentres, Milliseconds now)
 {
+    if (!dataCentres.empty())
+        m_membersKnownAt = m_membersKnownAt.value_or(now);
     m_members.clear();
     for (const auto& [sidecar, dataCentre] : dataCentres)
         m_members.insert(sidecar);
@@ -353,10 +355,11 @@
 
 bool JobDispatcher::hasStartedWithSidecars(Milliseconds now) const
 {
+    if (!m_membersKnownAt || now >= *m_membersKnownAt + maxLostEntryRunTime)
+        return false;
     const auto together = std::count_if(m_links.begin(), m_links.end(),
-        [this](const auto& item) { return item.second.cameUnknownAt && *item.second.cameUnknownAt <= m_options.startedAt + m_options.commonStartTime; });
-    return now < m_options.startedAt + maxLostEntryRunTime && together > 0
-        && together * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
+        [this](const auto& item) { return item.second.cameUnknownAt && *item.second.cameUnknownAt <= *m_membersKnownAt + m_options.commonStartTime; });
+    return together > 0 && together * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
 }
 
 std::vector<std::string> JobDispatcher::unheardSidecars(Milliseconds now) const
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -158,7 +158,7 @@
     // A job that has begun and whose grants are missing for this long is given up: another entry may get them once this one has not been
     // heard for longer.
     Milliseconds maxTimeWithoutGrants { 200 };
-    // An entry that finds most sidecars just started within this time of its own start has started together with them.
+    // An entry that has just started has done so together with most sidecars if it finds them just started within this time of knowing them.
     Milliseconds commonStartTime { 500 };
     // When the entry started. No sidecar is considered absent until it has had time to connect.
     Milliseconds startedAt {};
@@ -425,6 +425,7 @@
     bool m_isBlind { true };
     // The sidecars of the deployment; empty while they are not known.
     std::set<std::string> m_members;
+    std::optional<Milliseconds> m_membersKnownAt;
     JobGrants m_grants;
     // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
     Milliseconds m_entriesLostSince {};
