--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -357,8 +357,10 @@
 {
     if (!m_membersKnownAt || now >= *m_membersKnownAt + maxLostEntryRunTime)
         return false;
-    const auto together = std::count_if(m_links.begin(), m_links.end(),
-        [this](const auto& item) { return item.second.cameUnknownAt && *item.second.cameUnknownAt <= *m_membersKnownAt + m_options.commonStartTime; });
+    const auto together = std::count_if(m_links.begin(), m_links.end(), [this](const auto& item) {
+        const bool cameUnknown = item.second.cameUnknownAt && *item.second.cameUnknownAt <= *m_membersKnownAt + m_options.commonStartTime;
+        return cameUnknown || m_grants.isProvisionalAt(item.first);
+    });
     return together > 0 && together * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
 }
 
