--- a/src/policy/GrantTable.h
+++ b/src/policy/GrantTable.h
@@ -15,7 +15,8 @@
 struct GrantTableOptions {
     // A connected entry that was not heard for this long may be lost. Exceeds the longest time between its echoes.
     Milliseconds entryLateAfter { 400 };
-    // A lost entry holds its jobs for this long, and a table that has just started grants nothing: runs may go on without it.
+    // A lost entry holds its jobs for this long, and a table that has just started grants jobs provisionally for as long at most: runs of a
+    // lost entry may go on.
     Milliseconds holdAfterLoss { maxLostEntryRunTime };
 };
 
@@ -88,7 +89,7 @@
         Milliseconds startedAt {};
     };
 
-    // When this table can grant what it doesn't know to be held.
+    // When its grants are no longer provisional.
     Milliseconds opensAt() const;
     // Until when the entry holds its jobs unless it is heard again.
     Milliseconds holdsUntil(const Entry&) const;
@@ -104,7 +105,7 @@
 
     GrantTableOptions m_options;
     Milliseconds m_startedAt;
-    // Set once what isn't known to be held is granted.
+    // Its grants are no longer provisional.
     bool m_isOpen { false };
     std::size_t m_waiters { 0 };
     std::map<std::string, Grant> m_grants;
