--- a/src/policy/GrantTable.h
+++ b/src/policy/GrantTable.h
@@ -56,7 +56,7 @@
 
     // Grants the jobs that have become free to those who wait for them.
     void act(Milliseconds now);
-    // When act() may grant a job that is waited for; empty when none is.
+    // When act() may change an answer; empty while it may not.
     std::optional<Milliseconds> nextDue(Milliseconds now) const;
 
     bool holdsAny(const std::string& entry) const;
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -327,8 +327,11 @@
     std::erase_if(link.sent, [&frame](const SentNeeds& each) { return each.frame <= frame.framesSeen; });
     if (link.unseen && link.unseen->number <= frame.framesSeen)
         m_grants.seen(sidecar, std::exchange(link.unseen, std::nullopt)->at, now);
-    for (const auto& answer : frame.grants)
+    for (const auto& answer : frame.grants) {
         m_grants.answered(sidecar, answer);
+        if (answer.state == GrantState::Unknown)
+            link.provisionalAt = link.provisionalAt.value_or(now);
+    }
     link.hasUnknownRuns = frame.unknownRunsFor.count > 0;
     link.isSilent = false;
     if (frame.lostEntryRunsFor.count > 0)
@@ -357,10 +360,9 @@
 {
     if (!m_membersKnownAt || now >= *m_membersKnownAt + maxLostEntryRunTime)
         return false;
-    const auto together = std::count_if(m_links.begin(), m_links.end(), [this](const auto& item) {
-        const bool cameUnknown = item.second.cameUnknownAt && *item.second.cameUnknownAt <= *m_membersKnownAt + m_options.commonStartTime;
-        return cameUnknown || m_grants.isProvisionalAt(item.first);
-    });
+    const auto isInTime = [end = *m_membersKnownAt + m_options.commonStartTime](std::optional<Milliseconds> at) { return at && *at <= end; };
+    const auto together = std::count_if(m_links.begin(), m_links.end(),
+        [&isInTime](const auto& item) { return isInTime(item.second.cameUnknownAt) || isInTime(item.second.provisionalAt); });
     return together > 0 && together * percent >= static_cast<std::int64_t>(m_links.size()) * restartedPercent;
 }
 
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -158,7 +158,7 @@
     // A job that has begun and whose grants are missing for this long is given up: another entry may get them once this one has not been
     // heard for longer.
     Milliseconds maxTimeWithoutGrants { 200 };
-    // An entry that has just started has done so together with most sidecars if it finds them just started within this time of knowing them.
+    // An entry that learns within this time of knowing the sidecars that most of them have just started has started together with them.
     Milliseconds commonStartTime { 500 };
     // When the entry started. No sidecar is considered absent until it has had time to connect.
     Milliseconds startedAt {};
@@ -308,6 +308,8 @@
         bool hasUnknownRuns { false };
         // When its stream was opened, if it had unknown runs then.
         std::optional<Milliseconds> cameUnknownAt;
+        // When it first answered that a grant is provisional.
+        std::optional<Milliseconds> provisionalAt;
         // Nothing has arrived for `unheardAfter`.
         bool isSilent { false };
         // Free CPU, in thousandths of a core, at which the sidecar was asked for a state update; 0 when not asked.
@@ -348,7 +350,7 @@
     // Whether most sidecars have just started again. An entry that has started with them doesn't wait for the minions' reports, which take longer
     // than the former leases.
     bool haveMostStartedAgain(Milliseconds now) const;
-    // Whether this entry has just started and found most sidecars just started as well.
+    // Whether this entry has just started, and most sidecars with it: a sidecar that doesn't know its minion, or that grants jobs provisionally, has.
     bool hasStartedWithSidecars(Milliseconds now) const;
     // Holds jobs while a sidecar is unheard and runs of a lost entry may be at its minion. Only beside sidecars of earlier versions.
     void updateHold(Milliseconds now, bool allFramesRead);
--- a/src/policy/JobGrants.cpp
+++ b/src/policy/JobGrants.cpp
@@ -141,7 +141,6 @@
         return;
     Job& state = job->second;
     state.checkAt = Milliseconds {};
-    m_sidecars[sidecar].isProvisional = answer.state == GrantState::Unknown;
     switch (answer.state) {
     case GrantState::Granted:
         vote->second.state = VoteState::Granted;
@@ -484,12 +483,6 @@
     return std::exchange(m_reports, {});
 }
 
-bool JobGrants::isProvisionalAt(const std::string& sidecar) const
-{
-    const auto found = m_sidecars.find(sidecar);
-    return found != m_sidecars.end() && found->second.isProvisional;
-}
-
 bool JobGrants::holdsAnyAt(const std::string& sidecar) const
 {
     const auto found = m_sidecars.find(sidecar);
--- a/src/policy/JobGrants.h
+++ b/src/policy/JobGrants.h
@@ -106,8 +106,6 @@
     // Returns what is to be logged since the last call.
     std::vector<GrantReport> takeReports(Milliseconds now);
 
-    // Whether the sidecar has just started, by its last answer.
-    bool isProvisionalAt(const std::string& sidecar) const;
     bool holdsAnyAt(const std::string& sidecar) const;
     bool hasRequests(const std::string& sidecar, bool isUrgent) const;
     std::vector<GrantRequest> takeRequests(const std::string& sidecar);
@@ -153,8 +151,6 @@
         bool isConnected { false };
         bool isReady { false };
         bool isRegistrar { false };
-        // As it answered last.
-        bool isProvisional { false };
         Milliseconds seenAt {};
         // Rises when its grants have lapsed: it may have given them to others.
         std::uint64_t period { 0 };
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -235,8 +235,6 @@
     return evidence == StartEvidence::NotRequested || evidence == StartEvidence::Declined;
 }
 
-std::string_view grantStateName(GrantState state) { return nameIn(grantStateNames, state); }
-
 // Requests for grants, and what an entry says of itself, are sent as recalls, which sidecars of earlier versions ignore.
 std::string encodeFrame(const EntryFrame& frame)
 {
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -72,8 +72,6 @@
     Unknown,
 };
 
-std::string_view grantStateName(GrantState);
-
 struct GrantAnswer {
     std::string job;
     // That of the request.
@@ -96,6 +94,7 @@
     std::vector<RunName> stops;
     // Runs to be cancelled only if they have not started yet.
     std::vector<RunName> recalls;
+    // In the first frame of a stream all jobs that the entry holds or asks for at this sidecar.
     std::vector<GrantRequest> grants;
     // Entries of the deployment as this one knows them, none when it doesn't, and how long ago it started. Set in the first frame of a stream.
     std::uint64_t entries { 0 };
