--- a/src/policy/GrantTable.cpp
+++ b/src/policy/GrantTable.cpp
@@ -109,14 +109,12 @@
     entry.startedAt = now - introduction.startedFor;
     entry.heardAt = now;
     m_answers.erase(name);
-    std::set<std::string> renewed;
-    for (const auto& request : requests) {
-        if (request.kind == GrantRequestKind::Renew)
-            renewed.insert(request.job);
-    }
+    std::set<std::string_view> named;
+    for (const auto& request : requests)
+        named.insert(request.job);
     for (auto& [job, grant] : m_grants) {
         eraseWaiter(grant, name);
-        if (grant.holder == name && !renewed.contains(job))
+        if (grant.holder == name && !named.contains(job))
             release(job, grant);
     }
     std::erase_if(m_grants, [](const auto& item) { return item.second.holder.empty() && item.second.waiters.empty(); });
--- a/src/policy/GrantTable.h
+++ b/src/policy/GrantTable.h
@@ -47,7 +47,7 @@
 public:
     GrantTable(GrantTableOptions, Milliseconds now);
 
-    // A new stream of the entry, whose first frame names all jobs that it holds. Those that it doesn't name are released.
+    // A new stream of the entry, whose first frame names all jobs that it holds or asks for. Those that it doesn't name are released.
     void opened(const std::string& entry, const std::vector<GrantRequest>&, Milliseconds now, const EntryIntroduction& = {});
     void closed(const std::string& entry, Milliseconds now);
     // A frame of the entry has arrived.
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -241,6 +241,11 @@
 
 void JobDispatcher::setDeploymentSize(std::size_t entries, std::size_t sidecars)
 {
+    if (entries < m_knownEntries) {
+        m_formerEntries = m_lastCallAt < m_formerEntriesUntil ? std::max(m_formerEntries, m_knownEntries) : m_knownEntries;
+        m_formerEntriesUntil = m_lastCallAt + m_options.formerEntriesFor;
+    }
+    m_knownEntries = entries;
     m_options.entries = std::max<std::size_t>(entries, 1);
     m_options.sidecars = std::max<std::size_t>(sidecars, 1);
 }
@@ -274,13 +279,14 @@
         if (place.job == 0)
             link.next.stops.push_back(name);
     }
-    std::erase_if(link.lost, [now](const auto& item) { return item.second <= now; });
-    for (const auto& [name, until] : link.lost) {
+    std::erase_if(link.givenUp, [now](const auto& item) { return item.second.until <= now; });
+    for (auto& [name, run] : link.givenUp) {
         link.next.outstanding.push_back(name);
         link.next.stops.push_back(name);
+        run.isNamed = true;
     }
     link.next.grants = m_grants.connected(sidecar, now);
-    link.next.entries = m_options.entries;
+    link.next.entries = now < m_formerEntriesUntil ? std::max(m_knownEntries, m_formerEntries) : m_knownEntries;
     link.next.startedFor = now - m_options.startedAt;
     link.hasNext = true;
 }
@@ -312,7 +318,7 @@
             link.endsAcknowledged = 0;
         }
         link.handshakeDone = true;
-        link.lost.clear();
+        std::erase_if(link.givenUp, [](const auto& item) { return item.second.isNamed; });
         if (frame.unknownRunsFor.count > 0)
             link.cameUnknownAt = now;
         m_acceptingCpuMillis.clear();
@@ -394,7 +400,7 @@
     if (m_isBlind)
         m_blindAt = now;
     std::vector<std::string> unheard;
-    // A job that no other entry holds has no runs of a lost one.
+    // Grants take the place of the hold.
     if (now < lostRunsEndBy() && !m_grants.isUsedByAll())
         unheard = unheardSidecars(now);
     m_holdUntil = unheard.empty() ? Milliseconds {} : lostRunsEndBy();
@@ -574,10 +580,10 @@
 
 void JobDispatcher::endLostRuns(const std::string& sidecar, Link& link, Milliseconds now)
 {
-    std::erase_if(link.lost, [now](const auto& item) { return item.second <= now; });
+    std::erase_if(link.givenUp, [now](const auto& item) { return item.second.until <= now; });
     const auto lost = std::exchange(link.outstanding, {});
     for (const auto& [name, place] : lost) {
-        link.lost[name] = now + maxStartDelay;
+        link.givenUp[name] = { .until = now + maxStartDelay };
         if (place.job == 0 || m_jobs.contains(place.job))
             runEnded(sidecar, place, { .run = name }, now);
     }
@@ -652,7 +658,8 @@
 
 std::string JobDispatcher::describeGrants(const Job& job, Milliseconds now) const
 {
-    if (!job.grants->isContested || job.grants->isHeld)
+    const bool areAnswersDue = now < job.arrived + m_options.lossNewsDelay;
+    if (job.grants->isHeld || m_isBlind || (areAnswersDue && !job.grants->isContested && !job.grants->isUnknown))
         return {};
     return "; the job may be held by another entry: " + m_grants.describeMissing(job.spec.name, now);
 }
@@ -911,8 +918,10 @@
     std::vector<std::uint64_t> withoutGrants;
     for (auto& [id, job] : m_jobs) {
         const bool tooLate = !job.mayHaveRun && now + job.longestRun > cutoff(job);
+        if (job.grants->lostSince && job.atSidecars == 0 && !m_runsOfEndedJobs.contains(job.spec.name))
+            m_grants.startOver(job.spec.name);
         const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt;
-        if (withoutGrantsSince && now >= *withoutGrantsSince + m_options.maxTimeWithoutGrants)
+        if (withoutGrantsSince && (job.grants->isTaken || now >= *withoutGrantsSince + m_options.maxTimeWithoutGrants))
             withoutGrants.push_back(id);
         else if (job.spec.deadline <= now || (tooLate && job.atSidecars == 0))
             over.push_back(id);
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -160,6 +160,8 @@
     Milliseconds maxTimeWithoutGrants { 200 };
     // An entry that learns within this time of knowing the sidecars that most of them have just started has started together with them.
     Milliseconds commonStartTime { 500 };
+    // How long registrars that have just started are told of entries that have left the deployment: their runs may not be over.
+    Milliseconds formerEntriesFor { 5'000 };
     // When the entry started. No sidecar is considered absent until it has had time to connect.
     Milliseconds startedAt {};
     std::uint64_t seed { 0 };
@@ -266,6 +268,12 @@
         std::uint64_t frame { 0 };
         TaskNeeds needs;
     };
+    struct GivenUpRun {
+        // The minion may carry out its order until then.
+        Milliseconds until {};
+        // In the first frame of the present stream.
+        bool isNamed { false };
+    };
     // When a frame was sent.
     struct SentFrame {
         std::uint64_t number { 0 };
@@ -299,9 +307,9 @@
         std::optional<SentFrame> unseen;
         // Job id 0 marks a run of a job that has ended here.
         std::map<RunName, TaskPlace> outstanding;
-        // Runs that were given up since the sidecar was lost, and until when its minion may carry out their orders. The sidecar is asked to
-        // stop them once it is back: one that has started again knows of no order that its minion has not answered.
-        std::map<RunName, Milliseconds> lost;
+        // Runs that were given up since the sidecar was lost. It is asked to stop them once it is back: one that has started again knows of
+        // no order that its minion has not answered.
+        std::map<RunName, GivenUpRun> givenUp;
         EntryFrame next;
         bool hasNext { false };
         // The minion may run tasks of which the sidecar does not know, by its last frame.
@@ -428,6 +436,10 @@
     // The sidecars of the deployment; empty while they are not known.
     std::set<std::string> m_members;
     std::optional<Milliseconds> m_membersKnownAt;
+    // Entries of the deployment, 0 while not known; the most of former views, and until when they count.
+    std::size_t m_knownEntries { 0 };
+    std::size_t m_formerEntries { 0 };
+    Milliseconds m_formerEntriesUntil {};
     JobGrants m_grants;
     // Losses of entries, each less than maxLostEntryRunTime after the one before: the first one, and until when runs may go on after the last.
     Milliseconds m_entriesLostSince {};
--- a/src/policy/JobGrants.cpp
+++ b/src/policy/JobGrants.cpp
@@ -91,11 +91,12 @@
         const auto vote = state.votes.find(name);
         if (vote == state.votes.end())
             continue;
-        const bool isGranted = this->isGranted(state, name, now);
-        if (!isGranted && vote->second.state == VoteState::Granted)
+        // The registrar has not let the job go before the runs of a lost entry are over, also where the grant counts no more.
+        const bool isKept = vote->second.state == VoteState::Granted && vote->second.period == sidecar.period && now <= sidecar.seenAt + maxLostEntryRunTime;
+        if (!isGranted(state, name, now))
             vote->second.state = VoteState::Asked;
         vote->second.number = ++m_lastNumber;
-        requests.push_back({ .job = job, .number = m_lastNumber, .kind = isGranted ? GrantRequestKind::Renew : GrantRequestKind::Ask });
+        requests.push_back({ .job = job, .number = m_lastNumber, .kind = isKept ? GrantRequestKind::Renew : GrantRequestKind::Ask });
     }
     return requests;
 }
@@ -116,7 +117,7 @@
 
 void JobGrants::handshakeDone(const std::string& name, bool isRegistrar)
 {
-    m_sidecars[name].isReady = true;
+    m_sidecars[name].isReady = m_sidecars[name].wasReady = true;
     m_sidecars[name].isRegistrar = isRegistrar;
     checkJobsOf(name);
 }
@@ -147,6 +148,7 @@
         vote->second.period = m_sidecars[sidecar].period;
         return;
     case GrantState::Held:
+        state.status.isTaken = state.status.isTaken || (state.wasHeld && vote->second.state != VoteState::Held);
         vote->second.state = VoteState::Held;
         state.status.isContested = true;
         break;
@@ -290,7 +292,7 @@
             const auto vote = job.votes.find(sidecar);
             const bool isAnswerDue = vote != job.votes.end() && vote->second.state == VoteState::Asked && isReady
                 && now < vote->second.askedAt + m_options.answerTimeout;
-            const bool hasLapsed = vote != job.votes.end() && vote->second.state == VoteState::Granted && isReady && vote->second.period != known->second.period;
+            const bool hasLapsed = vote != job.votes.end() && isFavourable(vote->second.state) && isReady && vote->second.period != known->second.period;
             if (isAnswerDue || isSolid(job, sidecar, now))
                 ++expected;
             else if (isReady && (vote == job.votes.end() || hasLapsed))
@@ -333,6 +335,15 @@
     job.retryAt = now + Milliseconds { 1 + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(m_options.splitBackoff.count)) };
 }
 
+void JobGrants::startOver(const std::string& name)
+{
+    Job& job = m_jobs.at(name);
+    job.wasHeld = false;
+    job.status.lostSince.reset();
+    job.status.isTaken = false;
+    job.checkAt = Milliseconds {};
+}
+
 void JobGrants::checkAll()
 {
     for (auto& [name, job] : m_jobs)
@@ -351,9 +362,10 @@
 {
     findQuorums(name, job);
     const bool isHeld = hasQuorums(job, now);
-    if (isHeld)
+    if (isHeld) {
         job.status.lostSince.reset();
-    else if (job.status.isHeld)
+        job.status.isTaken = false;
+    } else if (job.status.isHeld)
         job.status.lostSince = now;
     job.status.isHeld = isHeld;
     job.askedSince = job.askedSince.value_or(now);
@@ -380,7 +392,7 @@
     if (job.splitSince)
         at(*job.splitSince + m_options.maxSplitTime);
     for (const auto& [sidecar, vote] : job.votes) {
-        if (job.status.isHeld && vote.state == VoteState::Granted) {
+        if (job.status.isHeld && isFavourable(vote.state)) {
             at(m_sidecars.at(sidecar).seenAt + m_options.lateAfter + Milliseconds { 1 });
             at(m_sidecars.at(sidecar).seenAt + m_options.validFor + Milliseconds { 1 });
         } else if (!job.status.isHeld && vote.state == VoteState::Asked)
@@ -425,7 +437,7 @@
 bool JobGrants::isUsedByAll() const
 {
     return !m_members.empty()
-        && std::all_of(m_sidecars.begin(), m_sidecars.end(), [](const auto& item) { return item.second.isRegistrar || !item.second.isReady; });
+        && std::all_of(m_sidecars.begin(), m_sidecars.end(), [](const auto& item) { return item.second.isRegistrar || !item.second.wasReady; });
 }
 
 std::string JobGrants::describeMissing(const std::string& job, Milliseconds now) const
--- a/src/policy/JobGrants.h
+++ b/src/policy/JobGrants.h
@@ -23,6 +23,8 @@
     bool isContested { false };
     // A registrar that has just started can't tell whether another entry holds it.
     bool isUnknown { false };
+    // A registrar that had granted it has given it to another entry since.
+    bool isTaken { false };
     // Since when the job, held before, is not held any more.
     std::optional<Milliseconds> lostSince;
 };
@@ -90,6 +92,8 @@
     // Returns the grants. Their release is urgent if the caller may submit the job again.
     void release(const std::string& job, bool isUrgent);
 
+    // No task of a job that was held and is not any more runs: it is asked for like a new one.
+    void startOver(const std::string& job);
     // Asks where grants are missing. `hasStartedWithSidecars`: this entry has started together with most sidecars. All processes have then, and it
     // doesn't wait until registrars can tell that no former holder is left.
     void act(Milliseconds now, bool hasStartedWithSidecars = false);
@@ -97,7 +101,7 @@
 
     // Of a job that was not acquired: not held.
     GrantStatus status(const std::string& job) const;
-    // Whether every sidecar that is heard grants jobs. Those of earlier versions don't.
+    // Whether every sidecar that was ever heard grants jobs. Those of earlier versions don't.
     bool isUsedByAll() const;
     // Names the registrars that have not granted the job.
     std::string describeMissing(const std::string& job, Milliseconds now) const;
@@ -150,6 +154,8 @@
     struct Sidecar {
         bool isConnected { false };
         bool isReady { false };
+        // Whether it ever was.
+        bool wasReady { false };
         bool isRegistrar { false };
         Milliseconds seenAt {};
         // Rises when its grants have lapsed: it may have given them to others.
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -50,7 +50,7 @@
 // What an entry asks of a registrar, a sidecar that grants jobs; see GrantTable.
 enum class GrantRequestKind {
     Ask,
-    // The entry holds the job by an earlier answer. Sent with the first frame of a stream.
+    // The registrar has granted the job to this entry, and can't have let it go since. Sent with the first frame of a stream.
     Renew,
     // No task of the job runs, and none will be started.
     Release,
@@ -96,7 +96,8 @@
     std::vector<RunName> recalls;
     // In the first frame of a stream all jobs that the entry holds or asks for at this sidecar.
     std::vector<GrantRequest> grants;
-    // Entries of the deployment as this one knows them, none when it doesn't, and how long ago it started. Set in the first frame of a stream.
+    // Entries of the deployment, those included that have left it lately; 0 when not known. How long ago this one started. Set in the first
+    // frame of a stream.
     std::uint64_t entries { 0 };
     Milliseconds startedFor {};
     // CPU that the entry's waiting tasks need, in thousandths of a core; 0 when none wait. The sidecar sends the minion's
--- a/test/policy/GrantTableTest.cpp
+++ b/test/policy/GrantTableTest.cpp
@@ -292,3 +292,15 @@
     registrar.table.closed(first, registrar.now);
     cr_assert(registrar.table.nextDue(registrar.now) == registrar.now + maxLostEntryRunTime);
 }
+
+Test(GrantTable, aHolderThatAsksAgainOnANewStreamKeepsItsJob)
+{
+    Registrar registrar;
+    cr_assert(registrar.asked(first, 1) == GrantState::Granted);
+    cr_assert(registrar.asked(second, 1) == GrantState::Held);
+    registrar.table.closed(first, registrar.now);
+    registrar.pass({ 905 }, { second });
+    registrar.table.opened(first, { ask(2) }, registrar.now);
+    cr_assert(registrar.answerTo(first, 2) == GrantState::Granted);
+    cr_assert(!registrar.table.hasAnswers(second));
+}
--- a/test/policy/JobGrantsTest.cpp
+++ b/test/policy/JobGrantsTest.cpp
@@ -507,6 +507,7 @@
                     released.insert(item.sidecar);
                 else
                     answers[item.sidecar].push_back({ .job = request.job, .number = request.number, .state = GrantState::Granted });
+                numbers[item.sidecar] = request.number;
             }
             if (!item.frame.requests.empty())
                 runsAt = item.sidecar;
@@ -531,6 +532,8 @@
     Milliseconds now { beginning };
     JobDispatcher jobs { { .incarnation = "entry/1", .dataCentre = "dc", .sidecars = 3, .reservePercent = 0, .startedAt = { 1'000 } } };
     std::map<std::string, std::vector<GrantAnswer>> answers;
+    // Of the latest request to each sidecar.
+    std::map<std::string, std::uint64_t> numbers;
     std::set<std::string> released;
     std::string runsAt;
     std::optional<RunName> stop;
@@ -680,3 +683,63 @@
         entry.answer(sidecar, GrantState::Granted);
     cr_assert(entry.grants.status(job).isHeld);
 }
+
+Test(JobGrants, aProvisionalGrantIsNoReasonForARenewal)
+{
+    Holder entry { three };
+    entry.acquire();
+    const auto asked = entry.asked();
+    for (const auto& each : asked)
+        entry.answer(each, GrantState::Unknown);
+    entry.grants.act(entry.now, true);
+    cr_assert(entry.grants.status(job).isHeld);
+    const std::string sidecar = asked[0];
+    entry.grants.disconnected(sidecar);
+    const auto requests = entry.grants.connected(sidecar, entry.now);
+    cr_assert(requests.size() == 1 && requests[0].kind == GrantRequestKind::Ask);
+}
+
+Test(JobGrants, aLapsedGrantIsRenewedWhileItsRegistrarKeepsIt)
+{
+    for (const bool isKept : { true, false }) {
+        Holder entry { three };
+        entry.acquire();
+        const auto asked = entry.asked();
+        entry.answer(asked[0], GrantState::Granted);
+        entry.answer(asked[1], GrantState::Granted);
+        entry.grants.disconnected(asked[0]);
+        entry.pass(maxLostEntryRunTime + Milliseconds { isKept ? 0 : 1 });
+        const auto requests = entry.grants.connected(asked[0], entry.now);
+        cr_assert(requests.size() == 1 && requests[0].kind == (isKept ? GrantRequestKind::Renew : GrantRequestKind::Ask));
+        cr_assert(!entry.grants.status(job).isHeld);
+    }
+}
+
+Test(JobGrants, aProvisionalGrantLapsesLikeAnyOther)
+{
+    Holder entry { three };
+    entry.acquire();
+    for (const auto& sidecar : entry.asked())
+        entry.answer(sidecar, GrantState::Unknown);
+    entry.grants.act(entry.now, true);
+    cr_assert(entry.grants.status(job).isHeld);
+    const Milliseconds end = entry.now + JobGrantsOptions {}.validFor + Milliseconds { 1 };
+    for (auto due = entry.grants.nextDue(); due && *due <= end; due = entry.grants.nextDue())
+        entry.grants.act(entry.now = std::max(*due, entry.now + Milliseconds { 1 }), true);
+    cr_assert(!entry.grants.status(job).isHeld);
+}
+
+Test(JobGrants, aJobThatARegistrarHasTakenBackIsGivenUpAtOnce)
+{
+    Dispatcher entry;
+    entry.submit();
+    entry.act();
+    entry.pass({ 100 }, all);
+    cr_assert(!entry.runsAt.empty() && !entry.ended);
+    for (const auto& sidecar : all) {
+        entry.answers[sidecar] = { { .job = job, .number = entry.numbers[sidecar], .state = GrantState::Held } };
+        entry.hear(sidecar);
+    }
+    entry.act();
+    cr_assert(entry.ended && entry.ended->kind == DispatchEndKind::Unfinished && entry.stop);
+}
