Grants: names, comments and pages as newcomers read them

A grant of a registrar that has just started is Provisional everywhere, instanceOf() has one place, pages say where news still has to arrive in time.

--- a/src/policy/GrantTable.cpp
+++ b/src/policy/GrantTable.cpp
@@ -9,12 +9,7 @@
 
 namespace oleanderport {
 
-namespace {
-
-    // Names of incarnations begin with that of the instance.
-    std::string_view instanceOf(std::string_view incarnation) { return incarnation.substr(0, incarnation.rfind('/')); }
-
-} // namespace
+std::string_view instanceOf(std::string_view incarnation) { return incarnation.substr(0, incarnation.rfind('/')); }
 
 std::string describe(const FreedGrants& freed)
 {
@@ -81,7 +76,7 @@
 
 // After a start nothing is known of the jobs of entries that have not opened a stream, and of the former incarnations of those that have just
 // started: their runs may go on for holdAfterLoss.
-Milliseconds GrantTable::opensAt() const
+Milliseconds GrantTable::authoritativeAt() const
 {
     const Milliseconds latest = m_startedAt + m_options.holdAfterLoss;
     Milliseconds known = m_startedAt;
@@ -152,7 +147,7 @@
         displace(request.job, grant);
     if (grant.holder.empty()) {
         give(grant, name);
-        grant.isProvisional = !m_isOpen;
+        grant.isProvisional = !m_isAuthoritative;
     }
     if (grant.holder == name) {
         grant.isProvisional = grant.isProvisional && !isRenewal;
@@ -166,8 +161,8 @@
 
 void GrantTable::act(Milliseconds now)
 {
-    if (!m_isOpen && now >= opensAt()) {
-        m_isOpen = true;
+    if (!m_isAuthoritative && now >= authoritativeAt()) {
+        m_isAuthoritative = true;
         for (auto& [job, grant] : m_grants) {
             if (std::exchange(grant.isProvisional, false) && !grant.holder.empty())
                 answer(grant.holder, job, grant.number, GrantState::Granted);
@@ -196,8 +191,8 @@
 {
     std::optional<Milliseconds> due;
     const auto at = [&due](Milliseconds time) { due = due ? std::min(*due, time) : time; };
-    if (!m_isOpen)
-        at(std::max(opensAt(), now + Milliseconds { 1 }));
+    if (!m_isAuthoritative)
+        at(std::max(authoritativeAt(), now + Milliseconds { 1 }));
     for (const auto& [name, entry] : m_entries) {
         if (m_waiters > 0 && entry.grants > 0)
             at(std::max(holdsUntil(entry), now + Milliseconds { 1 }));
--- a/src/policy/GrantTable.h
+++ b/src/policy/GrantTable.h
@@ -7,11 +7,15 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace oleanderport {
 
+// The instance of an incarnation, with whose name that of the incarnation begins.
+std::string_view instanceOf(std::string_view incarnation);
+
 struct GrantTableOptions {
     // A connected entry that was not heard for this long may be lost. Exceeds the longest time between its echoes.
     Milliseconds entryLateAfter { 400 };
@@ -41,8 +45,8 @@
     Milliseconds startedFor {};
 };
 
-// The jobs that one sidecar has granted as a registrar: each to one entry at a time, until that entry releases it or its runs are over
-// after its loss. An entry that has the grants of most registrars of a job is the only one.
+// The jobs that one sidecar has granted as a registrar: each to one entry at a time, until that entry releases it or, after its loss, its
+// runs must be over. Of the entries that ask, one at most has the grants of most registrars of a job.
 class GrantTable {
 public:
     GrantTable(GrantTableOptions, Milliseconds now);
@@ -90,11 +94,11 @@
     };
 
     // When its grants are no longer provisional.
-    Milliseconds opensAt() const;
+    Milliseconds authoritativeAt() const;
     // Until when the entry holds its jobs unless it is heard again.
     Milliseconds holdsUntil(const Entry&) const;
     void answer(const std::string& entry, const std::string& job, std::uint64_t number, GrantState);
-    static GrantState stateOf(const Grant& grant) { return grant.isProvisional ? GrantState::Unknown : GrantState::Granted; }
+    static GrantState stateOf(const Grant& grant) { return grant.isProvisional ? GrantState::Provisional : GrantState::Granted; }
     void give(Grant&, const std::string& entry);
     void release(const std::string& job, Grant&);
     // Takes the job from an entry that holds it provisionally.
@@ -106,7 +110,7 @@
     GrantTableOptions m_options;
     Milliseconds m_startedAt;
     // Its grants are no longer provisional.
-    bool m_isOpen { false };
+    bool m_isAuthoritative { false };
     std::size_t m_waiters { 0 };
     std::map<std::string, Grant> m_grants;
     std::map<std::string, Entry> m_entries;
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -133,7 +133,7 @@
 
 Milliseconds JobDispatcher::cutoff(const Job& job) const
 {
-    const bool isWaitingForOthers = m_isHolding || job.grants->isContested || job.grants->isUnknown;
+    const bool isWaitingForOthers = m_isHolding || job.grants->isContested || job.grants->isProvisional;
     return acceptingCpuMillis(job.spec.queue.service) > 0 && !isWaitingForOthers ? job.busyCutoff : job.idleCutoff;
 }
 
@@ -187,7 +187,7 @@
         if (effectiveDeadline > job.effectiveDeadline)
             break;
         const Job& other = m_jobs.at(id);
-        const bool isWaitingForOthers = other.grants->isContested || other.grants->isUnknown;
+        const bool isWaitingForOthers = other.grants->isContested || other.grants->isProvisional;
         if (other.spec.queue.service != job.spec.queue.service || !canMeetObjective(other, now) || (isWaitingForOthers && !other.grants->isHeld))
             continue;
         for (std::size_t i = 0; i < other.tasks.size(); ++i) {
@@ -335,7 +335,7 @@
         m_grants.seen(sidecar, std::exchange(link.unseen, std::nullopt)->at, now);
     for (const auto& answer : frame.grants) {
         m_grants.answered(sidecar, answer);
-        if (answer.state == GrantState::Unknown)
+        if (answer.state == GrantState::Provisional)
             link.provisionalAt = link.provisionalAt.value_or(now);
     }
     link.hasUnknownRuns = frame.unknownRunsFor.count > 0;
@@ -401,7 +401,7 @@
         m_blindAt = now;
     std::vector<std::string> unheard;
     // Grants take the place of the hold.
-    if (now < lostRunsEndBy() && !m_grants.isUsedByAll())
+    if (now < lostRunsEndBy() && !m_grants.doAllSidecarsGrant())
         unheard = unheardSidecars(now);
     m_holdUntil = unheard.empty() ? Milliseconds {} : lostRunsEndBy();
     if (m_isHolding != !unheard.empty())
@@ -659,7 +659,7 @@
 std::string JobDispatcher::describeGrants(const Job& job, Milliseconds now) const
 {
     const bool areAnswersDue = now < job.arrived + m_options.lossNewsDelay;
-    if (job.grants->isHeld || m_isBlind || (areAnswersDue && !job.grants->isContested && !job.grants->isUnknown))
+    if (job.grants->isHeld || m_isBlind || (areAnswersDue && !job.grants->isContested && !job.grants->isProvisional))
         return {};
     return "; the job may be held by another entry: " + m_grants.describeMissing(job.spec.name, now);
 }
--- a/src/policy/JobGrants.cpp
+++ b/src/policy/JobGrants.cpp
@@ -22,7 +22,7 @@
     };
 
     constexpr std::string_view heldText = "held by another entry";
-    constexpr std::string_view unknownText = "unknown, it has just started";
+    constexpr std::string_view provisionalText = "unknown, it has just started";
 
 } // namespace
 
@@ -92,7 +92,7 @@
         if (vote == state.votes.end())
             continue;
         // The registrar has not let the job go before the runs of a lost entry are over, also where the grant counts no more.
-        const bool isKept = vote->second.state == VoteState::Granted && vote->second.period == sidecar.period && now <= sidecar.seenAt + maxLostEntryRunTime;
+        const bool isKept = vote->second.state == VoteState::Granted && vote->second.lapses == sidecar.lapses && now <= sidecar.seenAt + maxLostEntryRunTime;
         if (!isGranted(state, name, now))
             vote->second.state = VoteState::Asked;
         vote->second.number = ++m_lastNumber;
@@ -126,7 +126,7 @@
 {
     Sidecar& sidecar = m_sidecars[name];
     if (now > sidecar.seenAt + m_options.validFor) {
-        ++sidecar.period;
+        ++sidecar.lapses;
         checkJobsOf(name);
     }
     sidecar.seenAt = std::max(sidecar.seenAt, sentAt);
@@ -145,17 +145,17 @@
     switch (answer.state) {
     case GrantState::Granted:
         vote->second.state = VoteState::Granted;
-        vote->second.period = m_sidecars[sidecar].period;
+        vote->second.lapses = m_sidecars[sidecar].lapses;
         return;
     case GrantState::Held:
         state.status.isTaken = state.status.isTaken || (state.wasHeld && vote->second.state != VoteState::Held);
         vote->second.state = VoteState::Held;
         state.status.isContested = true;
         break;
-    case GrantState::Unknown:
-        vote->second.state = VoteState::Unknown;
-        vote->second.period = m_sidecars[sidecar].period;
-        state.status.isUnknown = true;
+    case GrantState::Provisional:
+        vote->second.state = VoteState::Provisional;
+        vote->second.lapses = m_sidecars[sidecar].lapses;
+        state.status.isProvisional = true;
     }
     if (!state.wasHeld)
         state.refusals.try_emplace(sidecar, vote->second.state);
@@ -227,11 +227,11 @@
     if (sidecar->second.isReady && !sidecar->second.isRegistrar)
         return true;
     const auto vote = job.votes.find(name);
-    return vote != job.votes.end() && isFavourable(vote->second.state) && vote->second.period == sidecar->second.period
+    return vote != job.votes.end() && isFavourable(vote->second.state) && vote->second.lapses == sidecar->second.lapses
         && now <= sidecar->second.seenAt + m_options.validFor;
 }
 
-bool JobGrants::isSolid(const Job& job, const std::string& name, Milliseconds now) const
+bool JobGrants::isLikelyToLast(const Job& job, const std::string& name, Milliseconds now) const
 {
     const auto sidecar = m_sidecars.find(name);
     return isGranted(job, name, now) && sidecar->second.isReady && (!sidecar->second.isRegistrar || now <= sidecar->second.seenAt + m_options.lateAfter);
@@ -252,7 +252,7 @@
     const auto able = std::count_if(quorum.registrars.begin(), quorum.registrars.end(), [this, &job](const auto& name) {
         const auto sidecar = m_sidecars.find(name);
         const auto vote = job.votes.find(name);
-        return sidecar != m_sidecars.end() && sidecar->second.isReady && (vote == job.votes.end() || vote->second.state != VoteState::Unknown);
+        return sidecar != m_sidecars.end() && sidecar->second.isReady && (vote == job.votes.end() || vote->second.state != VoteState::Provisional);
     });
     return std::max(quorum.required, static_cast<std::size_t>(able));
 }
@@ -292,8 +292,8 @@
             const auto vote = job.votes.find(sidecar);
             const bool isAnswerDue = vote != job.votes.end() && vote->second.state == VoteState::Asked && isReady
                 && now < vote->second.askedAt + m_options.answerTimeout;
-            const bool hasLapsed = vote != job.votes.end() && isFavourable(vote->second.state) && isReady && vote->second.period != known->second.period;
-            if (isAnswerDue || isSolid(job, sidecar, now))
+            const bool hasLapsed = vote != job.votes.end() && isFavourable(vote->second.state) && isReady && vote->second.lapses != known->second.lapses;
+            if (isAnswerDue || isLikelyToLast(job, sidecar, now))
                 ++expected;
             else if (isReady && (vote == job.votes.end() || hasLapsed))
                 unasked.push_back(sidecar);
@@ -434,7 +434,7 @@
     return found == m_jobs.end() ? GrantStatus {} : found->second.status;
 }
 
-bool JobGrants::isUsedByAll() const
+bool JobGrants::doAllSidecarsGrant() const
 {
     return !m_members.empty()
         && std::all_of(m_sidecars.begin(), m_sidecars.end(), [](const auto& item) { return item.second.isRegistrar || !item.second.wasReady; });
@@ -460,8 +460,8 @@
             return fmt::format("not answered within {} ms", (now - vote->second.askedAt).count);
         case VoteState::Held:
             return std::string(heldText);
-        case VoteState::Unknown:
-            return std::string(unknownText);
+        case VoteState::Provisional:
+            return std::string(provisionalText);
         case VoteState::Granted:
             break;
         }
@@ -486,7 +486,7 @@
     for (const auto& wait : std::exchange(m_endedWaits, {})) {
         std::vector<std::string> refusals;
         for (const auto& [sidecar, state] : wait.refusals)
-            refusals.push_back(fmt::format("{}: {}", sidecar, state == VoteState::Held ? heldText : unknownText));
+            refusals.push_back(fmt::format("{}: {}", sidecar, state == VoteState::Held ? heldText : provisionalText));
         m_reports.push_back({ .job = wait.job,
             .outcome = wait.isGranted ? GrantOutcome::Granted : GrantOutcome::NotGranted,
             .after = now - wait.since,
--- a/src/policy/JobGrants.h
+++ b/src/policy/JobGrants.h
@@ -22,7 +22,7 @@
     // Another entry has held it since it was acquired here.
     bool isContested { false };
     // A registrar that has just started can't tell whether another entry holds it.
-    bool isUnknown { false };
+    bool isProvisional { false };
     // A registrar that had granted it has given it to another entry since.
     bool isTaken { false };
     // Since when the job, held before, is not held any more.
@@ -34,7 +34,7 @@
     // A grant counts for this long after the entry sent the last frame that its registrar has seen. Less than GrantTableOptions lets an
     // entry hold a job after it was heard last.
     Milliseconds validFor { 900 };
-    // The other registrars are asked as well when one has not answered for this long.
+    // Another registrar is asked as well when one has not answered for this long.
     Milliseconds answerTimeout { 20 };
     // Another registrar is asked as well when one that granted a job has seen nothing for this long.
     Milliseconds lateAfter { 450 };
@@ -94,15 +94,15 @@
 
     // No task of a job that was held and is not any more runs: it is asked for like a new one.
     void startOver(const std::string& job);
-    // Asks where grants are missing. `hasStartedWithSidecars`: this entry has started together with most sidecars. All processes have then, and it
-    // doesn't wait until registrars can tell that no former holder is left.
+    // Asks where grants are missing. `hasStartedWithSidecars`: this entry has started together with most sidecars. It takes all processes to have
+    // done so, and provisional grants for enough: former runs end soon, and waiting for that would add to the outage.
     void act(Milliseconds now, bool hasStartedWithSidecars = false);
     std::optional<Milliseconds> nextDue() const;
 
     // Of a job that was not acquired: not held.
     GrantStatus status(const std::string& job) const;
     // Whether every sidecar that was ever heard grants jobs. Those of earlier versions don't.
-    bool isUsedByAll() const;
+    bool doAllSidecarsGrant() const;
     // Names the registrars that have not granted the job.
     std::string describeMissing(const std::string& job, Milliseconds now) const;
     // The job is given up, as its grants are missing.
@@ -119,14 +119,14 @@
         Asked,
         Granted,
         Held,
-        Unknown,
+        Provisional,
     };
     struct Vote {
         VoteState state { VoteState::Asked };
         std::uint64_t number { 0 };
         Milliseconds askedAt {};
         // That of the sidecar when it granted the job.
-        std::uint64_t period { 0 };
+        std::uint64_t lapses { 0 };
     };
     // The registrars of a job in one set of sidecars, and how many of them have to grant it.
     struct Quorum {
@@ -159,7 +159,7 @@
         bool isRegistrar { false };
         Milliseconds seenAt {};
         // Rises when its grants have lapsed: it may have given them to others.
-        std::uint64_t period { 0 };
+        std::uint64_t lapses { 0 };
         // Jobs with a vote here.
         std::size_t votes { 0 };
         std::vector<GrantRequest> requests;
@@ -180,10 +180,10 @@
     void endWait(const std::string& name, const Job&, bool isGranted);
     Quorum quorumOf(const std::string& job, const std::map<std::string, std::string>& dataCentres) const;
     // Whether a vote in this state lets the entry place the job.
-    bool isFavourable(VoteState state) const { return state == VoteState::Granted || (state == VoteState::Unknown && m_hasStartedWithSidecars); }
+    bool isFavourable(VoteState state) const { return state == VoteState::Granted || (state == VoteState::Provisional && m_hasStartedWithSidecars); }
     bool isGranted(const Job&, const std::string& sidecar, Milliseconds now) const;
     // Whether the grant is likely to last.
-    bool isSolid(const Job&, const std::string& sidecar, Milliseconds now) const;
+    bool isLikelyToLast(const Job&, const std::string& sidecar, Milliseconds now) const;
     bool hasQuorums(const Job&, Milliseconds now) const;
     // How many of the quorum's registrars have to grant the job now.
     std::size_t requiredOf(const Job&, const Quorum&, Milliseconds now) const;
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -25,9 +25,6 @@
     constexpr std::uint64_t supersedeStep = 1'000;
     constexpr int wholePercent = 100;
 
-    // Names of incarnations begin with that of the instance.
-    std::string_view instanceOf(std::string_view incarnation) { return incarnation.substr(0, incarnation.rfind('/')); }
-
     // Longest real duration of a lease measured by a minion's clock.
     Milliseconds leaseWithDrift(Milliseconds lease)
     {
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -110,7 +110,7 @@
     constexpr NameTable<GrantState, 3> grantStateNames { {
         { GrantState::Granted, "granted" },
         { GrantState::Held, "held" },
-        { GrantState::Unknown, "unknown" },
+        { GrantState::Provisional, "provisional" },
     } };
 
     template <typename Enum, std::size_t size>
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -68,8 +68,8 @@
     Granted,
     // Another entry holds the job. The answer changes once that one has released it or is lost.
     Held,
-    // Provisional: the registrar has just started. No other entry has asked since, but one of before may hold the job. The answer changes.
-    Unknown,
+    // The registrar has just started. No other entry has asked since, but one of before may hold the job. The answer changes.
+    Provisional,
 };
 
 struct GrantAnswer {
--- a/test/policy/GrantReportsTest.cpp
+++ b/test/policy/GrantReportsTest.cpp
@@ -75,7 +75,7 @@
 Test(GrantReports, aJobThatEndsBeforeItWasGrantedIsReported)
 {
     Asker asker;
-    asker.answer(GrantState::Unknown, beginning + Milliseconds { 2 });
+    asker.answer(GrantState::Provisional, beginning + Milliseconds { 2 });
     asker.grants().release("job", true);
     const auto reports = asker.grants().takeReports(beginning + Milliseconds { 80 });
     cr_assert_eq(reports.size(), 1);
--- a/test/policy/GrantTableTest.cpp
+++ b/test/policy/GrantTableTest.cpp
@@ -122,7 +122,7 @@
 Test(GrantTable, aRegistrarThatHasJustStartedGrantsNothing)
 {
     Registrar registrar { startedAt };
-    cr_assert(registrar.asked(first, 1) == GrantState::Unknown);
+    cr_assert(registrar.asked(first, 1) == GrantState::Provisional);
     cr_assert(registrar.table.nextDue(registrar.now) == whenOpen);
     registrar.pass(maxLostEntryRunTime - Milliseconds { 1 }, { first, second });
     cr_assert(!registrar.table.hasAnswers(first));
@@ -133,7 +133,7 @@
 Test(GrantTable, aRegistrarThatHasJustStartedTakesRenewals)
 {
     Registrar registrar { startedAt };
-    cr_assert(registrar.asked(second, 1) == GrantState::Unknown);
+    cr_assert(registrar.asked(second, 1) == GrantState::Provisional);
     registrar.table.opened(first, { renew(9) }, registrar.now);
     cr_assert(registrar.answerTo(first, 9) == GrantState::Granted);
     cr_assert(registrar.answerTo(second, 1) == GrantState::Held);
--- a/test/policy/JobGrantsTest.cpp
+++ b/test/policy/JobGrantsTest.cpp
@@ -416,7 +416,7 @@
         entry.acquire();
         for (int i = 0; i < 3; ++i) {
             for (const auto& sidecar : entry.asked())
-                entry.answer(sidecar, isIn(granted, sidecar) ? GrantState::Granted : GrantState::Unknown);
+                entry.answer(sidecar, isIn(granted, sidecar) ? GrantState::Granted : GrantState::Provisional);
             entry.pass({ 1 });
         }
         cr_assert(!entry.grants.status(job).isHeld);
@@ -437,7 +437,7 @@
         entry.acquire();
         for (int i = 0; i < 3; ++i) {
             for (const auto& sidecar : entry.asked())
-                entry.answer(sidecar, sidecar == registrarsOf(job, before)[0] || sidecar == registrarsOf(job, before)[1] ? GrantState::Unknown : GrantState::Granted);
+                entry.answer(sidecar, sidecar == registrarsOf(job, before)[0] || sidecar == registrarsOf(job, before)[1] ? GrantState::Provisional : GrantState::Granted);
             entry.pass({ 1 });
         }
         cr_assert(!entry.grants.status(job).isHeld || isLater);
@@ -658,7 +658,7 @@
             entry.grants.disconnected("a");
         entry.acquire();
         for (const auto& sidecar : entry.asked())
-            entry.answer(sidecar, sidecar == "a" ? GrantState::Unknown : GrantState::Granted);
+            entry.answer(sidecar, sidecar == "a" ? GrantState::Provisional : GrantState::Granted);
         cr_assert(entry.grants.status(job).isHeld);
     }
 }
@@ -690,10 +690,10 @@
     entry.acquire();
     const auto asked = entry.asked();
     for (const auto& each : asked)
-        entry.answer(each, GrantState::Unknown);
+        entry.answer(each, GrantState::Provisional);
     entry.grants.act(entry.now, true);
     cr_assert(entry.grants.status(job).isHeld);
-    const std::string sidecar = asked[0];
+    const std::string& sidecar = asked[0];
     entry.grants.disconnected(sidecar);
     const auto requests = entry.grants.connected(sidecar, entry.now);
     cr_assert(requests.size() == 1 && requests[0].kind == GrantRequestKind::Ask);
@@ -720,7 +720,7 @@
     Holder entry { three };
     entry.acquire();
     for (const auto& sidecar : entry.asked())
-        entry.answer(sidecar, GrantState::Unknown);
+        entry.answer(sidecar, GrantState::Provisional);
     entry.grants.act(entry.now, true);
     cr_assert(entry.grants.status(job).isHeld);
     const Milliseconds end = entry.now + JobGrantsOptions {}.validFor + Milliseconds { 1 };
--- a/test/wire/DispatchCodecTest.cpp
+++ b/test/wire/DispatchCodecTest.cpp
@@ -182,7 +182,7 @@
     frame.lostEntryRunsFor = { 1'250 };
     frame.unsettledTasks = { { .job = "b", .step = 1, .index = 2, .remaining = { 12'000 } } };
     frame.grants = { { .job = "e", .number = 1, .state = GrantState::Granted }, { .job = "f", .number = std::uint64_t { 1 } << 40, .state = GrantState::Held },
-        { .job = "g", .number = 3, .state = GrantState::Unknown } };
+        { .job = "g", .number = 3, .state = GrantState::Provisional } };
     const auto read = decodeSidecarFrame(encodeFrame(frame));
     cr_assert(read.has_value());
     const SidecarFrame& decoded = read.assume_value();
