Grants: a job that was granted provisionally is refused in time

Cause: a job that had once been granted provisionally waited to three times its objective, as one that another entry holds, although nothing kept it from being placed; it delayed all behind it.

The new test fails without the change.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -133,7 +133,7 @@
 
 Milliseconds JobDispatcher::cutoff(const Job& job) const
 {
-    const bool isWaitingForOthers = m_isHolding || job.grants->isContested || job.grants->isProvisional;
+    const bool isWaitingForOthers = m_isHolding || job.grants->isContested || (job.grants->isProvisional && !job.grants->isHeld);
     return acceptingCpuMillis(job.spec.queue.service) > 0 && !isWaitingForOthers ? job.busyCutoff : job.idleCutoff;
 }
 
--- a/test/policy/JobGrantsTest.cpp
+++ b/test/policy/JobGrantsTest.cpp
@@ -743,3 +743,45 @@
     entry.act();
     cr_assert(entry.ended && entry.ended->kind == DispatchEndKind::Unfinished && entry.stop);
 }
+
+Test(JobGrants, aJobThatWasGrantedProvisionallyIsRefusedAsSoonAsAnyOther)
+{
+    Milliseconds now = beginning;
+    JobDispatcher jobs { { .incarnation = "entry/1", .dataCentre = "dc", .sidecars = 3, .reservePercent = 0, .startedAt = now } };
+    jobs.setMembers(three, now);
+    std::map<std::string, std::vector<GrantAnswer>> answers;
+    std::optional<DispatchEnd> ended;
+    const auto act = [&] {
+        const auto actions = jobs.act(now);
+        for (const auto& item : actions.frames) {
+            for (const auto& request : item.frame.grants)
+                answers[item.sidecar].push_back({ .job = request.job, .number = request.number, .state = GrantState::Provisional });
+        }
+        if (!actions.ends.empty())
+            ended = actions.ends[0];
+    };
+    const TaskNeeds room { .cpuMillis = 4'000, .memoryMb = 100 };
+    const auto hear = [&](const std::string& sidecar, SidecarFrame frame) {
+        frame.clock = now;
+        frame.framesSeen = 1'000'000;
+        frame.state = MinionState { .service = "service", .dataCentre = "dc", .capacity = room, .used = room, .accepting = true };
+        frame.grants = std::exchange(answers[sidecar], {});
+        jobs.received(sidecar, frame, now);
+    };
+    for (const auto& [sidecar, dataCentre] : three) {
+        jobs.connected(sidecar, now);
+        hear(sidecar, { .sidecar = sidecar + "/1", .unknownRunsFor = { 1'000 }, .isRegistrar = true });
+    }
+    jobs.submit({ .name = job,
+                    .payload = job,
+                    .queue = { .name = "queue", .service = "service", .maxAttempts = 3, .latencyAllowance = { 500 } },
+                    .deadline = now + Milliseconds { 10'000 },
+                    .steps = { { .needs = { .cpuMillis = 1'000, .memoryMb = 1, .runTime = { 100 } } } } },
+        now);
+    for (const Milliseconds end = now + Milliseconds { 700 }; now < end && !ended; now = now + Milliseconds { 10 }) {
+        act();
+        for (const auto& [sidecar, dataCentre] : three)
+            hear(sidecar, {});
+    }
+    cr_assert(ended && ended->kind == DispatchEndKind::Refused);
+}
