HTTP servers hold a bounded number of bytes of requests and answers

What callers saw: clients outside the limits ran an entry out of memory by bodies far over the limit, announced or just sent.

Cause: (1) each connection could hold a body of four times the limit, with no limit over all connections. (3) A body was held twice while its request was handled.

Change: policy/RequestBudget counts what all servers of a process hold and names the connection to close: a request over its own limit, otherwise the unfinished request or unsent answer with the most bytes. Requests that a handler holds are never given up, so a refusal (413, 503 with Retry-After) stays true. Freed connections stop reading at once. limits.max_buffered_bytes, four times limits.max_body_bytes by default. Bodies over the limit are refused with 413 before they are parsed, at every address.

Tests: process-tests (real processes on loopback, one at a time) and RequestBudget.

--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -14,6 +15,9 @@
     constexpr std::int64_t maxTimeMilliseconds = 3'600'000;
     constexpr std::int64_t minBodyBytes = 1024;
     constexpr std::int64_t maxBodyBytes = 256 * 1024 * 1024;
+    constexpr std::int64_t maxBufferedBytes = 4 * maxBodyBytes;
+    constexpr std::int64_t minDefaultBufferedBytes = 16 * 1024 * 1024;
+    constexpr std::int64_t bufferedBodies = 4;
     constexpr std::int64_t maxToleratedLosses = 7;
     constexpr std::int64_t maxQueuedTasks = 1'000'000'000;
     constexpr NumberRange timeRange { 1, maxTimeMilliseconds };
@@ -100,6 +104,12 @@
     void readLimits(TomlSection section, Settings& settings)
     {
         section.number("max_body_bytes", settings.maxBodyBytes, { minBodyBytes, maxBodyBytes });
+        std::int64_t buffered = 0;
+        section.number("max_buffered_bytes", buffered, { minBodyBytes, maxBufferedBytes });
+        if (section.find("max_buffered_bytes"))
+            settings.maxBufferedBytes = buffered;
+        if (settings.maxBufferedBytes && *settings.maxBufferedBytes < settings.maxBodyBytes)
+            section.addError("max_buffered_bytes", "expected at least max_body_bytes");
         section.number("max_id_bytes", settings.maxIdBytes, { 1, 1024 });
         section.number("max_tasks_per_job", settings.maxTasksPerJob, { 1, 100'000 });
         section.number("max_queued_tasks", settings.maxQueuedTasks, { 1, maxQueuedTasks });
@@ -136,6 +146,11 @@
 
 } // namespace
 
+std::size_t bufferedBytesLimit(const Settings& settings)
+{
+    return static_cast<std::size_t>(settings.maxBufferedBytes.value_or(std::max(settings.maxBodyBytes * bufferedBodies, minDefaultBufferedBytes)));
+}
+
 Result<Settings> parseSettings(const std::string& text, const std::string& name)
 {
     TomlErrors errors(name);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -57,6 +57,8 @@
 
     // [limits]
     std::int64_t maxBodyBytes { 8 * 1024 * 1024 };
+    // Bytes of requests and answers that the process may hold at the same time; see bufferedBytesLimit().
+    std::optional<std::int64_t> maxBufferedBytes;
     std::int64_t maxIdBytes { 128 };
     std::int64_t maxTasksPerJob { 1'000 };
     std::int64_t maxQueuedTasks { 20'000 };
@@ -79,6 +81,10 @@
     Milliseconds shutdownGrace { 30'000 };
 };
 
+// Bytes of requests and answers that the process may hold at the same time: as set, otherwise four of the largest bodies and at least
+// 16 MiB.
+std::size_t bufferedBytesLimit(const Settings&);
+
 // Reads and checks a settings file. Fails with one BadSettings error that lists every unknown key, wrong type, value
 // out of range and contradiction, each with the file, the key and the expected value.
 Result<Settings> loadSettings(const std::string& path);
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -141,14 +141,6 @@
 
 void EntryServer::serveHttp(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
 {
-    if (request.body.size() > static_cast<std::size_t>(m_process.settings.maxBodyBytes)) {
-        return replyError(*responder,
-            { .code = ErrorCode::BodyTooLarge,
-                .ran = Ran::No,
-                .step = "entry.http",
-                .peer = request.peer,
-                .message = fmt::format("body: expected at most {} bytes", m_process.settings.maxBodyBytes) });
-    }
     const JobReply reply = [responder](const Result<JobAnswer>& answer) { replyJobAnswer(*responder, answer); };
     if (request.path == requestsPath && request.method == HttpMethod::Post)
         return serveRequests(request, reply);
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "wire/HttpServer.h"
 
 #include "base/Log.h"
+#include "wire/MessageCodec.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -34,10 +35,40 @@
     // Bytes that a peer may send ahead of the reply while its connection is watched for a close.
     constexpr std::size_t maxReadAheadBytes = 64 * 1024;
     constexpr ev_uint16_t allMethods = 0xffff;
-    constexpr std::string_view requestTimeoutReply
-        = "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nConnection: close\r\n"
-          "Content-Length: 106\r\n\r\n"
-          R"({"error":{"code":"timeout","ran":"no","step":"http","peer":"","message":"sent too slowly","retryAfter":0}})";
+    // Of a server without a shared intake; four of the largest requests fit.
+    constexpr std::size_t ownIntakeFactor = 4;
+    // A body of the hard limit in chunks of one byte has six times its bytes. evhttp counts only the body and refuses first.
+    constexpr std::size_t rawBytesFactor = 6;
+    constexpr Milliseconds refusalLogPeriod { 1'000 };
+
+    // A whole answer that is written below evhttp, to a request that evhttp has not passed on.
+    std::string rawRefusal(int status, const char* reason, const Error& error)
+    {
+        Json::Value body(Json::objectValue);
+        body["error"] = errorToJson(error);
+        const std::string text = writeJson(body);
+        const std::string retryAfter = error.retryAfter.count > 0 ? fmt::format("Retry-After: {}\r\n", error.retryAfter.count / millisecondsPerSecond) : "";
+        return fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nConnection: close\r\n{}Content-Length: {}\r\n\r\n{}", status, reason,
+            retryAfter, text.size(), text);
+    }
+
+    std::string requestTimeoutReply()
+    {
+        return rawRefusal(408, "Request Timeout", { .code = ErrorCode::Timeout, .ran = Ran::No, .step = "http", .message = "sent too slowly" });
+    }
+
+    std::string intakeRefusalReply(RequestRefusal reason)
+    {
+        if (reason == RequestRefusal::TooLarge)
+            return rawRefusal(413, "Request Entity Too Large", { .code = ErrorCode::BodyTooLarge, .ran = Ran::No, .step = "http", .message = "the request is too large" });
+        return rawRefusal(503, "Service Unavailable",
+            { .code = ErrorCode::Unavailable, .ran = Ran::No, .step = "http", .message = "unfinished requests hold too many bytes here", .retryAfter = { millisecondsPerSecond } });
+    }
+
+    void sendRaw(bufferevent* connection, const std::string& answer)
+    {
+        (void)::send(bufferevent_getfd(connection), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
 
     HttpMethod methodOf(evhttp_request* request)
     {
@@ -63,11 +94,12 @@
 
     std::string textOrEmpty(const char* text) { return text ? text : ""; }
 
-    std::string bodyOf(evhttp_request* request)
+    // Takes the body out of the request, so that it is held once.
+    std::string takeBody(evhttp_request* request)
     {
         evbuffer* input = evhttp_request_get_input_buffer(request);
         std::string body(evbuffer_get_length(input), '\0');
-        evbuffer_copyout(input, body.data(), body.size());
+        evbuffer_remove(input, body.data(), body.size());
         return body;
     }
 
@@ -119,6 +151,9 @@
         std::optional<Milliseconds> receivingSince;
         std::size_t openRequests { 0 };
         bool timedOut { false };
+        bufferevent* bufferEvent { nullptr };
+        RequestBudget::Connection id { 0 };
+        Connections* owner { nullptr };
     };
 
     ~Connections()
@@ -131,15 +166,39 @@
     {
         bufferevent_incref(connection);
         auto state = std::make_shared<Connection>();
+        state->owner = this;
+        state->bufferEvent = connection;
+        state->id = ++intake->m_lastConnection;
+        intake->m_budget.opened(state->id, maxRequestBytes);
+        intake->m_close[state->id] = [connection, state = state.get()](RequestRefusal reason) { refuse(connection, *state, reason); };
         evbuffer_add_cb(bufferevent_get_input(connection), &Connections::inputChanged, state.get());
+        evbuffer_add_cb(bufferevent_get_output(connection), &Connections::outputChanged, state.get());
         all[connection] = std::move(state);
     }
 
     static void inputChanged(evbuffer*, const evbuffer_cb_info* change, void* state)
     {
         auto* connection = static_cast<Connection*>(state);
-        if (change->n_added > 0 && !connection->receivingSince)
+        if (change->n_added == 0)
+            return;
+        // The reference of this class keeps a connection reading that evhttp has freed.
+        if (isFreed(connection->bufferEvent))
+            bufferevent_disable(connection->bufferEvent, EV_READ);
+        if (!connection->receivingSince)
             connection->receivingSince = Clock::now();
+        Connections& owner = *connection->owner;
+        owner.intake->m_budget.received(connection->id, change->n_added);
+        if (owner.intake->m_budget.victim())
+            owner.onOverload();
+    }
+
+    static void outputChanged(evbuffer*, const evbuffer_cb_info* change, void* state)
+    {
+        const auto* connection = static_cast<Connection*>(state);
+        RequestBudget& budget = connection->owner->intake->m_budget;
+        budget.unsent(connection->id, change->orig_size + change->n_added - change->n_deleted);
+        if (change->n_added > 0 && budget.victim())
+            connection->owner->onOverload();
     }
 
     // evhttp removes its callbacks when it frees a connection.
@@ -152,12 +211,33 @@
         return !read && !write && !event;
     }
 
-    static void release(bufferevent* connection, Connection* state)
+    void release(bufferevent* connection, Connection* state) const
     {
         evbuffer_remove_cb(bufferevent_get_input(connection), &Connections::inputChanged, state);
+        evbuffer_remove_cb(bufferevent_get_output(connection), &Connections::outputChanged, state);
+        intake->m_budget.closed(state->id);
+        intake->m_close.erase(state->id);
         bufferevent_decref(connection);
     }
 
+    // Closes the connection, with a reply unless another one is due on it. What it held is given back at once.
+    static void refuse(bufferevent* connection, Connection& state, RequestRefusal reason)
+    {
+        RequestIntake& intake = *state.owner->intake;
+        const bool isOpen = !isFreed(connection);
+        if (isOpen) {
+            ++(reason == RequestRefusal::TooLarge ? intake.m_refusedTooLarge : intake.m_refusedOverBudget);
+            if (state.openRequests == 0 && evbuffer_get_length(bufferevent_get_output(connection)) == 0)
+                sendRaw(connection, intakeRefusalReply(reason));
+        }
+        bufferevent_disable(connection, EV_READ | EV_WRITE);
+        intake.m_budget.closed(state.id);
+        // evhttp frees the connection.
+        if (isOpen)
+            bufferevent_trigger_event(connection, BEV_EVENT_READING | BEV_EVENT_ERROR, 0);
+        evbuffer_drain(bufferevent_get_input(connection), evbuffer_get_length(bufferevent_get_input(connection)));
+    }
+
     void sweep(Milliseconds now)
     {
         for (auto position = all.begin(); position != all.end();) {
@@ -180,12 +260,16 @@
     static void sendTimeoutAndClose(bufferevent* connection, Connection& state)
     {
         state.timedOut = true;
-        const evutil_socket_t socket = bufferevent_getfd(connection);
-        (void)::send(socket, requestTimeoutReply.data(), requestTimeoutReply.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        ::shutdown(socket, SHUT_RDWR);
+        sendRaw(connection, requestTimeoutReply());
+        ::shutdown(bufferevent_getfd(connection), SHUT_RDWR);
     }
 
     std::map<bufferevent*, std::shared_ptr<Connection>> all;
+    std::shared_ptr<RequestIntake> intake;
+    // Limit of one request with its headers, as received.
+    std::size_t maxRequestBytes { 0 };
+    // Called when a connection has to be closed to keep the budget; not a time to close one, as evhttp may be reading it.
+    std::function<void()> onOverload;
     Milliseconds requestTimeout {};
     std::size_t maxConnections { 0 };
 };
@@ -260,13 +344,24 @@
 }
 
 HttpServer::HttpServer(EventLoop& loop, const HttpServerOptions& options, HttpHandler handler)
-    : m_handler(std::move(handler))
+    : m_loop(loop)
+    , m_handler(std::move(handler))
     , m_headers(options.headers)
     , m_http(evhttp_new(loop.base()))
     , m_openRequests(std::make_shared<std::size_t>(0))
     , m_unsentReplies(std::make_shared<std::size_t>(0))
     , m_connections(std::make_shared<Connections>())
+    , m_intake(options.intake)
 {
+    const std::size_t maxRequestBytes = maxHeaderBytes + maxReadAheadBytes + options.maxBodyBytes * hardLimitFactor * rawBytesFactor;
+    if (!m_intake)
+        m_intake = std::make_shared<RequestIntake>(maxRequestBytes * ownIntakeFactor);
+    m_connections->intake = m_intake;
+    m_connections->maxRequestBytes = maxRequestBytes;
+    m_connections->onOverload = [this] {
+        if (!m_closing)
+            m_closing = m_loop.once({}, [this] { closeVictims(); });
+    };
     m_connections->requestTimeout = options.requestTimeout;
     m_connections->maxConnections = options.maxConnections;
     // Unsupported methods get a typed error from the handler instead of evhttp's page.
@@ -286,6 +381,23 @@
 
 HttpServer::~HttpServer() { evhttp_free(m_http); }
 
+void HttpServer::closeVictims()
+{
+    const auto finished = std::exchange(m_closing, nullptr);
+    std::size_t closed = 0;
+    while (const auto victim = m_intake->m_budget.victim()) {
+        ++closed;
+        m_intake->m_close.at(victim->connection)(victim->reason);
+    }
+    const Milliseconds now = Clock::now();
+    if (closed == 0 || now < m_intake->m_loggedAt + refusalLogPeriod)
+        return;
+    m_intake->m_loggedAt = now;
+    log(LogLevel::Warning, { .step = "http.intake" },
+        fmt::format("closed {} connections; since the start {} requests were too large and {} over the budget, {} bytes are held", closed,
+            m_intake->refusedTooLarge(), m_intake->refusedOverBudget(), m_intake->bytes()));
+}
+
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(
     EventLoop& loop, const HttpServerOptions& options, HttpHandler handler)
 {
@@ -341,7 +453,7 @@
         .path = textOrEmpty(uri ? evhttp_uri_get_path(uri) : nullptr),
         .query = textOrEmpty(uri ? evhttp_uri_get_query(uri) : nullptr),
         .peer = peerOf(request),
-        .body = bodyOf(request),
+        .body = takeBody(request),
         .host = hostOf(request) };
     for (const auto& name : server->m_headers)
         message.headers.push_back(
@@ -352,10 +464,12 @@
     const std::shared_ptr<Connections::Connection> state = server->m_connections->all.at(connection);
     ++state->openRequests;
     state->receivingSince.reset();
-    std::shared_ptr<HttpResponder> responder(new HttpResponder(request, server->m_unsentReplies), [counter, state](HttpResponder* self) {
+    server->m_intake->m_budget.handedOver(state->id, evbuffer_get_length(bufferevent_get_input(connection)));
+    std::shared_ptr<HttpResponder> responder(new HttpResponder(request, server->m_unsentReplies), [counter, state, intake = server->m_intake](HttpResponder* self) {
         delete self;
         --*counter;
         --state->openRequests;
+        intake->m_budget.released(state->id);
         // Bytes of the next request may have arrived in the meantime; its timeout starts now.
         if (state->receivingSince)
             state->receivingSince = Clock::now();
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "oleanderport/Error.h"
+#include "policy/RequestBudget.h"
 #include "wire/EventLoop.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -72,6 +74,29 @@
     std::function<void()> m_onPeerDisconnected;
 };
 
+// What the servers of a process hold of their clients' requests and answers, and what they refused for it.
+class RequestIntake {
+public:
+    explicit RequestIntake(std::size_t maxBytes)
+        : m_budget(maxBytes)
+    {
+    }
+
+    std::size_t bytes() const { return m_budget.bytes(); }
+    std::size_t refusedTooLarge() const { return m_refusedTooLarge; }
+    std::size_t refusedOverBudget() const { return m_refusedOverBudget; }
+
+private:
+    friend class HttpServer;
+
+    RequestBudget m_budget;
+    RequestBudget::Connection m_lastConnection { 0 };
+    std::map<RequestBudget::Connection, std::function<void(RequestRefusal)>> m_close;
+    std::size_t m_refusedTooLarge { 0 };
+    std::size_t m_refusedOverBudget { 0 };
+    Milliseconds m_loggedAt {};
+};
+
 using HttpHandler = std::function<void(HttpRequest&&, std::shared_ptr<HttpResponder>)>;
 
 struct HttpServerOptions {
@@ -87,6 +112,8 @@
     std::size_t maxConnections { 10'000 };
     // Names of the headers that handlers read.
     std::vector<std::string> headers;
+    // Shared by the servers of a process; null for a server of its own.
+    std::shared_ptr<RequestIntake> intake;
 };
 
 // An evhttp server. Every request goes to one handler, which may answer later. evhttp itself refuses input that is not
@@ -120,7 +147,9 @@
     HttpServer(EventLoop&, const HttpServerOptions&, HttpHandler);
     static bufferevent* accept(event_base*, void* self);
     static void onRequest(evhttp_request*, void* self);
+    void closeVictims();
 
+    EventLoop& m_loop;
     HttpHandler m_handler;
     std::vector<std::string> m_headers;
     evhttp* m_http;
@@ -128,7 +157,10 @@
     std::shared_ptr<std::size_t> m_openRequests;
     std::shared_ptr<std::size_t> m_unsentReplies;
     std::shared_ptr<Connections> m_connections;
+    std::shared_ptr<RequestIntake> m_intake;
     std::unique_ptr<EventLoop::Timer> m_sweep;
+    // Set while victims of the budget are to be closed.
+    std::unique_ptr<EventLoop::Timer> m_closing;
 };
 
 // Splits "IP:port". Fails with BadSettings on anything else.
--- a/src/wire/Process.cpp
+++ b/src/wire/Process.cpp
@@ -41,6 +41,7 @@
     : loop(eventLoop)
     , settings(ownSettings)
     , events(ownSettings.instance, eventCapacity, eventLoop.logicalClock())
+    , intake(std::make_shared<RequestIntake>(bufferedBytesLimit(ownSettings)))
 {
     rpc.useClock(eventLoop.logicalClock());
     rpc.add("events", [this](const Json::Value& params, const RpcReply& reply) { serveEvents(events, params, reply); });
@@ -50,10 +51,19 @@
 {
     const HttpServerOptions options { .address = settings.listen,
         .maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes),
-        .idleTimeout = idleConnectionTimeout };
+        .idleTimeout = idleConnectionTimeout,
+        .intake = intake };
     BOOST_OUTCOME_TRY(server,
         HttpServer::listen(loop, options,
             [this, other = std::move(other)](HttpRequest&& request, std::shared_ptr<HttpResponder> responder) {
+                if (request.body.size() > static_cast<std::size_t>(settings.maxBodyBytes)) {
+                    return replyError(*responder,
+                        { .code = ErrorCode::BodyTooLarge,
+                            .ran = Ran::No,
+                            .step = "http",
+                            .peer = request.peer,
+                            .message = fmt::format("body: expected at most {} bytes", settings.maxBodyBytes) });
+                }
                 if (request.path == rpcPath)
                     return rpc.serve(request, std::move(responder));
                 if (request.path == metricsPath)
@@ -74,7 +84,7 @@
 
 Result<void> Process::listenForMetrics()
 {
-    const HttpServerOptions options { .address = settings.metricsListen, .idleTimeout = idleConnectionTimeout };
+    const HttpServerOptions options { .address = settings.metricsListen, .idleTimeout = idleConnectionTimeout, .intake = intake };
     BOOST_OUTCOME_TRY(metricsServer,
         HttpServer::listen(loop, options, [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
             if (request.path == metricsPath)
@@ -92,6 +102,9 @@
     getrusage(RUSAGE_SELF, &usage);
     metrics.set("process_cpu_seconds", secondsOf(usage.ru_utime) + secondsOf(usage.ru_stime));
     metrics.set("process_peak_resident_bytes", static_cast<double>(usage.ru_maxrss) * bytesPerKilobyte);
+    metrics.set("request_bytes_held", static_cast<double>(intake->bytes()));
+    metrics.set("requests_refused_too_large", static_cast<double>(intake->refusedTooLarge()));
+    metrics.set("requests_refused_over_budget", static_cast<double>(intake->refusedOverBudget()));
     metrics.set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     responder.reply({ .contentType = "text/plain; version=0.0.4", .body = metrics.text() });
 }
--- a/src/wire/Process.h
+++ b/src/wire/Process.h
@@ -27,6 +27,8 @@
     Metrics metrics;
     // Called before each read of the metrics, to set gauges that need no update on the hot path.
     std::vector<std::function<void()>> gaugeUpdaters;
+    // Of all servers of the process, those of an adapter included.
+    std::shared_ptr<RequestIntake> intake;
     RpcServer rpc;
     std::unique_ptr<HttpServer> server;
     // Null unless the settings give a separate address for metrics.
--- /dev/null
+++ b/test/policy/RequestBudgetTest.cpp
@@ -0,0 +1,109 @@
+#include "policy/RequestBudget.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace oleanderport;
+
+namespace {
+
+constexpr std::size_t maxBytes = 1'000;
+constexpr std::size_t maxRequestBytes = 400;
+
+// Closes victims until all limits are kept.
+std::set<RequestBudget::Connection> closeVictims(RequestBudget& budget)
+{
+    std::set<RequestBudget::Connection> closed;
+    while (const auto victim = budget.victim()) {
+        closed.insert(victim->connection);
+        budget.closed(victim->connection);
+    }
+    return closed;
+}
+
+} // namespace
+
+// Guards against a crowd of unfinished bodies that pushes out an ordinary caller.
+Test(RequestBudget, givesUpTheLargestUnfinishedRequestsAndKeepsSmallOnes)
+{
+    RequestBudget budget(maxBytes);
+    constexpr RequestBudget::Connection ordinary = 100;
+    budget.opened(ordinary, maxRequestBytes);
+    budget.received(ordinary, 20);
+    for (RequestBudget::Connection hog = 1; hog <= 5; ++hog) {
+        budget.opened(hog, maxRequestBytes);
+        budget.received(hog, 300 + hog);
+    }
+    const auto closed = closeVictims(budget);
+    cr_assert(closed == std::set<RequestBudget::Connection>({ 4, 5 }), "%zu closed", closed.size());
+    cr_assert(budget.bytes() <= maxBytes);
+}
+
+Test(RequestBudget, refusesARequestOverItsOwnLimitWhileThereIsRoom)
+{
+    RequestBudget budget(maxBytes);
+    budget.opened(1, maxRequestBytes);
+    budget.received(1, maxRequestBytes);
+    cr_assert(!budget.victim());
+    budget.received(1, 1);
+    cr_assert(budget.victim() && budget.victim()->reason == RequestRefusal::TooLarge);
+}
+
+// A request that a handler holds may be running, so a refusal of it would not be true.
+Test(RequestBudget, neverGivesUpARequestInTheHandsOfAHandler)
+{
+    RequestBudget budget(maxBytes);
+    for (RequestBudget::Connection each = 1; each <= 3; ++each) {
+        budget.opened(each, maxRequestBytes);
+        budget.received(each, 330);
+        budget.handedOver(each, 0);
+    }
+    budget.opened(4, maxRequestBytes);
+    budget.received(4, 50);
+    cr_assert(closeVictims(budget) == std::set<RequestBudget::Connection>({ 4 }));
+    budget.received(1, 50);
+    cr_assert(budget.victim() && budget.victim()->connection == 1, "bytes sent ahead of the answer count as an unfinished request");
+}
+
+// Guards against bytes that are counted once too often or never given back.
+Test(RequestBudget, countsNothingOnceRequestsAreReleasedSentOrClosed)
+{
+    RequestBudget budget(maxBytes);
+    budget.opened(1, maxRequestBytes);
+    budget.received(1, 100);
+    budget.handedOver(1, 30);
+    cr_assert(budget.bytes() == 100);
+    budget.released(1);
+    cr_assert(budget.bytes() == 30);
+    budget.unsent(1, 500);
+    cr_assert(budget.bytes() == 530);
+    budget.unsent(1, 0);
+    budget.closed(1);
+    cr_assert(budget.bytes() == 0);
+    cr_assert(!budget.victim());
+}
+
+// Guards against clients that leave while their requests wait for the queues, and come again.
+Test(RequestBudget, countsWhatAHandlerHoldsAfterItsClientHasLeft)
+{
+    RequestBudget budget(maxBytes);
+    budget.opened(1, maxRequestBytes);
+    budget.received(1, 100);
+    budget.handedOver(1, 20);
+    budget.closed(1);
+    cr_assert(budget.bytes() == 80, "%zu bytes", budget.bytes());
+    budget.released(1);
+    cr_assert(budget.bytes() == 0);
+}
+
+// Guards against answers that nobody reads filling the memory.
+Test(RequestBudget, givesUpUnsentAnswersWhenTheyHoldTheMost)
+{
+    RequestBudget budget(maxBytes);
+    budget.opened(1, maxRequestBytes);
+    budget.opened(2, maxRequestBytes);
+    budget.unsent(1, 900);
+    budget.received(2, 200);
+    cr_assert(closeVictims(budget) == std::set<RequestBudget::Connection>({ 1 }));
+}
--- a/test/support/RawPeer.h
+++ b/test/support/RawPeer.h
@@ -83,6 +83,8 @@
         ioctl(bufferevent_getfd(m_connection), FIONREAD, &bytes);
         return bytes;
     }
+    // Number of bytes not yet written to the socket; zero after close().
+    std::size_t unsent() const { return m_connection ? evbuffer_get_length(bufferevent_get_output(m_connection)) : 0; }
     const std::string& received() const { return m_received; }
     bool closedByPeer() const { return m_closed; }
     void onData(std::function<void(RawConnection&)> callback) { m_onData = std::move(callback); }
