Entries place by minion speed, keep interfering tasks apart, and stop late

Minion speeds (placement.by_speed). What callers saw: on a deployment with unlike minions 16 in 100 long jobs were late with most of the room free.

Stopping entries (shutdown.accept_ms). What callers saw: 503 "this entry is stopping" for up to 2.4 s although their jobs could have ended within the grace. Such jobs are accepted now; the dispatcher refuses at once what cannot end by then, and the listener closes at the end.

Interference (placement.separate_interference). Sidecars compare run times beside tasks of each other queue with those without (policy/TaskInterference); entries keep a pair apart that two sidecars report (policy/RivalQueues), each queue in its half of the minions, which all entries derive alike.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -34,8 +34,14 @@
     double delayedRequestShare { 0 };
     int slowMinions { 0 };
     int failingMinions { 0 };
+    std::int64_t cores { 64 };
+    std::vector<std::int64_t> runTimePercents;
+    std::vector<DispatchModelOptions::Interference> interference;
 };
 
+// Two of three minions take 70% of the mean run time, the third one 170%.
+const std::vector<std::int64_t> unlikeRunTimes { 70, 70, 170 };
+
 std::vector<Scene> scenes()
 {
     return {
@@ -51,6 +57,11 @@
         { .name = "large, ordinary", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 875, .duration = { 4'000 } },
         { .name = "large, heavy", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 1'266, .duration = { 4'000 } },
         { .name = "large, overload", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 2'000, .duration = { 4'000 } },
+        { .name = "unlike minions", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 743, .duration = { 10'000 }, .cores = 32, .runTimePercents = unlikeRunTimes },
+        { .name = "unlike minions, heavy", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 1'150, .duration = { 10'000 }, .cores = 32, .runTimePercents = unlikeRunTimes },
+        { .name = "interference", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 743, .duration = { 30'000 }, .cores = 32, .interference = { { "lookup", "callout", 200 } } },
+        { .name = "interference, heavy", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 1'150, .duration = { 30'000 }, .cores = 32, .interference = { { "lookup", "callout", 200 } } },
+        { .name = "alike minions, heavy", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 1'150, .duration = { 10'000 }, .cores = 32 },
     };
 }
 
@@ -88,6 +99,12 @@
         setting.dispatcher.maxStateFramesPerSecond = states;
         all.push_back(setting);
     }
+    Setting bySpeed { .name = "by speed" };
+    bySpeed.dispatcher.placesBySpeed = true;
+    all.push_back(bySpeed);
+    Setting apart { .name = "apart" };
+    apart.dispatcher.separatesInterference = true;
+    all.push_back(apart);
     Setting random { .name = "baseline: at random" };
     random.dispatcher.jitterWeight = 1'000;
     all.push_back(random);
@@ -102,7 +119,7 @@
 
 Averages measure(const Scene& scene, const Setting& setting, std::uint64_t seed)
 {
-    DispatchModel model({ .entries = scene.entries, .sidecars = scene.sidecars, .largerEvery = scene.largerEvery, .orderTimeout = setting.minionRequestTimeout, .seed = seed, .dispatcher = setting.dispatcher, .runs = setting.runs });
+    DispatchModel model({ .entries = scene.entries, .sidecars = scene.sidecars, .capacity = { .cpuMillis = scene.cores * 1'000, .memoryMb = 131'072 }, .largerEvery = scene.largerEvery, .runTimePercents = scene.runTimePercents, .interference = scene.interference, .orderTimeout = setting.minionRequestTimeout, .seed = seed, .dispatcher = setting.dispatcher, .runs = setting.runs });
     model.runFor({ 3'000 });
     DispatchLoad load(model, scene.entries, seed, scene.spread);
     const Milliseconds from = model.now();
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -130,9 +130,17 @@
         section.reportUnknownKeys();
     }
 
+    void readPlacement(TomlSection section, Settings& settings)
+    {
+        section.flag("by_speed", settings.placeBySpeed);
+        section.flag("separate_interference", settings.separateInterference);
+        section.reportUnknownKeys();
+    }
+
     void readShutdown(TomlSection section, Settings& settings)
     {
         section.time("grace_ms", settings.shutdownGrace, timeRange);
+        section.time("accept_ms", settings.acceptWhileStopping, { 0, maxTimeMilliseconds });
         section.reportUnknownKeys();
     }
 
@@ -173,6 +181,7 @@
     readControl(section("control"), settings);
     readLimits(section("limits"), settings);
     readSidecar(section("sidecar"), settings);
+    readPlacement(section("placement"), settings);
     readShutdown(section("shutdown"), settings);
     root.reportUnknownKeys();
     checkConsistency(settings, errors);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -77,8 +77,16 @@
     // then, whether entries could be told of it or not; a sidecar that can't guarantee this does not start.
     Milliseconds resubmitAfter { 1'300 };
 
+    // [placement]
+    // Whether an entry places best-effort jobs by how fast each minion has been.
+    bool placeBySpeed { false };
+    // Whether tasks of queues that slow each other down are placed on different minions where there is room.
+    bool separateInterference { false };
+
     // [shutdown]
     Milliseconds shutdownGrace { 30'000 };
+    // How long a stopping entry of the users' platform goes on accepting jobs that can end within the grace.
+    Milliseconds acceptWhileStopping { 2'500 };
 };
 
 // Bytes of requests and answers that the process may hold at the same time: as set, otherwise four of the largest bodies and at least
--- a/src/base/SettingsReload.cpp
+++ b/src/base/SettingsReload.cpp
@@ -71,6 +71,9 @@
         Key { "sidecar.stream_listen", &Settings::streamListen, TakesEffect::AfterRestart },
         Key { "sidecar.stream_advertise", &Settings::streamAdvertise, TakesEffect::AfterRestart },
         Key { "sidecar.resubmit_after_ms", &Settings::resubmitAfter, TakesEffect::AfterRestart },
+        Key { "placement.by_speed", &Settings::placeBySpeed, TakesEffect::AfterRestart },
+        Key { "placement.separate_interference", &Settings::separateInterference, TakesEffect::AfterRestart },
+        Key { "shutdown.accept_ms", &Settings::acceptWhileStopping, TakesEffect::Immediately },
         Key { "shutdown.grace_ms", &Settings::shutdownGrace, TakesEffect::Immediately },
     };
 
--- a/src/entry/DispatchService.cpp
+++ b/src/entry/DispatchService.cpp
@@ -36,6 +36,8 @@
     , m_random(makeRandomSeed())
     , m_dispatcher({ .incarnation = makeIncarnationName(process.settings.instance),
           .dataCentre = process.settings.dataCentre,
+          .placesBySpeed = process.settings.placeBySpeed,
+          .separatesInterference = process.settings.separateInterference,
           .startedAt = Clock::now(),
           .seed = makeRandomSeed() })
 {
@@ -209,6 +211,11 @@
         m_process.metrics.add(report.outcome == GrantOutcome::Lost ? "jobs_without_grants_total" : "jobs_contested_total");
         log(LogLevel::Info, { .step = "dispatch.grant", .jobName = report.job }, describe(report));
     }
+    for (const auto& rivalry : actions.rivalries) {
+        log(LogLevel::Info, { .step = "dispatch.rivals", .peer = rivalry.queue },
+            fmt::format("tasks of this queue and of {} {}; {} sidecars report that one slows the other down", rivalry.neighbour,
+                rivalry.isKeptApart ? "are placed on different minions where there is room" : "may share a minion again", rivalry.sidecars));
+    }
     if (actions.heldFor)
         reportHold(*actions.heldFor);
     for (const auto& address : actions.reconnect)
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -91,6 +91,8 @@
     m_process.gaugeUpdaters.push_back([this] {
         m_process.metrics.set("sidecars_connected", static_cast<double>(m_dispatch.sidecars()));
         m_process.metrics.set("jobs_held", static_cast<double>(m_dispatch.jobs()));
+        m_process.metrics.set("minions_slow", static_cast<double>(m_dispatch.dispatcher().slowMinions(Clock::now())));
+        m_process.metrics.set("queue_pairs_apart", static_cast<double>(m_dispatch.dispatcher().queuePairsKeptApart()));
     });
 }
 
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -119,6 +119,8 @@
     job.idleCutoff = within(m_options.idleCutoffPercent);
     job.objectiveAt = now + objective;
     job.effectiveDeadline = now + objective + m_options.priorityDelay * spec.queue.priority;
+    if (m_options.separatesInterference)
+        m_queueNames.try_emplace(nameDigest(spec.queue.name), spec.queue.name);
     m_submissions[submission] = submission;
     m_byName[{ spec.queue.name, spec.name }] = submission;
     job.grants = m_grants.acquire(spec.name);
@@ -154,7 +156,7 @@
         return "the service has no connected minion";
     if (std::find(fitting.begin(), fitting.end(), false) != fitting.end())
         return "a task needs more than the capacity of any minion";
-    if (now + expectedWait(job, now) + job.longestRun > cutoff(job))
+    if (now + expectedWait(job, now) + shortestChain(job, now) > cutoff(job))
         return "the queued work ahead of it leaves too little time";
     return std::nullopt;
 }
@@ -254,6 +256,12 @@
 {
     if (!dataCentres.empty())
         m_membersKnownAt = m_membersKnownAt.value_or(now);
+    for (auto& [service, rivals] : m_rivals) {
+        for (const auto& former : m_members) {
+            if (!dataCentres.contains(former))
+                rivals.remove(former);
+        }
+    }
     m_members.clear();
     for (const auto& [sidecar, dataCentre] : dataCentres)
         m_members.insert(sidecar);
@@ -346,6 +354,8 @@
         applyState(sidecar, link, *frame.state);
     if (freeAt(link).cpuMillis >= link.wantedCpuMillis)
         link.wantedCpuMillis = 0;
+    if (m_options.separatesInterference && !frame.slowdowns.empty() && link.known)
+        m_rivals[link.state.service].reported(sidecar, frame.slowdowns);
     for (const auto& task : frame.unsettledTasks)
         applyUnsettledTask(sidecar, task, now);
     for (const auto& end : frame.ends)
@@ -486,6 +496,8 @@
     if (!link.known && link.state.capacity.cpuMillis > 0) {
         link.known = true;
         healthOf(link.state.service).add(healthId(sidecar), expectedSlots(link.state.capacity));
+        if (m_options.separatesInterference)
+            m_rivals[link.state.service].add(sidecar);
     }
 }
 
@@ -527,7 +539,7 @@
     if (end.kind == RunEndKind::Done) {
         task.state = TaskState::Done;
         health.record(healthId(sidecar), TaskOutcome::Done, end.ranFor, now);
-        learnRunTime(job, step, end.ranFor);
+        learnRunTime(job, step, sidecar, end.ranFor, now);
         if (--job.unfinishedTasks == 0)
             endJob(place.job, DispatchEndKind::Completed, {}, {});
         return;
@@ -549,7 +561,7 @@
         return;
     }
     if (end.kind == RunEndKind::Stuck && end.ranFor.count > 0)
-        learnFromSlowRun(job, step, task, sidecar, end.ranFor);
+        learnFromSlowRun(job, step, task, sidecar, end.ranFor, now);
     if (end.kind != RunEndKind::NotStarted)
         task.failedAt.push_back(sidecar);
     requeueTask(place.job, job, task);
@@ -562,20 +574,84 @@
     m_queue.emplace(job.effectiveDeadline, id);
 }
 
-void JobDispatcher::learnRunTime(const Job& job, const DispatchStep& step, Milliseconds ranFor)
+double JobDispatcher::slownessOf(const std::string& service, const std::string& sidecar, Milliseconds now) const
+{
+    const auto speeds = m_speeds.find(service);
+    return speeds == m_speeds.end() ? 1 : speeds->second.slowness(sidecar, now);
+}
+
+Milliseconds JobDispatcher::shortestChain(const Job& job, Milliseconds now) const
+{
+    const auto speeds = m_speeds.find(job.spec.queue.service);
+    if (speeds == m_speeds.end())
+        return job.longestRun;
+    return { static_cast<std::int64_t>(static_cast<double>(job.longestRun.count) * speeds->second.fastSlowness(now)) };
+}
+
+void JobDispatcher::weighRivals(const QueueConfig& queue, std::vector<PlacementCandidate>& candidates) const
+{
+    const auto found = m_rivals.find(queue.service);
+    if (found == m_rivals.end() || found->second.empty())
+        return;
+    const std::uint64_t digest = nameDigest(queue.name);
+    for (auto& candidate : candidates) {
+        const auto& runs = m_links.at(candidate.sidecar).outstanding;
+        candidate.hasRivals = found->second.prefersOtherMinions(digest, candidate.sidecar)
+            || std::any_of(runs.begin(), runs.end(), [&](const auto& item) {
+                   const auto job = m_jobs.find(item.second.job);
+                   return job != m_jobs.end() && found->second.areRivals(digest, nameDigest(job->second.spec.queue.name));
+               });
+    }
+}
+
+void JobDispatcher::reportRivalries()
 {
-    if (step.needs.runTime.count > 0)
-        m_estimateError[job.spec.queue.name].record({ ranFor.count * thousandths / step.needs.runTime.count });
+    const auto nameOf = [this](std::uint64_t digest) {
+        const auto name = m_queueNames.find(digest);
+        return name == m_queueNames.end() ? fmt::format("queue {:016x}", digest) : name->second;
+    };
+    for (auto& [service, rivals] : m_rivals) {
+        for (const auto& change : rivals.takeChanges())
+            m_actions.rivalries.push_back({ .queue = nameOf(change.queue), .neighbour = nameOf(change.neighbour), .isKeptApart = change.isKeptApart, .sidecars = change.sidecars });
+    }
+}
+
+std::size_t JobDispatcher::queuePairsKeptApart() const
+{
+    std::size_t pairs = 0;
+    for (const auto& [service, rivals] : m_rivals)
+        pairs += rivals.pairs();
+    return pairs;
+}
+
+std::size_t JobDispatcher::slowMinions(Milliseconds now) const
+{
+    constexpr double slow = 1.25;
+    return static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(),
+        [&](const auto& item) { return slownessOf(item.second.state.service, item.first, now) >= slow; }));
+}
+
+void JobDispatcher::learnRunTime(const Job& job, const DispatchStep& step, const std::string& sidecar, Milliseconds ranFor, Milliseconds now)
+{
+    if (step.needs.runTime.count <= 0)
+        return;
+    const std::string& service = job.spec.queue.service;
+    const double slowness = slownessOf(service, sidecar, now);
+    // What is learned of the queue is the run time on the mean minion, wherever its tasks ran.
+    const double onMeanMinion = static_cast<double>(ranFor.count) / slowness;
+    if (const double expected = static_cast<double>(expectedRun(job.spec.queue, step.needs).count); m_options.placesBySpeed && expected > 0)
+        m_speeds[service].record(sidecar, static_cast<double>(ranFor.count) / expected, now);
+    m_estimateError[job.spec.queue.name].record({ static_cast<std::int64_t>(onMeanMinion * thousandths) / step.needs.runTime.count });
 }
 
 void JobDispatcher::learnFromSlowRun(
-    const Job& job, const DispatchStep& step, Task& task, const std::string& sidecar, Milliseconds projected)
+    const Job& job, const DispatchStep& step, Task& task, const std::string& sidecar, Milliseconds projected, Milliseconds now)
 {
     // One minion alone may be slow. A task that is slow on two of them has too small an estimate.
     const bool slowElsewhere = !task.slowAt.empty() && task.slowAt != sidecar;
     task.slowAt = sidecar;
     if (slowElsewhere)
-        learnRunTime(job, step, projected);
+        learnRunTime(job, step, sidecar, projected, now);
 }
 
 void JobDispatcher::endLostRuns(const std::string& sidecar, Link& link, Milliseconds now)
@@ -697,7 +773,8 @@
             .labels = &link.state.labels,
             .capacity = link.state.capacity,
             .free = freeAt(link),
-            .allowance = health.allowance(healthId(name), now) };
+            .allowance = health.allowance(healthId(name), now),
+            .slowness = slownessOf(service, name, now) };
         candidate.free.cpuMillis += link.state.capacity.cpuMillis * m_options.prefetchPercent / percent
             / static_cast<std::int64_t>(m_options.entries);
         candidate.jitter = std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -710,7 +787,7 @@
 
 bool JobDispatcher::canMeetObjective(const Job& job, Milliseconds now) const
 {
-    const Milliseconds needed = Milliseconds { job.longestRun.count * m_options.onTimeRunPercent / percent } + m_options.onTimeMargin;
+    const Milliseconds needed = Milliseconds { shortestChain(job, now).count * m_options.onTimeRunPercent / percent } + m_options.onTimeMargin;
     return job.hasBegun() || now + needed <= job.objectiveAt;
 }
 
@@ -800,6 +877,7 @@
 {
     for (auto& candidate : candidates)
         candidate.chosenThisRound = 0;
+    weighRivals(job.spec.queue, candidates);
     const bool mayUseReserve = job.spec.queue.priority == 0 || job.hasBegun() || m_options.reservePercent == 0;
     if (!mayUseReserve && !exceedsReserve(candidates))
         return false;
@@ -825,6 +903,10 @@
             if (task.state != TaskState::Waiting)
                 continue;
             request.avoid = task.failedAt;
+            if (m_options.placesBySpeed) {
+                request.runTime = expectedRun(job.spec.queue, spec.needs);
+                request.endWithin = std::max(job.objectiveAt - m_options.onTimeMargin - now, Milliseconds {});
+            }
             // One minion refuses the earlier of two starts of a task. Of two minions neither knows of the other's.
             const auto unsettledAt = sidecarsWithUnsettled(job, step, index, now);
             if (unsettledAt.size() > 1)
@@ -873,7 +955,8 @@
         same->tasks.push_back({ .index = index, .run = task.run });
     } else {
         TaskNeeds needs = spec.needs;
-        needs.runTime = expectedRun(job.spec.queue, spec.needs);
+        needs.runTime = { static_cast<std::int64_t>(
+            static_cast<double>(expectedRun(job.spec.queue, spec.needs).count) * slownessOf(job.spec.queue.service, sidecar, now)) };
         orders.push_back({ .job = job.spec.name,
             .submission = id,
             .step = step,
@@ -883,7 +966,8 @@
             .rank = canMeetObjective(job, now) ? job.effectiveDeadline - now : job.idleCutoff - now,
             // The sidecar's clock read `clock` at or shortly before lastReceivedAt.
             .endBy = link.clock + (job.spec.deadline - link.lastReceivedAt),
-            .mayWait = m_options.prefetchPercent > 0 });
+            .mayWait = m_options.prefetchPercent > 0,
+            .queue = m_options.separatesInterference ? nameDigest(job.spec.queue.name) : 0 });
     }
     link.hasNext = true;
     link.sent.push_back({ .frame = link.framesSent + 1, .needs = spec.needs });
@@ -917,7 +1001,7 @@
     std::vector<std::uint64_t> over;
     std::vector<std::uint64_t> withoutGrants;
     for (auto& [id, job] : m_jobs) {
-        const bool tooLate = !job.mayHaveRun && now + job.longestRun > cutoff(job);
+        const bool tooLate = !job.mayHaveRun && now + shortestChain(job, now) > cutoff(job);
         if (job.grants->lostSince && job.atSidecars == 0 && !m_runsOfEndedJobs.contains(job.spec.name))
             m_grants.startOver(job.spec.name);
         const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt;
@@ -1012,6 +1096,7 @@
     placeConfirmed(now, callersHeardUntil.value_or(now));
     flush(now);
     m_actions.grantReports = m_grants.takeReports(now);
+    reportRivalries();
     return std::exchange(m_actions, {});
 }
 
@@ -1032,7 +1117,7 @@
         if (const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt)
             at(*withoutGrantsSince + m_options.maxTimeWithoutGrants);
         if (!job.mayHaveRun && !job.recalled)
-            at(std::max(cutoff(job) - job.longestRun, m_lastCallAt) + Milliseconds { 1 });
+            at(std::max(cutoff(job) - shortestChain(job, m_lastCallAt), m_lastCallAt) + Milliseconds { 1 });
     }
     for (const auto& [name, link] : m_links) {
         if (!link.outstanding.empty())
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -2,6 +2,8 @@
 
 #include "policy/JobGrants.h"
 #include "policy/MinionHealth.h"
+#include "policy/MinionSpeeds.h"
+#include "policy/RivalQueues.h"
 #include "policy/RunPlacement.h"
 #include "policy/RunTimes.h"
 #include "wire/DispatchMessages.h"
@@ -85,6 +87,14 @@
     EntryFrame frame;
 };
 
+// Tasks of two queues began or ceased to be placed on different minions.
+struct RivalryNews {
+    std::string queue;
+    std::string neighbour;
+    bool isKeptApart { false };
+    std::size_t sidecars { 0 };
+};
+
 struct DispatchActions {
     std::vector<FrameToSidecar> frames;
     std::vector<DispatchEnd> ends;
@@ -94,6 +104,7 @@
     // Set when jobs begin or cease to be held because an entry was lost: the sidecars that are not heard, none when they cease.
     std::optional<std::vector<std::string>> heldFor;
     std::vector<GrantReport> grantReports;
+    std::vector<RivalryNews> rivalries;
 };
 
 struct JobDispatcherOptions {
@@ -127,6 +138,10 @@
     std::int64_t prefetchPercent { 0 };
     // Weight of the random jitter in the choice of a minion, relative to its free share.
     double jitterWeight { 0.1 };
+    // Whether placement, expected run times and refusals go by how fast each minion has been.
+    bool placesBySpeed { false };
+    // Whether tasks of queues that slow each other down are placed on different minions where there is room.
+    bool separatesInterference { false };
     // Maximum rate of frames that report only a minion's state, from all sidecars together. A higher rate improves
     // placement but costs the entry CPU time.
     std::int64_t maxStateFramesPerSecond { 600 };
@@ -214,6 +229,9 @@
     std::size_t pending(const std::string& queue) const;
     std::size_t jobs() const { return m_jobs.size(); }
     std::size_t runsAt(const std::string& sidecar) const;
+    // Minions known to take at least a quarter longer than the mean one, and pairs of queues that are kept apart.
+    std::size_t slowMinions(Milliseconds now) const;
+    std::size_t queuePairsKeptApart() const;
 
 private:
     enum class TaskState {
@@ -343,6 +361,12 @@
     std::optional<std::string> refusal(const Job&, Milliseconds now) const;
     Milliseconds expectedWait(const Job&, Milliseconds now) const;
     Milliseconds retryAfter(const Job&, Milliseconds now);
+    // Marks the candidates on which tasks of the queue would meet those of a rival.
+    void weighRivals(const QueueConfig&, std::vector<PlacementCandidate>&) const;
+    void reportRivalries();
+    double slownessOf(const std::string& service, const std::string& sidecar, Milliseconds now) const;
+    // Run time of the job's longest chain on minions that are fast and numerous enough to rely on.
+    Milliseconds shortestChain(const Job&, Milliseconds now) const;
     // Whether the job can still end within its latency objective, or has begun.
     bool canMeetObjective(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
@@ -398,9 +422,9 @@
     void runEnded(const std::string& sidecar, const TaskPlace&, const RunEnd&, Milliseconds now);
     // Returns the task to the queue.
     void requeueTask(std::uint64_t id, Job&, Task&);
-    void learnRunTime(const Job&, const DispatchStep&, Milliseconds ranFor);
+    void learnRunTime(const Job&, const DispatchStep&, const std::string& sidecar, Milliseconds ranFor, Milliseconds now);
     // Takes in a run that was ended as stuck while it made progress. It counts once a second sidecar was slow as well.
-    void learnFromSlowRun(const Job&, const DispatchStep&, Task&, const std::string& sidecar, Milliseconds projected);
+    void learnFromSlowRun(const Job&, const DispatchStep&, Task&, const std::string& sidecar, Milliseconds projected, Milliseconds now);
     void endLostRuns(const std::string& sidecar, Link&, Milliseconds now);
     // Calls the visitor with the name of each run of the job at a sidecar and the link to that sidecar.
     template <typename Visit>
@@ -448,6 +472,12 @@
     // Until when jobs are held; in the past while every sidecar is heard.
     Milliseconds m_holdUntil {};
     std::map<std::string, MinionHealth> m_health;
+    // By service; empty unless `placesBySpeed`.
+    std::map<std::string, MinionSpeeds> m_speeds;
+    // By service; empty unless `separatesInterference`.
+    std::map<std::string, RivalQueues> m_rivals;
+    // By digest.
+    std::map<std::uint64_t, std::string> m_queueNames;
     // Run time over estimate, in thousandths, by queue.
     std::map<std::string, RunTimes> m_estimateError;
     std::set<std::string> m_dataCentresOut;
--- a/src/policy/RunPlacement.cpp
+++ b/src/policy/RunPlacement.cpp
@@ -1,6 +1,7 @@
 #include "policy/RunPlacement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace oleanderport {
 
@@ -12,6 +13,23 @@
     constexpr double sameDataCentreWeight = 0.05;
     // Exceeds the sum of the others: a minion that failed the task is chosen only when no other has room.
     constexpr double avoidWeight = 3.0;
+    // Exceeds all but `avoidWeight`: an end that is too late outweighs any room.
+    constexpr double lateWeight = 2.0;
+    // As much as a whole minion of free room: tasks that slow each other down share a minion only where no other has room.
+    constexpr double rivalsWeight = 1.0;
+    // Standard deviation of the logarithm of real over expected run time: callers' estimates are off by half.
+    constexpr double estimateSpread = 0.4;
+
+    // Probability that the run ends too late on this minion.
+    double lateProbability(const PlacementCandidate& candidate, const PlacementRequest& request)
+    {
+        if (!request.endWithin || request.runTime.count <= 0)
+            return 0;
+        if (request.endWithin->count <= 0)
+            return 1;
+        const double share = static_cast<double>(request.runTime.count) * candidate.slowness / static_cast<double>(request.endWithin->count);
+        return std::erfc(-std::log(share) / (estimateSpread * std::sqrt(2.0))) / 2;
+    }
 
     double freeShare(const PlacementCandidate& candidate)
     {
@@ -43,6 +61,8 @@
             score += sameDataCentreWeight;
         if (std::find(request.avoid.begin(), request.avoid.end(), candidate.sidecar) != request.avoid.end())
             score -= avoidWeight;
+        score -= candidate.hasRivals ? rivalsWeight : 0;
+        score -= lateWeight * lateProbability(candidate, request);
         return score;
     }
 
--- a/src/policy/RunPlacement.h
+++ b/src/policy/RunPlacement.h
@@ -29,6 +29,10 @@
     std::int64_t chosenThisRound { 0 };
     // Runs of the same step on this minion.
     std::int64_t runsOfStep { 0 };
+    // Run time there as a multiple of that on the mean minion; see MinionSpeeds.
+    double slowness { 1 };
+    // Tasks that slow this one down, or that it slows down, run there or are placed there by preference; see RivalQueues.
+    bool hasRivals { false };
     // Random number between 0 and 1, so that entries with the same reports do not all choose the same minion.
     double jitter { 0 };
 };
@@ -46,6 +50,10 @@
     std::string requiredSidecar;
     // Sidecars at which an earlier run of the task failed.
     std::vector<std::string> avoid;
+    // Run time on the mean minion, and the latest useful end relative to now; the less likely the run ends by then on a minion, the more room
+    // it needs to be chosen. Unset when speeds do not matter.
+    Milliseconds runTime {};
+    std::optional<Milliseconds> endWithin;
     // Weight of a candidate's jitter relative to the free share of a minion.
     double jitterWeight { 0.1 };
 };
--- a/src/policy/RunTable.cpp
+++ b/src/policy/RunTable.cpp
@@ -679,6 +679,19 @@
         conclude(key, provesNotStarted(found->second.evidence) ? RunEndKind::NotStarted : whenStarted, now);
 }
 
+void RunTable::recordInterference(const RunKey& key, const Run& run, Milliseconds ranFor, Milliseconds now)
+{
+    const RunRequest& request = run.request;
+    if (request.queue == 0 || request.needs.runTime.count <= 0)
+        return;
+    std::set<std::uint64_t> neighbours;
+    for (const auto& [other, each] : m_runs) {
+        if (other != key && each.state != State::Queued && each.request.queue != 0)
+            neighbours.insert(each.request.queue);
+    }
+    m_interference.record(request.queue, request.job, neighbours, static_cast<double>(ranFor.count) / static_cast<double>(request.needs.runTime.count), now);
+}
+
 void RunTable::conclude(const RunKey& key, RunEndKind kind, Milliseconds now)
 {
     const auto found = m_runs.find(key);
@@ -691,6 +704,8 @@
     Milliseconds ranFor = atMinion ? now - run.startedAt : Milliseconds {};
     if (kind == RunEndKind::Stuck)
         ranFor = run.percent > 0 ? projectedRun(run) : Milliseconds {};
+    if (kind == RunEndKind::Done && atMinion)
+        recordInterference(key, run, ranFor, now);
     Entry& entry = m_entries[key.first];
     entry.unseenEnds.push_back(
         { .number = ++entry.lastEnd, .run = key.second, .kind = kind, .ranFor = ranFor, .evidence = run.evidence });
@@ -1170,6 +1185,9 @@
             frame.isRegistrar = true;
         }
         frame.grants = m_grants.takeAnswers(name);
+        if (!entry.handshakeSent || entry.sentSlowdowns < m_interference.version())
+            frame.slowdowns = m_interference.slowdowns();
+        entry.sentSlowdowns = m_interference.version();
         for (const auto& each : entry.unseenEnds) {
             if (each.number > entry.sentEnd)
                 frame.ends.push_back(each);
--- a/src/policy/RunTable.h
+++ b/src/policy/RunTable.h
@@ -2,6 +2,7 @@
 
 #include "policy/GrantTable.h"
 #include "policy/RunDiagnostics.h"
+#include "policy/TaskInterference.h"
 #include "wire/DispatchMessages.h"
 
 #include <algorithm>
@@ -343,6 +344,8 @@
         // Number of the last end, and of the last news of unsettled tasks, sent on the current stream.
         std::uint64_t sentEnd { 0 };
         std::uint64_t sentUnsettled { 0 };
+        // Version of the slowdowns sent on the current stream.
+        std::uint64_t sentSlowdowns { 0 };
         Milliseconds sentAt {};
         std::size_t runs { 0 };
         // When its first run came while it had none.
@@ -408,6 +411,8 @@
     void take(const std::string& entry, const RunRequest&, const RequestedTask&, bool isFresh, Milliseconds now);
     // Ends a run as NotStarted when that is proven, otherwise as given.
     void end(const RunKey&, RunEndKind whenStarted, Milliseconds now);
+    // Compares the run time of a run that ended well, where its entry asks for it.
+    void recordInterference(const RunKey&, const Run&, Milliseconds ranFor, Milliseconds now);
     // Removes the run and queues its end for the entry.
     void conclude(const RunKey&, RunEndKind, Milliseconds now);
     // Begins to stop the run, which its caller may have left at `abandonedAt`. That can be long before now, when the news was late.
@@ -544,6 +549,7 @@
     // The minion has told this incarnation of the sidecar all that it runs.
     bool m_isMinionKnown { false };
     std::vector<SettledStart> m_settledStarts;
+    TaskInterference m_interference;
     RunDiagnosticsCollector m_diagnostics;
     std::vector<Offer> m_offers;
     TaskNeeds m_used;
--- a/src/wire/DispatchCodec.cpp
+++ b/src/wire/DispatchCodec.cpp
@@ -5,6 +5,8 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <limits>
 #include <sstream>
@@ -19,10 +21,13 @@
     constexpr std::uint32_t unknownRunsIndex = 0;
     constexpr std::uint32_t lostEntryRunsIndex = 1;
     constexpr std::uint32_t registrarIndex = 2;
+    constexpr std::uint32_t slowdownIndex = 3;
     // Step of the recalls that carry requests for grants. Sidecars of earlier versions ignore recalls of runs that they don't know.
     constexpr std::uint32_t grantStep = std::numeric_limits<std::uint32_t>::max();
     // Step of the recall that carries what an entry says of itself.
     constexpr std::uint32_t entryStep = grantStep - 1;
+    // Step of the recalls that name the queues of the requests, by position.
+    constexpr std::uint32_t queueStep = grantStep - 2;
 
     // Size of the frame being decoded.
     thread_local std::size_t frameBytes = 0;
@@ -235,12 +240,23 @@
     return evidence == StartEvidence::NotRequested || evidence == StartEvidence::Declined;
 }
 
-// Requests for grants, and what an entry says of itself, are sent as recalls, which sidecars of earlier versions ignore.
+std::uint64_t nameDigest(const std::string& queue)
+{
+    // 0 stands for no queue.
+    return std::max<std::uint64_t>(XXH3_64bits(queue.data(), queue.size()), 1);
+}
+
+// Requests for grants, the queues of requests, and what an entry says of itself, are sent as recalls, which sidecars of earlier versions ignore.
 std::string encodeFrame(const EntryFrame& frame)
 {
-    if (frame.grants.empty() && frame.entries == 0)
+    const bool hasQueues = std::any_of(frame.requests.begin(), frame.requests.end(), [](const RunRequest& request) { return request.queue != 0; });
+    if (frame.grants.empty() && frame.entries == 0 && !hasQueues)
         return encode(frame);
     EntryFrame encoded = frame;
+    for (std::uint32_t i = 0; i < frame.requests.size(); ++i) {
+        if (frame.requests[i].queue != 0)
+            encoded.recalls.push_back({ .step = queueStep, .index = i, .submission = frame.requests[i].queue });
+    }
     if (frame.entries > 0)
         encoded.recalls.push_back({ .step = entryStep, .run = frame.entries, .submission = static_cast<std::uint64_t>(frame.startedFor.count) });
     for (const auto& grant : frame.grants)
@@ -253,7 +269,7 @@
 std::string encodeFrame(const SidecarFrame& frame)
 {
     const bool hasTimes = frame.unknownRunsFor.count > 0 || frame.lostEntryRunsFor.count > 0;
-    if (frame.unsettledTasks.empty() && frame.grants.empty() && !hasTimes && !frame.isRegistrar)
+    if (frame.unsettledTasks.empty() && frame.grants.empty() && frame.slowdowns.empty() && !hasTimes && !frame.isRegistrar)
         return encode(frame);
     SidecarFrame encoded = frame;
     const auto add = [&encoded](const std::string& job, std::uint32_t step, std::uint32_t index, Milliseconds remaining) {
@@ -267,6 +283,11 @@
         add({}, 0, lostEntryRunsIndex, frame.lostEntryRunsFor);
     if (frame.isRegistrar)
         add({}, 0, registrarIndex, {});
+    for (const auto& each : frame.slowdowns) {
+        encoded.ends.push_back({ .run = { .index = slowdownIndex, .run = each.queue, .submission = each.neighbour },
+            .ranFor = { each.percent },
+            .evidence = StartEvidence::Unanswered });
+    }
     for (const auto& grant : frame.grants)
         encoded.ends.push_back({ .run = { .job = grant.job, .index = static_cast<std::uint32_t>(grant.state), .submission = grant.number }, .kind = RunEndKind::Done });
     return encode(encoded);
@@ -283,6 +304,12 @@
             frame.assume_value().entries = recall.run;
             frame.assume_value().startedFor = Milliseconds { static_cast<std::int64_t>(recall.submission) };
         }
+        if (recall.step == queueStep) {
+            auto& requests = frame.assume_value().requests;
+            if (recall.index >= requests.size())
+                return invalidFrameError();
+            requests[recall.index].queue = recall.submission;
+        }
         if (recall.step != grantStep)
             continue;
         const auto kind = static_cast<GrantRequestKind>(recall.index);
@@ -290,7 +317,7 @@
             return invalidFrameError();
         frame.assume_value().grants.push_back({ .job = std::move(recall.job), .number = recall.submission, .kind = kind });
     }
-    std::erase_if(recalls, [](const RunName& recall) { return recall.step >= entryStep; });
+    std::erase_if(recalls, [](const RunName& recall) { return recall.step >= queueStep; });
     return frame;
 }
 
@@ -321,6 +348,8 @@
             decoded.lostEntryRunsFor = end.ranFor;
         } else if (end.run.index == registrarIndex) {
             decoded.isRegistrar = true;
+        } else if (end.run.index == slowdownIndex) {
+            decoded.slowdowns.push_back({ .queue = end.run.run, .neighbour = end.run.submission, .percent = end.ranFor.count });
         }
     }
     std::erase_if(ends, [](const RunEnd& end) { return end.number == 0; });
--- a/src/wire/DispatchMessages.h
+++ b/src/wire/DispatchMessages.h
@@ -45,6 +45,20 @@
     Milliseconds endBy {};
     // Whether a task waits at the sidecar when there is no room. Otherwise it is returned at once, to be placed elsewhere.
     bool mayWait { true };
+    // Digest of the job's queue, for which the sidecar compares run times; 0 when it need not.
+    std::uint64_t queue { 0 };
+};
+
+// Digest by which messages name a queue. Never 0, which stands for no queue.
+std::uint64_t nameDigest(const std::string& queue);
+
+// Runs of a queue take this many percent of their time beside tasks of the neighbour, 100 when they aren't slowed down.
+struct QueueSlowdown {
+    std::uint64_t queue { 0 };
+    std::uint64_t neighbour { 0 };
+    std::int64_t percent { 100 };
+
+    bool operator==(const QueueSlowdown&) const = default;
 };
 
 // What an entry asks of a registrar, a sidecar that grants jobs; see GrantTable.
@@ -202,6 +216,8 @@
     // The sidecar grants jobs. Set in the first frame of a stream; sidecars of earlier versions don't.
     bool isRegistrar { false };
     std::vector<GrantAnswer> grants;
+    // All slowdowns that the sidecar has found, when they are news on this stream.
+    std::vector<QueueSlowdown> slowdowns;
 };
 
 } // namespace oleanderport
--- a/test/platform/PlatformPathTest.cpp
+++ b/test/platform/PlatformPathTest.cpp
@@ -248,6 +248,32 @@
     cr_assert(std::all_of(started.begin(), started.end(), [](const std::string& task) { return task.rfind("x.", 0) == 0; }));
 }
 
+// An entry that stops may wait for a long job for seconds, and the platform goes on using it when too few others of its zone are ready.
+Test(PlatformPath, aStoppingEntryServesWhatCanEndWithinItsGraceAndRefusesTheRest)
+{
+    bool isLong = true;
+    PlatformDeployment deployment({ .runTime = [&isLong](const std::string&) { return Milliseconds { isLong ? 1'500 : 50 }; } });
+    deployment.becomeReady();
+    deployment.entry.process().settings.acceptWhileStopping = deployment.entry.process().settings.shutdownGrace;
+    const RawConnection& client = deployment.send(deployment.front, "POST /a/long", testJob);
+    cr_assert(runUntil(deployment.loop, [&deployment] { return deployment.minion.running() == 3; }));
+    bool stopped = false;
+    deployment.ingress.shutDown([&stopped] { stopped = true; });
+    // Past the time in which a load balancer notices.
+    deployment.runFor({ 400 });
+    isLong = false;
+    const std::string served = deployment.sendAndWait(deployment.front, "POST /a/short", testJob);
+    cr_assert(hasStatus(served, 200), "expected a short job to be served, got %s", served.c_str());
+    const std::string refused
+        = deployment.sendAndWait(deployment.front, "POST /a/endless", R"({"spec":"text","bestEffort":true,"steps":[{"count":1,"cpu":1000,"memMb":1,"estimatedMs":60000}]})");
+    cr_assert(hasStatus(refused, 503), "expected a job that can't end within the grace to be refused, got %s", refused.c_str());
+    cr_assert(!stopped && !PlatformDeployment::isComplete(client.received()), "the refusal waited for the end of the grace");
+    cr_assert(runUntil(deployment.loop, [&stopped] { return stopped; }));
+    cr_assert(client.received().find(R"({"state":"completed"})") != std::string::npos, "got %s", client.received().c_str());
+    for (const auto& task : deployment.minion.started)
+        cr_assert(task.rfind("endless", 0) != 0, "a task of a refused job started");
+}
+
 Test(PlatformPath, acceptsResubmissionsOfInFlightJobsWhileStopping)
 {
     PlatformDeployment deployment({ .runTime = [](const std::string&) { return Milliseconds { 700 }; } });
--- a/test/policy/RunPlacementTest.cpp
+++ b/test/policy/RunPlacementTest.cpp
@@ -84,3 +84,22 @@
     cr_assert(chosen({ chosenBefore, candidate("b", 6'500) }, request) == "a");
     cr_assert(chosen({ chosenBefore, candidate("b", 9'000) }, request) == "b");
 }
+
+// Guards against a run that is late on a slow minion with more room, and against one that waits although only a slow one has room.
+Test(RunPlacement, prefersAMinionThatIsFastEnoughAndTakesASlowOneWithoutAnother)
+{
+    auto fast = candidate("fast", 3'000);
+    auto slow = candidate("slow", 9'000);
+    fast.slowness = 0.7;
+    slow.slowness = 1.7;
+    PlacementRequest tight = request;
+    tight.runTime = { 700 };
+    tight.endWithin = Milliseconds { 1'000 };
+    cr_assert(chosen({ fast, slow }, tight) == "fast");
+    tight.endWithin = Milliseconds { 20'000 };
+    cr_assert(chosen({ fast, slow }, tight) == "slow", "with that much time the minion with more room is chosen");
+    tight.endWithin = Milliseconds { 1'000 };
+    fast.free.cpuMillis = 0;
+    cr_assert(chosen({ fast, slow }, tight) == "slow");
+    cr_assert(chosen({ candidate("a", 3'000), slow }, request) == "slow", "speeds don't count where no end is asked for");
+}
--- a/test/support/DispatchLoad.h
+++ b/test/support/DispatchLoad.h
@@ -46,6 +46,12 @@
     return { .cpuMillis = 15'000, .width = 0.4, .cpu = 0.2, .runTime = 0.4, .estimate = 0.4 };
 }
 
+// The same with smaller tasks, as the sheets give it for deployments of some seventy machines.
+inline LoadSpread compactSpread()
+{
+    return { .cpuMillis = 3'300, .width = 0.4, .cpu = 0.2, .runTime = 0.4, .estimate = 0.4 };
+}
+
 // Submits jobs of all three queues at random times to random entries.
 class DispatchLoad {
 public:
--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -738,7 +738,16 @@
     addNeeds(minion.used, queue.needs, 1);
     const double spread = std::lognormal_distribution<double>(0, 0.15)(m_random);
     const double real = static_cast<double>(queue.needs.runTime.count * queue.realRunThousandths) / thousandths;
-    const Milliseconds takes { std::max<std::int64_t>(static_cast<std::int64_t>(real * spread) * minion.slow, 1) };
+    const auto& percents = m_options.runTimePercents;
+    const double speed = percents.empty() ? 1 : static_cast<double>(percents[static_cast<std::size_t>(number) % percents.size()]) / wholePercent;
+    double slowdown = 1;
+    for (const auto& each : m_options.interference) {
+        const bool isBeside = std::any_of(minion.running.begin(), minion.running.end(),
+            [this, &each](const auto& other) { return m_queueOfJob.at(other.first.job).config.name == each.beside; });
+        if (each.queue == queue.config.name && isBeside)
+            slowdown *= static_cast<double>(each.runTimePercent) / wholePercent;
+    }
+    const Milliseconds takes { std::max<std::int64_t>(static_cast<std::int64_t>(real * spread * speed * slowdown) * minion.slow, 1) };
     const bool fails = queue.failing || std::uniform_real_distribution<double>(0, 1)(m_random) < minion.failShare;
     const std::uint64_t serial = ++m_lastOrder;
     minion.running[request.run]
@@ -929,6 +938,8 @@
     return m_entries[static_cast<std::size_t>(entry)]->dispatcher->runsAt(sidecarName(sidecar));
 }
 
+std::size_t DispatchModel::pairsKeptApart(int entry) const { return m_entries[static_cast<std::size_t>(entry)]->dispatcher->queuePairsKeptApart(); }
+
 std::size_t DispatchModel::jobsAt(int entry) const { return m_entries[static_cast<std::size_t>(entry)]->dispatcher->jobs(); }
 
 std::size_t DispatchModel::liveRunsAt(int sidecar) const { return m_sidecars[static_cast<std::size_t>(sidecar)]->runs->liveRuns(); }
--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -25,6 +25,15 @@
     TaskNeeds capacity { .cpuMillis = 64'000, .memoryMb = 131'072 };
     // Every n-th minion has one and a half times the CPU capacity; 0 for none.
     int largerEvery { 0 };
+    // Run times on the minions in percent of those of the queue, by number modulo the length; alike when empty.
+    std::vector<std::int64_t> runTimePercents;
+    // Runs of `queue` take this many percent of their time when a task of `beside` runs on the minion as they start.
+    struct Interference {
+        std::string queue;
+        std::string beside;
+        std::int64_t runTimePercent { 100 };
+    };
+    std::vector<Interference> interference;
     // One-way network latency between an entry and a sidecar.
     Milliseconds delay { 1 };
     // Latency between a sidecar and its minion.
@@ -144,6 +153,8 @@
     double wastedCoreMs() const { return m_wastedCoreMs; }
     std::size_t running(int sidecar) const;
     std::size_t runsAt(int entry, int sidecar) const;
+    // Pairs of queues that an entry keeps apart.
+    std::size_t pairsKeptApart(int entry) const;
     // Number of jobs that an entry still tracks, and of runs that a sidecar does.
     std::size_t jobsAt(int entry) const;
     std::size_t liveRunsAt(int sidecar) const;
--- a/test/support/PlatformDeployment.h
+++ b/test/support/PlatformDeployment.h
@@ -29,6 +29,7 @@
     settings.heartbeat = { 50 };
     settings.declaredDataCentres = { "dc-a", "dc-b" };
     settings.shutdownGrace = { 2'000 };
+    settings.acceptWhileStopping = { 200 };
     return settings;
 }
 
