--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -59,6 +59,7 @@
         { .name = "large, overload", .entries = 51, .sidecars = 240, .largerEvery = 3, .spread = largeSpread(), .jobsPerSecond = 2'000, .duration = { 4'000 } },
         { .name = "unlike minions", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 743, .duration = { 10'000 }, .cores = 32, .runTimePercents = unlikeRunTimes },
         { .name = "unlike minions, heavy", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 1'150, .duration = { 10'000 }, .cores = 32, .runTimePercents = unlikeRunTimes },
+        { .name = "unlike minions, burst", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 743, .duration = { 10'000 }, .burstPerSecond = 1'300, .burstAt = { 3'000 }, .burstFor = { 4'000 }, .cores = 32, .runTimePercents = unlikeRunTimes },
         { .name = "interference", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 743, .duration = { 30'000 }, .cores = 32, .interference = { { "lookup", "callout", 200 } } },
         { .name = "interference, heavy", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 1'150, .duration = { 30'000 }, .cores = 32, .interference = { { "lookup", "callout", 200 } } },
         { .name = "alike minions, heavy", .entries = 8, .sidecars = 69, .largerEvery = 3, .spread = compactSpread(), .jobsPerSecond = 1'150, .duration = { 10'000 }, .cores = 32 },
@@ -102,6 +103,13 @@
     Setting bySpeed { .name = "by speed" };
     bySpeed.dispatcher.placesBySpeed = true;
     all.push_back(bySpeed);
+    for (const std::int64_t useful : { 150, 200, 300, 1'000 }) {
+        Setting late = bySpeed;
+        late.name = fmt::format("by speed, useful {}%", useful);
+        late.dispatcher.busyCutoffPercent = useful;
+        late.dispatcher.idleCutoffPercent = std::max<std::int64_t>(useful, 300);
+        all.push_back(late);
+    }
     Setting apart { .name = "apart" };
     apart.dispatcher.separatesInterference = true;
     all.push_back(apart);
--- a/soak/Deployment.cpp
+++ b/soak/Deployment.cpp
@@ -107,8 +107,11 @@
     const std::string role = roleOf(name);
     std::string text = fmt::format("[process]\nrole = \"{}\"\ninstance = \"{}\"\nlisten = \"{}\"\nadvertise = \"{}\"\ndata_centre = \"{}\"\n",
         role, name, localAddress(listenerKey(name)), relayAddress(listenerKey(name)), dataCentre(name));
-    text += fmt::format("[shutdown]\ngrace_ms = {}\n[control]\npeers = [{}]\ntimeout_ms = 1500\n",
-        m_reloads % 2 == 0 ? graceMs : reloadedGraceMs, fmt::join(controls, ", "));
+    const std::string accept = m_options.shape.hardLoad ? fmt::format("accept_ms = {}\n", graceMs) : "";
+    text += fmt::format("[shutdown]\ngrace_ms = {}\n{}[control]\npeers = [{}]\ntimeout_ms = 1500\n",
+        m_reloads % 2 == 0 ? graceMs : reloadedGraceMs, accept, fmt::join(controls, ", "));
+    if (role == "entry" && m_options.shape.hardLoad)
+        text += "[placement]\nby_speed = true\nseparate_interference = true\n";
     if (role == "sidecar")
         text += fmt::format("[sidecar]\nstream_listen = \"{}\"\nstream_advertise = \"{}\"\n", localAddress(name + "/stream"), relayAddress(name + "/stream"));
     if (role != "control")
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -269,6 +269,7 @@
         shape.minionFaults = arguments.count("minion-faults") > 0;
         shape.entryFaults = arguments.count("entry-faults") > 0;
         shape.impatientCallers = arguments.count("impatient-callers") > 0;
+        shape.hardLoad = arguments.count("hard-load") > 0;
         shape.twinRequests = arguments.count("twin-requests") > 0;
         shape.oddReports = arguments.count("odd-reports") > 0;
         shape.successors = arguments.count("successors") > 0;
@@ -298,6 +299,7 @@
             "replacements", "Number of control instances to replace; the deployment then has five", cxxopts::value<int>())(
             "minion-faults", "Also faults of minions and of single paths")(
             "entry-faults", "Also slow entries, and late news of callers that left")(
+            "hard-load", "Entries run with the settings of [placement] and shutdown.accept_ms")(
             "impatient-callers", "Callers come back after 0 to 1,300 ms, entries and sidecars are lost together, and minions take their grace")(
             "twin-requests", "Some requests are sent twice at the same moment, to one entry or to two")(
             "odd-reports", "Minions' reports overtake each other, and other writers send some")(
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -25,6 +25,8 @@
     bool entryFaults { false };
     // Callers come back at once or later, entries and sidecars are lost together, and minions take their grace; see docs/SOAK.md.
     bool impatientCallers { false };
+    // Entries place by speed, keep interfering tasks apart and accept jobs until the end of their grace.
+    bool hardLoad { false };
     // Some requests are sent twice at the same moment.
     bool twinRequests { false };
     // Reports that overtake each other, and reports of other writers.
--- a/src/cli/Command.cpp
+++ b/src/cli/Command.cpp
@@ -58,6 +58,7 @@
         { "datacentre", "Take a data centre out or bring it in", &runDataCentre },
         { "timeline", "Print the events of all processes in causal order", &runTimeline },
         { "explain", "Print the lines of saved logs about one request or job", &runExplain },
+        { "explain-placement", "Print where a best-effort job would go now, and why", &runExplainPlacement },
     };
     return all;
 }
--- a/src/cli/Command.h
+++ b/src/cli/Command.h
@@ -44,6 +44,7 @@
 ExitCode runDataCentre(const std::vector<std::string>&);
 ExitCode runTimeline(const std::vector<std::string>&);
 ExitCode runExplain(const std::vector<std::string>&);
+ExitCode runExplainPlacement(const std::vector<std::string>&);
 
 // Makes an HTTP call and blocks until its answer arrives or its timeout expires.
 Result<HttpAnswer> callAndWait(const std::string& address, const HttpCall&);
--- a/src/entry/DispatchService.h
+++ b/src/entry/DispatchService.h
@@ -30,6 +30,8 @@
     void abandon(std::uint64_t submission);
     // False when this entry does not hold the job.
     bool cancel(const std::string& queue, const std::string& job);
+    // See JobDispatcher::explain().
+    PlacementExplanation explain(const DispatchJob& job) { return m_dispatcher.explain(job, Clock::now()); }
     const JobDispatcher& dispatcher() const { return m_dispatcher; }
     // The entry is stopping: every job is answered by this time.
     void finishBy(Milliseconds by);
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -1,6 +1,7 @@
 #include "entry/EntryServer.h"
 
 #include "entry/CallerApi.h"
+#include "entry/PlacementMethods.h"
 #include "wire/EntryMessages.h"
 
 #include <event2/http.h>
@@ -108,6 +109,16 @@
     m_process.rpc.addTyped<SubmitAtOwner, JobAnswer>("submitHere", [this](const SubmitAtOwner& request, const JobReply& reply) {
         m_jobs.submit(request.spec, request.wait, reply);
     });
+    m_process.rpc.add("explainPlacement", [this](const Json::Value& params, const RpcReply& reply) {
+        const auto& catalogue = view().catalogue;
+        if (!catalogue) {
+            return reply(Error { .code = ErrorCode::Unavailable, .ran = Ran::No, .step = "entry.explainPlacement", .message = "the queues are not known yet" });
+        }
+        const auto job = readExplainedJob(params, *catalogue, Clock::now());
+        if (!job.has_value())
+            return reply(job.assume_error());
+        reply(toJson(m_dispatch.explain(job.assume_value())));
+    });
     m_process.rpc.addTyped<FindJobAtOwner, JobAnswer>("cancelHere",
         [this](const FindJobAtOwner& request, const JobReply& reply) { m_jobs.cancelHere(request.key, reply); });
 }
--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -90,18 +90,8 @@
     }
 }
 
-std::uint64_t JobDispatcher::submit(DispatchJob spec, Milliseconds now)
+JobDispatcher::Job JobDispatcher::makeJob(const DispatchJob& spec, std::uint64_t submission, Milliseconds now) const
 {
-    if (m_finishBy)
-        spec.deadline = std::min(spec.deadline, *m_finishBy);
-    detectPause(now);
-    const std::uint64_t submission = ++m_lastId;
-    const auto known = m_byName.find({ spec.queue.name, spec.name });
-    if (known != m_byName.end()) {
-        m_jobs.at(known->second).submissions.push_back(submission);
-        m_submissions[submission] = known->second;
-        return submission;
-    }
     Job job { .spec = spec, .submissions = { submission }, .tasks = {}, .arrived = now };
     for (const auto& step : spec.steps) {
         job.tasks.emplace_back(step.count);
@@ -119,6 +109,22 @@
     job.idleCutoff = within(m_options.idleCutoffPercent);
     job.objectiveAt = now + objective;
     job.effectiveDeadline = now + objective + m_options.priorityDelay * spec.queue.priority;
+    return job;
+}
+
+std::uint64_t JobDispatcher::submit(DispatchJob spec, Milliseconds now)
+{
+    if (m_finishBy)
+        spec.deadline = std::min(spec.deadline, *m_finishBy);
+    detectPause(now);
+    const std::uint64_t submission = ++m_lastId;
+    const auto known = m_byName.find({ spec.queue.name, spec.name });
+    if (known != m_byName.end()) {
+        m_jobs.at(known->second).submissions.push_back(submission);
+        m_submissions[submission] = known->second;
+        return submission;
+    }
+    Job job = makeJob(spec, submission, now);
     if (m_options.separatesInterference)
         m_queueNames.try_emplace(nameDigest(spec.queue.name), spec.queue.name);
     m_submissions[submission] = submission;
@@ -872,6 +878,22 @@
     return free > room * m_options.reservePercent / percent;
 }
 
+PlacementRequest JobDispatcher::placementRequest(const Job& job, const DispatchStep& step, Milliseconds now) const
+{
+    PlacementRequest request { .needs = step.needs,
+        .dataCentre = m_options.dataCentre,
+        .preferredRack = step.preferredRack,
+        .requiredLabel = step.requiredLabel,
+        .maxPerMinion = step.maxPerMinion,
+        .avoid = {},
+        .jitterWeight = m_options.jitterWeight };
+    if (m_options.placesBySpeed) {
+        request.runTime = expectedRun(job.spec.queue, step.needs);
+        request.endWithin = std::max(job.objectiveAt - m_options.onTimeMargin - now, Milliseconds {});
+    }
+    return request;
+}
+
 bool JobDispatcher::placeJob(
     std::uint64_t id, Job& job, std::vector<PlacementCandidate>& candidates, Milliseconds now)
 {
@@ -885,13 +907,7 @@
         const DispatchStep& spec = job.spec.steps[step];
         if (!isStepOpen(job, spec))
             continue;
-        PlacementRequest request { .needs = spec.needs,
-            .dataCentre = m_options.dataCentre,
-            .preferredRack = spec.preferredRack,
-            .requiredLabel = spec.requiredLabel,
-            .maxPerMinion = spec.maxPerMinion,
-            .avoid = {},
-            .jitterWeight = m_options.jitterWeight };
+        PlacementRequest request = placementRequest(job, spec, now);
         for (auto& candidate : candidates) {
             candidate.runsOfStep = std::count_if(job.tasks[step].begin(), job.tasks[step].end(),
                 [&candidate](const Task& task) {
@@ -903,10 +919,6 @@
             if (task.state != TaskState::Waiting)
                 continue;
             request.avoid = task.failedAt;
-            if (m_options.placesBySpeed) {
-                request.runTime = expectedRun(job.spec.queue, spec.needs);
-                request.endWithin = std::max(job.objectiveAt - m_options.onTimeMargin - now, Milliseconds {});
-            }
             // One minion refuses the earlier of two starts of a task. Of two minions neither knows of the other's.
             const auto unsettledAt = sidecarsWithUnsettled(job, step, index, now);
             if (unsettledAt.size() > 1)
@@ -1132,6 +1144,74 @@
     return due;
 }
 
+PlacementExplanation JobDispatcher::explain(const DispatchJob& spec, Milliseconds now)
+{
+    static const GrantStatus granted { .isHeld = true };
+    Job job = makeJob(spec, 0, now);
+    job.grants = &granted;
+    const std::string& service = spec.queue.service;
+    PlacementExplanation explanation { .queue = spec.queue.name,
+        .service = service,
+        .refusal = refusal(job, now),
+        .expectedWait = expectedWait(job, now),
+        .expectedRun = job.longestRun,
+        .objective = job.objectiveAt - now,
+        .cutoff = cutoff(job) - now };
+    auto all = candidates(service, now);
+    for (auto& candidate : all)
+        candidate.jitter = 0;
+    weighRivals(spec.queue, all);
+    explanation.isHeldByReserve = spec.queue.priority != 0 && m_options.reservePercent > 0 && !exceedsReserve(all);
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        if (spec.steps[step].after.empty())
+            explanation.steps.push_back(explainStep(job, step, all, now));
+    }
+    return explanation;
+}
+
+ExplainedStep JobDispatcher::explainStep(const Job& job, std::uint32_t step, std::vector<PlacementCandidate>& candidates, Milliseconds now) const
+{
+    const DispatchStep& spec = job.spec.steps[step];
+    const PlacementRequest request = placementRequest(job, spec, now);
+    ExplainedStep explained { .step = step, .expectedRun = expectedRun(job.spec.queue, spec.needs) };
+    for (const auto& candidate : candidates) {
+        const PlacementExclusion exclusion = exclusionOf(candidate, request);
+        explained.minions.push_back({ .sidecar = candidate.sidecar,
+            .dataCentre = candidate.dataCentre,
+            .rack = candidate.rack,
+            .free = candidate.free,
+            .slowness = candidate.slowness,
+            .hasRivals = candidate.hasRivals,
+            .lateProbability = lateProbability(candidate, request),
+            .score = placementScore(candidate, request),
+            .excludedBy = exclusion == PlacementExclusion::None ? std::string() : std::string(placementExclusionName(exclusion)) });
+    }
+    std::stable_sort(explained.minions.begin(), explained.minions.end(), [](const ExplainedMinion& a, const ExplainedMinion& b) {
+        return std::make_pair(!a.excludedBy.empty(), -a.score) < std::make_pair(!b.excludedBy.empty(), -b.score);
+    });
+    for (const auto& [name, link] : m_links) {
+        if (!link.known || link.state.service != job.spec.queue.service || acceptsRuns(link, job.spec.queue.service))
+            continue;
+        const char* reason = m_dataCentresOut.contains(link.state.dataCentre) ? "its data centre is out"
+            : !link.connected || !link.handshakeDone                          ? "not connected"
+                                                                              : "accepts no tasks";
+        explained.minions.push_back({ .sidecar = name, .dataCentre = link.state.dataCentre, .rack = link.state.rack, .excludedBy = reason });
+    }
+    for (std::uint32_t task = 0; task < spec.count; ++task) {
+        const auto chosen = chooseMinion(candidates, request);
+        explained.placements.push_back(chosen ? candidates[*chosen].sidecar : std::string());
+        if (!chosen)
+            continue;
+        PlacementCandidate& candidate = candidates[*chosen];
+        addNeeds(candidate.free, spec.needs, -1);
+        ++candidate.chosenThisRound;
+        ++candidate.runsOfStep;
+        if (candidate.allowance)
+            --*candidate.allowance;
+    }
+    return explained;
+}
+
 std::size_t JobDispatcher::pending(const std::string& queue) const
 {
     return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&queue](const auto& item) {
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -3,6 +3,7 @@
 #include "policy/JobGrants.h"
 #include "policy/MinionHealth.h"
 #include "policy/MinionSpeeds.h"
+#include "policy/PlacementExplanation.h"
 #include "policy/RivalQueues.h"
 #include "policy/RunPlacement.h"
 #include "policy/RunTimes.h"
@@ -225,6 +226,9 @@
     // Tasks could not be placed because their callers may have left: act() is due once the sockets have been read.
     bool awaitsCallerNews() const { return m_awaitsCallerNews; }
 
+    // What would become of the job if it were submitted now. Changes nothing. Of later steps nothing is said.
+    PlacementExplanation explain(const DispatchJob&, Milliseconds now);
+
     // Jobs of a queue for which no task has started.
     std::size_t pending(const std::string& queue) const;
     std::size_t jobs() const { return m_jobs.size(); }
@@ -404,6 +408,10 @@
     void placeConfirmed(Milliseconds now, Milliseconds callersHeardUntil);
     void place(Milliseconds now);
     std::vector<PlacementCandidate> candidates(const std::string& service, Milliseconds now);
+    PlacementRequest placementRequest(const Job&, const DispatchStep&, Milliseconds now) const;
+    // A job as it is queued, without grants.
+    Job makeJob(const DispatchJob&, std::uint64_t submission, Milliseconds now) const;
+    ExplainedStep explainStep(const Job&, std::uint32_t step, std::vector<PlacementCandidate>&, Milliseconds now) const;
     // Free capacity by the last report, less what was sent since.
     static TaskNeeds freeAt(const Link&);
     void applyUnsettledTask(const std::string& sidecar, const UnsettledTask&, Milliseconds now);
--- a/src/policy/RunPlacement.h
+++ b/src/policy/RunPlacement.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // Chooses the minion of a run. Made for services whose minions differ in capacity and speed and of which some fail, hang
@@ -58,6 +59,29 @@
     double jitterWeight { 0.1 };
 };
 
+// Why a run may not be sent to a minion.
+enum class PlacementExclusion {
+    None,
+    // An earlier run of the task binds it to another minion.
+    BoundElsewhere,
+    // This entry may have no further task there; see MinionHealth.
+    Allowance,
+    // The step has as many tasks there as it may.
+    TasksOfStep,
+    Label,
+    Room,
+};
+
+std::string_view placementExclusionName(PlacementExclusion);
+
+PlacementExclusion exclusionOf(const PlacementCandidate&, const PlacementRequest&);
+
+// Probability that the run ends too late on this minion; 0 when no end is asked for.
+double lateProbability(const PlacementCandidate&, const PlacementRequest&);
+
+// Higher is better.
+double placementScore(const PlacementCandidate&, const PlacementRequest&);
+
 // Index of the best candidate; nullopt when none is eligible.
 std::optional<std::size_t> chooseMinion(const std::vector<PlacementCandidate>&, const PlacementRequest&);
 
--- a/test/support/DispatchModel.cpp
+++ b/test/support/DispatchModel.cpp
@@ -325,6 +325,14 @@
     actSidecar(number);
 }
 
+PlacementExplanation DispatchModel::explain(int entry, const ModelQueue& queue, Milliseconds patience)
+{
+    QueueConfig config = queue.config;
+    config.service = service;
+    return m_entries[static_cast<std::size_t>(entry)]->dispatcher->explain(
+        { .name = "explained", .queue = config, .deadline = m_now + patience, .steps = { { .count = queue.tasks, .needs = queue.needs } } }, m_now);
+}
+
 std::size_t DispatchModel::submit(int entry, const ModelQueue& queue, const std::string& job, Milliseconds patience)
 {
     const std::size_t index = m_outcomes.size();
--- a/test/support/DispatchModel.h
+++ b/test/support/DispatchModel.h
@@ -109,6 +109,7 @@
 
     // Submits a job at an entry and returns the index of its outcome.
     std::size_t submit(int entry, const ModelQueue&, const std::string& job, Milliseconds patience);
+    PlacementExplanation explain(int entry, const ModelQueue&, Milliseconds patience);
     void abandon(std::size_t outcome);
     void cancel(int entry, const ModelQueue&, const std::string& job);
     const std::vector<ModelOutcome>& outcomes() const { return m_outcomes; }
