Idle clients cannot use up the descriptors of a process

What callers saw: with the descriptors used up by idle clients no other client is served, and the loop repeats a failed accept without end.

Test: IdleConnections, 400 idle clients at an entry with 256 descriptors.

--- a/src/policy/RequestBudget.cpp
+++ b/src/policy/RequestBudget.cpp
@@ -31,9 +31,15 @@
         m_connections.erase(found);
 }
 
-void RequestBudget::opened(Connection connection, std::size_t maxRequestBytes)
+void RequestBudget::opened(Connection connection, std::size_t maxRequestBytes, Milliseconds now)
 {
-    m_connections[connection].maxRequestBytes = maxRequestBytes;
+    m_connections[connection] = { .maxRequestBytes = maxRequestBytes, .activeAt = now };
+}
+
+void RequestBudget::active(Connection connection, Milliseconds now)
+{
+    if (const auto found = m_connections.find(connection); found != m_connections.end())
+        found->second.activeAt = now;
 }
 
 void RequestBudget::closed(Connection connection)
@@ -69,6 +75,21 @@
     change(connection, [bytes](Held& held) { held.unsentBytes = bytes; });
 }
 
+std::vector<RequestBudget::Connection> RequestBudget::longestIdle(Milliseconds now, Milliseconds minIdle, std::size_t count) const
+{
+    std::vector<std::pair<Milliseconds, Connection>> idle;
+    for (const auto& [connection, held] : m_connections) {
+        const bool isBusy = held.isClosed || held.handledBytes > 0 || held.unsentBytes > 0;
+        if (!isBusy && now >= held.activeAt + minIdle)
+            idle.emplace_back(held.activeAt, connection);
+    }
+    std::sort(idle.begin(), idle.end());
+    std::vector<Connection> chosen;
+    for (std::size_t i = 0; i < std::min(count, idle.size()); ++i)
+        chosen.push_back(idle[i].second);
+    return chosen;
+}
+
 std::optional<RequestBudget::Victim> RequestBudget::victim() const
 {
     if (!m_tooLarge.empty())
--- a/src/policy/RequestBudget.h
+++ b/src/policy/RequestBudget.h
@@ -1,14 +1,18 @@
 #pragma once
 
+#include "oleanderport/Clock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 // Decides which connections of a process are closed so that what clients send stays within its memory. Made for many clients that each
-// announce or send a body far over the limit, or withhold the end of one, beside callers with ordinary requests.
+// announce or send a body far over the limit, or withhold the end of one, and for thousands that hold idle connections, beside callers with
+// ordinary requests.
 namespace oleanderport {
 
 // Why a request is refused before it is handled.
@@ -36,7 +40,9 @@
     }
 
     // `maxRequestBytes` is the limit of one request with its headers.
-    void opened(Connection, std::size_t maxRequestBytes);
+    void opened(Connection, std::size_t maxRequestBytes, Milliseconds now);
+    // Bytes have arrived or were sent.
+    void active(Connection, Milliseconds now);
     // What its handler still holds counts until released().
     void closed(Connection);
     // Bytes of an unfinished request have arrived.
@@ -53,6 +59,10 @@
     // the hands of a handler are never given up: they may be running.
     std::optional<Victim> victim() const;
 
+    // Up to `count` connections without a request in the hands of a handler and without an unsent answer that were not active for `minIdle`,
+    // those that are idle the longest first.
+    std::vector<Connection> longestIdle(Milliseconds now, Milliseconds minIdle, std::size_t count) const;
+
     std::size_t bytes() const { return m_bytes; }
 
 private:
@@ -62,6 +72,7 @@
         std::size_t handledBytes { 0 };
         std::size_t unsentBytes { 0 };
         bool isClosed { false };
+        Milliseconds activeAt {};
 
         std::size_t reclaimableBytes() const { return receivedBytes + unsentBytes; }
         std::size_t bytes() const { return reclaimableBytes() + handledBytes; }
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -40,6 +40,16 @@
     // A body of the hard limit in chunks of one byte has six times its bytes. evhttp counts only the body and refuses first.
     constexpr std::size_t rawBytesFactor = 6;
     constexpr Milliseconds refusalLogPeriod { 1'000 };
+    // A client that has just connected is given this long to send its request.
+    constexpr Milliseconds minIdleTime { 1'000 };
+    constexpr std::size_t idleClosedPerSweep = 64;
+
+    // libevent hands the callback of a failed accept evhttp's argument, not one of this server.
+    std::map<evconnlistener*, HttpServer*>& serverOfListener()
+    {
+        thread_local std::map<evconnlistener*, HttpServer*> servers;
+        return servers;
+    }
 
     // A whole answer that is written below evhttp, to a request that evhttp has not passed on.
     std::string rawRefusal(int status, const char* reason, const Error& error)
@@ -169,8 +179,8 @@
         state->owner = this;
         state->bufferEvent = connection;
         state->id = ++intake->m_lastConnection;
-        intake->m_budget.opened(state->id, maxRequestBytes);
-        intake->m_close[state->id] = [connection, state = state.get()](RequestRefusal reason) { refuse(connection, *state, reason); };
+        intake->m_budget.opened(state->id, maxRequestBytes, Clock::now());
+        intake->m_close[state->id] = [connection, state = state.get()](std::optional<RequestRefusal> reason) { refuse(connection, *state, reason); };
         evbuffer_add_cb(bufferevent_get_input(connection), &Connections::inputChanged, state.get());
         evbuffer_add_cb(bufferevent_get_output(connection), &Connections::outputChanged, state.get());
         all[connection] = std::move(state);
@@ -187,6 +197,7 @@
         if (!connection->receivingSince)
             connection->receivingSince = Clock::now();
         Connections& owner = *connection->owner;
+        owner.intake->m_budget.active(connection->id, Clock::now());
         owner.intake->m_budget.received(connection->id, change->n_added);
         if (owner.intake->m_budget.victim())
             owner.onOverload();
@@ -196,6 +207,7 @@
     {
         const auto* connection = static_cast<Connection*>(state);
         RequestBudget& budget = connection->owner->intake->m_budget;
+        budget.active(connection->id, Clock::now());
         budget.unsent(connection->id, change->orig_size + change->n_added - change->n_deleted);
         if (change->n_added > 0 && budget.victim())
             connection->owner->onOverload();
@@ -221,14 +233,15 @@
     }
 
     // Closes the connection, with a reply unless another one is due on it. What it held is given back at once.
-    static void refuse(bufferevent* connection, Connection& state, RequestRefusal reason)
+    static void refuse(bufferevent* connection, Connection& state, std::optional<RequestRefusal> reason)
     {
         RequestIntake& intake = *state.owner->intake;
         const bool isOpen = !isFreed(connection);
         if (isOpen) {
-            ++(reason == RequestRefusal::TooLarge ? intake.m_refusedTooLarge : intake.m_refusedOverBudget);
-            if (state.openRequests == 0 && evbuffer_get_length(bufferevent_get_output(connection)) == 0)
-                sendRaw(connection, intakeRefusalReply(reason));
+            ++(!reason ? intake.m_closedIdle : *reason == RequestRefusal::TooLarge ? intake.m_refusedTooLarge
+                                                                                   : intake.m_refusedOverBudget);
+            if (reason && state.openRequests == 0 && evbuffer_get_length(bufferevent_get_output(connection)) == 0)
+                sendRaw(connection, intakeRefusalReply(*reason));
         }
         bufferevent_disable(connection, EV_READ | EV_WRITE);
         intake.m_budget.closed(state.id);
@@ -271,7 +284,6 @@
     // Called when a connection has to be closed to keep the budget; not a time to close one, as evhttp may be reading it.
     std::function<void()> onOverload;
     Milliseconds requestTimeout {};
-    std::size_t maxConnections { 0 };
 };
 
 HttpResponder::HttpResponder(evhttp_request* request, std::shared_ptr<std::size_t> unsent)
@@ -355,7 +367,7 @@
 {
     const std::size_t maxRequestBytes = maxHeaderBytes + maxReadAheadBytes + options.maxBodyBytes * hardLimitFactor * rawBytesFactor;
     if (!m_intake)
-        m_intake = std::make_shared<RequestIntake>(maxRequestBytes * ownIntakeFactor);
+        m_intake = std::make_shared<RequestIntake>(maxRequestBytes * ownIntakeFactor, options.maxConnections);
     m_connections->intake = m_intake;
     m_connections->maxRequestBytes = maxRequestBytes;
     m_connections->onOverload = [this] {
@@ -363,7 +375,6 @@
             m_closing = m_loop.once({}, [this] { closeVictims(); });
     };
     m_connections->requestTimeout = options.requestTimeout;
-    m_connections->maxConnections = options.maxConnections;
     // Unsupported methods get a typed error from the handler instead of evhttp's page.
     evhttp_set_allowed_methods(m_http, allMethods);
     evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(maxHeaderBytes));
@@ -372,14 +383,41 @@
         evhttp_set_timeout(m_http, static_cast<int>(options.idleTimeout.count / millisecondsPerSecond));
     evhttp_set_gencb(m_http, &HttpServer::onRequest, this);
     evhttp_set_bevcb(m_http, &HttpServer::accept, this);
-    m_sweep = loop.every(sweepPeriod, [this] {
-        m_connections->sweep(Clock::now());
-        if (m_socket && m_connections->all.size() < m_connections->maxConnections)
-            evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
-    });
+    m_sweep = loop.every(sweepPeriod, [this] { sweep(); });
 }
 
-HttpServer::~HttpServer() { evhttp_free(m_http); }
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    evhttp_free(m_http);
+}
+
+void HttpServer::acceptFailed(evconnlistener* listener, void*)
+{
+    // The listener stays readable, so without a pause the loop would call it again and again.
+    evconnlistener_disable(listener);
+    if (const auto server = serverOfListener().find(listener); server != serverOfListener().end())
+        server->second->m_isOutOfDescriptors = true;
+}
+
+void HttpServer::sweep()
+{
+    const Milliseconds now = Clock::now();
+    m_connections->sweep(now);
+    const auto isFull = [this] { return m_intake->m_close.size() >= m_intake->m_maxConnections; };
+    if (std::exchange(m_isOutOfDescriptors, false) || isFull()) {
+        const auto idle = m_intake->m_budget.longestIdle(now, minIdleTime, idleClosedPerSweep);
+        for (const auto connection : idle)
+            m_intake->m_close.at(connection)(std::nullopt);
+        if (!idle.empty()) {
+            log(LogLevel::Warning, { .step = "http.intake" },
+                fmt::format("closed {} idle connections of {} to accept others", idle.size(), m_intake->m_close.size()));
+        }
+        m_connections->sweep(now);
+    }
+    if (m_socket && !isFull())
+        evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
+}
 
 void HttpServer::closeVictims()
 {
@@ -411,6 +449,9 @@
             .peer = options.address,
             .message = "cannot bind this address" };
     }
+    evconnlistener* listener = evhttp_bound_socket_get_listener(server->m_socket);
+    serverOfListener()[listener] = server.get();
+    evconnlistener_set_error_cb(listener, &HttpServer::acceptFailed);
     return server;
 }
 
@@ -418,6 +459,7 @@
 {
     if (!m_socket)
         return;
+    serverOfListener().erase(evhttp_bound_socket_get_listener(m_socket));
     evhttp_del_accept_socket(m_http, m_socket);
     m_socket = nullptr;
 }
@@ -440,7 +482,7 @@
     auto* server = static_cast<HttpServer*>(self);
     bufferevent* connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     server->m_connections->add(connection);
-    if (server->m_socket && server->m_connections->all.size() >= server->m_connections->maxConnections)
+    if (server->m_socket && server->m_intake->m_close.size() >= server->m_intake->m_maxConnections)
         evconnlistener_disable(evhttp_bound_socket_get_listener(server->m_socket));
     return connection;
 }
--- a/src/wire/HttpServer.h
+++ b/src/wire/HttpServer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
+struct evconnlistener;
 
 namespace oleanderport {
 
@@ -77,23 +79,30 @@
 // What the servers of a process hold of their clients' requests and answers, and what they refused for it.
 class RequestIntake {
 public:
-    explicit RequestIntake(std::size_t maxBytes)
+    // `maxConnections` counts the open connections of all servers of the process.
+    explicit RequestIntake(std::size_t maxBytes, std::size_t maxConnections)
         : m_budget(maxBytes)
+        , m_maxConnections(maxConnections)
     {
     }
 
     std::size_t bytes() const { return m_budget.bytes(); }
     std::size_t refusedTooLarge() const { return m_refusedTooLarge; }
     std::size_t refusedOverBudget() const { return m_refusedOverBudget; }
+    // Idle connections that were closed to let others in.
+    std::size_t closedIdle() const { return m_closedIdle; }
 
 private:
     friend class HttpServer;
 
     RequestBudget m_budget;
     RequestBudget::Connection m_lastConnection { 0 };
-    std::map<RequestBudget::Connection, std::function<void(RequestRefusal)>> m_close;
+    // By open connection; without a reason it gets no answer.
+    std::map<RequestBudget::Connection, std::function<void(std::optional<RequestRefusal>)>> m_close;
     std::size_t m_refusedTooLarge { 0 };
     std::size_t m_refusedOverBudget { 0 };
+    std::size_t m_closedIdle { 0 };
+    std::size_t m_maxConnections;
     Milliseconds m_loggedAt {};
 };
 
@@ -108,7 +117,8 @@
     Milliseconds idleTimeout {};
     // From the first to the last byte of a request. A slower sender gets status 408 and its connection is closed.
     Milliseconds requestTimeout { 30'000 };
-    // Limit of open connections; further ones wait in the listen backlog.
+    // Limit of open connections of a server without a shared intake; at the limit the longest idle ones are closed, and further ones wait in
+    // the listen backlog.
     std::size_t maxConnections { 10'000 };
     // Names of the headers that handlers read.
     std::vector<std::string> headers;
@@ -147,7 +157,10 @@
     HttpServer(EventLoop&, const HttpServerOptions&, HttpHandler);
     static bufferevent* accept(event_base*, void* self);
     static void onRequest(evhttp_request*, void* self);
+    static void acceptFailed(evconnlistener*, void*);
     void closeVictims();
+    // Accepts connections again where there is room, closing idle ones first.
+    void sweep();
 
     EventLoop& m_loop;
     HttpHandler m_handler;
@@ -159,6 +172,8 @@
     std::shared_ptr<Connections> m_connections;
     std::shared_ptr<RequestIntake> m_intake;
     std::unique_ptr<EventLoop::Timer> m_sweep;
+    // The process had no descriptor left for a connection.
+    bool m_isOutOfDescriptors { false };
     // Set while victims of the budget are to be closed.
     std::unique_ptr<EventLoop::Timer> m_closing;
 };
--- a/src/wire/Process.cpp
+++ b/src/wire/Process.cpp
@@ -41,7 +41,7 @@
     : loop(eventLoop)
     , settings(ownSettings)
     , events(ownSettings.instance, eventCapacity, eventLoop.logicalClock())
-    , intake(std::make_shared<RequestIntake>(bufferedBytesLimit(ownSettings)))
+    , intake(std::make_shared<RequestIntake>(bufferedBytesLimit(ownSettings), static_cast<std::size_t>(ownSettings.maxConnections)))
 {
     rpc.useClock(eventLoop.logicalClock());
     rpc.add("events", [this](const Json::Value& params, const RpcReply& reply) { serveEvents(events, params, reply); });
@@ -105,6 +105,7 @@
     metrics.set("request_bytes_held", static_cast<double>(intake->bytes()));
     metrics.set("requests_refused_too_large", static_cast<double>(intake->refusedTooLarge()));
     metrics.set("requests_refused_over_budget", static_cast<double>(intake->refusedOverBudget()));
+    metrics.set("connections_closed_idle", static_cast<double>(intake->closedIdle()));
     metrics.set("log_lines_dropped", static_cast<double>(droppedLogLines()));
     responder.reply({ .contentType = "text/plain; version=0.0.4", .body = metrics.text() });
 }
--- a/test/policy/RequestBudgetTest.cpp
+++ b/test/policy/RequestBudgetTest.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t maxBytes = 1'000;
 constexpr std::size_t maxRequestBytes = 400;
+constexpr Milliseconds start { 100'000 };
 
 // Closes victims until all limits are kept.
 std::set<RequestBudget::Connection> closeVictims(RequestBudget& budget)
@@ -29,10 +30,10 @@
 {
     RequestBudget budget(maxBytes);
     constexpr RequestBudget::Connection ordinary = 100;
-    budget.opened(ordinary, maxRequestBytes);
+    budget.opened(ordinary, maxRequestBytes, start);
     budget.received(ordinary, 20);
     for (RequestBudget::Connection hog = 1; hog <= 5; ++hog) {
-        budget.opened(hog, maxRequestBytes);
+        budget.opened(hog, maxRequestBytes, start);
         budget.received(hog, 300 + hog);
     }
     const auto closed = closeVictims(budget);
@@ -43,7 +44,7 @@
 Test(RequestBudget, refusesARequestOverItsOwnLimitWhileThereIsRoom)
 {
     RequestBudget budget(maxBytes);
-    budget.opened(1, maxRequestBytes);
+    budget.opened(1, maxRequestBytes, start);
     budget.received(1, maxRequestBytes);
     cr_assert(!budget.victim());
     budget.received(1, 1);
@@ -55,11 +56,11 @@
 {
     RequestBudget budget(maxBytes);
     for (RequestBudget::Connection each = 1; each <= 3; ++each) {
-        budget.opened(each, maxRequestBytes);
+        budget.opened(each, maxRequestBytes, start);
         budget.received(each, 330);
         budget.handedOver(each, 0);
     }
-    budget.opened(4, maxRequestBytes);
+    budget.opened(4, maxRequestBytes, start);
     budget.received(4, 50);
     cr_assert(closeVictims(budget) == std::set<RequestBudget::Connection>({ 4 }));
     budget.received(1, 50);
@@ -70,7 +71,7 @@
 Test(RequestBudget, countsNothingOnceRequestsAreReleasedSentOrClosed)
 {
     RequestBudget budget(maxBytes);
-    budget.opened(1, maxRequestBytes);
+    budget.opened(1, maxRequestBytes, start);
     budget.received(1, 100);
     budget.handedOver(1, 30);
     cr_assert(budget.bytes() == 100);
@@ -88,7 +89,7 @@
 Test(RequestBudget, countsWhatAHandlerHoldsAfterItsClientHasLeft)
 {
     RequestBudget budget(maxBytes);
-    budget.opened(1, maxRequestBytes);
+    budget.opened(1, maxRequestBytes, start);
     budget.received(1, 100);
     budget.handedOver(1, 20);
     budget.closed(1);
@@ -101,9 +102,26 @@
 Test(RequestBudget, givesUpUnsentAnswersWhenTheyHoldTheMost)
 {
     RequestBudget budget(maxBytes);
-    budget.opened(1, maxRequestBytes);
-    budget.opened(2, maxRequestBytes);
+    budget.opened(1, maxRequestBytes, start);
+    budget.opened(2, maxRequestBytes, start);
     budget.unsent(1, 900);
     budget.received(2, 200);
     cr_assert(closeVictims(budget) == std::set<RequestBudget::Connection>({ 1 }));
 }
+
+// Guards against idle connections that keep others out, and against a caller with a request in progress that loses its connection to them.
+Test(RequestBudget, namesTheLongestIdleConnectionsAndNoneWithARequest)
+{
+    RequestBudget budget(maxBytes);
+    for (RequestBudget::Connection each = 1; each <= 5; ++each)
+        budget.opened(each, maxRequestBytes, start + Milliseconds { static_cast<std::int64_t>(each) });
+    budget.received(1, 10);
+    budget.handedOver(1, 0);
+    budget.unsent(2, 10);
+    budget.active(3, start + Milliseconds { 900 });
+    const Milliseconds now = start + Milliseconds { 1'500 };
+    cr_assert(budget.longestIdle(now, { 1'000 }, 10) == std::vector<RequestBudget::Connection>({ 4, 5 }));
+    cr_assert(budget.longestIdle(now, { 1'000 }, 1) == std::vector<RequestBudget::Connection>({ 4 }));
+    budget.released(1);
+    cr_assert(budget.longestIdle(now, { 0 }, 10) == std::vector<RequestBudget::Connection>({ 1, 4, 5, 3 }));
+}
--- a/test/processes/OversizedBodiesTest.cpp
+++ b/test/processes/OversizedBodiesTest.cpp
@@ -134,3 +134,16 @@
     send(processes, processes.control, "POST /Config.Put", withheld(PlatformProcesses::maxBodyBytes, 24));
     expectHolds(processes, "control-1");
 }
+
+// Idle clients must not keep others out of a process that has no descriptor left.
+Test(IdleConnections, entryServesOthersWhileIdleClientsUseUpItsDescriptors)
+{
+    constexpr rlim_t descriptorLimit = 256;
+    constexpr std::size_t idleClients = 400;
+    PlatformProcesses processes(descriptorLimit);
+    processes.becomeReady();
+    for (std::size_t i = 0; i < idleClients; ++i)
+        processes.clients.push_back(processes.connect(processes.front));
+    cr_assert(runUntil(processes.loop, [&processes] { return processes.descriptors("entry-1") + 8 >= descriptorLimit; }), "the crowd did not use up the descriptors");
+    expectHolds(processes, "entry-1");
+}
--- a/test/processes/PlatformProcesses.h
+++ b/test/processes/PlatformProcesses.h
@@ -16,6 +16,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
+
 namespace oleanderport::platform {
 
 // One process of each role on loopback addresses, started from the built program, and a stand-in minion in the test's own loop.
@@ -23,16 +25,23 @@
 public:
     static constexpr std::size_t maxBodyBytes = 1024 * 1024;
 
-    PlatformProcesses()
+    // `maxDescriptors` is the limit of each process; that of the test when zero.
+    explicit PlatformProcesses(rlim_t maxDescriptors = 0)
         : minion(loop, {})
         , m_folder(makeFolder())
         , m_processes(m_folder)
     {
+        rlimit own {};
+        getrlimit(RLIMIT_NOFILE, &own);
+        const rlimit lowered { .rlim_cur = maxDescriptors, .rlim_max = own.rlim_max };
+        if (maxDescriptors > 0)
+            setrlimit(RLIMIT_NOFILE, &lowered);
         // The system closes connections that this process still writes to.
         std::signal(SIGPIPE, SIG_IGN);
         start("control-1", "control", control, "", {});
         start("sidecar-1", "sidecar", sidecarRpc, fmt::format("[sidecar]\nstream_listen = \"{}\"\n", freeAddress()), { "--minion", reports });
         start("entry-1", "entry", entryRpc, "", { "--front", front, "--ready", freeAddress() });
+        setrlimit(RLIMIT_NOFILE, &own);
     }
     ~PlatformProcesses()
     {
