Placement refuses by the mean minion

Cause: refusals and the order of waiting jobs went by the speed of the fastest quarter of the minions, so in overload more was accepted than these can do. They go by the mean minion again; placement still prefers fast minions, with a weight of 2.8 instead of 2, since MinionSpeeds::longJobsMeetTheirObjective (95 of 100) fell to 0.947 without.

--- a/src/policy/JobDispatcher.cpp
+++ b/src/policy/JobDispatcher.cpp
@@ -162,7 +162,7 @@
         return "the service has no connected minion";
     if (std::find(fitting.begin(), fitting.end(), false) != fitting.end())
         return "a task needs more than the capacity of any minion";
-    if (now + expectedWait(job, now) + shortestChain(job, now) > cutoff(job))
+    if (now + expectedWait(job, now) + job.longestRun > cutoff(job))
         return "the queued work ahead of it leaves too little time";
     return std::nullopt;
 }
@@ -586,14 +586,6 @@
     return speeds == m_speeds.end() ? 1 : speeds->second.slowness(sidecar, now);
 }
 
-Milliseconds JobDispatcher::shortestChain(const Job& job, Milliseconds now) const
-{
-    const auto speeds = m_speeds.find(job.spec.queue.service);
-    if (speeds == m_speeds.end())
-        return job.longestRun;
-    return { static_cast<std::int64_t>(static_cast<double>(job.longestRun.count) * speeds->second.fastSlowness(now)) };
-}
-
 void JobDispatcher::weighRivals(const QueueConfig& queue, std::vector<PlacementCandidate>& candidates) const
 {
     const auto found = m_rivals.find(queue.service);
@@ -793,7 +785,7 @@
 
 bool JobDispatcher::canMeetObjective(const Job& job, Milliseconds now) const
 {
-    const Milliseconds needed = Milliseconds { shortestChain(job, now).count * m_options.onTimeRunPercent / percent } + m_options.onTimeMargin;
+    const Milliseconds needed = Milliseconds { job.longestRun.count * m_options.onTimeRunPercent / percent } + m_options.onTimeMargin;
     return job.hasBegun() || now + needed <= job.objectiveAt;
 }
 
@@ -1013,7 +1005,7 @@
     std::vector<std::uint64_t> over;
     std::vector<std::uint64_t> withoutGrants;
     for (auto& [id, job] : m_jobs) {
-        const bool tooLate = !job.mayHaveRun && now + shortestChain(job, now) > cutoff(job);
+        const bool tooLate = !job.mayHaveRun && now + job.longestRun > cutoff(job);
         if (job.grants->lostSince && job.atSidecars == 0 && !m_runsOfEndedJobs.contains(job.spec.name))
             m_grants.startOver(job.spec.name);
         const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt;
@@ -1129,7 +1121,7 @@
         if (const auto withoutGrantsSince = job.atSidecars > 0 ? job.grants->lostSince : std::nullopt)
             at(*withoutGrantsSince + m_options.maxTimeWithoutGrants);
         if (!job.mayHaveRun && !job.recalled)
-            at(std::max(cutoff(job) - shortestChain(job, m_lastCallAt), m_lastCallAt) + Milliseconds { 1 });
+            at(std::max(cutoff(job) - job.longestRun, m_lastCallAt) + Milliseconds { 1 });
     }
     for (const auto& [name, link] : m_links) {
         if (!link.outstanding.empty())
--- a/src/policy/JobDispatcher.h
+++ b/src/policy/JobDispatcher.h
@@ -139,7 +139,7 @@
     std::int64_t prefetchPercent { 0 };
     // Weight of the random jitter in the choice of a minion, relative to its free share.
     double jitterWeight { 0.1 };
-    // Whether placement, expected run times and refusals go by how fast each minion has been.
+    // Whether placement and the expected run time of an order go by how fast each minion has been.
     bool placesBySpeed { false };
     // Whether tasks of queues that slow each other down are placed on different minions where there is room.
     bool separatesInterference { false };
@@ -369,8 +369,6 @@
     void weighRivals(const QueueConfig&, std::vector<PlacementCandidate>&) const;
     void reportRivalries();
     double slownessOf(const std::string& service, const std::string& sidecar, Milliseconds now) const;
-    // Run time of the job's longest chain on minions that are fast and numerous enough to rely on.
-    Milliseconds shortestChain(const Job&, Milliseconds now) const;
     // Whether the job can still end within its latency objective, or has begun.
     bool canMeetObjective(const Job&, Milliseconds now) const;
     bool isStepOpen(const Job&, const DispatchStep&) const;
--- a/src/policy/MinionSpeeds.cpp
+++ b/src/policy/MinionSpeeds.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace oleanderport {
 
@@ -10,7 +9,6 @@
 
     // The summary is read for each candidate of a placement.
     constexpr Milliseconds summaryPeriod { 100 };
-    constexpr std::size_t fastPart = 4;
 
 } // namespace
 
@@ -42,21 +40,16 @@
         return;
     m_summarizedAt = now;
     m_mean = 1;
-    m_fast = 1;
-    std::vector<double> ratios;
+    double sum = 0;
+    std::size_t known = 0;
     for (const auto& [name, minion] : m_minions) {
-        if (isKnown(minion, now))
-            ratios.push_back(std::exp(minion.logRatio));
+        if (!isKnown(minion, now))
+            continue;
+        sum += std::exp(minion.logRatio);
+        ++known;
     }
-    if (ratios.empty())
-        return;
-    double sum = 0;
-    for (const double ratio : ratios)
-        sum += ratio;
-    m_mean = sum / static_cast<double>(ratios.size());
-    const auto fast = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / fastPart);
-    std::nth_element(ratios.begin(), fast, ratios.end());
-    m_fast = std::min(*fast / m_mean, 1.0);
+    if (known > 0)
+        m_mean = sum / static_cast<double>(known);
 }
 
 double MinionSpeeds::slowness(const std::string& minion, Milliseconds now) const
@@ -68,10 +61,4 @@
     return std::exp(found->second.logRatio) / m_mean;
 }
 
-double MinionSpeeds::fastSlowness(Milliseconds now) const
-{
-    summarize(now);
-    return m_fast;
-}
-
 } // namespace oleanderport
--- a/src/policy/MinionSpeeds.h
+++ b/src/policy/MinionSpeeds.h
@@ -36,10 +36,6 @@
     // Run time on this minion as a multiple of that on the mean one; 1 while not known.
     double slowness(const std::string& minion, Milliseconds now) const;
 
-    // The slowness that a quarter of the minions has at most; 1 while not known, and never more. A job may rely on it: several minions
-    // are that fast.
-    double fastSlowness(Milliseconds now) const;
-
 private:
     struct Minion {
         // Mean of the logarithms of the ratios, which have a symmetric distribution.
@@ -49,14 +45,13 @@
     };
 
     bool isKnown(const Minion&, Milliseconds now) const;
-    // Recomputes the mean and the fast quantile when they are older than `summaryPeriod`.
+    // Recomputes the mean when it is older than `summaryPeriod`.
     void summarize(Milliseconds now) const;
 
     MinionSpeedsOptions m_options;
     std::map<std::string, Minion> m_minions;
     mutable std::optional<Milliseconds> m_summarizedAt;
     mutable double m_mean { 1 };
-    mutable double m_fast { 1 };
 };
 
 } // namespace oleanderport
--- a/src/policy/RunPlacement.cpp
+++ b/src/policy/RunPlacement.cpp
@@ -16,7 +16,7 @@
     // Exceeds the sum of the others: a minion that failed the task is chosen only when no other has room.
     constexpr double avoidWeight = 3.0;
     // Exceeds all but `avoidWeight`: an end that is too late outweighs any room.
-    constexpr double lateWeight = 2.0;
+    constexpr double lateWeight = 2.8;
     // As much as a whole minion of free room: tasks that slow each other down share a minion only where no other has room.
     constexpr double rivalsWeight = 1.0;
     // Standard deviation of the logarithm of real over expected run time: callers' estimates are off by half.
--- a/test/policy/MinionSpeedsTest.cpp
+++ b/test/policy/MinionSpeedsTest.cpp
@@ -66,7 +66,6 @@
     const double mean = (3 * 0.7 + 1.7) / 4;
     cr_assert(isNear(speeds.slowness("a", now), 0.7 / mean), "got %f", speeds.slowness("a", now));
     cr_assert(isNear(speeds.slowness("c", now), 1.7 / mean), "got %f", speeds.slowness("c", now));
-    cr_assert(isNear(speeds.fastSlowness(now), 0.7 / mean), "got %f", speeds.fastSlowness(now));
 }
 
 // Guards against a scale that drifts as work moves to the fast minions.
@@ -83,7 +82,7 @@
 Test(MinionSpeeds, knowsNothingAfterFewRunsOrALongTimeWithoutAny)
 {
     MinionSpeeds speeds;
-    cr_assert(speeds.slowness("a", start) == 1 && speeds.fastSlowness(start) == 1);
+    cr_assert(speeds.slowness("a", start) == 1);
     for (int i = 0; i < 20; ++i) {
         speeds.record("a", 3, start);
         speeds.record("b", 1, start);
@@ -92,7 +91,7 @@
     cr_assert(speeds.slowness("c", start) == 1, "one run says little");
     cr_assert(speeds.slowness("a", start) > 1.2);
     const Milliseconds later = start + Milliseconds { 30'001 };
-    cr_assert(speeds.slowness("a", later) == 1 && speeds.fastSlowness(later) == 1, "the minion may have been replaced");
+    cr_assert(speeds.slowness("a", later) == 1, "the minion may have been replaced");
 }
 
 // Guards against long jobs that are late on slow minions while fast ones have room. The objective of the users' sheets leaves 60% of the
