--- a/review/standin-3/Standin.cpp
+++ b/review/standin-3/Standin.cpp
@@ -17,6 +17,7 @@
 #include <cstring>
 #include <filesystem>
 #include <iostream>
+#include <random>
 #include <sstream>
 
 namespace standin {
@@ -136,20 +137,18 @@
 
 int freePort()
 {
-    // Held for a moment only. Each port is given out once.
-    static std::vector<int> used;
+    // Below the range from which the system takes ports for outgoing channels, so that a process finds its port free when it starts again.
+    constexpr int first = 20'000;
+    constexpr int count = 12'000;
+    static int next = static_cast<int>(std::random_device {}() % count);
     while (true) {
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address = addressOf("127.0.0.1:0");
-        ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        socklen_t size = sizeof address;
-        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        const int port = first + next++ % count;
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = addressOf("127.0.0.1:" + std::to_string(port));
+        const bool isFree = ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
         ::close(descriptor);
-        const int port = ntohs(address.sin_port);
-        if (std::find(used.begin(), used.end(), port) != used.end())
-            continue;
-        used.push_back(port);
-        return port;
+        if (isFree)
+            return port;
     }
 }
 
