--- a/review/standin-3/Standin.cpp
+++ b/review/standin-3/Standin.cpp
@@ -489,6 +489,7 @@
 void Minion::beat()
 {
     std::unique_lock guard(m_mutex);
+    m_changed.wait_for(guard, std::chrono::milliseconds(m_options.firstReportAfterMs), [this] { return m_stopped; });
     while (!m_stopped) {
         Json::Value body(Json::objectValue);
         body["service"] = m_options.service;
@@ -501,7 +502,7 @@
         body["capacity"]["cpu"] = static_cast<Json::Int64>(m_options.cpu);
         body["capacity"]["memMb"] = static_cast<Json::Int64>(m_options.memMb);
         body["capacity"]["gpu"] = 0;
-        body["labels"].append("a");
+        body["labels"].append(m_options.kind);
         body["labels"].append(m_options.rack);
         body["clockMs"] = static_cast<Json::Int64>(clockMs());
         body["born"] = static_cast<Json::Int64>(m_born);
@@ -689,16 +690,24 @@
     return nullptr;
 }
 
+Minion& Deployment::addMinion(std::size_t sidecar, const std::string& service, const std::function<void(MinionOptions&)>& change)
+{
+    const std::string number = std::to_string(sidecar + 1);
+    MinionOptions options { .id = "i-" + number, .service = service, .zone = sidecars[sidecar].zone, .rack = "r" + number + "-1", .sidecar = sidecars[sidecar].control };
+    if (change)
+        change(options);
+    minions.push_back(std::make_unique<Minion>(options, m_record));
+    return *minions.back();
+}
+
 bool Deployment::start(const std::vector<Route>& routes, const std::string& service)
 {
     for (auto* nodes : { &controls, &entries, &sidecars }) {
         for (auto& node : *nodes)
             launch(node);
     }
-    for (std::size_t i = 0; i < sidecars.size(); ++i) {
-        minions.push_back(std::make_unique<Minion>(
-            MinionOptions { .id = "i-" + std::to_string(i + 1), .service = service, .zone = sidecars[i].zone, .rack = "r" + std::to_string(i + 1) + "-1", .sidecar = sidecars[i].control }, m_record));
-    }
+    for (std::size_t i = 0; i + emptySidecars < sidecars.size(); ++i)
+        addMinion(i, service);
     if (putConfig(1, routes, service).status != 200)
         return false;
     const std::int64_t until = nowMs() + 20'000;
--- a/review/standin-3/Standin.h
+++ b/review/standin-3/Standin.h
@@ -112,9 +112,12 @@
     std::string service;
     std::string zone;
     std::string rack;
+    // The first of its labels.
+    std::string kind { "a" };
     std::int64_t cpu { 16'000 };
     std::int64_t memMb { 32'768 };
     std::int64_t heartbeatMs { 1'500 };
+    std::int64_t firstReportAfterMs { 0 };
     std::int64_t holdMaxMs { 1'000 };
     std::int64_t stopMs { 20 };
     // The address on its side machine.
@@ -129,6 +132,10 @@
     ~Minion();
     std::string address() const { return m_address; }
     const std::string& id() const { return m_options.id; }
+    const std::string& kind() const { return m_options.kind; }
+    // Unix milliseconds.
+    std::int64_t born() const { return m_born; }
+    std::int64_t clockMs() const { return nowMs() - m_bornAt + 1'000; }
     std::vector<RunRecord> runs() const;
     void setState(const std::string& state);
 
@@ -154,7 +161,6 @@
     Reply stop(const Json::Value&);
     Reply hold(const Json::Value&, std::unique_lock<std::mutex>&);
     Reply answer(int status, Json::Value body) const;
-    std::int64_t clockMs() const { return nowMs() - m_bornAt + 1'000; }
     void end(std::size_t index, const std::string& how, std::int64_t at);
     void work();
     void beat();
@@ -214,6 +220,8 @@
 
     // Starts everything and puts the first configuration. False if it is not ready in time.
     bool start(const std::vector<Route>&, const std::string& service);
+    // Starts the minion beside a sidecar. `change` may set what is to differ from the others.
+    Minion& addMinion(std::size_t sidecar, const std::string& service, const std::function<void(MinionOptions&)>& change = {});
     Reply putConfig(std::int64_t version, const std::vector<Route>&, const std::string& service);
     void signal(Node&, int number);
     // Waits for the process to end.
@@ -226,6 +234,8 @@
     std::vector<Node> entries;
     std::vector<Node> sidecars;
     std::vector<std::unique_ptr<Minion>> minions;
+    // Of the last sidecars, how many have no minion at first.
+    std::size_t emptySidecars { 0 };
 
 private:
     std::string render(const std::string& path, const std::map<std::string, std::string>& values) const;
