--- a/review/standin-3/Standin.cpp
+++ b/review/standin-3/Standin.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -600,6 +601,8 @@
     words.push_back(nullptr);
     node.pid = ::fork();
     if (node.pid == 0) {
+        // No process outlives the case, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
